--- a/cmd/testtrack/main.go
+++ b/cmd/testtrack/main.go
@@ -27,7 +27,13 @@
 	name := flag.String("scenario", "calm", "what happens meanwhile; 'list' names them")
 	hold := flag.Bool("hold", false, "start the fleet, send plan and servers, and keep it until interrupted")
 	seed := flag.Int64("seed", 1, "seed of the load")
+	kinds := flag.String("sweep", "", "instead: run simulated `scenarios` (a,b or all) over many seeds")
+	from := flag.Int64("from", 1, "first seed of a sweep")
+	count := flag.Int64("seeds", 1000, "seeds of a sweep, for each scenario")
 	flag.Parse()
+	if *kinds != "" {
+		return sweep(*kinds, *from, *count)
+	}
 	if *name == "list" {
 		for _, s := range track.Names() {
 			fmt.Println(s)
--- /dev/null
+++ b/cmd/testtrack/sweep.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"mulleinmast/proof/sim"
+)
+
+// sweep runs many seeds of the simulated scenarios and names every seed that
+// broke a rule.
+func sweep(kinds string, from, count int64) int {
+	names := strings.Split(kinds, ",")
+	if kinds == "all" {
+		names = nil
+		for n := range sim.Scenarios {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	bad := 0
+	for _, name := range names {
+		options, ok := sim.Scenarios[name]
+		if !ok {
+			_, _ = fmt.Fprintf(os.Stderr, "testtrack: -sweep %q: no such simulated scenario\n", name)
+			return 2
+		}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		seeds := numbers(from, count)
+		broken := 0
+		var yes, never, maybe, reads int
+		faults := map[string]int{}
+		var gap, wait []time.Duration
+		for i := 0; i < runtime.NumCPU(); i++ {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for seed := range seeds {
+					r := sim.Run(options(seed))
+					mu.Lock()
+					if len(r.Broken) > 0 {
+						broken++
+						fmt.Printf("%s seed %d: %s (and %d more)\n", name, seed, r.Broken[0], len(r.Broken)-1)
+					}
+					yes, never, maybe, reads = yes+r.Yes, never+r.Never, maybe+r.Maybe, reads+r.Reads
+					for k, n := range r.Faults {
+						faults[k] += n
+					}
+					gap = append(gap, r.Gap)
+					wait = append(wait, r.Waits...)
+					mu.Unlock()
+				}
+			}()
+		}
+		wg.Wait()
+		fmt.Printf("%-8s %d seeds, %d broken; writes: %d in force, %d refused, %d uncertain; %d reads; simulated: write median %v 99th %v, longest without an owner median %v 99th %v; faults %v\n",
+			name, count, broken, yes, never, maybe, reads, at(wait, 0.5), at(wait, 0.99), at(gap, 0.5), at(gap, 0.99), faults)
+		bad += broken
+	}
+	if bad > 0 {
+		return 1
+	}
+	return 0
+}
+
+func numbers(from, count int64) chan int64 {
+	c := make(chan int64)
+	go func() {
+		for s := from; s < from+count; s++ {
+			c <- s
+		}
+		close(c)
+	}()
+	return c
+}
+
+func at(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
+	return list[int(q*float64(len(list)-1))].Round(10 * time.Microsecond)
+}
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -50,10 +50,7 @@
 	loadAt time.Duration
 	group  uint64
 
-	steer     form.Seat
-	steerTill time.Duration
-	fallTill  time.Duration
-	wasLive   bool
+	guide roster.Guide
 }
 
 // Cabin is one daemon.
@@ -146,7 +143,7 @@
 			}
 			return form.Seat{}
 		}
-		c.shards = append(c.shards, &shard{part: p, sec: section.New(p, c.me, c.epoch, seat, node), after: map[uint64]func(section.Result){}, dirty: true})
+		c.shards = append(c.shards, &shard{part: p, sec: section.New(p, c.me, c.epoch, seat, node), after: map[uint64]func(section.Result){}, dirty: true, guide: roster.Guide{Part: p, Vol: cfg.Vol()}})
 	}
 	c.Pin(0, tariff.PlanKey)
 	c.Pin(0, tariff.CellKey)
@@ -298,12 +295,11 @@
 		c.Book.Note("duty", "part %d: owner with ballot %d", s.part, s.sec.Seat.Num())
 	}
 	if o.Orphan {
-		s.fallTill = c.Now() + 5*c.Cfg.Vol()
-		s.steer = form.Seat{}
+		s.guide.Orphaned(c.Now())
 		c.Book.Note("tree", "part %d: parent %s can't serve", s.part, s.sec.Node.Parent().Addr)
 	}
 	if o.Steer.Ident != "" {
-		s.steer, s.steerTill, s.fallTill = o.Steer, c.Now()+40*c.Cfg.Vol(), 0
+		s.guide.Steered(c.Now(), o.Steer)
 		c.Book.Note("tree", "part %d: steered to %s", s.part, o.Steer.Addr)
 	}
 	if len(o.Fresh)+len(o.Gone) > 0 || o.Won || o.Lost {
@@ -526,10 +522,12 @@
 		now := c.Now()
 		s.mu.Lock()
 		c.carry(s, s.sec.Tick(now))
-		if p := c.parent(s, v, now); p != s.sec.Node.Parent() && !s.sec.Node.Root() {
+		if p := s.guide.Parent(now, v); p != s.sec.Node.Parent() && !s.sec.Node.Root() {
 			c.carry(s, s.sec.Adopt(now, p))
 		}
-		c.hints(s, v, now)
+		for _, m := range s.guide.Hints(s.sec.Node.Live(now), s.sec.Node.Mark(), v) {
+			c.Line.Send(m)
+		}
 		s.mu.Unlock()
 		if now-slow >= c.Cfg.Vol()/16 {
 			slow = now
@@ -538,37 +536,6 @@
 	}
 }
 
-// parent picks the seat to renew at: where we were steered, the owner while
-// the relay is out, else the static parent.
-func (c *Cabin) parent(s *shard, v *roster.View, now time.Duration) form.Seat {
-	own := v.Owns[s.part].Seat
-	if own.Ident == c.me.Ident {
-		return form.Seat{}
-	}
-	if s.steer.Ident != "" && s.steer.Ident != c.me.Ident && now < s.steerTill {
-		if _, ok := v.Find(s.steer.Ident); ok || s.steer == own {
-			return s.steer
-		}
-	}
-	if now < s.fallTill {
-		return own
-	}
-	return v.Parent(s.part)
-}
-
-// hints tells our static children that we can serve (again).
-func (c *Cabin) hints(s *shard, v *roster.View, now time.Duration) {
-	live := s.sec.Node.Live(now)
-	if live && !s.wasLive && v.Relay(s.part, c.Cfg.Cell).Ident == c.me.Ident {
-		for m := range v.In(c.Cfg.Cell) {
-			if m.Ident != c.me.Ident && m.Ident != v.Owns[s.part].Seat.Ident {
-				c.Line.Send(form.Send{Addr: m.Addr, Note: form.Note{Kind: form.Steer, Part: s.part, To: m.Ident, Mark: s.sec.Node.Mark(), Hint: c.me, Why: "return"}})
-			}
-		}
-	}
-	s.wasLive = live
-}
-
 // works runs the owner's duties over its servers and its group.
 func (c *Cabin) works(ctx context.Context, s *shard) {
 	plan, okPlan := c.Read(0, tariff.PlanKey)
--- a/control/notary/notary.go
+++ b/control/notary/notary.go
@@ -10,6 +10,8 @@
 package notary
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mulleinmast/control/survey"
@@ -80,7 +82,8 @@
 type mode uint8
 
 const (
-	idle mode = iota
+	idle    mode = iota
+	probing      // asking, without a promise, whether a ballot could be won
 	asking
 	filling
 	owning
@@ -121,6 +124,8 @@
 	askAt  time.Duration
 	next   time.Duration
 	votes  map[string]vote
+	probed map[string]bool
+	stuck  time.Duration // since when a voter is bound to a ballot that is not ours
 	filled map[string]bool
 	fillAt map[string]time.Duration
 	lease  time.Duration
@@ -292,11 +297,20 @@
 	switch {
 	case n.Group.Num > own.Num && n.Group.Has(s.me.Ident):
 		s.meta.Group = n.Group
+		own = n.Group
 	case own.Num == 0 || own.Num > n.Group.Num || !own.Has(s.me.Ident) || !sameSeats(own, n.Group):
 		s.refuse(now, from, n, o)
 		return
 	}
 	again := n.Num == s.meta.Promised && n.From == s.meta.To
+	if n.Op == probe {
+		if (now >= s.till || s.support == n.From) && n.Num > s.meta.Promised {
+			o.send(from, form.Note{Kind: form.Promise, Op: probe, Part: s.part, Num: n.Num, Group: form.Group{Num: own.Num}})
+		} else {
+			s.refuse(now, from, n, o)
+		}
+		return
+	}
 	if now < s.till && s.support != n.From || n.Num <= s.meta.Promised && !again {
 		s.refuse(now, from, n, o)
 		return
@@ -340,11 +354,12 @@
 		// What was granted under this lease must lapse before we stand again.
 		s.next = max(s.next, s.lease+s.cfg.Duty/4)
 	}
-	for _, w := range s.writes {
+	for _, no := range slices.Sorted(maps.Keys(s.writes)) {
+		w := s.writes[no]
 		o.Done = append(o.Done, Done{Tag: w.tag, Fate: Uncertain})
 	}
 	s.writes = map[uint64]*write{}
-	s.mode, s.votes, s.filled = idle, nil, nil
+	s.mode, s.votes, s.filled, s.stuck = idle, nil, nil, 0
 	s.rounds, s.yes = map[uint64]time.Duration{}, map[uint64]map[string]bool{}
 }
 
@@ -353,23 +368,32 @@
 	if n.Group.Num > s.meta.Group.Num && n.Num == s.num {
 		s.meta.Group = n.Group
 		s.save(o, nil, nil)
-		if s.mode == asking {
+		if s.mode == asking || s.mode == probing {
 			s.drop(o)
 		}
 	}
-	if n.Num == s.num && s.mode == asking {
+	if n.Num == s.num && (s.mode == asking || s.mode == probing) {
 		s.next = max(s.next, now+min(time.Duration(n.Len), s.cfg.Wait(s.cfg.Duty))+s.delay()/2+s.cfg.Beat/4)
 	}
-	if n.Num == s.num && n.Set > s.num && s.mode != idle {
-		s.drop(o)
+	// One voter bound to another ballot does not end a duty that a majority
+	// supports; if it stays bound, Tick takes a higher ballot.
+	if n.Num == s.num && n.Set >= s.num && s.mode == owning && s.stuck == 0 {
+		s.stuck = now
 	}
 }
 
 func (s *Seat) promise(now time.Duration, n form.Note, o *Out) {
-	if s.mode != asking || n.Num != s.num {
+	if n.Num != s.num || n.Group.Num != s.meta.Group.Num {
 		return
 	}
-	if n.Group.Num != s.meta.Group.Num {
+	if s.mode == probing && n.Op == probe {
+		s.probed[n.From] = true
+		if s.meta.Group.Quorum(func(id string) bool { return s.probed[id] }) {
+			s.stand(now, o)
+		}
+		return
+	}
+	if s.mode != asking || n.Op == probe {
 		return
 	}
 	s.votes[n.From] = vote{set: n.Set, digs: n.Digs, recs: n.Recs}
@@ -668,6 +692,10 @@
 //
 // Example: out := s.Tick(now)
 func (s *Seat) Tick(now time.Duration) (o Out) {
+	if s.mode == owning && s.stuck > 0 && now-s.stuck > 16*s.cfg.Duty && len(s.writes) == 0 {
+		s.drop(&o)
+		return o
+	}
 	if s.mode == owning && now >= s.lease || s.mode == filling && now >= s.lease {
 		s.drop(&o)
 		s.next = now + s.cfg.Duty/4 + s.delay()
@@ -679,11 +707,11 @@
 	switch s.mode {
 	case idle:
 		if now >= s.till && now >= s.next {
-			s.stand(now, &o)
+			s.probe(now, &o)
 		} else if now < s.till {
 			s.next = s.till + s.delay()
 		}
-	case asking:
+	case probing, asking:
 		if now-s.askAt > s.cfg.Duty/2 {
 			s.drop(&o)
 			s.next = max(s.next, now+s.delay()+s.cfg.Beat)
@@ -697,7 +725,8 @@
 				s.sendFill(now, seat, nil, &o)
 			}
 		}
-		for no, w := range s.writes {
+		for _, no := range slices.Sorted(maps.Keys(s.writes)) {
+			w := s.writes[no]
 			if now-w.sent >= s.cfg.Beat {
 				w.sent = now
 				s.sendWrite(no, w, &o)
@@ -707,9 +736,20 @@
 	return o
 }
 
-func (s *Seat) stand(now time.Duration, o *Out) {
+const probe = "probe"
+
+// probe asks whether a ballot could be won now, which binds nobody, so that a
+// seat that can't win doesn't disturb the owner.
+func (s *Seat) probe(now time.Duration, o *Out) {
 	s.num = max(s.high, s.meta.Promised, s.num) + 1
-	s.mode, s.askAt = asking, now
+	s.mode, s.askAt, s.probed = probing, now, map[string]bool{}
+	for _, seat := range s.meta.Group.All() {
+		o.send(seat, form.Note{Kind: form.Ask, Op: probe, Part: s.part, Num: s.num, Group: s.meta.Group})
+	}
+}
+
+func (s *Seat) stand(now time.Duration, o *Out) {
+	s.mode, s.askAt, s.stuck = asking, now, 0
 	s.votes = map[string]vote{}
 	digs := s.book.Digs()
 	for _, seat := range s.meta.Group.All() {
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -75,6 +75,7 @@
 
 type sweep struct {
 	key  string
+	no   uint64                   // acks carry it: one for an earlier sweep doesn't count
 	wait map[string]time.Duration // child -> when its purge was last sent
 	ups  []back
 	tags []uint64
@@ -108,6 +109,7 @@
 	heard  map[form.Mark]uint64 // highest number heard from each granter
 	till   time.Duration
 	no     uint64
+	passes uint64 // numbers sweeps
 	out    uint64 // numbers all notes to children, so that they can drop late ones
 	reqs   map[uint64]ask
 	sentAt time.Duration
@@ -326,11 +328,12 @@
 		return
 	}
 	k.ask = nil
-	for key, s := range n.sweeps {
+	for _, key := range sorted(n.sweeps) {
+		s := n.sweeps[key]
 		if _, ok := s.wait[m.From]; ok {
 			// Not renewed while it owes us a purge.
 			s.wait[m.From] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: uint64(now)}, o)
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
 		}
 	}
 	if n.owes(m.From) {
@@ -417,7 +420,7 @@
 		return
 	}
 	delete(n.needs, key)
-	for id := range ids {
+	for _, id := range sorted(ids) {
 		if k := n.kids[id]; k != nil && k.known && !k.listed && now < k.till && !n.owes(id) {
 			n.grant(now, k, 0, []string{key}, false, o)
 		}
@@ -492,7 +495,8 @@
 		for _, r := range m.Recs {
 			keep[r.Key] = r
 		}
-		for key, c := range n.objs {
+		for _, key := range sorted(n.objs) {
+			c := n.objs[key]
 			if r, ok := keep[key]; ok && r.Ver == c.rec.Ver && r.Dead == c.rec.Dead {
 				c.till = req.at + time.Duration(m.Long)
 				n.objs[key] = c
@@ -592,7 +596,8 @@
 	}
 	s := n.sweeps[key]
 	if s == nil {
-		s = &sweep{key: key, wait: map[string]time.Duration{}}
+		n.passes++
+		s = &sweep{key: key, no: n.passes, wait: map[string]time.Duration{}}
 		for _, id := range sorted(n.kids) {
 			k := n.kids[id]
 			h, ok := k.objs[key]
@@ -608,7 +613,7 @@
 				continue
 			}
 			s.wait[id] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: uint64(now)}, o)
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
 		}
 		n.sweeps[key] = s
 	}
@@ -622,7 +627,7 @@
 }
 
 func (n *Node) purged(now time.Duration, id, key string, ref uint64, o *Out) {
-	if s := n.sweeps[key]; s != nil {
+	if s := n.sweeps[key]; s != nil && s.no == ref {
 		if _, ok := s.wait[id]; ok {
 			delete(s.wait, id)
 			n.swept(now, s, o)
@@ -658,8 +663,8 @@
 		if s == nil {
 			continue
 		}
-		for id, at := range s.wait {
-			k := n.kids[id]
+		for _, id := range sorted(s.wait) {
+			at, k := s.wait[id], n.kids[id]
 			switch {
 			case k == nil:
 				delete(s.wait, id)
@@ -668,12 +673,13 @@
 				delete(s.wait, id)
 			case now-at >= n.cfg.Beat:
 				s.wait[id] = now
-				n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: uint64(now)}, &o)
+				n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, &o)
 			}
 		}
 		n.swept(now, s, &o)
 	}
-	for id, k := range n.kids {
+	for _, id := range sorted(n.kids) {
+		k := n.kids[id]
 		if k.ask != nil && now-k.askAt > n.cfg.Vol {
 			k.ask = nil
 			n.tell(k, form.Note{Kind: form.Deny, Why: "lease lapsed"}, &o)
@@ -691,8 +697,8 @@
 			n.fetch(now, key)
 		}
 	}
-	for key, c := range n.objs {
-		if now >= c.till {
+	for _, key := range sorted(n.objs) {
+		if now >= n.objs[key].till {
 			n.sweep(now, key, nil, 0, &o)
 		}
 	}
--- a/control/purge/shape.go
+++ b/control/purge/shape.go
@@ -1,6 +1,9 @@
 package purge
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"mulleinmast/wire/form"
@@ -91,7 +94,8 @@
 		}
 	}
 	// Split: a skipped relay would serve its children better, or we are loaded.
-	for to, g := range n.skip {
+	for _, to := range slices.SortedFunc(maps.Keys(n.skip), func(a, b form.Seat) int { return strings.Compare(a.Addr+a.Ident, b.Addr+b.Ident) }) {
+		g := n.skip[to]
 		if g.reqs == 0 || len(g.kids) < 2 {
 			continue
 		}
@@ -100,7 +104,7 @@
 		better := at > 0 && at+time.Duration(miss*float64(near)) < near-n.cfg.Gain
 		if better || n.asked > n.cfg.Most {
 			n.moved = now
-			for id := range g.kids {
+			for _, id := range sorted(g.kids) {
 				if k := n.kids[id]; k != nil {
 					n.tell(k, form.Note{Kind: form.Steer, Hint: to, Why: "split"}, o)
 				}
--- a/control/section/section.go
+++ b/control/section/section.go
@@ -6,6 +6,8 @@
 package section
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mulleinmast/control/notary"
@@ -315,8 +317,7 @@
 	for _, j := range s.queue {
 		o.Results = append(o.Results, Result{Tag: j.tag, Fate: NotOwner})
 	}
-	for tag, j := range s.runs { // purging, not yet committed
-		_ = j
+	for _, tag := range slices.Sorted(maps.Keys(s.runs)) { // purging, not yet committed
 		o.Results = append(o.Results, Result{Tag: tag, Fate: NotOwner})
 	}
 	s.queue, s.busy, s.runs = nil, map[string]bool{}, map[uint64]*job{}
--- /dev/null
+++ b/proof/sim/trace_test.go
@@ -0,0 +1,21 @@
+package sim
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// TestTrace prints one seed's run: SEED=27 go test -run TestTrace -v ./proof/sim
+func TestTrace(t *testing.T) {
+	seed, err := strconv.ParseInt(os.Getenv("SEED"), 10, 64)
+	if err != nil {
+		t.Skip("no SEED given")
+	}
+	o := Default(seed)
+	o.Trace = func(s string) { fmt.Println(s) }
+	for _, b := range Run(o).Broken {
+		fmt.Println("BROKEN", b)
+	}
+}
