Owners keep their own vote; restarted relays can't answer for an earlier life

Causes: (1) a seat stood with a ballot that its own vote had gone past meanwhile, won without its own voice, and read from a book that no longer took its writes; (2) a relay that started anew under its kept identity acknowledged purges for leases granted in its earlier life, so a child's epoch is now part of its name and a purge is meant for one life only; (3) an owner gave its duty up over a voter that had long come back; (4) a failed candidate stayed bound to its own ballot: it takes that back now, and no ballot number is ever used twice.

--- a/control/notary/notary.go
+++ b/control/notary/notary.go
@@ -46,6 +46,7 @@
 type Meta struct {
 	Promised uint64
 	To       string
+	Tried    uint64 // highest ballot this seat ever stood with: none is used twice
 	Set      uint64
 	Group    form.Group
 }
@@ -115,6 +116,7 @@
 	support string
 	till    time.Duration // until when we support nobody else
 	hint    form.Own
+	before  Meta // what our own vote was bound to before we stood
 
 	tick   uint64
 	after  map[uint64][]form.Send // sends held until the ticket is synced
@@ -125,7 +127,7 @@
 	next   time.Duration
 	votes  map[string]vote
 	probed map[string]bool
-	stuck  time.Duration // since when a voter is bound to a ballot that is not ours
+	stuck  map[string]time.Duration // voters bound to another ballot, and since when
 	filled map[string]bool
 	fillAt map[string]time.Duration
 	lease  time.Duration
@@ -315,6 +317,10 @@
 		s.refuse(now, from, n, o)
 		return
 	}
+	if n.From == s.me.Ident {
+		s.before = s.meta
+		s.meta.Tried = n.Num
+	}
 	s.meta.Promised, s.meta.To = n.Num, n.From
 	s.support, s.till = n.From, now+s.cfg.Wait(s.cfg.Duty)
 	if n.From != s.me.Ident {
@@ -354,12 +360,19 @@
 		// What was granted under this lease must lapse before we stand again.
 		s.next = max(s.next, s.lease+s.cfg.Duty/4)
 	}
+	if s.mode == asking && s.meta.Promised == s.num && s.meta.To == s.me.Ident {
+		// Nobody can ever be owner under a ballot that we gave up before it was
+		// won, so our own vote need not stay bound to it.
+		s.meta.Promised, s.meta.To = s.before.Promised, s.before.To
+		s.support = ""
+		s.save(o, nil, nil)
+	}
 	for _, no := range slices.Sorted(maps.Keys(s.writes)) {
 		w := s.writes[no]
 		o.Done = append(o.Done, Done{Tag: w.tag, Fate: Uncertain})
 	}
 	s.writes = map[uint64]*write{}
-	s.mode, s.votes, s.filled, s.stuck = idle, nil, nil, 0
+	s.mode, s.votes, s.filled, s.stuck = idle, nil, nil, nil
 	s.rounds, s.yes = map[uint64]time.Duration{}, map[uint64]map[string]bool{}
 }
 
@@ -377,8 +390,10 @@
 	}
 	// One voter bound to another ballot does not end a duty that a majority
 	// supports; if it stays bound, Tick takes a higher ballot.
-	if n.Num == s.num && n.Set >= s.num && s.mode == owning && s.stuck == 0 {
-		s.stuck = now
+	if n.Num == s.num && n.Set >= s.num && s.mode == owning {
+		if _, ok := s.stuck[n.From]; !ok {
+			s.stuck[n.From] = now
+		}
 	}
 }
 
@@ -397,7 +412,8 @@
 		return
 	}
 	s.votes[n.From] = vote{set: n.Set, digs: n.Digs, recs: n.Recs}
-	if !s.meta.Group.Quorum(func(id string) bool { _, ok := s.votes[id]; return ok }) {
+	// Our own voice must be among them: the owner reads from its own book.
+	if _, own := s.votes[s.me.Ident]; !own || !s.meta.Group.Quorum(func(id string) bool { _, ok := s.votes[id]; return ok }) {
 		return
 	}
 	// A majority supports nobody else, so no older owner's lease stands.
@@ -655,6 +671,9 @@
 func has(list []form.Seat, id string) bool { return form.Group{Seats: list}.Has(id) }
 
 func (s *Seat) supported(now time.Duration, n form.Note) {
+	if n.Num == s.num {
+		delete(s.stuck, n.From)
+	}
 	at, ok := s.rounds[n.Ref]
 	if !ok || n.Num != s.num {
 		return
@@ -692,9 +711,11 @@
 //
 // Example: out := s.Tick(now)
 func (s *Seat) Tick(now time.Duration) (o Out) {
-	if s.mode == owning && s.stuck > 0 && now-s.stuck > 16*s.cfg.Duty && len(s.writes) == 0 {
-		s.drop(&o)
-		return o
+	for _, since := range s.stuck {
+		if s.mode == owning && now-since > 16*s.cfg.Duty && len(s.writes) == 0 {
+			s.drop(&o)
+			return o
+		}
 	}
 	if s.mode == owning && now >= s.lease || s.mode == filling && now >= s.lease {
 		s.drop(&o)
@@ -741,7 +762,7 @@
 // probe asks whether a ballot could be won now, which binds nobody, so that a
 // seat that can't win doesn't disturb the owner.
 func (s *Seat) probe(now time.Duration, o *Out) {
-	s.num = max(s.high, s.meta.Promised, s.num) + 1
+	s.num = max(s.high, s.meta.Promised, s.meta.Tried, s.num) + 1
 	s.mode, s.askAt, s.probed = probing, now, map[string]bool{}
 	for _, seat := range s.meta.Group.All() {
 		o.send(seat, form.Note{Kind: form.Ask, Op: probe, Part: s.part, Num: s.num, Group: s.meta.Group})
@@ -749,7 +770,11 @@
 }
 
 func (s *Seat) stand(now time.Duration, o *Out) {
-	s.mode, s.askAt, s.stuck = asking, now, 0
+	if s.meta.Promised >= s.num { // we were asked for that ballot meanwhile
+		s.drop(o)
+		return
+	}
+	s.mode, s.askAt, s.stuck = asking, now, map[string]time.Duration{}
 	s.votes = map[string]vote{}
 	digs := s.book.Digs()
 	for _, seat := range s.meta.Group.All() {
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -10,6 +10,7 @@
 package purge
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -51,7 +52,9 @@
 }
 
 type kid struct {
+	id     string // identity and epoch: a child that started anew is another child
 	seat   form.Seat
+	epoch  uint64
 	till   time.Duration
 	objs   map[string]hold
 	listed bool   // on the unreachable list
@@ -288,22 +291,27 @@
 	case form.Listing:
 		n.listing(now, m, &o)
 	case form.Connect:
-		if k := n.kids[m.From]; k != nil && m.Mark == n.Mark() && m.Ref == k.sync {
+		if k := n.kids[kidID(m)]; k != nil && m.Mark == n.Mark() && m.Ref == k.sync {
 			k.listed = false
 		}
 	case form.Purged:
-		n.purged(now, m.From, m.Key, m.Ref, &o)
+		n.purged(now, kidID(m), m.Key, m.Ref, &o)
 	case form.Grant, form.Reconnect, form.Synced, form.Purge, form.Deny, form.Steer:
 		n.fromParent(now, m, &o)
 	}
 	return o
 }
 
+// kidID tells one life of a child from another: a relay that starts anew can't
+// answer for what it granted before, so its old life's lease is waited out.
+func kidID(m form.Note) string { return fmt.Sprintf("%s#%d", m.From, m.Epoch) }
+
 func (n *Node) child(m form.Note) *kid {
-	k := n.kids[m.From]
+	id := kidID(m)
+	k := n.kids[id]
 	if k == nil {
-		k = &kid{objs: map[string]hold{}}
-		n.kids[m.From] = k
+		k = &kid{id: id, epoch: m.Epoch, objs: map[string]hold{}}
+		n.kids[id] = k
 	}
 	k.seat = form.Seat{Ident: m.From, Addr: m.Addr}
 	return k
@@ -330,13 +338,13 @@
 	k.ask = nil
 	for _, key := range sorted(n.sweeps) {
 		s := n.sweeps[key]
-		if _, ok := s.wait[m.From]; ok {
+		if _, ok := s.wait[k.id]; ok {
 			// Not renewed while it owes us a purge.
-			s.wait[m.From] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
+			s.wait[k.id] = now
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no, Num: k.epoch}, o)
 		}
 	}
-	if n.owes(m.From) {
+	if n.owes(k.id) {
 		return
 	}
 	if !k.known || k.listed || m.Mark != n.Mark() {
@@ -380,7 +388,7 @@
 	for _, key := range keys {
 		rec, ok := n.Get(now, key)
 		if s := n.sweeps[key]; !ok || s != nil {
-			n.need(now, key, k.seat.Ident, o)
+			n.need(now, key, k.id, o)
 			continue
 		}
 		g.Recs = append(g.Recs, rec)
@@ -431,7 +439,7 @@
 // the rest invalidated, and the volume lease granted, in one note.
 func (n *Node) listing(now time.Duration, m form.Note, o *Out) {
 	k := n.child(m)
-	if !n.Live(now) || n.owes(m.From) || m.Mark != n.Mark() {
+	if !n.Live(now) || n.owes(k.id) || m.Mark != n.Mark() {
 		return
 	}
 	// Listed until its Connect; object leases noted earlier stay noted, since a
@@ -457,6 +465,9 @@
 		return
 	}
 	if m.Kind == form.Purge {
+		if m.Num != n.epoch {
+			return // meant for an earlier life of ours
+		}
 		// Whoever says so, dropping a record is safe; the number makes a grant
 		// that was overtaken by this purge come too late.
 		n.heard[m.Mark] = max(n.heard[m.Mark], m.No)
@@ -613,7 +624,7 @@
 				continue
 			}
 			s.wait[id] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no, Num: k.epoch}, o)
 		}
 		n.sweeps[key] = s
 	}
@@ -673,7 +684,7 @@
 				delete(s.wait, id)
 			case now-at >= n.cfg.Beat:
 				s.wait[id] = now
-				n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, &o)
+				n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no, Num: k.epoch}, &o)
 			}
 		}
 		n.swept(now, s, &o)
--- a/control/purge/shape.go
+++ b/control/purge/shape.go
@@ -62,7 +62,7 @@
 		n.skip[to] = g
 	}
 	g.reqs++
-	g.kids[k.seat.Ident] = true
+	g.kids[k.id] = true
 	if now < g.till {
 		g.hits++
 	}
@@ -130,8 +130,10 @@
 
 // relayCost is what a child would pay at the relay: by our own link to it.
 func (n *Node) relayCost(to form.Seat) time.Duration {
-	if k := n.kids[to.Ident]; k != nil {
-		return k.cost / 2
+	for _, k := range n.kids {
+		if k.seat == to {
+			return k.cost / 2
+		}
 	}
 	return 0
 }
--- a/proof/sim/trace_test.go
+++ b/proof/sim/trace_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -13,7 +14,7 @@
 	if err != nil {
 		t.Skip("no SEED given")
 	}
-	o := Default(seed)
+	o := Scenarios[cmp.Or(os.Getenv("KIND"), "storm")](seed)
 	o.Trace = func(s string) { fmt.Println(s) }
 	for _, b := range Run(o).Broken {
 		fmt.Println("BROKEN", b)
