--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -278,6 +278,10 @@
 		c.toDisk(o.Saves)
 	}
 	for _, m := range o.Sends {
+		// A seat is known by its identity; its machine may have a new address.
+		if at, ok := c.View().Find(m.Note.To); ok {
+			m.Addr = at.Addr
+		}
 		c.Line.Send(m)
 	}
 	for _, r := range o.Results {
--- a/control/interlock/interlock.go
+++ b/control/interlock/interlock.go
@@ -613,6 +613,14 @@
 		h.daemons[id] = d
 	}
 	d.want, d.at = w, now
+	// Calls that failed under daemons' hands count like failed polls, and bring
+	// the next poll on at once.
+	for addr := range w.Fails {
+		if s := h.servers[tariff.BerthKey(w.Service, addr)]; s != nil && now-s.pollAt > h.cfg.Poll/8 {
+			s.fails++
+			s.pollAt = now - h.cfg.Poll
+		}
+	}
 	keep := d.grants[:0]
 	for _, g := range d.grants {
 		if g.no >= w.Ack && now < g.till {
--- a/control/section/section.go
+++ b/control/section/section.go
@@ -203,7 +203,7 @@
 		rest := o.Sends[:0]
 		for _, m := range o.Sends {
 			m.Note.From, m.Note.Epoch, m.Note.Addr = s.me.Ident, s.epoch, s.me.Addr
-			if m.Addr == s.me.Addr {
+			if m.Note.To == s.me.Ident {
 				self = append(self, m.Note)
 			} else {
 				rest = append(rest, m)
--- a/proof/track/scenario.go
+++ b/proof/track/scenario.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 
+	"mulleinmast/control/tariff"
 	"mulleinmast/proof/journal"
 	"mulleinmast/proof/judge"
 	"mulleinmast/proof/load"
@@ -69,7 +72,506 @@
 	return r
 }
 
+// wait lets time pass while load runs; it decides nothing.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// back waits until every daemon is ready and every service is served.
+func (f *Fleet) back(ctx context.Context, r *Report, limit time.Duration, what string) {
+	from := time.Now()
+	if !Until(ctx, limit, func() bool { return f.Ready() == f.alive() && f.Serving() }) {
+		r.Fail("%s: %d of %d daemons ready, serving %v after %v", what, f.Ready(), f.alive(), f.Serving(), limit)
+		return
+	}
+	r.Say("%s: whole again after %.1fs (bound %v)", what, time.Since(from).Seconds(), limit)
+}
+
+func (f *Fleet) alive() int {
+	n := 0
+	for _, p := range f.Daemons {
+		if p.Up() {
+			n++
+		}
+	}
+	return n
+}
+
+// Up tells whether a process runs.
+//
+// Example: if !p.Up() { f.Up(p) }
+func (p *Proc) Up() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return p.done != nil
+	}
+}
+
+func (f *Fleet) disks() (out []*Proc) {
+	for _, p := range f.Daemons {
+		if p.Data != "" && p.Up() {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// cut severs a daemon from addresses, both ways unless one is set.
+func (f *Fleet) cut(a, b []*Proc, one bool) {
+	list := func(ps []*Proc) []string {
+		out := []string{}
+		for _, p := range ps {
+			out = append(out, p.Wire)
+		}
+		return out
+	}
+	for _, p := range a {
+		f.Call("POST", p.Addr, "/test/cut", list(b))
+	}
+	if !one {
+		for _, p := range b {
+			f.Call("POST", p.Addr, "/test/cut", list(a))
+		}
+	}
+}
+
+func (f *Fleet) heal() {
+	for _, p := range f.Daemons {
+		f.Call("POST", p.Addr, "/test/cut", []string{})
+	}
+}
+
+// version is the plan version that a daemon serves under valid leases.
+func (f *Fleet) version(p *Proc) (uint64, bool) {
+	st, ok := f.State(p)
+	return st.Plan, ok && st.PlanOK
+}
+
+// change sends a named change of one tenant's budget and reports the verdict.
+func (f *Fleet) change(addr, id string, base uint64, budget int) (int, tariff.Verdict) {
+	code, b := f.Call("POST", addr, "/v1/plan/changes", tariff.Changes{ID: id, Base: base, Changes: []tariff.Change{
+		{Op: "set-tenant", Tenant: &tariff.Tenant{Name: "regular", Priority: 4, Budget: budget, Queue: 0.6}}}})
+	var v tariff.Verdict
+	_ = json.Unmarshal(b, &v)
+	return code, v
+}
+
+// watch looks at every daemon's plan all the time: it must never go back, and
+// an acknowledged version must be in force everywhere within the bound.
+type watch struct {
+	mu     sync.Mutex
+	top    map[string]uint64
+	acked  map[uint64]time.Time
+	faults []string
+	looks  int
+	lag    time.Duration
+}
+
+func (f *Fleet) watch(ctx context.Context) (*watch, func()) {
+	w := &watch{top: map[string]uint64{}, acked: map[uint64]time.Time{}}
+	ctx, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	for _, p := range f.Daemons {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for ctx.Err() == nil {
+				asked := time.Now()
+				v, ok := f.version(p)
+				w.mu.Lock()
+				if ok {
+					w.looks++
+					if v < w.top[p.Addr] {
+						w.faults = append(w.faults, fmt.Sprintf("%s fell back from plan %d to %d", p.Name, w.top[p.Addr], v))
+					}
+					w.top[p.Addr] = v
+					for a, at := range w.acked {
+						if v < a && asked.After(at) {
+							late := asked.Sub(at)
+							w.lag = max(w.lag, late)
+							if late > 2*time.Second {
+								w.faults = append(w.faults, fmt.Sprintf("%s serves plan %d, %.1fs after %d was acknowledged", p.Name, v, late.Seconds(), a))
+							}
+						}
+					}
+				}
+				w.mu.Unlock()
+				wait(ctx, 15*time.Millisecond)
+			}
+		}()
+	}
+	return w, func() { stop(); wg.Wait() }
+}
+
+func (w *watch) ack(v uint64) {
+	w.mu.Lock()
+	w.acked[v] = time.Now()
+	w.mu.Unlock()
+}
+
+func (w *watch) report(r *Report) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, s := range w.faults {
+		if i < 5 {
+			r.Fail("%s", s)
+		}
+	}
+	r.Say("plans: %d acknowledged, looked at %d times, none older than an acknowledged one for longer than %.2fs", len(w.acked), w.looks, w.lag.Seconds())
+}
+
 // Scenarios are the failures that can be brought about.
 var Scenarios = map[string]Scenario{
 	"calm": func(context.Context, *Fleet, *Report) {},
+	"kill-owner": func(ctx context.Context, f *Fleet, r *Report) {
+		for part := 0; part < 2; part++ {
+			p := f.Owner(part)
+			if p == nil {
+				r.Fail("part %d has no owner", part)
+				return
+			}
+			f.Kill(p)
+			from := time.Now()
+			if !Until(ctx, 12*time.Second, func() bool { return f.Owner(part) != nil }) {
+				r.Fail("no new owner of part %d", part)
+			}
+			r.Say("part %d: new owner %.1fs after kill -9 of %s", part, time.Since(from).Seconds(), p.Name)
+			_ = f.Up(p)
+			f.back(ctx, r, 12*time.Second, "owner restarted")
+		}
+	},
+	"kill-all": func(ctx context.Context, f *Fleet, r *Report) {
+		v, _ := f.version(f.Daemons[0])
+		code, verdict := f.change(f.Daemons[0].Addr, "before-kill", v, 9000)
+		for _, p := range f.Daemons {
+			f.Signal(p, syscall.SIGKILL)
+		}
+		for _, p := range f.Daemons {
+			<-p.done
+			_ = f.Up(p)
+		}
+		f.back(ctx, r, 12*time.Second, "all daemons killed")
+		got, _ := f.version(f.Daemons[1])
+		if code == 200 && got < verdict.Version {
+			r.Fail("plan %d was acknowledged, after the restart %d is in force", verdict.Version, got)
+		}
+		r.Say("plan %d acknowledged just before, %d in force after", verdict.Version, got)
+	},
+	"lost-disk": func(ctx context.Context, f *Fleet, r *Report) {
+		p := f.Owner(0)
+		v, _ := f.version(f.Daemons[0])
+		code, verdict := f.change(p.Addr, "before-loss", v, 9100)
+		f.Kill(p)
+		if err := f.Wipe(p); err != nil {
+			r.Fail("%v", err)
+		}
+		_ = f.Up(p)
+		f.back(ctx, r, 12*time.Second, "owner killed right after an acknowledgement, disk lost")
+		got, _ := f.version(f.Daemons[1])
+		if code == 200 && got < verdict.Version {
+			r.Fail("plan %d was acknowledged, %d is in force", verdict.Version, got)
+		}
+		if !Until(ctx, 30*time.Second, func() bool { return f.seated(p) }) {
+			r.Fail("the empty machine got no seat")
+		}
+		r.Say("the empty machine has its seat in every part")
+	},
+	"freeze-owner": func(ctx context.Context, f *Fleet, r *Report) {
+		for i := 0; i < 2; i++ {
+			p := f.Owner(i)
+			if p == nil {
+				r.Fail("part %d has no owner", i)
+				return
+			}
+			f.Signal(p, syscall.SIGSTOP)
+			wait(ctx, 2500*time.Millisecond)
+			f.Signal(p, syscall.SIGCONT)
+			f.back(ctx, r, 12*time.Second, p.Name+" froze for 2.5s")
+		}
+	},
+	"freeze-others": func(ctx context.Context, f *Fleet, r *Report) {
+		for i := 1; i < len(f.Daemons); i += 2 {
+			if f.Daemons[i].Data == "" {
+				f.Signal(f.Daemons[i], syscall.SIGSTOP)
+			}
+		}
+		wait(ctx, 1500*time.Millisecond)
+		for _, p := range f.Daemons {
+			f.Signal(p, syscall.SIGCONT)
+		}
+		f.back(ctx, r, 12*time.Second, "every second diskless daemon froze for 1.5s")
+	},
+	"cut-core": func(ctx context.Context, f *Fleet, r *Report) {
+		d := f.disks()
+		f.cut(d[:1], d[1:], false)
+		wait(ctx, 4*time.Second)
+		f.heal()
+		f.back(ctx, r, 12*time.Second, "one disk machine cut from the other two for 4s")
+		f.cut(d[1:2], d[:1], true)
+		wait(ctx, 3*time.Second)
+		f.heal()
+		f.back(ctx, r, 12*time.Second, "one-way cut in the core for 3s")
+	},
+	"alone": func(ctx context.Context, f *Fleet, r *Report) {
+		last := f.Daemons[len(f.Daemons)-1]
+		f.cut([]*Proc{last}, f.Daemons[:len(f.Daemons)-1], false)
+		wait(ctx, 4*time.Second)
+		if code, _ := f.Call("GET", last.Addr, "/readyz", nil); code == 200 {
+			r.Fail("%s is cut off and says that it is ready", last.Name)
+		}
+		f.heal()
+		f.back(ctx, r, 12*time.Second, "a single machine cut off for 4s")
+	},
+	"lost-cell": func(ctx context.Context, f *Fleet, r *Report) {
+		cell := f.Daemons[0].Cell
+		var out []*Proc
+		for _, p := range append(append([]*Proc(nil), f.Daemons...), f.Depots...) {
+			if p.Cell == cell {
+				out = append(out, p)
+				f.Signal(p, syscall.SIGKILL)
+			}
+		}
+		for _, p := range out {
+			<-p.done
+		}
+		f.back(ctx, r, 12*time.Second, cell+" lost whole")
+		for _, p := range out {
+			_ = f.Up(p)
+		}
+		f.back(ctx, r, 20*time.Second, cell+" back")
+	},
+	"evacuate": func(ctx context.Context, f *Fleet, r *Report) {
+		cell := "cell-b"
+		if code, b := f.Call("POST", f.Daemons[1].Addr, "/v1/cells/"+cell+"/evacuate", nil); code != 200 {
+			r.Fail("evacuate: %d %s", code, b)
+			return
+		}
+		f.Book.Put(journal.Event{Ev: "evacuated", Cell: cell})
+		wait(ctx, 2*time.Second)
+		if p := f.Owner(0); p != nil { // an owner fails over in the middle of it
+			f.Kill(p)
+			_ = f.Up(p)
+		}
+		wait(ctx, 6*time.Second)
+		f.Book.Put(journal.Event{Ev: "returned", Cell: cell})
+		if code, b := f.Call("POST", f.Daemons[2].Addr, "/v1/cells/"+cell+"/return", nil); code != 200 {
+			r.Fail("return: %d %s", code, b)
+		}
+		f.back(ctx, r, 12*time.Second, cell+" evacuated under load, an owner killed meanwhile, and returned")
+	},
+	"leaving": func(ctx context.Context, f *Fleet, r *Report) {
+		svc := f.Layout.Order[0]
+		list := append([]tariff.Server(nil), f.Svc[svc]...)
+		list[0].Leaving = true
+		if code, b := f.Call("PUT", f.Daemons[3].Addr, "/v1/services/"+svc+"/servers", tariff.List{Servers: list}); code != 200 {
+			r.Fail("list: %d %s", code, b)
+			return
+		}
+		f.Book.Put(journal.Event{Ev: "leaving", Who: list[0].Addr})
+		last := f.Depots[len(f.Depots)-1] // another one says so itself
+		f.Call("POST", last.Addr, "/fault", map[string]any{"leaving": true})
+		f.Book.Put(journal.Event{Ev: "leaving", Who: last.Addr})
+		wait(ctx, 7*time.Second)
+		f.Book.Put(journal.Event{Ev: "staying", Who: list[0].Addr})
+		f.Book.Put(journal.Event{Ev: "staying", Who: last.Addr})
+		f.Call("POST", last.Addr, "/fault", map[string]any{})
+		_ = f.Servers(f.Daemons[3].Addr)
+	},
+	"plans": func(ctx context.Context, f *Fleet, r *Report) {
+		w, stop := f.watch(ctx)
+		v, _ := f.version(f.Daemons[0])
+		beaten, won := 0, 0
+		for i := 0; i < 12; i++ {
+			// Two operators send a change on the same base at the same time.
+			var wg sync.WaitGroup
+			var codes [2]int
+			var got [2]tariff.Verdict
+			for k := 0; k < 2; k++ {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					codes[k], got[k] = f.change(f.Daemons[(i*2+k*5)%len(f.Daemons)].Addr, fmt.Sprintf("race-%d-%d", i, k), v, 8000+i*10+k)
+					if codes[k] == 200 {
+						w.ack(got[k].Version)
+					}
+				}()
+			}
+			wg.Wait()
+			wait(ctx, 250*time.Millisecond)
+			yes := 0
+			for k := range codes {
+				switch codes[k] {
+				case 200:
+					yes, won, v = yes+1, won+1, got[k].Version
+				case 409:
+					beaten++
+				}
+			}
+			if yes > 1 {
+				r.Fail("two racing plans on one base were both acknowledged: %v", got)
+			}
+			if i == 6 { // a broken one is refused whole
+				bad := f.Plan("broken", v)
+				bad.Tenants = append(bad.Tenants, bad.Tenants[0], tariff.Tenant{Name: "x y", Priority: 12})
+				code, b := f.Call("PUT", f.Daemons[4].Addr, "/v1/plan", bad)
+				var verdict tariff.Verdict
+				_ = json.Unmarshal(b, &verdict)
+				if code != 400 || len(verdict.Faults) < 4 {
+					r.Fail("broken plan: %d %s", code, b)
+				}
+			}
+			if i == 8 { // and a large one is taken
+				big := f.Plan("large", v)
+				for k := 0; k < 3000; k++ {
+					big.Tenants = append(big.Tenants, tariff.Tenant{Name: fmt.Sprintf("tenant-%d", k), Priority: k % 10, Budget: 1000, Queue: 0.5})
+				}
+				if code, b := f.Call("PUT", f.Daemons[5].Addr, "/v1/plan", big); code != 200 {
+					r.Fail("large plan: %d %.200s", code, b)
+				} else {
+					v++
+					w.ack(v)
+				}
+			}
+		}
+		stop()
+		w.report(r)
+		r.Say("%d changes won, %d were beaten", won, beaten)
+		if won < 6 || beaten < 6 {
+			r.Fail("too few races: %d won, %d beaten", won, beaten)
+		}
+	},
+	"plans-kills": func(ctx context.Context, f *Fleet, r *Report) {
+		w, stop := f.watch(ctx)
+		for i := 0; i < 5; i++ {
+			v, ok := f.version(f.Daemons[1])
+			if !ok {
+				wait(ctx, 200*time.Millisecond)
+				continue
+			}
+			code, got := f.change(f.Daemons[1].Addr, fmt.Sprintf("kill-%d", i), v, 7000+i)
+			if code == 200 {
+				w.ack(got.Version)
+			}
+			if p := f.Owner(0); p != nil { // right after the acknowledgement
+				f.Kill(p)
+				// An operator's call meanwhile gets a prompt, truthful reply.
+				from := time.Now()
+				code, _ := f.change(f.Daemons[1].Addr, fmt.Sprintf("during-%d", i), got.Version, 7100+i)
+				if took := time.Since(from); took > 6*time.Second {
+					r.Fail("a change without an owner took %v (%d)", took, code)
+				}
+				_ = f.Up(p)
+			}
+			f.back(ctx, r, 12*time.Second, "owner of the configuration killed after an acknowledgement")
+		}
+		stop()
+		w.report(r)
+	},
+	"servers-roll": func(ctx context.Context, f *Fleet, r *Report) {
+		for i, p := range f.Depots {
+			if i%3 == 0 {
+				f.Kill(p)
+				wait(ctx, 300*time.Millisecond)
+				_ = f.Up(p)
+				wait(ctx, 700*time.Millisecond)
+			}
+		}
+		f.back(ctx, r, 20*time.Second, "every third server killed and restarted, one after another")
+	},
+	"servers-bad": func(ctx context.Context, f *Fleet, r *Report) {
+		for _, fault := range []map[string]any{{"lapse": true}, {"foreign": true}, {"break": 3}, {"skip": true}, {"deaf": true}, {"slow": 5}, {"link_ns": 200000000}} {
+			for i, p := range f.Depots {
+				if i%4 == 1 || fault["lapse"] == true || fault["foreign"] == true {
+					f.Call("POST", p.Addr, "/fault", fault)
+				}
+			}
+			wait(ctx, 1200*time.Millisecond)
+			for _, p := range f.Depots {
+				f.Call("POST", p.Addr, "/fault", map[string]any{})
+			}
+			wait(ctx, 300*time.Millisecond)
+		}
+		f.back(ctx, r, 20*time.Second, "handles lapsed and foreign, streams broken and gapped, servers deaf and slow, links slow")
+	},
+	"stall-disk": func(ctx context.Context, f *Fleet, r *Report) {
+		p := f.Owner(0)
+		f.Call("POST", p.Addr, "/test/stall?for=1500ms", nil)
+		v, _ := f.version(f.Daemons[0])
+		from := time.Now()
+		code, _ := f.change(f.Daemons[1].Addr, "stalled", v, 6000)
+		r.Say("a change while the owner's disk stalls: %d after %.1fs", code, time.Since(from).Seconds())
+		wait(ctx, 3*time.Second)
+		f.Call("POST", p.Addr, "/test/stall?for=0s", nil)
+		f.back(ctx, r, 12*time.Second, "owner's disk stalled")
+	},
+	"exchange": func(ctx context.Context, f *Fleet, r *Report) {
+		// Every core machine is exchanged for an empty one at a new address.
+		for _, old := range f.disks() {
+			f.Kill(old)
+			var seeds []string
+			for _, p := range f.disks() {
+				seeds = append(seeds, p.Wire)
+			}
+			p, err := f.Add(old.Cell, true, append(seeds, fmt.Sprintf("127.0.0.1:%d", f.base+len(f.Daemons))))
+			if err != nil {
+				r.Fail("%v", err)
+				return
+			}
+			if !Until(ctx, 45*time.Second, func() bool { return f.seated(p) }) {
+				r.Fail("%s got no seat", p.Name)
+				return
+			}
+			r.Say("%s exchanged for the empty %s", old.Name, p.Name)
+		}
+		f.back(ctx, r, 20*time.Second, "all core machines exchanged")
+	},
+	"crowd": func(ctx context.Context, f *Fleet, r *Report) {
+		ev := f.Load(ctx, load.Config{Rate: 500, For: 5 * time.Second, Seed: 99, Budget: 3 * time.Second, Swing: -1})
+		sum := load.Sum(ev)
+		for _, t := range load.Tenants {
+			r.Say("crowd: %s served %.2f, median %v, 99th %v", t.Name, sum.Served[t.Name], sum.P50[t.Name].Round(time.Millisecond), sum.P99[t.Name].Round(time.Millisecond))
+		}
+		r.Say("crowd: results %v, shed told at the 99th in %v", sum.Results, sum.Refusal.Round(time.Millisecond))
+		if sum.Served["express"] < sum.Served["bulk"] {
+			r.Fail("the urgent tenant was served less than the least urgent")
+		}
+	},
+	"swing": func(ctx context.Context, f *Fleet, r *Report) {
+		for i, part := range []float64{1, 0, 1} {
+			ev := f.Load(ctx, load.Config{Rate: 120, For: 8 * time.Second, Seed: int64(50 + i), Budget: 4 * time.Second, Swing: part})
+			sum := load.Sum(ev)
+			r.Say("swing to %.0f long: %v, first piece median %v", part, sum.Results, sum.First.Round(time.Millisecond))
+		}
+	},
+}
+
+// seated tells whether a daemon has a vote in every part, with the part's
+// whole state, and no group is half changed.
+func (f *Fleet) seated(p *Proc) bool {
+	me, ok := f.State(p)
+	if !ok {
+		return false
+	}
+	for _, part := range me.Parts {
+		own := f.Owner(part.Part)
+		if own == nil {
+			return false
+		}
+		st, ok := f.State(own)
+		if !ok {
+			return false
+		}
+		g := st.Parts[part.Part].Group
+		if len(g.Next) > 0 || !g.Has(me.Me.Ident) || part.Set != st.Parts[part.Part].Set {
+			return false
+		}
+	}
+	return true
 }
--- a/traffic/desk/desk.go
+++ b/traffic/desk/desk.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"mulleinmast/traffic/slots"
 	"mulleinmast/traffic/waybill"
 	"mulleinmast/traffic/yard"
+	"mulleinmast/wire/form"
 )
 
 const (
@@ -99,6 +101,7 @@
 	ack  uint64
 	kick chan struct{}
 	rows atomic.Pointer[map[string]interlock.Berth]
+	roll atomic.Pointer[roll]
 }
 
 // Desk serves requesters.
@@ -107,10 +110,12 @@
 	seen  *yard.Prefixes
 	lanes sync.Map // service -> *lane
 	n     counts
+	plan  atomic.Pointer[sheet]
 	sheds sync.Map // why -> *atomic.Int64
 
 	mu      sync.Mutex
 	bucket  waybill.Bucket
+	shy     map[string]time.Duration // servers that just failed us, and until when we pass them by
 	stories [explained]Story
 	told    int
 	open    atomic.Int64
@@ -121,7 +126,7 @@
 //
 // Example: d := desk.New(ctx, c)
 func New(ctx context.Context, c *cabin.Cabin) *Desk {
-	d := &Desk{c: c, seen: yard.NewPrefixes(1 << 16), bucket: waybill.Bucket{Rate: retryPart, Cap: retryCap}, ctx: ctx}
+	d := &Desk{c: c, seen: yard.NewPrefixes(1 << 16), bucket: waybill.Bucket{Rate: retryPart, Cap: retryCap}, shy: map[string]time.Duration{}, ctx: ctx}
 	c.Mux.HandleFunc("POST /v1/generate", d.generate)
 	c.Mux.HandleFunc("GET /metrics", d.metrics)
 	c.Mux.HandleFunc("GET /v1/why/{request}", d.why)
@@ -180,19 +185,69 @@
 	}
 }
 
+// sheet is a plan made ready for look-ups.
+type sheet struct {
+	ver     form.Ver
+	plan    uint64
+	tenants map[string]tariff.Tenant
+	out     map[string]map[string]bool // service -> servers that it excludes
+}
+
+// sheet reads the plan in force; it is parsed once a version.
+func (d *Desk) sheet(rec form.Rec) *sheet {
+	if s := d.plan.Load(); s != nil && s.ver == rec.Ver {
+		return s
+	}
+	p := tariff.Open(rec)
+	s := &sheet{ver: rec.Ver, plan: p.Version, tenants: map[string]tariff.Tenant{}, out: map[string]map[string]bool{}}
+	for _, t := range p.Tenants {
+		s.tenants[t.Name] = t
+	}
+	for _, v := range p.Services {
+		s.out[v.Name] = map[string]bool{}
+		for _, a := range v.Exclude {
+			s.out[v.Name][a] = true
+		}
+	}
+	d.plan.Store(s)
+	return s
+}
+
+// roll is a service's list made ready for look-ups.
+type roll struct {
+	ver  form.Ver
+	by   map[string]tariff.Server
+	list []string
+}
+
+func (l *lane) listed(rec form.Rec) *roll {
+	if r := l.roll.Load(); r != nil && r.ver == rec.Ver {
+		return r
+	}
+	r := &roll{ver: rec.Ver, by: map[string]tariff.Server{}}
+	var in tariff.List
+	if !rec.Dead {
+		if err := json.Unmarshal(rec.Val, &in); err != nil {
+			panic("list record can't be read: " + err.Error()) // we wrote it ourselves
+		}
+	}
+	for _, s := range in.Servers {
+		r.by[s.Addr] = s
+		r.list = append(r.list, s.Addr)
+	}
+	l.roll.Store(r)
+	return r
+}
+
 // look reads the lane's routes from the lease cache; without valid leases
 // there are none.
 func (d *Desk) look(l *lane) {
 	rows := map[string]interlock.Berth{}
-	if rec, ok := d.c.Read(l.part, tariff.ListKey(l.svc)); ok && !rec.Dead {
-		var list tariff.List
-		if json.Unmarshal(rec.Val, &list) == nil {
-			for _, s := range list.Servers {
-				key := tariff.BerthKey(l.svc, s.Addr)
-				d.c.Pin(l.part, key)
-				if b, ok := d.berth(l, s.Addr); ok {
-					rows[s.Addr] = b
-				}
+	if rec, ok := d.c.Read(l.part, tariff.ListKey(l.svc)); ok {
+		for _, a := range l.listed(rec).list {
+			d.c.Pin(l.part, tariff.BerthKey(l.svc, a))
+			if b, ok := d.berth(l, a); ok {
+				rows[a] = b
 			}
 		}
 	}
@@ -211,37 +266,46 @@
 		return b, false
 	}
 	list, ok := d.c.Read(l.part, tariff.ListKey(l.svc))
-	if !ok || list.Dead {
-		return b, false
-	}
-	var in tariff.List
-	if json.Unmarshal(list.Val, &in) != nil {
+	if !ok {
 		return b, false
 	}
-	ok = false
-	for _, s := range in.Servers {
-		if s.Addr == addr {
-			ok = !s.Leaving
-		}
-	}
+	in, ok := l.listed(list).by[addr]
 	cells, okCells := d.c.Read(0, tariff.CellKey)
-	if !ok || !okCells || tariff.Cells(cells)[b.Cell] {
-		return b, false
-	}
 	plan, okPlan := d.c.Read(0, tariff.PlanKey)
-	if !okPlan {
+	if !ok || in.Leaving || !okCells || !okPlan || !cells.Dead && tariff.Cells(cells)[b.Cell] {
 		return b, false
 	}
-	for _, s := range tariff.Open(plan).Services {
-		if s.Name == l.svc {
-			for _, x := range s.Exclude {
-				if x == addr {
-					return b, false
-				}
-			}
-		}
+	return b, !d.sheet(plan).out[l.svc][addr]
+}
+
+// failed passes a server by for a while, until polls have caught up with it.
+func (d *Desk) failed(addr string, bad bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if bad {
+		d.shy[addr] = d.c.Now() + 2*d.c.Cfg.Vol()
+	} else {
+		delete(d.shy, addr)
+	}
+}
+
+// turned passes a server by for a moment: it turned us away, whatever its
+// record says, and the owner will soon know why.
+func (d *Desk) turned(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.shy[addr] = d.c.Now() + d.c.Cfg.Vol()/4
+}
+
+func (d *Desk) avoids(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	till, ok := d.shy[addr]
+	if ok && d.c.Now() >= till {
+		delete(d.shy, addr)
+		return false
 	}
-	return b, true
+	return ok
 }
 
 // trip is one request on its way.
@@ -261,6 +325,8 @@
 	choice []string
 	after  time.Duration
 	why    string
+	spins  int
+	spun   time.Duration
 }
 
 func (d *Desk) generate(w http.ResponseWriter, r *http.Request) {
@@ -297,7 +363,7 @@
 		d.refuse(w, 503, "no plan", "no valid lease on the plan", d.c.Cfg.Bounds.Plan)
 		return
 	}
-	t, code, why := d.take(tariff.Open(rec), q, at)
+	t, code, why := d.take(d.sheet(rec), q, at)
 	if code != 0 {
 		d.n.Bad.Add(1)
 		cabin.Reply(w, code, cabin.Word{Result: "broken", Faults: []string{why}})
@@ -317,28 +383,15 @@
 }
 
 // take checks a request against the plan.
-func (d *Desk) take(p tariff.Plan, q Request, at time.Duration) (*trip, int, string) {
-	var ten *tariff.Tenant
-	for i := range p.Tenants {
-		if p.Tenants[i].Name == q.Tenant {
-			ten = &p.Tenants[i]
-		}
-	}
-	if ten == nil {
-		return nil, 403, fmt.Sprintf("tenant: %q isn't in the plan (version %d)", q.Tenant, p.Version)
-	}
-	known := false
-	for _, s := range p.Services {
-		known = known || s.Name == q.Model
-	}
-	if !known {
-		return nil, 404, fmt.Sprintf("model: %q isn't in the plan (version %d)", q.Model, p.Version)
+func (d *Desk) take(p *sheet, q Request, at time.Duration) (*trip, int, string) {
+	ten, ok := p.tenants[q.Tenant]
+	if !ok {
+		return nil, 403, fmt.Sprintf("tenant: %q isn't in the plan (version %d)", q.Tenant, p.plan)
 	}
-	may := len(ten.Services) == 0
-	for _, s := range ten.Services {
-		may = may || s == q.Model
+	if _, ok := p.out[q.Model]; !ok {
+		return nil, 404, fmt.Sprintf("model: %q isn't in the plan (version %d)", q.Model, p.plan)
 	}
-	if !may {
+	if len(ten.Services) > 0 && !slices.Contains(ten.Services, q.Model) {
 		return nil, 403, fmt.Sprintf("model: tenant %q may not use %q", q.Tenant, q.Model)
 	}
 	budget := time.Duration(ten.Budget) * time.Millisecond
@@ -506,6 +559,8 @@
 			case <-limit.C:
 				if t.blind() {
 					k = t.leave(w, "no valid leases or share here")
+				} else if !t.any(pick) {
+					k = t.leave(w, "no server left that it could go to")
 				} else {
 					limit.Reset(t.patience())
 				}
@@ -521,6 +576,19 @@
 
 func (t *trip) patience() time.Duration { return 2 * t.d.c.Cfg.Vol() }
 
+// any tells whether pick would take any server, were it free.
+func (t *trip) any(pick func([]string) string) bool {
+	rows := t.l.rows.Load()
+	if rows == nil {
+		return false
+	}
+	all := make([]string, 0, len(*rows))
+	for a := range *rows {
+		all = append(all, a)
+	}
+	return pick(all) != ""
+}
+
 func (t *trip) blind() bool {
 	t.l.mu.Lock()
 	defer t.l.mu.Unlock()
@@ -563,6 +631,31 @@
 	return b, t.l.q.Valid(t.d.c.Now())
 }
 
+// lapsed waits a little for fresh records after a lease was found lapsed just
+// before sending; nothing was tried, so it is no attempt.
+func (t *trip) lapsed(ctx context.Context) bool {
+	d := t.d
+	now := d.c.Now()
+	if t.spins++; t.spins == 1 {
+		t.spun = now
+	}
+	if now-t.spun > t.patience() {
+		t.why = "no valid leases or share here"
+		return false
+	}
+	tick := time.NewTimer(d.c.Cfg.Vol() / 16)
+	defer tick.Stop()
+	select {
+	case <-ctx.Done():
+		t.why = "its budget ended"
+		return false
+	case <-d.c.News():
+	case <-tick.C:
+	}
+	d.look(t.l)
+	return true
+}
+
 func (t *trip) pickReader(deep map[string]int) func([]string) string {
 	return func(free []string) string {
 		rows := t.l.rows.Load()
@@ -572,7 +665,7 @@
 		best, top, n := "", -1, uint64(0)
 		for _, a := range free {
 			b, ok := (*rows)[a]
-			if !ok || b.Part != interlock.Reader || len(b.Pairs) == 0 || t.led.Tried(waybill.Prefill, a) {
+			if !ok || b.Part != interlock.Reader || len(b.Pairs) == 0 || t.led.Tried(waybill.Prefill, a) || t.d.avoids(a) {
 				continue
 			}
 			switch {
@@ -616,16 +709,19 @@
 	b, ok := t.standing(addr, interlock.Reader)
 	if !ok {
 		t.free(slots.Read, addr, false)
-		t.led.Add(waybill.Prefill, addr)
-		t.led.Learn(waybill.NotSent, "its record or the share lapsed")
-		return true
+		return t.lapsed(ctx)
 	}
 	t.choice = append(t.choice, fmt.Sprintf("reader %s (%s, %s) holds %d of %d prompt parts", addr, b.Cell, b.Status, deep[addr], len(t.chain)))
 	t.led.Add(waybill.Prefill, addr)
 	n := len(t.led.Attempts)
 	ver := fmt.Sprint(d.c.Term(t.l.part))
-	hd, out, why := d.c.Hands.Prefill(ctx, addr, yard.Prefill{Request: t.id, Attempt: n, Term: d.c.Term(t.l.part), Ver: ver, Parts: t.q.Parts, Prefix: t.chain, Budget: (t.due - d.c.Now()).Milliseconds()})
-	t.free(slots.Read, addr, out == yard.Lost || out == yard.NotSent)
+	// A silent reader gets half of what is left, so that another can be tried.
+	half, done := context.WithTimeout(ctx, (t.due-d.c.Now())/2)
+	hd, out, why := d.c.Hands.Prefill(half, addr, yard.Prefill{Request: t.id, Attempt: n, Term: d.c.Term(t.l.part), Ver: ver, Parts: t.q.Parts, Prefix: t.chain, Budget: (t.due - d.c.Now()).Milliseconds()})
+	done()
+	bad := out == yard.Lost || out == yard.NotSent
+	d.failed(addr, bad && ctx.Err() == nil)
+	t.free(slots.Read, addr, bad)
 	switch out {
 	case yard.OK:
 		t.handle, t.pairs = hd, b.Pairs
@@ -637,6 +733,7 @@
 		t.led.Learn(waybill.NotSent, why)
 		d.seen.Forget(addr)
 	case yard.Shed:
+		d.turned(addr)
 		t.led.Learn(waybill.Shed, why)
 	default:
 		t.led.Learn(waybill.Lost, why)
@@ -658,7 +755,7 @@
 		best, n, near := "", uint64(0), false
 		for _, a := range free {
 			b, has := (*rows)[a]
-			if !has || b.Part != interlock.Maker || !ok[a] || t.led.Tried(waybill.Decode, a) {
+			if !has || b.Part != interlock.Maker || !ok[a] || t.led.Tried(waybill.Decode, a) || d.avoids(a) {
 				continue
 			}
 			same := b.Cell == (*rows)[t.handle.Reader].Cell
@@ -676,19 +773,24 @@
 	if !got {
 		return false
 	}
-	t.led.Add(waybill.Decode, addr)
 	if _, still := t.standing(addr, interlock.Maker); !still {
 		t.free(slots.Make, addr, false)
-		t.led.Learn(waybill.NotSent, "its record or the share lapsed")
-		return true
+		return t.lapsed(ctx)
 	}
+	t.led.Add(waybill.Decode, addr)
 	run := t.id + "-" + fmt.Sprint(len(t.led.Attempts))
 	t.choice = append(t.choice, fmt.Sprintf("maker %s, paired with %s", addr, t.handle.Reader))
+	// A maker gets half of what is left for its first piece.
+	parent := ctx
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	first := time.AfterFunc((t.due-d.c.Now())/2, stop)
+	defer first.Stop()
 	st, out, why := d.c.Hands.Decode(ctx, addr, yard.Decode{Handle: t.handle, Term: d.c.Term(t.l.part), Run: run, Tokens: t.q.Tokens, Once: t.q.Once, Budget: (t.due - d.c.Now()).Milliseconds()})
 	failed := out == yard.Lost || out == yard.NotSent
 	switch out {
 	case yard.OK:
-		why = t.relay(st, w, run)
+		why = t.relay(st, w, run, first)
 		st.Close()
 		failed = why != ""
 	case yard.NotSent:
@@ -700,12 +802,16 @@
 	default:
 		t.led.Learn(waybill.Lost, why)
 	}
+	d.failed(addr, failed && parent.Err() == nil)
+	if out == yard.Shed {
+		d.turned(addr)
+	}
 	t.free(slots.Make, addr, failed)
 	return true
 }
 
 // relay passes a maker's pieces on, each checked; a wrong one ends the stream.
-func (t *trip) relay(st *yard.Stream, w http.ResponseWriter, run string) string {
+func (t *trip) relay(st *yard.Stream, w http.ResponseWriter, run string, first *time.Timer) string {
 	flush, _ := w.(http.Flusher)
 	begun := false
 	stop := func(k waybill.Known, why string) string {
@@ -732,6 +838,7 @@
 			return stop(waybill.Lost, why)
 		}
 		if !begun {
+			first.Stop()
 			w.Header().Set("Content-Type", "application/x-ndjson")
 			w.WriteHeader(200)
 			begun = true
--- a/traffic/slots/slots.go
+++ b/traffic/slots/slots.go
@@ -150,6 +150,7 @@
 func (q *Queue) Turn(now time.Duration) {
 	rest := q.list[:0]
 	var late []*Wait
+	var ahead [2]int
 	var free []string
 	if now < q.till {
 		for a, n := range q.share {
@@ -160,7 +161,9 @@
 		sort.Strings(free)
 	}
 	for _, w := range q.list {
-		if now >= w.Due {
+		// Given up on now, not near the end of the budget: once the queue ahead
+		// can't be through in time, or half of the budget went by waiting.
+		if est := time.Duration(ahead[w.Side]) * q.pace[w.Side]; now+est >= w.Due || now-w.at > (w.Due-w.at)/2 {
 			late = append(late, w)
 			continue
 		}
@@ -169,6 +172,7 @@
 			addr = w.Pick(free)
 		}
 		if addr == "" {
+			ahead[w.Side]++
 			rest = append(rest, w)
 			continue
 		}
@@ -187,7 +191,7 @@
 	}
 	q.list = rest
 	for _, w := range late {
-		q.shed(now, w, "its budget ended in the queue", len(rest))
+		q.shed(now, w, "its budget would end in the queue", len(rest))
 	}
 }
 
--- a/traffic/waybill/waybill.go
+++ b/traffic/waybill/waybill.go
@@ -141,7 +141,7 @@
 		case Open:
 			return Wait, false
 		case Handle:
-			return DoDecode, l.Tries(Decode) > 0
+			return DoDecode, false
 		}
 		return l.or(DoPrefill, l.Tries(Prefill) < l.Most), true
 	}
