--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -530,7 +530,7 @@
 		return
 	}
 	if w.o.Sabotage == "ackpurge" && m.Kind == form.Purge {
-		w.carry(to, from, form.Note{Kind: form.Purged, Part: m.Part, Key: m.Key, Ref: m.Ref, From: to.ident, Addr: to.addr, To: from.ident})
+		w.carry(to, from, form.Note{Kind: form.Purged, Part: m.Part, Key: m.Key, Ref: m.Ref, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
 		return
 	}
 	d := 100*time.Microsecond + w.exp(400*time.Microsecond)
