The query shell, duties spread from the start, and tests of each module

enquiry answers members, parts, tree, servers, plan, versions, queue, counts, why and story, as text or JSON, at a prompt or one-shot.

Cause of one daemon owning seven of nine parts: only the founder knew the group when the first ballots fell due. It now tells the others at once and each waits its turn in the part's own order. Before: 7 or 8 of 9 duties on one machine after a first start.

--- /dev/null
+++ b/cmd/enquiry/main.go
@@ -0,0 +1,350 @@
+// Command enquiry is a shell for queries on the fleet's state, interactive or
+// one-shot, as text or JSON.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"mulleinmast/control/cabin"
+	"mulleinmast/control/daybook"
+	"mulleinmast/control/tariff"
+	"mulleinmast/traffic/desk"
+)
+
+const usage = `members            who is in the fleet, where, and ready or not
+parts              each part's owner, group and records
+tree [PART]        the lease tree of each part: parent, children, time left
+servers            every server: part played, status, slots out, pairs
+plan               the plan in force
+versions           the plan's version in each daemon, and whether its leases stand
+queue              each daemon's queues and shares
+counts             requests served, shed and why, retries
+why REQUEST|all    why a request went where it did
+story [KIND]       what the fleet did, from the rings of all daemons, in order
+help               this text
+quit               leave the shell
+`
+
+type shell struct {
+	to   []string
+	asJS bool
+	web  *http.Client
+	out  io.Writer
+}
+
+func main() {
+	s := &shell{web: &http.Client{Timeout: 5 * time.Second}, out: os.Stdout}
+	to := flag.String("to", "127.0.0.1:8000", "web `address` of one daemon or of several, a,b,c")
+	flag.BoolVar(&s.asJS, "json", false, "JSON instead of text")
+	flag.Usage = func() {
+		_, _ = fmt.Fprintf(os.Stderr, "usage: enquiry [-to ip:port,...] [-json] [QUERY]\n\nWithout a query it reads them from standard input. Exit codes: 0 answered, 1 no daemon answered, 2 bad query or flags.\n\n%s\n", usage)
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	s.to = strings.Split(*to, ",")
+	for _, a := range s.to {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			_, _ = fmt.Fprintf(os.Stderr, "enquiry: -to %q: expected an IP address and port\n", a)
+			os.Exit(2)
+		}
+	}
+	if flag.NArg() > 0 {
+		os.Exit(s.run(flag.Args()))
+	}
+	in := bufio.NewScanner(os.Stdin)
+	for fmt.Fprint(os.Stderr, "enquiry> "); in.Scan(); fmt.Fprint(os.Stderr, "enquiry> ") {
+		words := strings.Fields(in.Text())
+		if len(words) == 0 {
+			continue
+		}
+		if words[0] == "quit" || words[0] == "exit" {
+			return
+		}
+		s.run(words)
+	}
+}
+
+func (s *shell) get(addr, path string, to any) error {
+	res, err := s.web.Get("http://" + addr + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != 200 {
+		return fmt.Errorf("%s%s: %s", addr, path, strings.TrimSpace(string(b)))
+	}
+	return json.Unmarshal(b, to)
+}
+
+// first asks the given daemons until one replies.
+func (s *shell) first() (cabin.State, error) {
+	var last error
+	for _, a := range s.to {
+		var st cabin.State
+		if last = s.get(a, "/v1/state", &st); last == nil {
+			return st, nil
+		}
+	}
+	return cabin.State{}, last
+}
+
+// each asks every member at once; silent ones come back with an error.
+func each[T any](s *shell, path string) (map[string]T, map[string]error, error) {
+	st, err := s.first()
+	if err != nil {
+		return nil, nil, err
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	got, bad := map[string]T{}, map[string]error{}
+	for _, m := range st.Members {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var v T
+			err := s.get(m.Web, path, &v)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				bad[m.Web] = err
+			} else {
+				got[m.Web] = v
+			}
+		}()
+	}
+	wg.Wait()
+	return got, bad, nil
+}
+
+func keys[T any](m map[string]T) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// show prints JSON as it is, or a table.
+func (s *shell) show(v any, head string, rows [][]any) int {
+	if s.asJS {
+		b, err := json.MarshalIndent(v, "", "  ")
+		if err != nil {
+			return s.bad(err)
+		}
+		_, _ = fmt.Fprintln(s.out, string(b))
+		return 0
+	}
+	w := tabwriter.NewWriter(s.out, 2, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, strings.ReplaceAll(head, " ", "\t"))
+	for _, r := range rows {
+		for i, c := range r {
+			if i > 0 {
+				_, _ = fmt.Fprint(w, "\t")
+			}
+			_, _ = fmt.Fprint(w, c)
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+	_ = w.Flush()
+	return 0
+}
+
+func (s *shell) bad(err error) int {
+	_, _ = fmt.Fprintln(os.Stderr, "enquiry:", err)
+	return 1
+}
+
+func (s *shell) run(words []string) int {
+	arg := ""
+	if len(words) > 1 {
+		arg = words[1]
+	}
+	switch words[0] {
+	case "help":
+		_, _ = fmt.Fprint(s.out, usage)
+		return 0
+	case "members":
+		st, err := s.first()
+		if err != nil {
+			return s.bad(err)
+		}
+		var rows [][]any
+		for _, m := range st.Members {
+			rows = append(rows, []any{m.Ident, m.Epoch, m.Cell, m.Web, m.Addr, m.Disk, m.Ready})
+		}
+		return s.show(st.Members, "IDENT EPOCH CELL WEB WIRE DISK READY", rows)
+	case "plan":
+		var p tariff.Plan
+		var err error
+		for _, a := range s.to {
+			if err = s.get(a, "/v1/plan", &p); err == nil {
+				break
+			}
+		}
+		if err != nil {
+			return s.bad(err)
+		}
+		var rows [][]any
+		for _, t := range p.Tenants {
+			rows = append(rows, []any{p.Version, t.Name, t.Priority, t.Budget, t.Queue, strings.Join(t.Services, ",")})
+		}
+		return s.show(p, "VERSION TENANT PRIORITY BUDGET_MS QUEUE SERVICES", rows)
+	case "parts", "tree", "servers", "versions", "queue", "counts":
+		return s.states(words[0], arg)
+	case "why":
+		if arg == "" {
+			return s.wrong("why needs a request's id, or all")
+		}
+		return s.why(arg)
+	case "story":
+		return s.story(arg)
+	}
+	return s.wrong(fmt.Sprintf("no query %q; see help", words[0]))
+}
+
+func (s *shell) wrong(why string) int {
+	_, _ = fmt.Fprintln(os.Stderr, "enquiry:", why)
+	return 2
+}
+
+func (s *shell) states(what, arg string) int {
+	got, bad, err := each[cabin.State](s, "/v1/state")
+	if err != nil {
+		return s.bad(err)
+	}
+	var rows [][]any
+	head := ""
+	for _, web := range keys(got) {
+		st := got[web]
+		switch what {
+		case "versions":
+			head = "DAEMON PLAN LEASES_STAND CELLS_OUT"
+			rows = append(rows, []any{web, st.Plan, st.PlanOK, strings.Join(st.Cells, ",")})
+		case "counts":
+			head = "DAEMON COUNTS SHEDS"
+			rows = append(rows, []any{web, flat(st.Extra["counts"]), flat(st.Extra["sheds"])})
+		case "queue":
+			head = "DAEMON SERVICE QUEUE"
+			q, _ := st.Extra["queues"].(map[string]any)
+			for _, svc := range keys(q) {
+				rows = append(rows, []any{web, svc, flat(q[svc])})
+			}
+		default:
+			for _, p := range st.Parts {
+				switch {
+				case what == "parts" && p.Mine:
+					head = "PART OWNER BALLOT GROUP NEXT RECORDS"
+					rows = append(rows, []any{p.Part, web, p.Owner.Num, len(p.Group.Seats), len(p.Group.Next), p.Recs})
+				case what == "servers":
+					head = "SERVICE SERVER CELL PART STATUS TO ACTIVE SLOTS OUT PAIRS"
+					for _, r := range p.Server {
+						rows = append(rows, []any{r.Service, r.Addr, r.Cell, r.Part, r.Status, r.To, r.Active, r.Total, r.Out, len(r.Pairs)})
+					}
+				case what == "tree" && (arg == "" || arg == fmt.Sprint(p.Part)):
+					head = "PART DAEMON PARENT LEASE_MS RECORDS CHILDREN"
+					up, kids := p.Node.Parent.Addr, []string{}
+					if p.Node.Root {
+						up = "(root)"
+					}
+					for _, k := range p.Node.Kids {
+						mark := ""
+						if k.Listed {
+							mark = "!"
+						}
+						kids = append(kids, fmt.Sprintf("%s%s(%d)", k.Seat.Addr, mark, k.Left))
+					}
+					rows = append(rows, []any{p.Part, web, up, p.Node.Left, len(p.Node.Objs), strings.Join(kids, " ")})
+				}
+			}
+		}
+	}
+	sort.SliceStable(rows, func(i, j int) bool { return fmt.Sprint(rows[i][0]) < fmt.Sprint(rows[j][0]) })
+	for _, web := range keys(bad) {
+		_, _ = fmt.Fprintf(os.Stderr, "silent: %s: %v\n", web, bad[web])
+	}
+	return s.show(got, head, rows)
+}
+
+func flat(v any) string {
+	m, ok := v.(map[string]any)
+	if !ok {
+		return "-"
+	}
+	var out []string
+	for _, k := range keys(m) {
+		if f, ok := m[k].(float64); ok && f == 0 {
+			continue
+		}
+		out = append(out, fmt.Sprintf("%s=%v", k, m[k]))
+	}
+	return strings.Join(out, " ")
+}
+
+func (s *shell) why(id string) int {
+	got, _, err := each[[]desk.Story](s, "/v1/why/"+id)
+	if err != nil {
+		return s.bad(err)
+	}
+	var rows [][]any
+	for _, web := range keys(got) {
+		for _, st := range got[web] {
+			var led []string
+			for _, a := range st.Ledger {
+				led = append(led, fmt.Sprintf("%s %s: %s %s", a.Phase, a.Server, a.Known, a.Why))
+			}
+			rows = append(rows, []any{st.Request, web, st.Result, st.Took, st.Why, strings.Join(append(st.Choice, led...), "; ")})
+		}
+	}
+	if len(rows) == 0 {
+		return s.wrong("no daemon knows request " + id)
+	}
+	return s.show(got, "REQUEST DAEMON RESULT MS WHY LEDGER", rows)
+}
+
+func (s *shell) story(kind string) int {
+	type ring struct {
+		Lines []daybook.Entry `json:"lines"`
+	}
+	got, bad, err := each[ring](s, "/v1/ring")
+	if err != nil {
+		return s.bad(err)
+	}
+	type line struct {
+		daybook.Entry
+		Daemon string `json:"daemon"`
+	}
+	var all []line
+	for web, r := range got {
+		for _, e := range r.Lines {
+			if kind == "" || strings.Contains(e.Kind, kind) {
+				all = append(all, line{e, web})
+			}
+		}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].Wall.Before(all[j].Wall) })
+	var rows [][]any
+	for _, l := range all {
+		rows = append(rows, []any{l.Wall.Format("15:04:05.000"), l.Daemon, l.Kind, l.Text})
+	}
+	for _, web := range keys(bad) {
+		_, _ = fmt.Fprintf(os.Stderr, "silent: %s: %v\n", web, bad[web])
+	}
+	return s.show(all, "TIME DAEMON KIND TEXT", rows)
+}
--- /dev/null
+++ b/control/archive/archive_test.go
@@ -0,0 +1,88 @@
+package archive
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mulleinmast/control/notary"
+	"mulleinmast/control/survey"
+	"mulleinmast/wire/form"
+)
+
+func open(t *testing.T, dir string) *Archive {
+	t.Helper()
+	a, err := Open(dir, "f")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestStateSurvives(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	id := a.Ident
+	if !a.Empty || a.Epoch != 1 {
+		t.Fatalf("%+v", a)
+	}
+	meta := notary.Meta{Promised: 4, To: id, Set: 3, Group: form.Group{Num: 1, Seats: []form.Seat{{Ident: id}}}}
+	recs := []form.Rec{{Key: "plan/now", Ver: form.Ver{Term: 3, Seq: 1}, Val: []byte("p")}, {Key: "once/k", Ver: form.Ver{Term: 3, Seq: 2}, Dead: true}}
+	if err := a.Write([]notary.Save{{Part: 2, Meta: meta, Recs: recs}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, "f"); err == nil || !strings.Contains(err.Error(), "another daemon") {
+		t.Errorf("opened twice: %v", err)
+	}
+	a.Close()
+	a = open(t, dir)
+	if a.Ident != id || a.Epoch != 2 || a.Empty || a.Parts[2].Meta.Promised != 4 || a.Parts[2].Book.Size() != 2 {
+		t.Errorf("%+v", a)
+	}
+	// A wipe of a range takes only what is in it.
+	if err := a.Write([]notary.Save{{Part: 2, Meta: meta, Wipe: []int{survey.Span("plan/now")}}}); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	a = open(t, dir)
+	defer a.Close()
+	if _, ok := a.Parts[2].Book.Get("plan/now"); ok || a.Parts[2].Book.Size() != 1 {
+		t.Error("wipe")
+	}
+}
+
+func TestStrangeFolders(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	id := a.Ident
+	if _, err := a.db.Exec("update meta set v='9' where k='format'"); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	if _, err := Open(dir, "f"); err == nil || !strings.Contains(err.Error(), "format 9") {
+		t.Errorf("newer format: %v", err)
+	}
+	other := t.TempDir()
+	open(t, other).Close()
+	if _, err := Open(other, "g"); err == nil || !strings.Contains(err.Error(), "belongs to fleet") {
+		t.Errorf("other fleet: %v", err)
+	}
+	if _, err := Open(filepath.Join(other, "state.db"), "f"); err == nil {
+		t.Error("a file taken for a folder")
+	}
+	// Damage: set aside, and the daemon is a new one with no vote.
+	hurt := t.TempDir()
+	a = open(t, hurt)
+	id = a.Ident
+	a.Close()
+	path := filepath.Join(hurt, "state.db")
+	if err := os.WriteFile(path, []byte("this is no database, not at all, by no means"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a = open(t, hurt)
+	defer a.Close()
+	if a.Moved == "" || !a.Empty || a.Ident == id {
+		t.Errorf("damaged: %+v", a)
+	}
+}
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -440,13 +440,17 @@
 func (c *Cabin) found(seats []form.Seat) {
 	c.Book.Note("fleet", "every seed is empty: founding the fleet with %v", seats)
 	var saves []notary.Save
+	var sends []form.Send
 	for _, s := range c.shards {
 		s.mu.Lock()
 		o := s.sec.Found(c.Now(), form.Group{Num: 1, Seats: seats})
 		s.mu.Unlock()
-		saves = append(saves, o.Saves...)
+		saves, sends = append(saves, o.Saves...), append(sends, o.Sends...)
 	}
 	c.toDisk(saves)
+	for _, m := range sends {
+		c.Line.Send(m)
+	}
 }
 
 func (c *Cabin) isReady() bool {
--- /dev/null
+++ b/control/interlock/interlock_test.go
@@ -0,0 +1,178 @@
+package interlock
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulleinmast/control/tariff"
+	"mulleinmast/wire/form"
+)
+
+var cfg = Config{Swap: 3 * time.Second, Poll: 240 * time.Millisecond, Warm: 3 * time.Second, Share: 750 * time.Millisecond, Drift: 0.02, Margin: 20 * time.Millisecond,
+	Dwell: 10 * time.Second, Window: 2400 * time.Millisecond, Drain: 24 * time.Second, Slow: 100 * time.Millisecond, Dark: 3, High: 0.9, Low: 0.6}
+
+func fleet(n int) (*Holder, tariff.List) {
+	h := New(cfg, 1, 0)
+	h.Plan(tariff.Plan{Services: []tariff.Service{{Name: "m", Readers: 1, Makers: 1}}}, nil)
+	var l tariff.List
+	for i := 0; i < n; i++ {
+		l.Servers = append(l.Servers, tariff.Server{Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Cell: "a", Capacity: 8})
+	}
+	return h, l
+}
+
+// drive runs the holder against perfect servers and returns the orders seen.
+func drive(h *Holder, l tariff.List, from, to time.Duration, berths map[string]Berth, active func(string) int) (orders []Order, at []time.Duration) {
+	for now := from; now < to; now += 50 * time.Millisecond {
+		h.Load(now, "m", l, berths)
+		o := h.Tick(now)
+		for _, k := range o.Polls {
+			h.Polled(now, k, Usage{Active: active(k), Uptime: int64(now/time.Millisecond) + 100000}, true)
+		}
+		for _, x := range o.Orders {
+			orders, at = append(orders, x), append(at, now)
+			h.Ordered(now, h.OrderKey(x.Addr), x, true)
+		}
+		for _, w := range o.Writes {
+			b, _ := OpenBerth(form.Rec{Key: w.Key, Val: w.Val, Dead: w.Gone})
+			berths[w.Key] = b
+			h.Wrote(w.Key, b, true)
+		}
+	}
+	return orders, at
+}
+
+func idle(string) int { return 0 }
+
+func TestNoOrderBeforeTheSwapBound(t *testing.T) {
+	h, l := fleet(4)
+	orders, at := drive(h, l, 0, 5*time.Second, map[string]Berth{}, idle)
+	if len(orders) != 4 {
+		t.Fatalf("orders: %v", orders)
+	}
+	for i := range at {
+		if at[i] < cfg.Swap {
+			t.Errorf("an order %v after an older holder could act", at[i])
+		}
+	}
+}
+
+func TestShiftFollowsTheMix(t *testing.T) {
+	h, l := fleet(6)
+	berths := map[string]Berth{}
+	drive(h, l, 0, 8*time.Second, berths, idle)
+	count := func(part string) (n int) {
+		for _, b := range berths {
+			if b.Part == part && b.To == "" {
+				n++
+			}
+		}
+		return n
+	}
+	if count(Reader) != 3 || count(Maker) != 3 {
+		t.Fatalf("parts at first: %v", berths)
+	}
+	var w Want
+	w.Service, w.Read[4], w.Make[4] = "m", 60, 2
+	for now := 8 * time.Second; now < 80*time.Second; now += time.Second {
+		h.Asked(now, "d", w, time.Second)
+		drive(h, l, now, now+time.Second, berths, idle)
+	}
+	if count(Maker) != 1 || count(Reader) != 5 {
+		t.Errorf("after long prompts only: %d readers, %d makers", count(Reader), count(Maker))
+	}
+	for k, b := range berths {
+		if b.Part == Reader && len(b.Pairs) != 1 {
+			t.Errorf("%s: pairs %v", k, b.Pairs)
+		}
+	}
+}
+
+// However daemons ask, drop out and come back, the slots that they may be
+// filling never exceed a server's capacity.
+func TestSharesNeverExceedCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, l := fleet(3)
+		berths := map[string]Berth{}
+		drive(h, l, 0, 12*time.Second, berths, idle)
+		type box struct {
+			share  Share
+			till   time.Duration
+			held   map[string]int
+			latest Share
+		}
+		boxes := map[string]*box{}
+		now := 12 * time.Second
+		for i := 0; i < 60; i++ {
+			now += time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond
+			id := rapid.SampledFrom([]string{"d1", "d2", "d3", "d4"}).Draw(t, "daemon")
+			b := boxes[id]
+			if b == nil {
+				b = &box{held: map[string]int{}}
+				boxes[id] = b
+			}
+			var w Want
+			w.Service, w.Ack, w.Held = "m", b.share.No, b.held
+			w.Read[rapid.IntRange(0, 9).Draw(t, "prio")] = rapid.IntRange(0, 40).Draw(t, "read")
+			w.Make[rapid.IntRange(0, 9).Draw(t, "mprio")] = rapid.IntRange(0, 40).Draw(t, "make")
+			sh := h.Asked(now, id, w, time.Second)
+			if rapid.IntRange(0, 4).Draw(t, "lost") > 0 { // else the reply is lost
+				b.share, b.till = sh, now+time.Duration(sh.Len)
+			}
+			for a, n := range b.share.Slots { // fill some of it
+				if now < b.till && b.held[a] < n && rapid.Bool().Draw(t, "use") {
+					b.held[a]++
+				}
+			}
+			for a := range b.held {
+				if b.held[a] > 0 && rapid.Bool().Draw(t, "end") {
+					b.held[a]--
+				}
+			}
+			for _, s := range l.Servers {
+				sum := 0
+				for _, x := range boxes {
+					n := x.held[s.Addr]
+					if now < x.till {
+						n = max(n, x.share.Slots[s.Addr])
+					}
+					sum += n
+				}
+				if sum > s.Capacity {
+					t.Fatalf("%s: %d slots out of %d", s.Addr, sum, s.Capacity)
+				}
+			}
+		}
+	})
+}
+
+func TestUrgentDemandFirst(t *testing.T) {
+	h, l := fleet(4)
+	berths := map[string]Berth{}
+	drive(h, l, 0, 12*time.Second, berths, idle)
+	var low, top Want
+	low.Service, low.Read[8] = "m", 100
+	top.Service, top.Read[0] = "m", 14
+	sum := func(s Share) (n int) {
+		for a, k := range s.Slots {
+			if berths[tariff.BerthKey("m", a)].Part == Reader {
+				n += k
+			}
+		}
+		return n
+	}
+	now := 12 * time.Second
+	var a, b Share
+	for i := 0; i < 20; i++ {
+		now += 90 * time.Millisecond
+		low.Ack, top.Ack = a.No, b.No
+		a = h.Asked(now, "low", low, time.Second)
+		b = h.Asked(now, "top", top, time.Second)
+	}
+	if sum(b) < 14 || sum(a) > 2 {
+		t.Errorf("urgent daemon has %d slots, the other %d of 16", sum(b), sum(a))
+	}
+}
--- a/control/notary/notary.go
+++ b/control/notary/notary.go
@@ -235,15 +235,30 @@
 
 // Found makes the first group of a fleet; only a seat without a group takes it.
 //
-// Example: out := s.Found(form.Group{Num: 1, Seats: three})
-func (s *Seat) Found(g form.Group) (o Out) {
+// Example: out := s.Found(now, form.Group{Num: 1, Seats: three})
+func (s *Seat) Found(now time.Duration, g form.Group) (o Out) {
 	if s.meta.Group.Num == 0 && g.Has(s.me.Ident) {
-		s.meta.Group = g
+		s.join(now, g)
 		s.save(&o, nil, nil)
+		// Tell the others of the group, so that each stands for the parts where
+		// it comes first and the duties are spread from the start.
+		for _, seat := range g.Seats {
+			if seat.Ident != s.me.Ident {
+				o.send(seat, form.Note{Kind: form.Ask, Op: probe, Part: s.part, Group: g})
+			}
+		}
 	}
 	return o
 }
 
+func (s *Seat) join(now time.Duration, g form.Group) {
+	if s.meta.Group.Num == 0 {
+		s.meta.Group = g
+		s.next = max(s.next, now+s.delay())
+	}
+	s.meta.Group = g
+}
+
 // Hear takes a note from another seat (or from itself).
 //
 // Example: out := s.Hear(now, note)
@@ -305,7 +320,7 @@
 	own := s.meta.Group
 	switch {
 	case n.Group.Num > own.Num && n.Group.Has(s.me.Ident):
-		s.meta.Group = n.Group
+		s.join(now, n.Group)
 		own = n.Group
 	case own.Num == 0 || own.Num > n.Group.Num || !own.Has(s.me.Ident) || !sameSeats(own, n.Group):
 		s.refuse(now, from, n, o)
--- a/control/section/section.go
+++ b/control/section/section.go
@@ -148,7 +148,7 @@
 //
 // Example: out := s.Found(now, group)
 func (s *Section) Found(now time.Duration, g form.Group) (o Out) {
-	s.fromSeat(now, s.Seat.Found(g), &o)
+	s.fromSeat(now, s.Seat.Found(now, g), &o)
 	s.turn(now, &o)
 	return o
 }
--- a/control/tariff/tariff.go
+++ b/control/tariff/tariff.go
@@ -104,7 +104,7 @@
 // Any tells whether a fault was noted.
 //
 // Example: if f.Any() { reply(400, f) }
-func (f *Faults) Any() bool { return len(f.List) > 0 }
+func (f Faults) Any() bool { return len(f.List) > 0 }
 
 func (f *Faults) take(where string, err error) {
 	if err == nil {
--- /dev/null
+++ b/control/tariff/tariff_test.go
@@ -0,0 +1,92 @@
+package tariff
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"mulleinmast/wire/form"
+)
+
+func good() Plan {
+	return Plan{ID: "a", Tenants: []Tenant{{Name: "x", Priority: 1, Budget: 100, Queue: 0.5}}, Services: []Service{{Name: "m", Readers: 1, Makers: 1}}}
+}
+
+// The good plan is changed in one place at a time; each change is named.
+func TestEveryFaultOfAPlanIsNamed(t *testing.T) {
+	if f := good().Check(); f.Any() {
+		t.Fatal(f)
+	}
+	for where, change := range map[string]func(*Plan){
+		"plan.id":               func(p *Plan) { p.ID = "" },
+		"tenants[0].name":       func(p *Plan) { p.Tenants[0].Name = "a/b" },
+		"tenants[0].priority":   func(p *Plan) { p.Tenants[0].Priority = 10 },
+		"tenants[0].budget_ms":  func(p *Plan) { p.Tenants[0].Budget = 0 },
+		"tenants[0].queue":      func(p *Plan) { p.Tenants[0].Queue = 1.5 },
+		"tenants[0].services":   func(p *Plan) { p.Tenants[0].Services = []string{"q"} },
+		"tenants[1].name":       func(p *Plan) { p.Tenants = append(p.Tenants, p.Tenants[0]) },
+		"services[1].name":      func(p *Plan) { p.Services = append(p.Services, p.Services[0]) },
+		"services[0].readers":   func(p *Plan) { p.Services[0].Readers = 0 },
+		"services[0].exclude.0": func(p *Plan) { p.Services[0].Exclude = []string{"nowhere"} },
+	} {
+		p := good()
+		change(&p)
+		f := p.Check()
+		if len(f.List) != 1 || !strings.HasPrefix(f.List[0], where) {
+			t.Errorf("%s: got %v", where, f.List)
+		}
+	}
+	p := good()
+	p.ID, p.Tenants[0].Priority, p.Services[0].Makers = "", -1, 0
+	if f := p.Check(); len(f.List) != 3 {
+		t.Errorf("three faults at once: %v", f.List)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	whole := func(p Plan) func(Plan) (Plan, Faults) { return func(Plan) (Plan, Faults) { return p, p.Check() } }
+	val, v := Judge(Plan{}, "a", 0, whole(good()))
+	if v.Result != "taken" || v.Version != 1 {
+		t.Fatal(v)
+	}
+	cur := Open(form.Rec{Val: val})
+	if val, v := Judge(cur, "a", 0, whole(good())); val != nil || v.Result != "taken" || v.Version != 1 {
+		t.Errorf("resent: %v", v)
+	}
+	if val, v := Judge(cur, "b", 0, whole(good())); val != nil || v.Result != "beaten" || v.Version != 1 {
+		t.Errorf("old base: %v", v)
+	}
+	bad := good()
+	bad.Tenants[0].Budget = -1
+	if val, v := Judge(cur, "c", 1, whole(bad)); val != nil || v.Result != "broken" || len(v.Faults) == 0 {
+		t.Errorf("broken: %v", v)
+	}
+	_, f := cur.With(Changes{ID: "d", Base: 1, Changes: []Change{{Op: "drop-tenant", Name: "nobody"}, {Op: "what"}}})
+	if len(f.List) != 2 {
+		t.Errorf("changes: %v", f.List)
+	}
+	next, f := cur.With(Changes{ID: "e", Base: 1, Changes: []Change{{Op: "exclude-server", Name: "m", Server: "10.0.0.1:1"}}})
+	if f.Any() || len(next.Services[0].Exclude) != 1 || len(cur.Services[0].Exclude) != 0 {
+		t.Errorf("exclude: %v %v", f, next)
+	}
+}
+
+func TestDecodeIsStrict(t *testing.T) {
+	var p Plan
+	for in, want := range map[string]string{`{"tenats":[]}`: "tenats", `{} {}`: "more than one", `{"tenants":3}`: "cannot unmarshal"} {
+		if f := Decode([]byte(in), &p); len(f.List) != 1 || !strings.Contains(f.List[0], want) {
+			t.Errorf("%s: %v", in, f.List)
+		}
+	}
+	b, _ := json.Marshal(Template())
+	if f := Decode(b, &p); f.Any() || p.Check().Any() {
+		t.Errorf("the template is not itself a good plan: %v %v", f, p.Check())
+	}
+}
+
+func TestServerList(t *testing.T) {
+	l := List{Servers: []Server{{Addr: "10.0.0.1:1", Cell: "a", Capacity: 1}, {Addr: "10.0.0.1:1", Cell: "a", Capacity: 1}, {Addr: "host:1", Cell: "", Capacity: 0}}}
+	if f := l.Check(); len(f.List) != 4 {
+		t.Errorf("%v", f.List)
+	}
+}
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -382,7 +382,11 @@
 			w.trace("%s founds the fleet", n.name)
 			var all []notary.Save
 			for _, s := range n.secs {
-				all = append(all, s.Found(now, form.Group{Num: 1, Seats: o.Found}).Saves...)
+				out := s.Found(now, form.Group{Num: 1, Seats: o.Found})
+				all = append(all, out.Saves...)
+				for _, m := range out.Sends {
+					n.send(m)
+				}
 			}
 			n.save(all)
 		}
--- a/proof/track/scenario.go
+++ b/proof/track/scenario.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -72,6 +73,18 @@
 	return r
 }
 
+// Story counts the lines of all daemons' rings that hold a word.
+//
+// Example: shifts := f.Story("(shift)")
+func (f *Fleet) Story(word string) int {
+	n := 0
+	for _, p := range f.Daemons {
+		_, b := f.Call("GET", p.Addr, "/v1/ring", nil)
+		n += strings.Count(string(b), word)
+	}
+	return n
+}
+
 // wait lets time pass while load runs; it decides nothing.
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -545,9 +558,9 @@
 	},
 	"swing": func(ctx context.Context, f *Fleet, r *Report) {
 		for i, part := range []float64{1, 0, 1} {
-			ev := f.Load(ctx, load.Config{Rate: 120, For: 8 * time.Second, Seed: int64(50 + i), Budget: 4 * time.Second, Swing: part})
+			ev := f.Load(ctx, load.Config{Rate: 420, For: 16 * time.Second, Seed: int64(50 + i), Budget: 4 * time.Second, Swing: part})
 			sum := load.Sum(ev)
-			r.Say("swing to %.0f long: %v, first piece median %v", part, sum.Results, sum.First.Round(time.Millisecond))
+			r.Say("swing to %.0f long: %v, first piece median %v, %d shifts of part so far", part, sum.Results, sum.First.Round(time.Millisecond), f.Story("(shift)"))
 		}
 	},
 }
--- a/proof/track/track_test.go
+++ b/proof/track/track_test.go
@@ -46,3 +46,40 @@
 		})
 	}
 }
+
+// Each failure is brought about on a fleet of real processes; the scenario
+// waits for conditions and the journals are judged.
+func TestFailuresOnProcesses(t *testing.T) {
+	bin := build(t)
+	base := 25000
+	for _, x := range []struct{ layout, name string }{
+		{"rangsit", "kill-owner"}, {"pat", "kill-all"}, {"pat", "lost-disk"}, {"rangsit", "freeze-owner"}, {"pat", "cut-core"},
+		{"rangsit", "lost-cell"}, {"pat", "evacuate"}, {"rangsit", "leaving"}, {"pat", "plans"}, {"rangsit", "servers-roll"},
+	} {
+		base += 400
+		port := base
+		t.Run(x.layout+"/"+x.name, func(t *testing.T) {
+			f, err := Start(t.TempDir(), bin, Layouts[x.layout], port)
+			defer f.Stop()
+			if err == nil {
+				err = f.Begin(context.Background())
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			rep := f.Play(context.Background(), Scenarios[x.name], load.Config{Rate: 25, For: 8 * time.Second, Seed: 11, Once: 0.4, Again: true, Swing: -1})
+			for _, b := range rep.Broken {
+				t.Error(b)
+			}
+			for _, s := range rep.Notes {
+				t.Log(s)
+			}
+			if rep.Failed {
+				t.Error("the scenario failed")
+			}
+			if rep.Load.Results["ok"] < rep.Load.All/3 {
+				t.Errorf("served too little: %s", rep.Load)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/wire/telegraph/telegraph_test.go
@@ -0,0 +1,60 @@
+package telegraph
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"mulleinmast/wire/form"
+)
+
+func sample() form.Note {
+	return form.Note{Kind: form.Listing, Fleet: "f", Part: 3, From: "a", Epoch: 2, Addr: "10.0.0.1:1", To: "b", No: 7, Mark: form.Mark{Ident: "b", Epoch: 1, Term: 9},
+		Recs: []form.Rec{{Key: "plan/now", Ver: form.Ver{Term: 4, Seq: 2}, Val: []byte("x")}}, Keys: []string{"k"}, Group: form.Group{Num: 1, Seats: []form.Seat{{Ident: "a", Addr: "q"}}}}
+}
+
+func TestBadFramesAreNamed(t *testing.T) {
+	good, err := Pack(sample())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := Read(bytes.NewReader(good))
+	if err != nil || n.Recs[0].Key != "plan/now" || n.Mark.Term != 9 {
+		t.Fatalf("round trip: %+v %v", n, err)
+	}
+	odd := sample()
+	odd.Kind = 99
+	unknown, _ := Pack(odd)
+	version := append([]byte(nil), good...)
+	version[0] = 7
+	long := append([]byte(nil), good...)
+	binary.BigEndian.PutUint32(long[1:], Most+1)
+	extra := append(append([]byte(nil), good...), 0xc0)
+	binary.BigEndian.PutUint32(extra[1:], uint32(len(extra)-5))
+	for what, b := range map[string][]byte{"cut short": good[:len(good)-4], "unknown kind 99": unknown, "wire version 7": version, "at most": long, "left over": extra} {
+		if _, err := Read(bytes.NewReader(b)); err == nil || !strings.Contains(err.Error(), what) {
+			t.Errorf("%s: got %v", what, err)
+		}
+	}
+}
+
+// One byte of a frame is changed at a time: it is read or refused, never more.
+func TestMutatedFrames(t *testing.T) {
+	good, _ := Pack(sample())
+	rng := rand.New(rand.NewSource(1))
+	refused := 0
+	for i := 5; i < len(good); i++ {
+		for k := 0; k < 8; k++ {
+			b := append([]byte(nil), good...)
+			b[i] ^= byte(1 + rng.Intn(255))
+			if _, err := Read(bytes.NewReader(b)); err != nil {
+				refused++
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("no mutation was refused")
+	}
+}
