Once keys are let go after their retention

Cause: claims stayed in the books for good, so a part grew by one record for each request with a once key. The owner now writes a floor, a version below which claims are dropped, once they are older than 100 recovery bounds (20 minutes); every seat drops them on its own, and what a late seat brings back is dropped again, since the floor is a record too. Clocks play no part between machines: what an earlier owner wrote counts as written when the new one took over. Budgets are now at most half of that.

--- a/control/archive/archive.go
+++ b/control/archive/archive.go
@@ -247,6 +247,11 @@
 					return err
 				}
 			}
+			for _, k := range s.Drop {
+				if _, err := tx.Exec("delete from rec where part=? and key=?", s.Part, k); err != nil {
+					return err
+				}
+			}
 			for _, r := range s.Recs {
 				if _, err := tx.Exec("insert or replace into rec values(?,?,?,?,?,?,?)", s.Part, r.Key, survey.Span(r.Key), r.Ver.Term, r.Ver.Seq, r.Dead, r.Val); err != nil {
 					return err
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -39,6 +39,12 @@
 	InUse = errs.Class("address")
 )
 
+// mark is the last version that had been written at some time.
+type mark struct {
+	at  time.Duration
+	ver form.Ver
+}
+
 type shard struct {
 	mu    sync.Mutex
 	part  int
@@ -49,6 +55,7 @@
 	dirty  bool
 	loadAt time.Duration
 	group  uint64
+	marks  []mark // versions written so far under this duty, and when
 
 	guide roster.Guide
 }
@@ -563,7 +570,9 @@
 	if s.part == 0 {
 		return
 	}
+	c.floor(s, now)
 	if s.holder == nil {
+		s.marks = nil
 		s.holder, s.dirty = interlock.New(c.Cfg.Works(), s.sec.Seat.Num(), s.sec.Seat.Since()), true
 	}
 	h := s.holder
@@ -587,6 +596,24 @@
 	}
 }
 
+// floor lets once keys go that are older than the retention. What an earlier
+// owner wrote counts as written when this one took over.
+func (c *Cabin) floor(s *shard, now time.Duration) {
+	keep := c.Cfg.Keep()
+	if n := len(s.marks); n == 0 || now-s.marks[n-1].at > keep/8 {
+		s.marks = append(s.marks, mark{now, s.sec.Seat.Seq()})
+	}
+	if now-s.marks[0].at <= keep {
+		return
+	}
+	ver := s.marks[0].ver
+	s.marks = s.marks[1:]
+	val, _ := json.Marshal(ver)
+	c.carry(s, s.sec.Do(now, c.tags.Add(1), section.Job{Keys: []string{notary.FloorKey}, Make: func(purge.Source) ([]form.Rec, any) {
+		return []form.Rec{{Key: notary.FloorKey, Val: val}}, nil
+	}}))
+}
+
 // load hands the committed lists and berths of this part to the holder.
 func (c *Cabin) load(s *shard, now time.Duration) {
 	lists := map[string]tariff.List{}
--- a/control/cabin/config.go
+++ b/control/cabin/config.go
@@ -260,6 +260,11 @@
 	return notary.Config{Duty: d, Drift: c.Drift, Margin: c.margin(), Beat: d / 3}
 }
 
+// Keep is how long a once key is kept; no request's budget is longer than half.
+//
+// Example: c.Keep() == 20*time.Minute for a recovery bound of 12 s
+func (c Config) Keep() time.Duration { return 100 * c.Bounds.Recover }
+
 // Sessions is the config of the roster.
 //
 // Example: r := roster.New(c.Sessions(), me, c.Seeds)
--- a/control/notary/notary.go
+++ b/control/notary/notary.go
@@ -10,8 +10,10 @@
 package notary
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"mulleinmast/control/survey"
@@ -40,8 +42,17 @@
 	Meta   Meta
 	Wipe   []int // ranges whose other records are to be deleted
 	Recs   []form.Rec
+	Drop   []string // records below the floor
 }
 
+// FloorKey is the record that says up to which version the records under
+// FloorOf are no longer kept. Every seat drops them on its own; one that comes
+// back from a seat that was late is dropped again.
+const (
+	FloorKey = "floor/once"
+	FloorOf  = "once/"
+)
+
 // Meta is a seat's durable state beside its records.
 type Meta struct {
 	Promised uint64
@@ -218,12 +229,36 @@
 
 func (s *Seat) save(o *Out, wipe []int, recs []form.Rec, then ...form.Send) {
 	s.tick++
-	o.Saves = append(o.Saves, Save{Ticket: s.tick, Part: s.part, Meta: s.meta, Wipe: wipe, Recs: recs})
+	o.Saves = append(o.Saves, Save{Ticket: s.tick, Part: s.part, Meta: s.meta, Wipe: wipe, Recs: recs, Drop: s.prune(recs)})
 	if len(then) > 0 {
 		s.after[s.tick] = then
 	}
 }
 
+// prune drops what is below the floor, if the floor is among the new records.
+func (s *Seat) prune(recs []form.Rec) (gone []string) {
+	for _, r := range recs {
+		var floor form.Ver
+		if r.Key != FloorKey || json.Unmarshal(r.Val, &floor) != nil {
+			continue
+		}
+		for x := range s.book.All() {
+			if strings.HasPrefix(x.Key, FloorOf) && x.Ver.Less(floor) {
+				gone = append(gone, x.Key)
+			}
+		}
+		for _, k := range gone {
+			s.book.Drop(k)
+		}
+	}
+	return gone
+}
+
+// Seq is the version of the last record written under this ballot.
+//
+// Example: mark := s.Seq()
+func (s *Seat) Seq() form.Ver { return form.Ver{Term: s.num, Seq: s.seq} }
+
 // Saved tells the seat that a save is on disk.
 //
 // Example: out := s.Saved(save.Ticket)
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -487,6 +487,9 @@
 					}
 				}
 			}
+			for _, k := range s.Drop {
+				delete(n.disk.recs[s.Part], k)
+			}
 			for _, r := range s.Recs {
 				n.disk.recs[s.Part][r.Key] = r
 			}
--- a/traffic/desk/desk.go
+++ b/traffic/desk/desk.go
@@ -67,8 +67,8 @@
 	if q.Tokens < 0 || q.Tokens > 100000 {
 		f.Add("tokens: %d, expected 0 to 100000", q.Tokens)
 	}
-	if q.Budget != nil && (*q.Budget <= 0 || *q.Budget > 3600000) {
-		f.Add("budget_ms: %d, expected 1 to 3600000: a budget that is spent can't be met", *q.Budget)
+	if q.Budget != nil && (*q.Budget <= 0 || *q.Budget > 600000) {
+		f.Add("budget_ms: %d, expected 1 to 600000: a budget that is spent can't be met", *q.Budget)
 	}
 	if len(q.Once) > 128 || strings.ContainsAny(q.Once, "/\n") {
 		f.Add("once: expected at most 128 characters without '/'")
