--- a/cmd/enquiry/main.go
+++ b/cmd/enquiry/main.go
@@ -8,9 +8,11 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -20,6 +22,7 @@
 	"mulleinmast/control/cabin"
 	"mulleinmast/control/daybook"
 	"mulleinmast/control/tariff"
+	"mulleinmast/control/tariff/openapi"
 	"mulleinmast/traffic/desk"
 )
 
@@ -32,6 +35,7 @@
 queue              each daemon's queues and shares
 counts             requests served, shed and why, retries
 why REQUEST|all    why a request went where it did
+import FILE        named changes made of an OpenAPI file, ready to be sent
 story [KIND]       what the fleet did, from the rings of all daemons, in order
 help               this text
 quit               leave the shell
@@ -132,14 +136,7 @@
 	return got, bad, nil
 }
 
-func keys[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
+func keys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
 // show prints JSON as it is, or a table.
 func (s *shell) show(v any, head string, rows [][]any) int {
@@ -213,6 +210,8 @@
 			return s.wrong("why needs a request's id, or all")
 		}
 		return s.why(arg)
+	case "import":
+		return s.load(arg)
 	case "story":
 		return s.story(arg)
 	}
@@ -318,6 +317,29 @@
 	return s.show(got, "REQUEST DAEMON RESULT MS WHY LEDGER", rows)
 }
 
+// load prints an OpenAPI file as named changes on the plan in force.
+func (s *shell) load(path string) int {
+	doc, err := os.ReadFile(path)
+	if err != nil {
+		return s.wrong(err.Error())
+	}
+	c, f := openapi.Read(doc)
+	if f.Any() {
+		return s.wrong(strings.Join(f.List, "\n"))
+	}
+	var p tariff.Plan
+	if err := s.get(s.to[0], "/v1/plan", &p); err != nil {
+		return s.bad(err)
+	}
+	c.ID, c.Base = "change-me", p.Version
+	b, err := json.MarshalIndent(c, "", "  ")
+	if err != nil {
+		return s.bad(err)
+	}
+	_, _ = fmt.Fprintln(s.out, string(b))
+	return 0
+}
+
 func (s *shell) story(kind string) int {
 	type ring struct {
 		Lines []daybook.Entry `json:"lines"`
--- a/control/interlock/interlock.go
+++ b/control/interlock/interlock.go
@@ -8,6 +8,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -307,14 +309,7 @@
 	return o
 }
 
-func sorted[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
+func sorted[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
 func (h *Holder) poll(now time.Duration, keys []string, o *Out) {
 	for _, key := range keys {
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -11,6 +11,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -572,14 +574,7 @@
 	}
 }
 
-func sorted[T any](m map[string]T) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
+func sorted[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
 // Hold stops serving a record at the root and withdraws it from the tree;
 // Out.Purged carries the tag when no valid lease on it is left below.
--- a/traffic/desk/desk.go
+++ b/traffic/desk/desk.go
@@ -813,6 +813,10 @@
 // relay passes a maker's pieces on, each checked; a wrong one ends the stream.
 func (t *trip) relay(st *yard.Stream, w http.ResponseWriter, run string, first *time.Timer) string {
 	flush, _ := w.(http.Flusher)
+	// A requester that doesn't read keeps a maker no longer than its budget.
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Now().Add(t.due - t.d.c.Now()))
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }() // the connection may carry another request
 	begun := false
 	stop := func(k waybill.Known, why string) string {
 		if begun {
