Reverted: prefills held back while makers are behind

Tried so that fewer prefills are wasted under overload.

Cause: the handles that wait are mostly of tenants that are not urgent, and they held back an urgent request's prefill too. A gate must count only waits as urgent as the request itself; not tried yet.

--- a/traffic/slots/slots.go
+++ b/traffic/slots/slots.go
@@ -151,12 +151,6 @@
 	rest := q.list[:0]
 	var late []*Wait
 	var ahead [2]int
-	making := 0
-	for _, w := range q.list {
-		if w.Side == Make {
-			making++
-		}
-	}
 	var free []string
 	if now < q.till {
 		for a, n := range q.share {
@@ -174,7 +168,7 @@
 			continue
 		}
 		addr := ""
-		if len(free) > 0 && !(w.Side == Read && q.glut(w, making, now)) {
+		if len(free) > 0 {
 			addr = w.Pick(free)
 		}
 		if addr == "" {
@@ -201,12 +195,6 @@
 	}
 }
 
-// glut tells whether so many requests with a handle wait for makers that a
-// further prefill would most likely be wasted.
-func (q *Queue) glut(w *Wait, making int, now time.Duration) bool {
-	return time.Duration(making)*q.pace[Make] > (w.Due-now)/4
-}
-
 func (q *Queue) take(now time.Duration, w *Wait, addr string) {
 	q.held[addr]++
 	p := q.prios[w.Side]
