A grant for an earlier life is not taken; one reconnect at a time

Seen once in a hundred starts on a loaded machine: a daemon that stayed unready, its volume lease valid and a record missing. Cause: two reconnects that overlapped each dropped what the other's grants had brought, at wire speed and without end. A child now sends one list at a time.

Whatever a parent sends now names the life it is meant for, as purges did already.

Ruled out: keeping what was granted since the list went out (tried; a late list makes it unsafe).

--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -92,8 +92,7 @@
 }
 
 type ask struct {
-	at   time.Duration
-	keys []string
+	at time.Duration
 }
 
 // Node is the state machine.
@@ -118,6 +117,7 @@
 	out    uint64 // numbers all notes to children, so that they can drop late ones
 	reqs   map[uint64]ask
 	sentAt time.Duration
+	listAt time.Duration // when our list last went out
 	backAt time.Duration // when the parent last replied
 	objs   map[string]cached
 	want   map[string]time.Duration // asked of the parent, and when first
@@ -240,7 +240,7 @@
 		return o
 	}
 	n.parent, n.pmark = p, form.Mark{}
-	n.reqs = map[uint64]ask{}
+	n.reqs, n.listAt = map[uint64]ask{}, 0
 	n.backAt = now
 	if p.Ident != "" {
 		n.renew(now, &o)
@@ -265,7 +265,7 @@
 		keys = append(keys, k)
 	}
 	sort.Strings(keys)
-	n.reqs[n.no] = ask{at: now, keys: keys}
+	n.reqs[n.no] = ask{at: now}
 	if len(n.reqs) > 16 {
 		for r := range n.reqs {
 			if r+12 < n.no {
@@ -279,7 +279,7 @@
 
 func (n *Node) tell(k *kid, note form.Note, o *Out) {
 	n.out++
-	note.Part, note.No, note.Mark, note.To = n.part, n.out, n.Mark(), k.seat.Ident
+	note.Part, note.No, note.Num, note.Mark, note.To = n.part, n.out, k.epoch, n.Mark(), k.seat.Ident
 	o.Sends = append(o.Sends, form.Send{Addr: k.seat.Addr, Note: note})
 }
 
@@ -347,7 +347,7 @@
 				continue
 			}
 			s.wait[k.id] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no, Num: k.epoch}, o)
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
 		}
 	}
 	if n.owes(k.id) {
@@ -470,20 +470,20 @@
 	if m.Mark.Ident != m.From {
 		return
 	}
+	if m.Kind == form.Steer && m.Why == "return" {
+		o.Steer = m.Hint
+		return
+	}
+	if m.Num != n.epoch {
+		return // meant for an earlier life of ours: the granter notes it there
+	}
 	if m.Kind == form.Purge {
-		if m.Num != n.epoch {
-			return // meant for an earlier life of ours
-		}
 		// Whoever says so, dropping a record is safe; the number makes a grant
 		// that was overtaken by this purge come too late.
 		n.heard[m.Mark] = max(n.heard[m.Mark], m.No)
 		n.sweep(now, m.Key, &back{seat: form.Seat{Ident: m.From, Addr: m.Addr}, ref: m.Ref, mark: m.Mark}, 0, o)
 		return
 	}
-	if m.Kind == form.Steer && m.Why == "return" {
-		o.Steer = m.Hint
-		return
-	}
 	if n.root || m.From != n.parent.Ident || m.No <= n.heard[m.Mark] {
 		return
 	}
@@ -491,6 +491,11 @@
 	n.backAt = now
 	switch m.Kind {
 	case form.Reconnect:
+		// One at a time: two that overlap would undo one another for ever.
+		if n.listAt > 0 && now-n.listAt < n.cfg.Beat/2 {
+			return
+		}
+		n.listAt = now
 		n.no++
 		n.reqs[n.no] = ask{at: now}
 		list := form.Note{Kind: form.Listing, Part: n.part, No: n.no, Mark: m.Mark, To: n.parent.Ident}
@@ -623,7 +628,7 @@
 				continue
 			}
 			s.wait[id] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no, Num: k.epoch}, o)
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
 		}
 		n.sweeps[key] = s
 	}
@@ -683,7 +688,7 @@
 				delete(s.wait, id)
 			case now-at >= n.cfg.Beat:
 				s.wait[id] = now
-				n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no, Num: k.epoch}, &o)
+				n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, &o)
 			}
 		}
 		n.swept(now, s, &o)
--- a/proof/track/track.go
+++ b/proof/track/track.go
@@ -340,7 +340,18 @@
 // Example: err := f.Begin(ctx)
 func (f *Fleet) Begin(ctx context.Context) error {
 	if !Until(ctx, 30*time.Second, func() bool { return f.Ready() == len(f.Daemons) }) {
-		return fmt.Errorf("only %d of %d daemons became ready", f.Ready(), len(f.Daemons))
+		why := ""
+		for _, p := range f.Daemons {
+			if code, b := f.Call("GET", p.Addr, "/readyz", nil); code != 200 {
+				st, _ := f.State(p)
+				why += fmt.Sprintf("\n%s %s: %d %s", p.Name, p.Wire, code, b)
+				if len(st.Parts) > 0 {
+					n := st.Parts[0].Node
+					why += fmt.Sprintf("  members %d, owner of part 0 %v, parent %v, lease %d ms", len(st.Members), st.Parts[0].Owner, n.Parent, n.Left)
+				}
+			}
+		}
+		return fmt.Errorf("only %d of %d daemons became ready:%s", f.Ready(), len(f.Daemons), why)
 	}
 	last := f.Daemons[len(f.Daemons)-1].Addr
 	if code, b := f.Call("PUT", last, "/v1/plan", f.Plan("first", 0)); code != 200 {
