Read once more: marks of a new duty first, state that could be derived dropped

The marks for letting once keys go were cleared after the first one of a new duty was set; they are cleared before now. A counter beside a time that says the same, and a group set twice, are gone.

--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -570,11 +570,11 @@
 	if s.part == 0 {
 		return
 	}
-	c.floor(s, now)
 	if s.holder == nil {
 		s.marks = nil
 		s.holder, s.dirty = interlock.New(c.Cfg.Works(), s.sec.Seat.Num(), s.sec.Seat.Since()), true
 	}
+	c.floor(s, now)
 	h := s.holder
 	if okPlan && okCells && (s.dirty || now-s.loadAt > c.Cfg.Vol()/4) {
 		h.Plan(tariff.Open(plan), tariff.Cells(cells))
--- a/control/notary/notary.go
+++ b/control/notary/notary.go
@@ -287,11 +287,11 @@
 }
 
 func (s *Seat) join(now time.Duration, g form.Group) {
-	if s.meta.Group.Num == 0 {
-		s.meta.Group = g
+	first := s.meta.Group.Num == 0
+	s.meta.Group = g
+	if first {
 		s.next = max(s.next, now+s.delay())
 	}
-	s.meta.Group = g
 }
 
 // Hear takes a note from another seat (or from itself).
--- a/traffic/desk/desk.go
+++ b/traffic/desk/desk.go
@@ -325,7 +325,6 @@
 	choice []string
 	after  time.Duration
 	why    string
-	spins  int
 	spun   time.Duration
 }
 
@@ -636,7 +635,7 @@
 func (t *trip) lapsed(ctx context.Context) bool {
 	d := t.d
 	now := d.c.Now()
-	if t.spins++; t.spins == 1 {
+	if t.spun == 0 {
 		t.spun = now
 	}
 	if now-t.spun > t.patience() {
