--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -22,6 +22,8 @@
 	flag.DurationVar(&c.Keep, "keep", 20*time.Second, "`life` of a KV handle")
 	flag.DurationVar(&c.Link, "link", 2*time.Millisecond, "`time` of a hand-over")
 	flag.IntVar(&c.Prefixes, "prefixes", 512, "prefixes held")
+	flag.DurationVar(&c.Warm, "warm", 2*time.Second, "its own warm-up `time`")
+	flag.BoolVar(&c.Naive, "naive", false, "as a maker, take up whatever cache a handle leads to")
 	path := flag.String("journal", "", "journal `file`")
 	flag.Parse()
 	book, err := journal.Open(*path)
--- a/cmd/enquiry/main.go
+++ b/cmd/enquiry/main.go
@@ -23,7 +23,7 @@
 	"mulleinmast/control/daybook"
 	"mulleinmast/control/tariff"
 	"mulleinmast/control/tariff/openapi"
-	"mulleinmast/traffic/desk"
+	"mulleinmast/traffic/dispatch"
 )
 
 const usage = `members            who is in the fleet, where, and ready or not
@@ -297,7 +297,7 @@
 }
 
 func (s *shell) why(id string) int {
-	got, _, err := each[[]desk.Story](s, "/v1/why/"+id)
+	got, _, err := each[[]dispatch.Story](s, "/v1/why/"+id)
 	if err != nil {
 		return s.bad(err)
 	}
--- a/cmd/testtrack/sweep.go
+++ b/cmd/testtrack/sweep.go
@@ -36,6 +36,7 @@
 		broken := 0
 		var yes, never, maybe, reads int
 		faults := map[string]int{}
+		results, sheds, plans := map[string]int{}, map[string]int{}, map[string]int{}
 		var gap, wait []time.Duration
 		for i := 0; i < runtime.NumCPU(); i++ {
 			wg.Add(1)
@@ -49,9 +50,10 @@
 						fmt.Printf("%s seed %d: %s (and %d more)\n", name, seed, r.Broken[0], len(r.Broken)-1)
 					}
 					yes, never, maybe, reads = yes+r.Yes, never+r.Never, maybe+r.Maybe, reads+r.Reads
-					for k, n := range r.Faults {
-						faults[k] += n
-					}
+					sum(faults, r.Faults)
+					sum(results, r.Results)
+					sum(sheds, r.Sheds)
+					sum(plans, r.Plans)
 					gap = append(gap, r.Gap)
 					wait = append(wait, r.Waits...)
 					mu.Unlock()
@@ -61,6 +63,9 @@
 		wg.Wait()
 		fmt.Printf("%-8s %d seeds, %d broken; writes: %d in force, %d refused, %d uncertain; %d reads; simulated: write median %v 99th %v, longest without an owner median %v 99th %v; faults %v\n",
 			name, count, broken, yes, never, maybe, reads, at(wait, 0.5), at(wait, 0.99), at(gap, 0.5), at(gap, 0.99), faults)
+		if len(results) > 0 {
+			fmt.Printf("         requests %v; sheds %v; plans %v\n", results, sheds, plans)
+		}
 		bad += broken
 	}
 	if bad > 0 {
@@ -69,6 +74,12 @@
 	return 0
 }
 
+func sum(to, from map[string]int) {
+	for k, n := range from {
+		to[k] += n
+	}
+}
+
 func numbers(from, count int64) chan int64 {
 	c := make(chan int64)
 	go func() {
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -4,11 +4,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"hash/fnv"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +17,9 @@
 
 	"mulleinmast/control/archive"
 	"mulleinmast/control/daybook"
+	"mulleinmast/control/errand"
 	"mulleinmast/control/interlock"
+	"mulleinmast/control/master"
 	"mulleinmast/control/notary"
 	"mulleinmast/control/purge"
 	"mulleinmast/control/regulator"
@@ -40,24 +41,10 @@
 	InUse = errs.Class("address")
 )
 
-// mark is the last version that had been written at some time.
-type mark struct {
-	at  time.Duration
-	ver form.Ver
-}
-
 type shard struct {
-	mu    sync.Mutex
-	part  int
-	sec   *section.Section
-	after map[uint64]func(section.Result)
-
-	holder *interlock.Holder
-	dirty  bool
-	loadAt time.Duration
-	group  uint64
-	marks  []mark // versions written so far under this duty, and when
-
+	mu   sync.Mutex
+	part int
+	*master.Master
 	guide roster.Guide
 }
 
@@ -78,7 +65,6 @@
 	view   atomic.Pointer[roster.View]
 	rmu    sync.Mutex
 	rost   *roster.Roster
-	tags   atomic.Uint64
 	stop   atomic.Bool
 	ready  atomic.Bool
 
@@ -88,7 +74,8 @@
 	stall atomic.Int64 // test switch: every disk write takes this long more
 
 	cmu   sync.Mutex
-	calls map[uint64]chan form.Note
+	runs  *errand.Errands
+	calls map[uint64]chan errand.Done
 
 	nmu  sync.Mutex
 	news chan struct{}
@@ -101,7 +88,7 @@
 // Example: c, err := cabin.Open(cfg, book)
 func Open(cfg Config, book *daybook.Book) (*Cabin, error) {
 	c := &Cabin{Cfg: cfg, Book: book, Mux: http.NewServeMux(), Hands: yard.NewHands(part(cfg.Bounds.Plan, 0.25)), clock: regulator.New(), epoch: 1,
-		dwake: make(chan struct{}, 1), calls: map[uint64]chan form.Note{}, news: make(chan struct{})}
+		dwake: make(chan struct{}, 1), calls: map[uint64]chan errand.Done{}, news: make(chan struct{})}
 	c.me = form.Seat{Ident: archive.NewIdent(), Addr: cfg.Wire}
 	if cfg.Data != "" {
 		a, err := archive.Open(cfg.Data, cfg.Fleet)
@@ -130,6 +117,7 @@
 		return nil, InUse.Wrap(err)
 	}
 	c.web = ln
+	c.runs = errand.New(errand.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}) // calls may be sent twice: each is known by its id
 	c.rost = roster.New(cfg.Sessions(), c.member(), cfg.Seeds)
 	c.view.Store(c.rost.View())
 	now := c.Now()
@@ -151,7 +139,8 @@
 			}
 			return form.Seat{}
 		}
-		c.shards = append(c.shards, &shard{part: p, sec: section.New(p, c.me, c.epoch, seat, node), after: map[uint64]func(section.Result){}, dirty: true, guide: roster.Guide{Part: p, Vol: cfg.Vol()}})
+		m := master.New(master.Config{Works: cfg.Works(), Keep: cfg.Keep()}, p, c.me, section.New(p, c.me, c.epoch, seat, node))
+		c.shards = append(c.shards, &shard{part: p, Master: m, guide: roster.Guide{Part: p, Vol: cfg.Vol()}})
 	}
 	c.Pin(0, tariff.PlanKey)
 	c.Pin(0, tariff.CellKey)
@@ -186,18 +175,13 @@
 // Part is the part that holds a service's records; part 0 is configuration.
 //
 // Example: p := c.Part("timetable")
-func (c *Cabin) Part(svc string) int {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(svc))
-	x := h.Sum64()
-	return 1 + int((x^x>>32)%uint64(c.Cfg.Parts))
-}
+func (c *Cabin) Part(svc string) int { return tariff.PartOf(svc, c.Cfg.Parts) }
 
 func (c *Cabin) member() form.Member {
 	empty := c.arch != nil
 	for _, s := range c.shards {
 		s.mu.Lock()
-		if s.sec.Seat != nil && s.sec.Seat.Group().Num > 0 {
+		if s.Section().Seat != nil && s.Section().Seat.Group().Num > 0 {
 			empty = false
 		}
 		s.mu.Unlock()
@@ -267,59 +251,60 @@
 	c.Book.Note("stop", "asked to stop")
 	for _, s := range c.shards {
 		s.mu.Lock()
-		if s.sec.Seat != nil {
-			s.sec.Seat.Resign()
+		if s.Section().Seat != nil {
+			s.Section().Seat.Resign()
 		}
 		s.mu.Unlock()
 	}
 }
 
 // step runs one input through a shard and carries out what it asks for.
-func (c *Cabin) step(s *shard, f func(*section.Section, time.Duration) section.Out) {
+func (c *Cabin) step(s *shard, f func(*master.Master, time.Duration) master.Out) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.carry(s, f(s.sec, c.Now()))
+	c.carry(s, f(s.Master, c.Now()))
 }
 
-func (c *Cabin) carry(s *shard, o section.Out) {
+func (c *Cabin) carry(s *shard, o master.Out) {
 	if len(o.Saves) > 0 {
 		c.toDisk(o.Saves)
 	}
 	for _, m := range o.Sends {
-		// A seat is known by its identity; its machine may have a new address.
-		if at, ok := c.View().Find(m.Note.To); ok {
-			m.Addr = at.Addr
-		}
-		c.Line.Send(m)
+		c.send(m)
 	}
-	for _, r := range o.Results {
-		if f := s.after[r.Tag]; f != nil {
-			delete(s.after, r.Tag)
-			f(r)
-		}
+	for _, l := range o.Lines {
+		c.Book.Note(l.Kind, "%s", l.Text)
 	}
 	if o.Lost {
-		s.holder = nil
 		c.Book.Trouble("duty", "part %d: duty lost", s.part)
 	}
-	if o.Won {
-		s.holder, s.dirty = nil, true
-		c.Book.Note("duty", "part %d: owner with ballot %d", s.part, s.sec.Seat.Num())
-	}
 	if o.Orphan {
 		s.guide.Orphaned(c.Now())
-		c.Book.Note("tree", "part %d: parent %s can't serve", s.part, s.sec.Node.Parent().Addr)
+		c.Book.Note("tree", "part %d: parent %s can't serve", s.part, s.Section().Node.Parent().Addr)
 	}
 	if o.Steer.Ident != "" {
 		s.guide.Steered(c.Now(), o.Steer)
 		c.Book.Note("tree", "part %d: steered to %s", s.part, o.Steer.Addr)
 	}
 	if len(o.Fresh)+len(o.Gone) > 0 || o.Won || o.Lost {
-		s.dirty = true
 		c.tellNews()
 	}
 }
 
+// send puts a note on the line; one to ourselves never leaves the daemon.
+func (c *Cabin) send(m form.Send) {
+	if m.Note.To == c.me.Ident {
+		m.Note.From, m.Note.Epoch, m.Note.Addr = c.me.Ident, c.epoch, c.me.Addr
+		go c.hear(m.Note) // the shard's lock is held here
+		return
+	}
+	// A seat is known by its identity; its machine may have a new address.
+	if at, ok := c.View().Find(m.Note.To); ok {
+		m.Addr = at.Addr
+	}
+	c.Line.Send(m)
+}
+
 func (c *Cabin) tellNews() {
 	c.nmu.Lock()
 	close(c.news)
@@ -345,20 +330,15 @@
 		for _, m := range o.Sends {
 			c.Line.Send(m)
 		}
-	case n.Kind == form.Call:
-		go c.called(n)
 	case n.Kind == form.Back:
 		c.cmu.Lock()
-		ch := c.calls[n.Ref]
-		delete(c.calls, n.Ref)
+		o := c.runs.Hear(c.Now(), n)
+		c.errands(o)
 		c.cmu.Unlock()
-		if ch != nil {
-			ch <- n
-		}
 	case n.Part < 0 || n.Part >= len(c.shards):
 		c.Book.Trouble("wire", "%s: %s for part %d, which isn't one of %d", n.Addr, n.Kind, n.Part, len(c.shards))
 	default:
-		c.step(c.shards[n.Part], func(s *section.Section, now time.Duration) section.Out { return s.Hear(now, n) })
+		c.step(c.shards[n.Part], func(s *master.Master, now time.Duration) master.Out { return s.Hear(now, n) })
 	}
 }
 
@@ -369,14 +349,14 @@
 	s := c.shards[part]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sec.Node.Get(c.Now(), key)
+	return s.Section().Node.Get(c.Now(), key)
 }
 
 // Pin keeps a record wanted here.
 //
 // Example: c.Pin(p, tariff.ListKey("timetable"))
 func (c *Cabin) Pin(part int, key string) {
-	c.step(c.shards[part], func(s *section.Section, now time.Duration) section.Out { return s.Pin(now, key) })
+	c.step(c.shards[part], func(s *master.Master, now time.Duration) master.Out { return s.Pin(now, key) })
 }
 
 // Await waits for a record to be servable.
@@ -419,10 +399,10 @@
 		var owns []form.Own
 		for _, s := range c.shards {
 			s.mu.Lock()
-			if s.sec.Seat != nil {
-				if s.sec.Owner(c.Now()) {
-					owns = append(owns, form.Own{Part: s.part, Num: s.sec.Seat.Num(), Seat: c.me})
-				} else if h := s.sec.Seat.Hint(); h.Num > 0 {
+			if s.Section().Seat != nil {
+				if s.Owner(c.Now()) {
+					owns = append(owns, form.Own{Part: s.part, Num: s.Section().Seat.Num(), Seat: c.me})
+				} else if h := s.Section().Seat.Hint(); h.Num > 0 {
 					owns = append(owns, h)
 				}
 			}
@@ -451,7 +431,7 @@
 	var sends []form.Send
 	for _, s := range c.shards {
 		s.mu.Lock()
-		o := s.sec.Found(c.Now(), form.Group{Num: 1, Seats: seats})
+		o := s.Found(c.Now(), form.Group{Num: 1, Seats: seats})
 		s.mu.Unlock()
 		saves, sends = append(saves, o.Saves...), append(sends, o.Sends...)
 	}
@@ -507,7 +487,7 @@
 			}
 		}
 		for _, x := range list {
-			c.step(c.shards[x.Part], func(s *section.Section, now time.Duration) section.Out { return s.Saved(now, x.Ticket) })
+			c.step(c.shards[x.Part], func(s *master.Master, now time.Duration) master.Out { return s.Saved(now, x.Ticket) })
 		}
 	}
 }
@@ -537,14 +517,19 @@
 		v := c.View()
 		now := c.Now()
 		s.mu.Lock()
-		c.carry(s, s.sec.Tick(now))
-		if p := s.guide.Parent(now, v); p != s.sec.Node.Parent() && !s.sec.Node.Root() {
-			c.carry(s, s.sec.Adopt(now, p))
+		c.carry(s, s.Tick(now))
+		if p := s.guide.Parent(now, v); p != s.Section().Node.Parent() && !s.Section().Node.Root() {
+			c.carry(s, s.Adopt(now, p))
 		}
-		for _, m := range s.guide.Hints(s.sec.Node.Live(now), s.sec.Node.Mark(), v) {
+		for _, m := range s.guide.Hints(s.Section().Node.Live(now), s.Section().Node.Mark(), v) {
 			c.Line.Send(m)
 		}
 		s.mu.Unlock()
+		if s.part == 0 {
+			c.cmu.Lock()
+			c.errands(c.runs.Tick(c.Now(), c.ownerOf))
+			c.cmu.Unlock()
+		}
 		if now-slow >= c.Cfg.Vol()/16 {
 			slow = now
 			c.works(ctx, s)
@@ -552,213 +537,55 @@
 	}
 }
 
-// works runs the owner's duties over its servers and its group.
+// works runs the owner's systems over its servers and its group.
 func (c *Cabin) works(ctx context.Context, s *shard) {
-	plan, okPlan := c.Read(0, tariff.PlanKey)
-	cells, okCells := c.Read(0, tariff.CellKey)
-	seats, okSeats := form.Rec{}, false
+	var sight master.Sight
+	sight.Plan, sight.OkPlan = c.Read(0, tariff.PlanKey)
+	sight.Cells, sight.OkCells = c.Read(0, tariff.CellKey)
 	if c.arch != nil {
-		seats, okSeats = c.Read(0, tariff.SeatKey)
+		sight.Seats, sight.OkSeats = c.Read(0, tariff.SeatKey)
+	}
+	sight.Vacant = func(seats []form.Seat) ([]form.Seat, bool) {
+		c.rmu.Lock()
+		defer c.rmu.Unlock()
+		return c.rost.Vacant(c.Now(), seats, part(c.Cfg.Bounds.Recover, 1.5))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := c.Now()
-	if !s.sec.Owner(now) {
-		s.holder = nil
-		return
-	}
-	c.regroup(s, now, seats, okSeats)
-	if s.part == 0 {
-		return
-	}
-	if s.holder == nil {
-		s.marks = nil
-		s.holder, s.dirty = interlock.New(c.Cfg.Works(), s.sec.Seat.Num(), s.sec.Seat.Since()), true
-	}
-	c.floor(s, now)
-	h := s.holder
-	if okPlan && okCells && (s.dirty || now-s.loadAt > c.Cfg.Vol()/4) {
-		h.Plan(tariff.Open(plan), tariff.Cells(cells))
-		c.load(s, now)
-		s.dirty, s.loadAt = false, now
-	}
-	o := h.Tick(now)
-	for _, line := range o.Notes {
-		c.Book.Note("servers", "%s", line)
-	}
-	for _, w := range o.Writes {
-		c.writeBerth(s, h, w)
-	}
+	o := s.Works(c.Now(), sight)
+	term := s.Term()
+	c.carry(s, o)
 	for _, key := range o.Polls {
-		go c.poll(ctx, s, h, key)
+		go c.poll(ctx, s, term, key)
 	}
 	for _, ord := range o.Orders {
-		go c.order(ctx, s, h, ord)
-	}
-}
-
-// floor lets once keys go that are older than the retention. What an earlier
-// owner wrote counts as written when this one took over.
-func (c *Cabin) floor(s *shard, now time.Duration) {
-	keep := c.Cfg.Keep()
-	if n := len(s.marks); n == 0 || now-s.marks[n-1].at > keep/8 {
-		s.marks = append(s.marks, mark{now, s.sec.Seat.Seq()})
-	}
-	if now-s.marks[0].at <= keep {
-		return
-	}
-	ver := s.marks[0].ver
-	s.marks = s.marks[1:]
-	val, _ := json.Marshal(ver)
-	c.carry(s, s.sec.Do(now, c.tags.Add(1), section.Job{Keys: []string{notary.FloorKey}, Make: func(purge.Source) ([]form.Rec, any) {
-		return []form.Rec{{Key: notary.FloorKey, Val: val}}, nil
-	}}))
-}
-
-// load hands the committed lists and berths of this part to the holder.
-func (c *Cabin) load(s *shard, now time.Duration) {
-	lists := map[string]tariff.List{}
-	berths := map[string]map[string]interlock.Berth{}
-	for r := range s.sec.Seat.Book().All() {
-		svc, kind := split(r.Key)
-		cur, ok := s.sec.Node.Get(now, r.Key)
-		if !ok || cur.Dead {
-			continue
-		}
-		switch kind {
-		case "list":
-			var l tariff.List
-			if json.Unmarshal(cur.Val, &l) == nil {
-				lists[svc] = l
-			}
-		case "berth":
-			if b, ok := interlock.OpenBerth(cur); ok {
-				if berths[svc] == nil {
-					berths[svc] = map[string]interlock.Berth{}
-				}
-				berths[svc][r.Key] = b
-			}
-		}
-	}
-	for svc, l := range lists {
-		s.holder.Load(now, svc, l, berths[svc])
-	}
-}
-
-func split(key string) (svc, kind string) {
-	i := 0
-	for i < len(key) && key[i] != '/' {
-		i++
-	}
-	if i == len(key) {
-		return "", key
-	}
-	kind, rest := key[:i], key[i+1:]
-	for j := range rest {
-		if rest[j] == '/' {
-			return rest[:j], kind
-		}
+		go c.order(ctx, s, ord)
 	}
-	return rest, kind
 }
 
-func (c *Cabin) writeBerth(s *shard, h *interlock.Holder, w interlock.Write) {
-	tag := c.tags.Add(1)
-	s.after[tag] = func(r section.Result) {
-		var b interlock.Berth
-		if !w.Gone {
-			_ = json.Unmarshal(w.Val, &b)
-		}
-		if s.holder == h {
-			h.Wrote(w.Key, b, r.Fate == section.Done)
-		}
-	}
-	c.carry(s, s.sec.Do(c.Now(), tag, section.Job{Keys: []string{w.Key}, Make: func(purge.Source) ([]form.Rec, any) {
-		return []form.Rec{{Key: w.Key, Val: w.Val, Dead: w.Gone}}, nil
-	}}))
-}
-
-func (c *Cabin) poll(ctx context.Context, s *shard, h *interlock.Holder, key string) {
+func (c *Cabin) poll(ctx context.Context, s *shard, term uint64, key string) {
 	ctx, done := context.WithTimeout(ctx, 2*c.Cfg.Works().Poll)
 	defer done()
-	u, err := c.Hands.Usage(ctx, addrOf(key))
+	u, err := c.Hands.Usage(ctx, key[strings.LastIndexByte(key, '/')+1:])
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.holder == h {
-		h.Polled(c.Now(), key, u, err == nil)
-	}
+	s.Polled(c.Now(), term, key, u, err == nil)
 }
 
-func addrOf(key string) string {
-	for i := len(key) - 1; i >= 0; i-- {
-		if key[i] == '/' {
-			return key[i+1:]
-		}
-	}
-	return key
-}
-
-// order sends an order, having looked at the duty lease once more.
-func (c *Cabin) order(ctx context.Context, s *shard, h *interlock.Holder, o interlock.Order) {
-	left := part(c.Cfg.Bounds.Swap, 0.2)
-	ctx, done := context.WithTimeout(ctx, left)
+// order sends an order; the duty lease is looked at once more just before its
+// first byte.
+func (c *Cabin) order(ctx context.Context, s *shard, o interlock.Order) {
+	ctx, done := context.WithTimeout(ctx, part(c.Cfg.Bounds.Swap, 0.2))
 	defer done()
-	s.mu.Lock()
-	ok := s.holder == h && s.sec.Owner(c.Now())
-	s.mu.Unlock()
-	var err error
-	if ok {
-		err = c.Hands.Order(ctx, o, c.me.Ident)
+	err := c.Hands.Order(ctx, o, c.me.Ident, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.MayOrder(c.Now(), o.Term)
+	})
+	if err != nil {
+		c.Book.Note("servers", "order to %s: %v", o.Addr, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.holder == h {
-		h.Ordered(c.Now(), h.OrderKey(o.Addr), o, ok && err == nil)
-		if err != nil {
-			c.Book.Note("servers", "order to %s: %v", o.Addr, err)
-		}
-	}
-}
-
-// regroup keeps the wanted seats of all parts (kept in one record) and moves
-// this part's group towards them.
-func (c *Cabin) regroup(s *shard, now time.Duration, rec form.Rec, ok bool) {
-	if !ok {
-		return
-	}
-	var want []form.Seat
-	if !rec.Dead {
-		if err := json.Unmarshal(rec.Val, &want); err != nil {
-			panic("seats record can't be read: " + err.Error())
-		}
-	}
-	if g := s.sec.Seat.Group(); g.Num != s.group {
-		s.group = g.Num
-		c.Book.Note("seats", "part %d: group %d is %v next %v", s.part, g.Num, g.Seats, g.Next)
-	}
-	if s.part == 0 {
-		next, change := want, false
-		if len(want) == 0 {
-			next, change = s.sec.Seat.Group().Seats, true
-		} else if len(s.sec.Seat.Group().Next) == 0 {
-			c.rmu.Lock()
-			next, change = c.rost.Vacant(now, want, part(c.Cfg.Bounds.Recover, 1.5))
-			c.rmu.Unlock()
-		}
-		if change {
-			c.Book.Note("seats", "wanted seats become %v", next)
-			val, _ := json.Marshal(next)
-			tag := c.tags.Add(1)
-			c.carry(s, s.sec.Do(now, tag, section.Job{Keys: []string{tariff.SeatKey}, Make: func(read purge.Source) ([]form.Rec, any) {
-				if cur := read(tariff.SeatKey); cur.Ver != rec.Ver {
-					return nil, nil
-				}
-				return []form.Rec{{Key: tariff.SeatKey, Val: val}}, nil
-			}}))
-			return
-		}
-	}
-	if len(want) == 3 {
-		c.carry(s, s.sec.Regroup(now, want))
-	}
+	s.Ordered(c.Now(), o, err == nil)
 }
--- a/control/cabin/operate.go
+++ b/control/cabin/operate.go
@@ -13,7 +13,9 @@
 	"strconv"
 	"time"
 
+	"mulleinmast/control/errand"
 	"mulleinmast/control/interlock"
+	"mulleinmast/control/master"
 	"mulleinmast/control/purge"
 	"mulleinmast/control/tariff"
 	"mulleinmast/wire/form"
@@ -23,13 +25,13 @@
 
 // Reply writes a JSON reply; one to come back for carries Retry-After.
 //
-// Example: cabin.Reply(w, 503, cabin.Word{Result: "shed", After: 1500})
+// Example: cabin.Reply(w, 503, errand.Word{Result: "shed", After: 1500})
 func Reply(w http.ResponseWriter, code int, v any) {
 	b, ok := v.([]byte)
 	if !ok {
-		b = pack(v)
+		b = errand.Pack(v)
 	}
-	var word Word
+	var word errand.Word
 	if code >= 500 || code == http.StatusTooManyRequests {
 		_ = json.Unmarshal(b, &word)
 		w.Header().Set("Retry-After", strconv.FormatInt(max(1, (word.After+999)/1000), 10))
@@ -47,9 +49,9 @@
 	var big *http.MaxBytesError
 	switch {
 	case errors.As(err, &big):
-		Reply(w, http.StatusRequestEntityTooLarge, Word{Result: "broken", Faults: []string{fmt.Sprintf("body: more than %d bytes", most)}})
+		Reply(w, http.StatusRequestEntityTooLarge, errand.Word{Result: "broken", Faults: []string{fmt.Sprintf("body: more than %d bytes", most)}})
 	case err != nil:
-		Reply(w, http.StatusBadRequest, Word{Result: "broken", Faults: []string{"body: " + err.Error()}})
+		Reply(w, http.StatusBadRequest, errand.Word{Result: "broken", Faults: []string{"body: " + err.Error()}})
 	}
 	return b, err == nil
 }
@@ -57,13 +59,13 @@
 // operate lays out the calls for operators and the platform.
 func (c *Cabin) operate() {
 	m := c.Mux
-	m.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { Reply(w, 200, Word{Result: "live"}) })
+	m.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { Reply(w, 200, errand.Word{Result: "live"}) })
 	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, r *http.Request) {
 		if c.ready.Load() && c.isReady() {
-			Reply(w, 200, Word{Result: "ready"})
+			Reply(w, 200, errand.Word{Result: "ready"})
 			return
 		}
-		Reply(w, 503, Word{Result: "not ready", Why: c.unready(), After: 1000})
+		Reply(w, 503, errand.Word{Result: "not ready", Why: c.unready(), After: 1000})
 	})
 	m.HandleFunc("GET /v1/plan/template", func(w http.ResponseWriter, r *http.Request) { Reply(w, 200, tariff.Template()) })
 	m.HandleFunc("GET /v1/plan", func(w http.ResponseWriter, r *http.Request) {
@@ -71,7 +73,7 @@
 		defer done()
 		rec, ok := c.Await(ctx, 0, tariff.PlanKey)
 		if !ok {
-			Reply(w, 503, Word{Result: "not known", Why: "no valid lease on the plan", After: part2(c.Cfg)})
+			Reply(w, 503, errand.Word{Result: "not known", Why: "no valid lease on the plan", After: part2(c.Cfg)})
 			return
 		}
 		Reply(w, 200, tariff.Open(rec))
@@ -81,23 +83,19 @@
 	m.HandleFunc("POST /v1/cells/{cell}/{op}", func(w http.ResponseWriter, r *http.Request) {
 		op, cell := r.PathValue("op"), r.PathValue("cell")
 		if op != "evacuate" && op != "return" || !tariff.GoodName(cell) {
-			Reply(w, 404, Word{Result: "broken", Faults: []string{fmt.Sprintf("cell %q, op %q: expected a cell's name and evacuate or return", cell, op)}})
+			Reply(w, 404, errand.Word{Result: "broken", Faults: []string{fmt.Sprintf("cell %q, op %q: expected a cell's name and evacuate or return", cell, op)}})
 			return
 		}
 		c.operator(w, r, 0, op, func([]byte) ([]byte, tariff.Faults) { return []byte(cell), tariff.Faults{} })
 	})
 	m.HandleFunc("POST /v1/seats", func(w http.ResponseWriter, r *http.Request) {
 		c.operator(w, r, 0, "seat", func(b []byte) ([]byte, tariff.Faults) {
-			var in struct {
-				Out   string `json:"out"`
-				Ident string `json:"ident"`
-				Addr  string `json:"addr"`
-			}
+			var in master.SeatCall
 			f := tariff.Decode(b, &in)
 			if _, err := netip.ParseAddrPort(in.Addr); err != nil || in.Ident == "" || in.Out == "" {
 				f.Add("expected out (an identity), ident and addr (ip:port)")
 			}
-			return pack(in), f
+			return errand.Pack(in), f
 		})
 	})
 	m.HandleFunc("PUT /v1/services/{service}/servers", func(w http.ResponseWriter, r *http.Request) {
@@ -110,7 +108,7 @@
 			}
 			bad := l.Check()
 			f.List = append(f.List, bad.List...)
-			return pack(map[string]any{"Service": svc, "List": l}), f
+			return errand.Pack(master.ServersCall{Service: svc, List: l}), f
 		})
 	})
 	m.HandleFunc("GET /v1/services/{service}/servers", func(w http.ResponseWriter, r *http.Request) {
@@ -118,16 +116,16 @@
 		ctx, done := context.WithTimeout(r.Context(), c.Cfg.Bounds.Plan)
 		defer done()
 		if !tariff.GoodName(svc) {
-			Reply(w, 404, Word{Result: "broken", Faults: []string{"no such service"}})
+			Reply(w, 404, errand.Word{Result: "broken", Faults: []string{"no such service"}})
 			return
 		}
 		rec, ok := c.Await(ctx, c.Part(svc), tariff.ListKey(svc))
 		if !ok {
-			Reply(w, 503, Word{Result: "not known", After: part2(c.Cfg)})
+			Reply(w, 503, errand.Word{Result: "not known", After: part2(c.Cfg)})
 			return
 		}
 		if rec.Dead {
-			Reply(w, 404, Word{Result: "not known", Why: "no list for service " + svc})
+			Reply(w, 404, errand.Word{Result: "not known", Why: "no list for service " + svc})
 			return
 		}
 		Reply(w, 200, rec.Val)
@@ -141,22 +139,22 @@
 		m.HandleFunc("POST /v1/backup", func(w http.ResponseWriter, r *http.Request) {
 			to := r.URL.Query().Get("to")
 			if !filepath.IsAbs(to) {
-				Reply(w, 400, Word{Result: "broken", Faults: []string{fmt.Sprintf("to: %q: expected the full path of a file that isn't there yet", to)}})
+				Reply(w, 400, errand.Word{Result: "broken", Faults: []string{fmt.Sprintf("to: %q: expected the full path of a file that isn't there yet", to)}})
 				return
 			}
 			if err := c.arch.Backup(to); err != nil {
-				Reply(w, 400, Word{Result: "not done", Why: err.Error()})
+				Reply(w, 400, errand.Word{Result: "not done", Why: err.Error()})
 				return
 			}
 			c.Book.Note("disk", "backed up to %s", to)
-			Reply(w, 200, Word{Result: "done"})
+			Reply(w, 200, errand.Word{Result: "done"})
 		})
 	}
 	if c.Cfg.Test {
 		m.HandleFunc("POST /test/cut", func(w http.ResponseWriter, r *http.Request) {
 			var list []string
 			if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
-				Reply(w, 400, Word{Result: "broken", Faults: []string{err.Error()}})
+				Reply(w, 400, errand.Word{Result: "broken", Faults: []string{err.Error()}})
 				return
 			}
 			cut := map[string]bool{}
@@ -164,12 +162,12 @@
 				cut[a] = true
 			}
 			c.Line.Cut.Store(&cut)
-			Reply(w, 200, Word{Result: "done"})
+			Reply(w, 200, errand.Word{Result: "done"})
 		})
 		m.HandleFunc("POST /test/leap", func(w http.ResponseWriter, r *http.Request) {
 			d, err := time.ParseDuration(r.URL.Query().Get("by"))
 			if err != nil || d < 0 {
-				Reply(w, 400, Word{Result: "broken", Faults: []string{"by: expected a length of time, such as 30s"}})
+				Reply(w, 400, errand.Word{Result: "broken", Faults: []string{"by: expected a length of time, such as 30s"}})
 				return
 			}
 			c.clock.Leap(d)
@@ -186,11 +184,11 @@
 		m.HandleFunc("POST /test/stall", func(w http.ResponseWriter, r *http.Request) {
 			d, err := time.ParseDuration(r.URL.Query().Get("for"))
 			if err != nil {
-				Reply(w, 400, Word{Result: "broken", Faults: []string{err.Error()}})
+				Reply(w, 400, errand.Word{Result: "broken", Faults: []string{err.Error()}})
 				return
 			}
 			c.stall.Store(int64(d))
-			Reply(w, 200, Word{Result: "done"})
+			Reply(w, 200, errand.Word{Result: "done"})
 		})
 	}
 }
@@ -214,13 +212,11 @@
 	if turn != nil {
 		var f tariff.Faults
 		if b, f = turn(b); f.Any() {
-			Reply(w, 400, Word{Result: "broken", Faults: f.List})
+			Reply(w, 400, errand.Word{Result: "broken", Faults: f.List})
 			return
 		}
 	}
-	ctx, done := context.WithTimeout(r.Context(), 2*c.Cfg.Bounds.Plan)
-	defer done()
-	code, rep := c.Ask(ctx, p, op, b)
+	code, rep := c.Ask(r.Context(), p, op, b, 2*c.Cfg.Bounds.Plan)
 	c.Book.Note("call", "%s: %d", op, code)
 	Reply(w, code, rep)
 }
@@ -269,13 +265,11 @@
 	for _, s := range c.shards {
 		s.mu.Lock()
 		now := c.Now()
-		p := PartView{Part: s.part, Owner: v.Owns[s.part], Mine: s.sec.Owner(now), Node: s.sec.Node.View(now)}
-		if s.sec.Seat != nil {
-			p.Group, p.Set, p.Recs = s.sec.Seat.Group(), s.sec.Seat.Meta().Set, s.sec.Seat.Book().Size()
-		}
-		if s.holder != nil {
-			p.Server = s.holder.Rows(now)
+		p := PartView{Part: s.part, Owner: v.Owns[s.part], Mine: s.Owner(now), Node: s.Section().Node.View(now)}
+		if s.Section().Seat != nil {
+			p.Group, p.Set, p.Recs = s.Section().Seat.Group(), s.Section().Seat.Meta().Set, s.Section().Seat.Book().Size()
 		}
+		p.Server = s.Rows(now)
 		s.mu.Unlock()
 		st.Parts = append(st.Parts, p)
 	}
--- /dev/null
+++ b/control/errand/errand.go
@@ -0,0 +1,168 @@
+// Package errand carries a call to the owner of a part, wherever that is, and
+// waits out a change of owner. It is a plain state machine: a call that was
+// sent and not answered is "uncertain", one that nobody took is "not done".
+package errand
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+// Codes of control replies beside those of HTTP.
+const (
+	Other     = http.StatusMisdirectedRequest // not the owner
+	Uncertain = http.StatusGatewayTimeout
+	NotDone   = http.StatusServiceUnavailable
+)
+
+// Config holds the bounds of a call.
+type Config struct {
+	Try   time.Duration // an owner's word is waited for this long
+	Pause time.Duration // between tries
+	After time.Duration // what a caller who got no word is told to wait
+}
+
+// Done is the end of a call.
+type Done struct {
+	No   uint64
+	Code int
+	Body []byte
+}
+
+// Out is what a step asks for.
+type Out struct {
+	Sends []form.Send
+	Done  []Done
+}
+
+type call struct {
+	part  int
+	op    string
+	body  []byte
+	until time.Duration
+	once  bool // one try only
+	due   time.Duration
+	ref   uint64 // of the note that is out, if any
+	lost  bool   // a try was sent and had no word
+}
+
+// Errands are the calls under way.
+type Errands struct {
+	cfg   Config
+	no    uint64
+	calls map[uint64]*call
+	refs  map[uint64]uint64 // note -> call
+}
+
+// New makes an empty set of calls.
+//
+// Example: e := errand.New(errand.Config{Try: time.Second, Pause: 25 * time.Millisecond})
+func New(cfg Config) *Errands {
+	return &Errands{cfg: cfg, calls: map[uint64]*call{}, refs: map[uint64]uint64{}}
+}
+
+// Start begins a call; once says that one try is enough.
+//
+// Example: no, out := e.Start(now, owner, 0, "plan", body, now+4*time.Second, false)
+func (e *Errands) Start(now time.Duration, own form.Seat, part int, op string, body []byte, until time.Duration, once bool) (no uint64, o Out) {
+	e.no++
+	no = e.no
+	c := &call{part: part, op: op, body: body, until: until, once: once, due: now}
+	e.calls[no] = c
+	e.try(now, no, c, own, &o)
+	return no, o
+}
+
+func (e *Errands) try(now time.Duration, no uint64, c *call, own form.Seat, o *Out) {
+	if own.Ident == "" {
+		if c.once {
+			e.end(no, c, o)
+			return
+		}
+		c.due = now + e.cfg.Pause
+		return
+	}
+	e.no++
+	c.ref, c.due = e.no, now+e.cfg.Try
+	e.refs[e.no] = no
+	o.Sends = append(o.Sends, form.Send{Addr: own.Addr, Note: form.Note{Kind: form.Call, Part: c.part, To: own.Ident, No: e.no, Op: c.op, Body: c.body}})
+}
+
+// Hear takes an owner's word.
+//
+// Example: out := e.Hear(now, note)
+func (e *Errands) Hear(now time.Duration, n form.Note) (o Out) {
+	no, ok := e.refs[n.Ref]
+	c := e.calls[no]
+	if !ok || c == nil {
+		return o
+	}
+	delete(e.refs, n.Ref)
+	if c.ref == n.Ref {
+		c.ref = 0
+	}
+	switch {
+	case n.Code == Other && !c.once:
+		if c.ref == 0 {
+			c.due = now + e.cfg.Pause
+		}
+	case n.Code == Other || n.Code == Uncertain:
+		c.lost = c.lost || n.Code == Uncertain
+		e.end(no, c, &o)
+	default:
+		e.drop(no, c)
+		o.Done = append(o.Done, Done{no, n.Code, n.Body})
+	}
+	return o
+}
+
+// Drop forgets a call whose caller went away.
+//
+// Example: e.Drop(no)
+func (e *Errands) Drop(no uint64) {
+	if c := e.calls[no]; c != nil {
+		e.drop(no, c)
+	}
+}
+
+func (e *Errands) drop(no uint64, c *call) {
+	delete(e.calls, no)
+	for ref, of := range e.refs {
+		if of == no {
+			delete(e.refs, ref)
+		}
+	}
+}
+
+// end gives a call up with what is known of it.
+func (e *Errands) end(no uint64, c *call, o *Out) {
+	e.drop(no, c)
+	w, code := Word{Result: "not done", Why: "part " + strconv.Itoa(c.part) + " has no owner now", After: e.cfg.After.Milliseconds()}, NotDone
+	if c.lost || c.ref != 0 {
+		w, code = Word{Result: "uncertain", Why: "no word from the owner of part " + strconv.Itoa(c.part) + "; ask again with the same id", After: e.cfg.After.Milliseconds()}, Uncertain
+	}
+	o.Done = append(o.Done, Done{no, code, Pack(w)})
+}
+
+// Tick lets time pass; own names a part's owner as far as known.
+//
+// Example: out := e.Tick(now, func(part int) form.Seat { return view.Owns[part].Seat })
+func (e *Errands) Tick(now time.Duration, own func(int) form.Seat) (o Out) {
+	for _, no := range slices.Sorted(maps.Keys(e.calls)) {
+		c := e.calls[no]
+		switch {
+		case now >= c.until || now >= c.due && c.once:
+			e.end(no, c, &o)
+		case now >= c.due:
+			c.lost = c.lost || c.ref != 0
+			c.ref = 0
+			e.try(now, no, c, own(c.part), &o)
+		}
+	}
+	return o
+}
--- /dev/null
+++ b/control/errand/word.go
@@ -0,0 +1,31 @@
+package errand
+
+import "encoding/json"
+
+// Claim is a once key's record: who has it and what is known.
+type Claim struct {
+	Request string `json:"request"`
+	Daemon  string `json:"daemon"`
+	State   string `json:"state"` // claimed, shed, done
+}
+
+// Word is a control reply that is not a verdict.
+type Word struct {
+	Result  string   `json:"result"`
+	Why     string   `json:"why,omitempty"`
+	Faults  []string `json:"faults,omitempty"`
+	After   int64    `json:"retry_after_ms,omitempty"`
+	Claim   *Claim   `json:"claim,omitempty"`
+	Version uint64   `json:"version,omitempty"`
+}
+
+// Pack makes JSON of one of our own types.
+//
+// Example: body := errand.Pack(errand.Word{Result: "done"})
+func Pack(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // our own types always pack
+	}
+	return b
+}
--- a/control/interlock/interlock.go
+++ b/control/interlock/interlock.go
@@ -78,6 +78,7 @@
 	Queued  int            `json:"queued"`
 	Uptime  int64          `json:"uptime_ms"`
 	Leaving bool           `json:"leaving"`
+	Warming bool           `json:"warming,omitempty"`  // by its own word still warming up
 	Links   map[string]int `json:"links_ms,omitempty"` // seen when handing KV caches over
 }
 
@@ -127,7 +128,7 @@
 	Berth
 	svc      string
 	listed   bool
-	leaving  bool // by the list, the server itself, the plan or an evacuation
+	out      bool // leaves by the list, the plan or an evacuation
 	usage    Usage
 	seen     bool
 	pollAt   time.Duration
@@ -142,6 +143,9 @@
 	orderAt  time.Duration
 }
 
+// leaving: nothing new goes there, whoever said so.
+func (s *server) leaving() bool { return s.out || s.seen && s.usage.Leaving }
+
 type grant struct {
 	no    uint64
 	till  time.Duration
@@ -209,7 +213,7 @@
 			h.servers[key] = s
 		}
 		s.listed = true
-		s.leaving = e.Leaving || skip[e.Addr] || h.out[e.Cell] || s.seen && s.usage.Leaving
+		s.out = e.Leaving || skip[e.Addr] || h.out[e.Cell]
 		if b, ok := berths[key]; ok {
 			if !s.writing {
 				s.Berth = b
@@ -298,6 +302,7 @@
 		sort.Strings(keys)
 		h.poll(now, keys, &o)
 		h.status(now, keys, &o)
+		keys = slices.DeleteFunc(keys, func(k string) bool { return h.servers[k] == nil }) // gone for good
 		h.parts(now, svc, keys, &o)
 		h.pairs(keys, &o)
 	}
@@ -329,11 +334,11 @@
 			continue
 		}
 		if !s.listed {
-			s.writing = true
 			if s.Part == "" && s.Status == "" {
 				delete(h.servers, key)
 				continue
 			}
+			s.writing = true
 			o.Writes = append(o.Writes, Write{Key: key, Gone: true})
 			o.Notes = append(o.Notes, fmt.Sprintf("%s %s: no longer listed", s.svc, s.Addr))
 			continue
@@ -350,14 +355,14 @@
 			s.warmAt = now
 			b.Status = Warming
 			h.write(o, key, s, b, "back")
-		case s.leaving && s.To == "" && (s.Status == Up || s.Status == Warming):
+		case s.leaving() && s.To == "" && (s.Status == Up || s.Status == Warming):
 			b.Status = Leaving
 			h.write(o, key, s, b, "leaving")
-		case !s.leaving && s.To == "" && s.Status == Leaving:
+		case !s.leaving() && s.To == "" && s.Status == Leaving:
 			s.warmAt = now
 			b.Status = Warming
 			h.write(o, key, s, b, "stays")
-		case s.Status == Warming && now-s.warmAt >= h.cfg.Warm && s.fails == 0 && s.seen:
+		case s.Status == Warming && now-s.warmAt >= h.cfg.Warm && s.fails == 0 && s.seen && !s.usage.Warming:
 			b.Status = Up
 			h.write(o, key, s, b, "warm")
 		}
@@ -404,7 +409,7 @@
 			moving = true
 			part = s.To
 		}
-		if part != "" && s.Status != Dark && !s.leaving {
+		if part != "" && s.Status != Dark && !s.leaving() {
 			count[part]++
 			busy[part] += s.busy
 		}
@@ -416,7 +421,7 @@
 		}
 		switch {
 		case s.Part == "": // new: order first, then write
-			if !s.seen || s.leaving {
+			if !s.seen || s.leaving() {
 				continue
 			}
 			if s.ordered == "" {
@@ -481,7 +486,7 @@
 	}
 	caps := map[string]int{}
 	for _, key := range keys {
-		if s := h.servers[key]; s.listed && !s.leaving && s.Status != Dark {
+		if s := h.servers[key]; s.listed && !s.leaving() && s.Status != Dark {
 			caps[s.Part] += s.Cap
 		}
 	}
@@ -510,7 +515,7 @@
 		at := ""
 		for _, k := range keys {
 			s := h.servers[k]
-			if s.listed && !s.writing && s.Part == from && s.To == "" && s.Status == Up && !s.leaving && s.ordered == s.Part &&
+			if s.listed && !s.writing && s.Part == from && s.To == "" && s.Status == Up && !s.leaving() && s.ordered == s.Part &&
 				(pick == nil || s.usage.Active < pick.usage.Active) {
 				pick, at = s, k
 			}
@@ -533,7 +538,7 @@
 func (h *Holder) pairs(keys []string, o *Out) {
 	var makers []*server
 	for _, k := range keys {
-		if s := h.servers[k]; s.listed && s.Part == Maker && s.To == "" && s.Status != Dark && !s.leaving {
+		if s := h.servers[k]; s.listed && s.Part == Maker && s.To == "" && s.Status != Dark && !s.leaving() {
 			makers = append(makers, s)
 		}
 	}
@@ -571,7 +576,7 @@
 
 // total is how many slots of a server may be out at daemons now.
 func (h *Holder) total(now time.Duration, s *server) int {
-	if !s.listed || s.leaving || s.To != "" || s.Status == Dark || s.Part == "" {
+	if !s.listed || s.leaving() || s.To != "" || s.Status == Dark || s.fails >= h.cfg.Dark || s.Part == "" {
 		return 0
 	}
 	n := s.Cap
@@ -635,36 +640,64 @@
 	return sh
 }
 
-// quota is a daemon's part of n slots: by priority first, then by demand, and
-// what nobody needs in equal parts.
-func (h *Holder) quota(svc, id, part string, n int) float64 {
+// quota is a daemon's part of n slots: by priority first, within one priority
+// by demand, and half of what nobody needs in equal parts. The other half is
+// kept so that new demand finds something at once. What doesn't divide evenly
+// goes round among the daemons, so that none waits for ever.
+func (h *Holder) quota(now time.Duration, svc, id, part string, n int) int {
 	var ids []string
 	for k, d := range h.daemons {
 		if d.want.Service == svc {
 			ids = append(ids, k)
 		}
 	}
-	left, mine := float64(n), 0.0
+	sort.Strings(ids)
+	need := func(k string, p int) int {
+		if part == Maker {
+			return h.daemons[k].want.Make[p]
+		}
+		return h.daemons[k].want.Read[p]
+	}
+	left, mine := n, 0
 	for p := 0; p < 10 && left > 0; p++ {
-		sum, own := 0, 0
+		sum := 0
 		for _, k := range ids {
-			c := h.daemons[k].want.Read[p]
-			if part == Maker {
-				c = h.daemons[k].want.Make[p]
-			}
-			sum += c
-			if k == id {
-				own = c
-			}
+			sum += need(k, p)
 		}
+		give := min(left, sum)
 		if sum == 0 {
 			continue
 		}
-		give := min(left, float64(sum))
-		mine += give * float64(own) / float64(sum)
+		mine += apportion(give, sum, ids, id, int(now/h.cfg.Share), func(k string) int { return need(k, p) })
 		left -= give
 	}
-	return mine + left/float64(max(1, len(ids)))
+	return mine + apportion(left/2, len(ids), ids, id, 0, func(string) int { return 1 })
+}
+
+// apportion is one's whole part of give by weight; the rest goes round from a
+// place that moves with the turn.
+func apportion(give, sum int, ids []string, id string, turn int, weight func(string) int) int {
+	rest, mine := give, 0
+	for _, k := range ids {
+		n := give * weight(k) / max(1, sum)
+		rest -= n
+		if k == id {
+			mine = n
+		}
+	}
+	for i := range ids {
+		k := ids[(i+turn)%len(ids)]
+		if rest == 0 {
+			break
+		}
+		if give*weight(k)%max(1, sum) > 0 {
+			rest--
+			if k == id {
+				mine++
+			}
+		}
+	}
+	return mine
 }
 
 func (h *Holder) divide(now time.Duration, id string, d *daemon, svc, part string, slots map[string]int) {
@@ -691,10 +724,7 @@
 	if len(rows) == 0 {
 		return
 	}
-	left := int(h.quota(svc, id, part, all) + 0.5)
-	if left == 0 && all > 0 {
-		left = 1
-	}
+	left := h.quota(now, svc, id, part, all)
 	// What is in flight counts first, then the readers that hold a wanted
 	// prefix, then round and round from a place of the daemon's own.
 	give := func(i, n int) {
@@ -745,7 +775,7 @@
 	var out []Row
 	for _, key := range sorted(h.servers) {
 		s := h.servers[key]
-		r := Row{Berth: s.Berth, Service: s.svc, Active: s.usage.Active, Busy: s.busy, Fails: s.fails, Total: h.total(now, s), Leaves: s.leaving}
+		r := Row{Berth: s.Berth, Service: s.svc, Active: s.usage.Active, Busy: s.busy, Fails: s.fails, Total: h.total(now, s), Leaves: s.leaving()}
 		for _, d := range h.daemons {
 			if d.want.Service == s.svc {
 				r.Out += d.out(now, s.Addr)
--- a/control/interlock/interlock_test.go
+++ b/control/interlock/interlock_test.go
@@ -176,3 +176,54 @@
 		t.Errorf("urgent daemon has %d slots, the other %d of 16", sum(b), sum(a))
 	}
 }
+
+// With more daemons than slots, those with nothing to do hold none back from
+// those that wait, and those that wait alike are served in turn.
+func TestIdleDaemonsHoldNothingBack(t *testing.T) {
+	h, l := fleet(2)
+	berths := map[string]Berth{}
+	drive(h, l, 0, 12*time.Second, berths, idle)
+	acks := map[string]uint64{}
+	got := map[string]int{}
+	ask := func(now time.Duration, id string, waiting int) {
+		w := Want{Service: "m", Ack: acks[id]}
+		w.Make[4] = waiting
+		s := h.Asked(now, id, w, time.Second)
+		acks[id] = s.No
+		for a, n := range s.Slots {
+			if berths[tariff.BerthKey("m", a)].Part == Maker {
+				got[id] += n
+			}
+		}
+	}
+	now := 12 * time.Second
+	for i := 0; i < 30; i++ { // twenty daemons with nothing to do, eight slots
+		now += 90 * time.Millisecond
+		for k := 0; k < 20; k++ {
+			ask(now, fmt.Sprintf("idle%02d", k), 0)
+		}
+	}
+	got = map[string]int{}
+	for i := 0; i < 3; i++ {
+		now += 90 * time.Millisecond
+		ask(now, "z", 2)
+		for k := 0; k < 20; k++ {
+			ask(now, fmt.Sprintf("idle%02d", k), 0)
+		}
+	}
+	if got["z"] < 4 {
+		t.Errorf("in three rounds the waiting daemon got %d slots for 2 requests", got["z"])
+	}
+	got = map[string]int{}
+	for i := 0; i < 120; i++ { // now all wait for ever
+		now += 90 * time.Millisecond
+		for k := 0; k < 20; k++ {
+			ask(now, fmt.Sprintf("idle%02d", k), 3)
+		}
+	}
+	for k := 0; k < 20; k++ {
+		if id := fmt.Sprintf("idle%02d", k); got[id] == 0 {
+			t.Errorf("%s waited ten seconds and got nothing", id)
+		}
+	}
+}
--- a/control/tariff/tariff.go
+++ b/control/tariff/tariff.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"regexp"
 	"sort"
@@ -379,9 +380,22 @@
 
 // List is a service's servers as the platform names them.
 type List struct {
+	Version uint64   `json:"version,omitempty"` // the platform's own count; a lower one is beaten
 	Servers []Server `json:"servers"`
 }
 
+// OpenList reads a list record; absence is the empty list.
+//
+// Example: for _, s := range tariff.OpenList(rec).Servers { ... }
+func OpenList(r form.Rec) (l List) {
+	if !r.Dead && len(r.Val) > 0 {
+		if err := json.Unmarshal(r.Val, &l); err != nil {
+			panic(fmt.Sprintf("list record %q can't be read: %v", r.Key, err)) // we wrote it ourselves
+		}
+	}
+	return l
+}
+
 // Check lists every fault of a server list.
 //
 // Example: if f := list.Check(); f.Any() { ... }
@@ -406,6 +420,17 @@
 // Example: tariff.GoodName("north") == true
 func GoodName(s string) bool { return name.MatchString(s) && !strings.Contains(s, "/") }
 
+// PartOf is the part that holds a service's records, by a hash of its name;
+// part 0 is configuration.
+//
+// Example: p := tariff.PartOf("timetable", 8)
+func PartOf(svc string, parts int) int {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(svc))
+	x := h.Sum64()
+	return 1 + int((x^x>>32)%uint64(parts))
+}
+
 // ListKey is the key of a service's list; BerthKey of one of its servers.
 //
 // Example: key := tariff.ListKey("timetable")
--- a/proof/depot/depot.go
+++ b/proof/depot/depot.go
@@ -10,11 +10,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"mulleinmast/proof/journal"
+	"mulleinmast/proof/script"
 	"mulleinmast/traffic/yard"
 )
 
@@ -28,6 +28,8 @@
 	Keep     time.Duration // how long a handle lives
 	Link     time.Duration // hand-over from another server
 	Prefixes int
+	Warm     time.Duration // its own warm-up
+	Naive    bool          // a maker that takes up whatever cache a handle leads to
 }
 
 // Fault is what a test switches on.
@@ -36,7 +38,9 @@
 	Link    time.Duration `json:"link_ns"`
 	Lapse   bool          `json:"lapse"`   // every handle is gone at once
 	Break   int           `json:"break"`   // streams break after so many pieces
-	Foreign bool          `json:"foreign"` // hand out somebody else's handle
+	Foreign bool          `json:"foreign"` // hand out somebody else's handle as if it were ours
+	Crossed bool          `json:"crossed"` // reply with somebody else's handle, as it is
+	Twice   bool          `json:"twice"`   // send a piece twice
 	Deaf    bool          `json:"deaf"`    // take requests and never reply
 	Slow    int           `json:"slow"`    // everything takes so many times as long
 	Skip    bool          `json:"skip"`    // skip a piece
@@ -45,6 +49,7 @@
 type cache struct {
 	request string
 	attempt int
+	prompt  uint64
 	till    time.Time
 }
 
@@ -63,6 +68,7 @@
 	kv   map[string]cache
 	link map[string]int
 	bad  Fault
+	told bool // a poll has said that it leaves
 	web  *http.Client
 }
 
@@ -71,7 +77,7 @@
 // Example: http.ListenAndServe(cfg.Addr, depot.New(cfg, book))
 func New(cfg Config, book *journal.Book) http.Handler {
 	d := &Depot{cfg: cfg, book: book, born: time.Now(), held: map[uint64]bool{}, kv: map[string]cache{}, link: map[string]int{}, web: &http.Client{Timeout: 10 * time.Second}}
-	book.Put(journal.Event{Who: cfg.Addr, Ev: "boot", N: cfg.Capacity, Cell: cfg.Cell})
+	book.Put(journal.Event{Who: cfg.Addr, Ev: "boot", N: cfg.Capacity, Cell: cfg.Cell, Warm: cfg.Warm.Nanoseconds()})
 	m := http.NewServeMux()
 	m.HandleFunc("GET /usage", d.usage)
 	m.HandleFunc("POST /order", d.order)
@@ -100,7 +106,12 @@
 	for a, ms := range d.link {
 		links[a] = ms
 	}
-	reply(w, 200, map[string]any{"active": d.busy, "uptime_ms": time.Since(d.born).Milliseconds(), "leaving": d.bad.Leaving, "links_ms": links})
+	if d.bad.Leaving != d.told { // the moment that the first daemon knows
+		d.told = d.bad.Leaving
+		d.book.Put(journal.Event{Who: d.cfg.Addr, Ev: map[bool]string{true: "leaving", false: "staying"}[d.told]})
+	}
+	up := time.Since(d.born)
+	reply(w, 200, map[string]any{"active": d.busy, "uptime_ms": up.Milliseconds(), "leaving": d.bad.Leaving, "warming": up < d.cfg.Warm, "links_ms": links})
 }
 
 func (d *Depot) order(w http.ResponseWriter, r *http.Request) {
@@ -216,18 +227,18 @@
 			delete(d.kv, k)
 		}
 	}
-	if d.bad.Foreign {
-		for k, c := range d.kv {
-			if c.request != p.Request {
-				id = k // somebody else's
+	h := yard.Handle{ID: id, Request: p.Request, Attempt: p.Attempt, Reader: d.cfg.Addr, Ver: p.Ver, Cached: cached}
+	for k, c := range d.kv {
+		if c.request != p.Request && (d.bad.Foreign || d.bad.Crossed) {
+			h.ID = k
+			if d.bad.Crossed {
+				h.Request, h.Attempt = c.request, c.attempt
 			}
 		}
 	}
-	if _, has := d.kv[id]; !has {
-		d.kv[id] = cache{p.Request, p.Attempt, time.Now().Add(d.cfg.Keep)}
-	}
+	d.kv[id] = cache{p.Request, p.Attempt, script.Prompt(p.Parts), time.Now().Add(d.cfg.Keep)}
 	d.mu.Unlock()
-	reply(w, 200, yard.Handle{ID: id, Request: p.Request, Attempt: p.Attempt, Reader: d.cfg.Addr, Ver: p.Ver, Cached: cached})
+	reply(w, 200, h)
 }
 
 // hand gives a KV cache to a maker, saying whose it is.
@@ -247,7 +258,7 @@
 		link -= d.cfg.Link / 2
 	}
 	if nap(r.Context(), link) {
-		reply(w, 200, map[string]any{"request": c.request, "attempt": c.attempt})
+		reply(w, 200, map[string]any{"request": c.request, "attempt": c.attempt, "prompt": c.prompt})
 	}
 }
 
@@ -276,6 +287,7 @@
 	var kv struct {
 		Request string `json:"request"`
 		Attempt int    `json:"attempt"`
+		Prompt  uint64 `json:"prompt"`
 	}
 	if err == nil {
 		if res.StatusCode == 200 {
@@ -293,7 +305,7 @@
 	d.link[p.Handle.Reader] = int(time.Since(from).Milliseconds())
 	n := d.busy
 	d.mu.Unlock()
-	if kv.Request != p.Handle.Request || kv.Attempt != p.Handle.Attempt {
+	if !d.cfg.Naive && (kv.Request != p.Handle.Request || kv.Attempt != p.Handle.Attempt) {
 		d.turnAway(w, 409, "lapsed", "maker", "the KV cache is of another request", p.Handle.Request)
 		return
 	}
@@ -315,10 +327,14 @@
 		if skip {
 			continue
 		}
-		put(yard.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: "piece " + strconv.Itoa(i)})
+		x := yard.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: script.Text(kv.Prompt, p.Handle.Request, p.Run, i)}
+		put(x)
+		if bad.Twice && i == 1 {
+			put(x)
+		}
 	}
+	d.book.Put(journal.Event{Who: d.cfg.Addr, Ev: "ended", Request: p.Handle.Request, Run: p.Run, Count: p.Tokens})
 	put(yard.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: p.Tokens})
-	d.book.Put(journal.Event{Who: d.cfg.Addr, Ev: "ended", Request: p.Handle.Request, Run: p.Run})
 }
 
 func (d *Depot) fault(w http.ResponseWriter, r *http.Request) {
--- a/proof/journal/journal.go
+++ b/proof/journal/journal.go
@@ -26,6 +26,12 @@
 	Term    uint64 `json:"term,omitempty"`
 	Part    string `json:"part,omitempty"`
 	N       int    `json:"n,omitempty"`
+	Count   int    `json:"count,omitempty"` // pieces
+	Again   bool   `json:"again,omitempty"` // a once key sent a second time
+	Warm    int64  `json:"warm_ns,omitempty"`
+	Plan    string `json:"plan,omitempty"` // a plan's id
+	Ver     uint64 `json:"ver,omitempty"`
+	Base    uint64 `json:"base,omitempty"`
 	Result  string `json:"result,omitempty"`
 	Why     string `json:"why,omitempty"`
 	Took    int64  `json:"took_ns,omitempty"`
--- a/proof/judge/judge.go
+++ b/proof/judge/judge.go
@@ -1,9 +1,12 @@
-// Package judge joins the journals of stand-in servers and requesters and
-// names every rule that was broken. It knows the rules, not the fleet's code.
+// Package judge joins the journals of stand-in servers, requesters, operators
+// and watchers and names every rule that was broken. It knows the users'
+// rules, not the fleet's code; simulated runs and real processes are judged
+// alike.
 package judge
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"mulleinmast/proof/journal"
@@ -11,16 +14,16 @@
 
 // Bounds are the rules' figures.
 type Bounds struct {
-	Leave, Evacuate, Swap int64 // nanoseconds
-	Retry                 float64
-	Warm                  int64
+	Leave, Evacuate, Swap, Plan, Recover int64 // nanoseconds
+	Retry                                float64
+	Window                               int64 // retries are bounded in every window of this length
 }
 
 // Default is the bounds that the users named.
 //
 // Example: rows := judge.All(events, judge.Default())
 func Default() Bounds {
-	return Bounds{Leave: 3e9, Evacuate: 5e9, Swap: 3e9, Retry: 0.2, Warm: 1e9}
+	return Bounds{Leave: 3e9, Evacuate: 5e9, Swap: 3e9, Plan: 2e9, Recover: 12e9, Retry: 0.2, Window: 12e9}
 }
 
 // Break is one rule broken once.
@@ -34,35 +37,51 @@
 // Example: fmt.Println(b)
 func (b Break) String() string { return b.Rule + ": " + b.What }
 
+// Rules are the checks by name.
+var Rules = []struct {
+	Name  string
+	check func([]journal.Event, Bounds, func(string, ...any))
+}{
+	{"once", once}, {"refused", refused}, {"foreign", foreign}, {"stream", streams}, {"whole", whole}, {"final", final}, {"told", told},
+	{"holders", holders}, {"leaving", leaving}, {"evacuated", evacuated}, {"retries", retries}, {"flood", flood},
+	{"plan-race", races}, {"plan-refused", refusedPlans}, {"plan-back", fallsBack}, {"plan-late", late}, {"recovery", recovery},
+}
+
 // All applies every rule to events in any order.
 //
 // Example: for _, b := range judge.All(events, judge.Default()) { fmt.Println(b) }
 func All(events []journal.Event, b Bounds) (out []Break) {
 	ev := append([]journal.Event(nil), events...)
 	sort.SliceStable(ev, func(i, j int) bool { return ev[i].At < ev[j].At })
-	for _, rule := range []func([]journal.Event, Bounds) []Break{once, refused, foreign, streams, holders, leaving, evacuated, retries, flood} {
-		out = append(out, rule(ev, b)...)
+	for _, r := range Rules {
+		n := 0
+		r.check(ev, b, func(how string, args ...any) {
+			if n++; n <= 20 {
+				out = append(out, Break{r.Name, fmt.Sprintf(how, args...)})
+			}
+		})
 	}
 	return out
 }
 
+func sec(ns int64) float64 { return float64(ns) / 1e9 }
+
 // once: a request that may run only once never runs twice.
-func once(ev []journal.Event, _ Bounds) (out []Break) {
+func once(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
 	ran := map[string]string{}
 	for _, e := range ev {
 		if e.Ev != "decode" || e.Once == "" {
 			continue
 		}
 		if by, ok := ran[e.Once]; ok {
-			out = append(out, Break{"once", fmt.Sprintf("key %s ran as %s and as %s", e.Once, by, e.Run)})
+			bad("key %s ran as %s and as %s", e.Once, by, e.Run)
 		}
 		ran[e.Once] = e.Run
 	}
-	return out
 }
 
 // refused: a refusal means that it was not run and never will be.
-func refused(ev []journal.Event, _ Bounds) (out []Break) {
+func refused(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
 	no := map[string]bool{}
 	for _, e := range ev {
 		if e.Ev == "reply" && e.Result == "shed" && e.Request != "" {
@@ -71,57 +90,91 @@
 	}
 	for _, e := range ev {
 		if e.Ev == "decode" && no[e.Request] {
-			out = append(out, Break{"refused", fmt.Sprintf("request %s was shed and ran on %s", e.Request, e.Who)})
+			bad("request %s was shed and ran on %s", e.Request, e.Who)
 		}
 	}
-	return out
 }
 
 // foreign: a maker never takes up the KV cache of another request.
-func foreign(ev []journal.Event, _ Bounds) (out []Break) {
+func foreign(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
 		if e.Ev == "decode" && e.Owner != e.Request {
-			out = append(out, Break{"foreign", fmt.Sprintf("%s decoded %s with the cache of %s", e.Who, e.Request, e.Owner)})
+			bad("%s decoded %s with the cache of %s", e.Who, e.Request, e.Owner)
 		}
 	}
-	return out
 }
 
 // streams: what the requester itself found wrong in a stream.
-func streams(ev []journal.Event, _ Bounds) (out []Break) {
+func streams(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
 		if e.Ev == "reply" && e.Result == "wrong" {
-			out = append(out, Break{"stream", fmt.Sprintf("request %s: %s", e.Request, e.Why)})
+			bad("request %s: %s", e.Request, e.Why)
 		}
 	}
-	return out
 }
 
-// holders: one holder at a time, and none within the swap bound of another.
-func holders(ev []journal.Event, b Bounds) (out []Break) {
-	type last struct {
-		who  string
-		term uint64
-		at   int64
+// whole: every whole reply is one ended run of that request, with its count.
+func whole(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+	ended := map[string]journal.Event{}
+	for _, e := range ev {
+		if e.Ev == "ended" {
+			ended[e.Run] = e
+		}
+	}
+	for _, e := range ev {
+		if e.Ev != "reply" || e.Result != "ok" {
+			continue
+		}
+		switch r, ok := ended[e.Run]; {
+		case !ok:
+			bad("request %s looks whole, but its run %q never ended", e.Request, e.Run)
+		case r.Request != e.Request || r.Count != e.Count:
+			bad("request %s took %d pieces, its run %s had %d for %s", e.Request, e.Count, e.Run, r.Count, r.Request)
+		}
+	}
+}
+
+// final: a request gets one final reply.
+func final(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+	seen := map[string]string{}
+	for _, e := range ev {
+		if e.Ev == "reply" && e.Request != "" {
+			if was, ok := seen[e.Request]; ok {
+				bad("request %s was told %q and %q", e.Request, was, e.Result)
+			}
+			seen[e.Request] = e.Result
+		}
 	}
-	by := map[string]last{}
+}
+
+// told: who is given up on is told when to come back.
+func told(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+	for _, e := range ev {
+		if e.Ev == "reply" && (e.Result == "shed" || e.Result == "uncertain") && e.After <= 0 {
+			bad("request %s was told %q and not when to come back", e.Request, e.Result)
+		}
+	}
+}
+
+// holders: one holder at a time, and none within the swap bound of another.
+func holders(ev []journal.Event, b Bounds, bad func(string, ...any)) {
+	by := map[string]journal.Event{}
 	for _, e := range ev {
 		if e.Ev != "order" {
 			continue
 		}
 		l, ok := by[e.Who]
-		if ok && (l.who != e.Holder || l.term != e.Term) && e.At-l.at < b.Swap {
-			out = append(out, Break{"holders", fmt.Sprintf("%s ordered by %s/%d, %.2fs after %s/%d", e.Who, e.Holder, e.Term, float64(e.At-l.at)/1e9, l.who, l.term)})
+		if ok && (l.Holder != e.Holder || l.Term != e.Term) && e.At-l.At < b.Swap {
+			bad("%s ordered by %s/%d, %.2fs after %s/%d", e.Who, e.Holder, e.Term, sec(e.At-l.At), l.Holder, l.Term)
 		}
-		by[e.Who] = last{e.Holder, e.Term, e.At}
+		by[e.Who] = e
 	}
-	return out
 }
 
 func work(e journal.Event) bool { return e.Ev == "prefill" || e.Ev == "decode" }
 
 // leaving: nothing starts on a leaving server after the bound.
-func leaving(ev []journal.Event, b Bounds) (out []Break) {
+func leaving(ev []journal.Event, b Bounds, bad func(string, ...any)) {
 	since := map[string]int64{}
 	for _, e := range ev {
 		switch {
@@ -131,15 +184,14 @@
 			delete(since, e.Who)
 		case work(e):
 			if at, ok := since[e.Who]; ok && e.At-at > b.Leave {
-				out = append(out, Break{"leaving", fmt.Sprintf("%s got a %s %.2fs after it was known to leave", e.Who, e.Ev, float64(e.At-at)/1e9)})
+				bad("%s got a %s %.2fs after it was known to leave", e.Who, e.Ev, sec(e.At-at))
 			}
 		}
 	}
-	return out
 }
 
 // evacuated: nothing starts in an evacuated cell after the bound.
-func evacuated(ev []journal.Event, b Bounds) (out []Break) {
+func evacuated(ev []journal.Event, b Bounds, bad func(string, ...any)) {
 	since := map[string]int64{}
 	cell := map[string]string{}
 	for _, e := range ev {
@@ -152,49 +204,162 @@
 			delete(since, e.Cell)
 		case work(e):
 			if at, ok := since[cell[e.Who]]; ok && e.At-at > b.Evacuate {
-				out = append(out, Break{"evacuated", fmt.Sprintf("%s in %s got a %s %.2fs after its evacuation", e.Who, cell[e.Who], e.Ev, float64(e.At-at)/1e9)})
+				bad("%s in %s got a %s %.2fs after its evacuation", e.Who, cell[e.Who], e.Ev, sec(e.At-at))
 			}
 		}
 	}
-	return out
 }
 
-// retries: tries beyond the first stay within the bound. What reached a server
-// counts, taken or turned away: a prefill beyond a request's first, and a
-// decode beyond the request's prefills.
-func retries(ev []journal.Event, b Bounds) (out []Break) {
+// retries: in every window, tries beyond the first stay within the bound. What
+// reached a server counts, taken or turned away: a prefill beyond a request's
+// first, and a decode beyond the request's prefills.
+func retries(ev []journal.Event, b Bounds, bad func(string, ...any)) {
 	read, mk := map[string]int{}, map[string]int{}
+	var first, again []int64
 	for _, e := range ev {
 		away := e.Ev == "shed" || e.Ev == "lapsed"
 		switch {
 		case e.Request == "":
 		case e.Ev == "prefill" || away && e.Part == "reader":
-			read[e.Request]++
+			if read[e.Request]++; read[e.Request] == 1 {
+				first = append(first, e.At)
+			} else {
+				again = append(again, e.At)
+			}
 		case e.Ev == "decode" || away && e.Part == "maker":
-			mk[e.Request]++
+			if mk[e.Request]++; mk[e.Request] > max(1, read[e.Request]) {
+				again = append(again, e.At)
+			}
 		}
 	}
-	again := 0
-	for r, n := range read {
-		again += n - 1 + max(0, mk[r]-n)
-	}
-	if first := len(read); first >= 100 && float64(again) > (b.Retry+0.02)*float64(first) {
-		out = append(out, Break{"retries", fmt.Sprintf("%d beyond %d first tries", again, first)})
+	i, j := 0, 0
+	for k, at := range again {
+		for i < len(first) && first[i] <= at-b.Window {
+			i++
+		}
+		for again[j] <= at-b.Window {
+			j++
+		}
+		n, _ := slices.BinarySearch(first, at+1)
+		tries := n - i
+		// A few more may fall into a window at its edges, where the daemons' own
+		// windows don't begin and end together.
+		if got := k - j + 1; float64(got) > b.Retry*float64(tries)*1.1+2 {
+			bad("%d retries over %d first tries in the %.0fs that end at %.2fs", got, tries, sec(b.Window), sec(at-ev[0].At))
+		}
 	}
-	return out
 }
 
-// flood: in the first moments after a start a server never works at more than
-// half of its slots.
-func flood(ev []journal.Event, b Bounds) (out []Break) {
+// flood: over its own warm-up a server never works at more than half of its
+// slots.
+func flood(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
 	boot := map[string]journal.Event{}
 	for _, e := range ev {
 		if e.Ev == "boot" {
 			boot[e.Who] = e
 		}
-		if s, ok := boot[e.Who]; ok && work(e) && e.At-s.At < b.Warm && e.N > max(1, s.N/2) {
-			out = append(out, Break{"flood", fmt.Sprintf("%s had %d of %d slots busy %.2fs after its start", e.Who, e.N, s.N, float64(e.At-s.At)/1e9)})
+		if s, ok := boot[e.Who]; ok && work(e) && e.At-s.At < s.Warm && e.N > max(1, s.N/2) {
+			bad("%s had %d of %d slots busy %.2fs after its start, its warm-up takes %.2fs", e.Who, e.N, s.N, sec(e.At-s.At), sec(s.Warm))
+		}
+	}
+}
+
+// races: of the plans on one base only one is acknowledged.
+func races(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+	won := map[uint64]string{}
+	for _, e := range ev {
+		if e.Ev != "plan" || e.Result != "taken" {
+			continue
+		}
+		if by, ok := won[e.Base]; ok && by != e.Plan {
+			bad("plans %s and %s on base %d were both acknowledged", by, e.Plan, e.Base)
+		}
+		won[e.Base] = e.Plan
+	}
+}
+
+// refusedPlans: a refused, beaten or broken plan is never in force.
+func refusedPlans(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+	no := map[string]string{}
+	for _, e := range ev {
+		if e.Ev == "plan" && (e.Result == "beaten" || e.Result == "broken" || e.Result == "not done") {
+			no[e.Plan] = e.Result
+		}
+	}
+	for _, e := range ev {
+		if e.Ev == "serves" && no[e.Plan] != "" {
+			bad("%s works by plan %s (version %d), which was %s", e.Who, e.Plan, e.Ver, no[e.Plan])
+		}
+	}
+}
+
+// fallsBack: no daemon goes back to an older plan, and a version is one plan.
+func fallsBack(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+	top := map[string]uint64{}
+	of := map[uint64]string{}
+	for _, e := range ev {
+		if e.Ev != "serves" {
+			continue
+		}
+		if e.Ver < top[e.Who] {
+			bad("%s works by plan version %d after %d", e.Who, e.Ver, top[e.Who])
+		}
+		top[e.Who] = max(top[e.Who], e.Ver)
+		if was, ok := of[e.Ver]; ok && was != e.Plan {
+			bad("version %d is plan %s and plan %s", e.Ver, was, e.Plan)
+		}
+		of[e.Ver] = e.Plan
+	}
+}
+
+// late: an acknowledged plan is in force everywhere within the bound.
+func late(ev []journal.Event, b Bounds, bad func(string, ...any)) {
+	type ack struct {
+		ver uint64
+		at  int64
+	}
+	var acks []ack
+	for _, e := range ev {
+		switch {
+		case e.Ev == "plan" && e.Result == "taken":
+			acks = append(acks, ack{e.Ver, e.At})
+		case e.Ev == "serves":
+			for _, a := range acks {
+				if e.Ver < a.ver && e.At-a.at > b.Plan {
+					bad("%s works by plan version %d, %.2fs after %d was acknowledged", e.Who, e.Ver, sec(e.At-a.at), a.ver)
+				}
+			}
+		}
+	}
+}
+
+// recovery: after everything is back ("mended"), a requester of every cell
+// gets a whole reply within the bound.
+func recovery(ev []journal.Event, b Bounds, bad func(string, ...any)) {
+	cells := map[string]bool{}
+	for _, e := range ev {
+		if e.Ev == "reply" && e.Cell != "" {
+			cells[e.Cell] = true
+		}
+	}
+	for _, m := range ev {
+		if m.Ev != "mended" {
+			continue
+		}
+		for cell := range cells {
+			asked, ok, took := 0, false, int64(0)
+			for _, e := range ev {
+				if e.Ev == "reply" && e.Cell == cell && e.At >= m.At {
+					asked++
+					if e.Result == "ok" {
+						ok, took = true, e.At-m.At
+						break
+					}
+				}
+			}
+			if ok && took > b.Recover || !ok && asked > 0 && ev[len(ev)-1].At-m.At > b.Recover {
+				bad("%s: no whole reply within %.0fs after the machines were back (%d asked, first after %.1fs)", cell, sec(b.Recover), asked, sec(took))
+			}
 		}
 	}
-	return out
 }
--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -1,27 +1,34 @@
 package judge
 
 import (
+	"fmt"
 	"testing"
 
 	"mulleinmast/proof/journal"
 )
 
-const sec = int64(1e9)
+const one = int64(1e9)
 
 // A clean history, and for each rule the one change that breaks it.
 func clean() []journal.Event {
 	ev := []journal.Event{
-		{At: 0, Who: "m", Ev: "boot", N: 8, Cell: "a"},
+		{At: 0, Who: "m", Ev: "boot", N: 8, Cell: "a", Warm: 4 * one},
 		{At: 1, Who: "m", Ev: "order", Holder: "x", Term: 1},
-		{At: 4 * sec, Who: "m", Ev: "order", Holder: "y", Term: 2},
-		{At: 5 * sec, Who: "m", Ev: "leaving"},
-		{At: 7 * sec, Who: "m", Ev: "decode", Request: "r1", Owner: "r1", Run: "r1-1", Once: "k1", N: 1},
-		{At: 8 * sec, Who: "c", Ev: "reply", Request: "r2", Result: "shed"},
-		{At: 9 * sec, Who: "t", Ev: "evacuated", Cell: "a"},
+		{At: 4 * one, Who: "m", Ev: "order", Holder: "y", Term: 2},
+		{At: 5 * one, Who: "m", Ev: "leaving"},
+		{At: 7 * one, Who: "m", Ev: "decode", Request: "r1", Owner: "r1", Run: "r1-1", Once: "k1", N: 1},
+		{At: 7 * one, Who: "m", Ev: "ended", Request: "r1", Run: "r1-1", Count: 3},
+		{At: 7 * one, Who: "c", Ev: "reply", Request: "r1", Run: "r1-1", Result: "ok", Count: 3, Cell: "a"},
+		{At: 8 * one, Who: "c", Ev: "reply", Request: "r2", Result: "shed", After: 1000, Cell: "a"},
+		{At: 9 * one, Who: "t", Ev: "evacuated", Cell: "a"},
+		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p1", Base: 0, Ver: 1, Result: "taken"},
+		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p2", Base: 0, Ver: 1, Result: "beaten"},
+		{At: 3 * one, Who: "d", Ev: "serves", Plan: "p1", Ver: 1},
+		{At: 3 * one, Who: "o", Ev: "plan", Plan: "p3", Base: 1, Ver: 2, Result: "taken"},
+		{At: 4 * one, Who: "d", Ev: "serves", Plan: "p3", Ver: 2},
 	}
 	for i := 0; i < 120; i++ {
-		id := string(rune('A'+i%26)) + string(rune('a'+i/26))
-		ev = append(ev, journal.Event{At: sec + int64(i), Who: "n", Ev: "prefill", Request: id, N: 1})
+		ev = append(ev, journal.Event{At: one + int64(i), Who: "n", Ev: "prefill", Request: fmt.Sprint("a", i), N: 1})
 	}
 	return ev
 }
@@ -31,28 +38,36 @@
 		t.Fatalf("clean history: %v", rows)
 	}
 	plant := map[string][]journal.Event{
-		"once":      {{At: 7*sec + 1, Who: "q", Ev: "decode", Request: "r9", Owner: "r9", Run: "r9-1", Once: "k1"}},
-		"refused":   {{At: 9 * sec, Who: "q", Ev: "decode", Request: "r2", Owner: "r2"}},
-		"foreign":   {{At: 7 * sec, Who: "q", Ev: "decode", Request: "r3", Owner: "r4"}},
-		"stream":    {{At: 7 * sec, Who: "c", Ev: "reply", Result: "wrong", Why: "piece 3 where 2 was due"}},
-		"holders":   {{At: 6 * sec, Who: "m", Ev: "order", Holder: "z", Term: 3}},
-		"leaving":   {{At: 8*sec + 2, Who: "m", Ev: "prefill", Request: "r5"}},
-		"evacuated": {{At: 0, Who: "o", Ev: "boot", N: 8, Cell: "a"}, {At: 14*sec + 1, Who: "o", Ev: "prefill", Request: "r6"}},
-		"flood":     {{At: 2, Who: "m", Ev: "prefill", Request: "r7", N: 5}},
+		"once":         {{At: 7*one + 1, Who: "q", Ev: "decode", Request: "r9", Owner: "r9", Run: "r9-1", Once: "k1"}},
+		"refused":      {{At: 9 * one, Who: "q", Ev: "decode", Request: "r2", Owner: "r2"}},
+		"foreign":      {{At: 7 * one, Who: "q", Ev: "decode", Request: "r3", Owner: "r4"}},
+		"stream":       {{At: 7 * one, Who: "c", Ev: "reply", Result: "wrong", Why: "piece 3 where 2 was due"}},
+		"whole":        {{At: 7 * one, Who: "c", Ev: "reply", Request: "r8", Result: "ok", Run: "r8-1", Count: 2}},
+		"final":        {{At: 9 * one, Who: "c", Ev: "reply", Request: "r2", Result: "broken"}},
+		"told":         {{At: 9 * one, Who: "c", Ev: "reply", Request: "r7", Result: "uncertain"}},
+		"holders":      {{At: 6 * one, Who: "m", Ev: "order", Holder: "z", Term: 3}},
+		"leaving":      {{At: 8*one + 2, Who: "m", Ev: "prefill", Request: "r5"}},
+		"evacuated":    {{At: 0, Who: "o", Ev: "boot", N: 8, Cell: "a"}, {At: 14*one + 1, Who: "o", Ev: "prefill", Request: "r6"}},
+		"flood":        {{At: 2 * one, Who: "m", Ev: "prefill", Request: "r7", N: 5}},
+		"plan-race":    {{At: 2 * one, Ev: "plan", Plan: "p9", Base: 1, Ver: 2, Result: "taken"}},
+		"plan-refused": {{At: 5 * one, Who: "e", Ev: "plan", Plan: "p3", Base: 2, Ver: 3, Result: "broken"}},
+		"plan-back":    {{At: 5 * one, Who: "d", Ev: "serves", Plan: "p1", Ver: 1}},
+		"plan-late":    {{At: 6 * one, Who: "e", Ev: "serves", Plan: "p1", Ver: 1}},
+		"recovery":     {{At: 9 * one, Ev: "mended"}, {At: 10 * one, Who: "c", Ev: "reply", Request: "r10", Result: "shed", After: 1, Cell: "a"}, {At: 22 * one, Ev: "stop"}},
 	}
 	var many []journal.Event
 	for i := 0; i < 30; i++ {
-		many = append(many, journal.Event{At: 2 * sec, Who: "n", Ev: "prefill", Request: "Aa", N: 1})
+		many = append(many, journal.Event{At: 2 * one, Who: "n", Ev: "prefill", Request: "a1", N: 1})
 	}
 	plant["retries"] = many
-	for rule, add := range plant {
-		rows := All(append(clean(), add...), Default())
+	for _, r := range Rules {
+		rows := All(append(clean(), plant[r.Name]...), Default())
 		if len(rows) == 0 {
-			t.Errorf("%s: planted fault not caught", rule)
+			t.Errorf("%s: planted fault not caught", r.Name)
 		}
 		for _, b := range rows {
-			if b.Rule != rule {
-				t.Errorf("%s: also caught %v", rule, b)
+			if b.Rule != r.Name {
+				t.Errorf("%s: also caught %v", r.Name, b)
 			}
 		}
 	}
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"mulleinmast/proof/journal"
+	"mulleinmast/proof/script"
 	"mulleinmast/traffic/yard"
 )
 
@@ -92,8 +93,9 @@
 		}
 		ten := Tenants[rng.Intn(len(Tenants))]
 		pre := rng.Intn(k.Prefixes)
+		parts := []yard.Part{{Key: fmt.Sprintf("%s-%d", k.Name, pre), Text: strings.Repeat(string(rune('a'+pre%26)), k.Shared)}, {Text: fmt.Sprintf("%d/%d ", c.Seed, i) + strings.Repeat("x", k.Own)}}
 		body := map[string]any{"model": k.Model, "tenant": ten.Name, "tokens": k.Tokens, "budget_ms": c.Budget.Milliseconds(),
-			"parts": []yard.Part{{Key: fmt.Sprintf("%s-%d", k.Name, pre), Text: strings.Repeat(string(rune('a'+pre%26)), k.Shared)}, {Text: fmt.Sprintf("%d/%d ", c.Seed, i) + strings.Repeat("x", k.Own)}}}
+			"parts": parts}
 		key := ""
 		if rng.Float64() < c.Once {
 			key = fmt.Sprintf("k%d-%d-%d", c.Seed, from.UnixNano(), i)
@@ -104,12 +106,12 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			e := one(ctx, web, a, raw, c.Budget)
+			e := one(ctx, web, a, raw, script.Prompt(parts), c.Budget)
 			e.Once, e.Tenant, e.Prio, e.Mix = key, ten.Name, ten.Prio, k.Name
 			book.Put(e)
 			if key != "" && c.Again {
-				e = one(ctx, web, b, raw, c.Budget)
-				e.Once, e.Tenant, e.Prio, e.Mix, e.N = key, ten.Name, ten.Prio, k.Name, 1
+				e = one(ctx, web, b, raw, script.Prompt(parts), c.Budget)
+				e.Once, e.Tenant, e.Prio, e.Mix, e.Again = key, ten.Name, ten.Prio, k.Name, true
 				book.Put(e)
 			}
 		}()
@@ -118,7 +120,7 @@
 }
 
 // one sends a request and judges the reply by itself.
-func one(ctx context.Context, web *http.Client, to string, raw []byte, budget time.Duration) (e journal.Event) {
+func one(ctx context.Context, web *http.Client, to string, raw []byte, prompt uint64, budget time.Duration) (e journal.Event) {
 	ctx, done := context.WithTimeout(ctx, budget+5*time.Second)
 	defer done()
 	from := time.Now()
@@ -147,18 +149,20 @@
 			e.Result, e.Why = "error", err.Error()
 			return e
 		}
-		e.Result, e.Why, e.After, e.N = word.Result, word.Why, word.After, 0
+		e.Result, e.Why, e.After = word.Result, word.Why, word.After
 		if word.Result == "shed" && res.Header.Get("Retry-After") == "" {
 			e.Result, e.Why = "wrong", "shed without Retry-After"
 		}
 		return e
 	}
 	r := bufio.NewReader(res.Body)
-	run := ""
-	for n := 0; ; n++ {
+	see := script.Reader{Prompt: prompt, Request: e.Request}
+	for {
 		line, err := r.ReadBytes('\n')
 		if err != nil {
-			e.Result, e.Why = "broken", fmt.Sprintf("broke off after %d pieces", n)
+			if e.Result == "" {
+				e.Result, e.Why = "broken", fmt.Sprintf("broke off after %d pieces", see.N)
+			}
 			return e
 		}
 		var p yard.Piece
@@ -166,23 +170,18 @@
 			e.Result, e.Why = "wrong", "piece can't be read"
 			return e
 		}
-		if n == 0 {
+		if e.First == 0 {
 			e.First = time.Since(from).Nanoseconds()
-			run, e.Run = p.Run, p.Run
-		}
-		if p.Error != "" {
-			e.Result, e.Why = "broken", p.Error
-			continue
 		}
-		if e.Result == "broken" {
-			e.Result, e.Why = "wrong", "pieces after an error piece"
-			return e
-		}
-		if why := p.Fit(e.Request, run, n); why != "" {
+		end, broken, why := see.Next(p)
+		e.Run, e.Count = see.Run, see.N
+		switch {
+		case why != "":
 			e.Result, e.Why = "wrong", why
 			return e
-		}
-		if p.End {
+		case broken != "":
+			e.Result, e.Why = "broken", broken
+		case end:
 			if rest, _ := r.ReadByte(); rest != 0 {
 				e.Result, e.Why = "wrong", "bytes after the end piece"
 				return e
@@ -219,7 +218,7 @@
 		}
 		r.All++
 		r.Results[e.Result]++
-		if e.N == 0 {
+		if !e.Again {
 			all[e.Tenant]++
 		}
 		switch e.Result {
--- /dev/null
+++ b/proof/sim/caller.go
@@ -0,0 +1,337 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"mulleinmast/control/errand"
+	"mulleinmast/control/interlock"
+	"mulleinmast/control/tariff"
+	"mulleinmast/proof/journal"
+	"mulleinmast/proof/script"
+	"mulleinmast/traffic/dispatch"
+	"mulleinmast/traffic/yard"
+)
+
+var services = []string{"timetable", "yardnotes"}
+
+// caller is a simulated requester: one request, checked by content.
+type caller struct {
+	w      *world
+	no     int
+	n      *node
+	asked  dispatch.Asked
+	budget time.Duration
+	at     time.Duration
+	see    script.Reader
+	broken string
+	over   bool
+	again  bool
+	after  func()
+}
+
+func share(d errand.Done) (sh interlock.Share, ok bool) {
+	return sh, d.Code == 200 && json.Unmarshal(d.Body, &sh) == nil
+}
+
+// send hands the request to a daemon.
+func (c *caller) send(n *node) {
+	w := c.w
+	c.n, c.at = n, w.now
+	c.see.Prompt = script.Prompt(c.asked.Parts)
+	w.at(w.lag(), func() {
+		if !n.up {
+			c.end("error", "refused", 0)
+			return
+		}
+		n.in(0, func() { c.land(0) })
+	})
+	w.at(c.budget+5*time.Second, func() { c.end("silent", "no final reply", 0) })
+}
+
+// land is the daemon taking the request in; it waits a little for the plan.
+func (c *caller) land(waited time.Duration) {
+	n := c.n
+	now := n.local()
+	rec, ok := n.source(0, tariff.PlanKey)
+	if !ok && waited < min(2*c.w.cfg.Vol(), c.budget) {
+		n.in(20*time.Millisecond, func() { c.land(waited + 20*time.Millisecond) })
+		return
+	}
+	if !ok {
+		c.end("shed", "no valid lease on the plan", 1000)
+		return
+	}
+	c.see.Request = fmt.Sprintf("r%d", c.no)
+	p := tariff.Open(rec)
+	c.w.jot(journal.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
+	req, code, why := dispatch.NewSheet(rec).Admit(c.asked, c.see.Request, now)
+	if code != 0 {
+		c.end("broken-request", why, 0)
+		return
+	}
+	l := n.lane(req.Model)
+	r := &ride{n: n, l: l, req: req, c: c, calls: map[int]*call{}}
+	n.rides[req.ID] = r
+	n.do(l, l.Take(now, req))
+}
+
+// pass brings a piece to the caller, in order.
+func (r *ride) pass(p yard.Piece) {
+	w := r.n.w
+	r.last = max(w.now+w.lag(), r.last+1)
+	w.at(r.last-w.now, func() { r.c.piece(p) })
+	n := r.c.see.N // nobody is slow here: taken as it comes
+	r.l.Taken(r.n.local(), r.req.ID, n+1)
+}
+
+func (r *ride) reply(e dispatch.End) {
+	w := r.n.w
+	for _, c := range r.calls {
+		c.shut = true
+	}
+	r.last = max(w.now+w.lag(), r.last+1)
+	w.at(r.last-w.now, func() {
+		switch e.Result {
+		case "finish":
+		case "break", "gone":
+			r.c.end("broken", e.Why, 0)
+		default:
+			r.c.end(e.Result, e.Why, e.After.Milliseconds())
+		}
+	})
+}
+
+func (c *caller) piece(p yard.Piece) {
+	if c.over {
+		return
+	}
+	end, broken, why := c.see.Next(p)
+	switch {
+	case why != "":
+		c.end("wrong", why, 0)
+	case broken != "":
+		c.broken = broken
+	case end:
+		c.end("ok", "", 0)
+	}
+}
+
+func (c *caller) end(result, why string, after int64) {
+	if c.over {
+		return
+	}
+	c.over = true
+	w := c.w
+	w.res.Results[result]++
+	if result == "shed" {
+		w.res.Sheds[why]++
+	}
+	w.jot(journal.Event{Who: c.n.name, Ev: "reply", Request: c.see.Request, Run: c.see.Run, Count: c.see.N, Once: c.asked.Once, Tenant: c.asked.Tenant, Result: result, Why: why,
+		After: after, Took: int64(w.now - c.at), Cell: c.n.cell, Again: c.again})
+	if result == "silent" {
+		if r := c.n.rides[c.see.Request]; r != nil && r.c == c {
+			n, l, id := c.n, r.l, r.req.ID
+			n.in(0, func() { n.do(l, l.Gone(n.local(), id)) })
+		}
+	}
+	if c.after != nil {
+		c.after()
+	}
+}
+
+// hangUp ends a killed daemon's connections.
+func (n *node) hangUp() {
+	w := n.w
+	for _, id := range sortedKeys(n.rides) {
+		r := n.rides[id]
+		for _, c := range r.calls {
+			c.shut = true
+		}
+		r.last = max(w.now+w.lag(), r.last+1)
+		w.at(r.last-w.now, func() { r.c.end("broken", "connection lost", 0) })
+	}
+	n.rides = map[string]*ride{}
+}
+
+// traffic lays out servers, operators, the platform and requesters.
+func (w *world) traffic() {
+	w.depots, w.lists, w.mix = map[string]*depot{}, map[string]tariff.List{}, 0.6
+	for s, n := range w.o.Servers {
+		for i := 0; i < n; i++ {
+			w.depot(services[s], fmt.Sprintf("cell-%d", i%len(w.o.Cells)))
+		}
+	}
+	w.at(2*time.Second, w.platform)
+	w.at(2500*time.Millisecond, func() { w.first() })
+	w.at(9*time.Second, w.request)
+	if w.o.Orders > 0 {
+		w.at(9*time.Second, w.operate)
+	}
+}
+
+func (w *world) depot(svc, cell string) *depot {
+	d := &depot{w: w, addr: fmt.Sprintf("10.1.0.%d:1", len(w.addrs)+1), svc: svc, cell: cell, cap: 4, warm: time.Second + time.Duration(w.rng.Int63n(int64(4*time.Second)))}
+	w.depots[d.addr] = d
+	w.addrs = append(w.addrs, d.addr)
+	l := w.lists[svc]
+	l.Servers = append(append([]tariff.Server(nil), l.Servers...), tariff.Server{Addr: d.addr, Cell: cell, Capacity: d.cap})
+	w.lists[svc] = l
+	d.boot()
+	return d
+}
+
+// platform asks every daemon once a second whether it is ready.
+func (w *world) platform() {
+	w.ready = nil
+	for _, n := range w.nodes {
+		if !n.up || n.frozen > w.now || !n.view.Live {
+			continue
+		}
+		_, a := n.source(0, tariff.PlanKey)
+		_, b := n.source(0, tariff.CellKey)
+		if a && b {
+			w.ready = append(w.ready, n)
+		}
+	}
+	w.at(time.Second, w.platform)
+}
+
+// pick is a ready daemon, of the given cell if there is one.
+func (w *world) pick(cell string) *node {
+	var near []*node
+	for _, n := range w.ready {
+		if n.cell == cell {
+			near = append(near, n)
+		}
+	}
+	if len(near) == 0 {
+		near = w.ready
+	}
+	if len(near) == 0 {
+		near = w.nodes
+	}
+	return near[w.rng.Intn(len(near))]
+}
+
+// control sends a control call through a daemon, as HTTP would.
+func (w *world) control(n *node, part int, op string, body []byte, then func(code int, rep []byte)) {
+	over := false
+	end := func(code int, rep []byte) {
+		if !over {
+			over = true
+			then(code, rep)
+		}
+	}
+	w.at(w.lag(), func() {
+		if !n.up {
+			end(0, nil)
+			return
+		}
+		n.in(0, func() {
+			n.ask(part, op, body, 2*w.cfg.Bounds.Plan, func(d errand.Done) { w.at(w.lag(), func() { end(d.Code, d.Body) }) })
+		})
+	})
+	w.at(10*time.Second, func() { end(errand.Uncertain, nil) })
+}
+
+// first sends the plan and the lists until they are taken.
+func (w *world) first() {
+	p := tariff.Plan{ID: "first"}
+	for i, t := range []string{"express", "regular", "bulk"} {
+		p.Tenants = append(p.Tenants, tariff.Tenant{Name: t, Priority: 4 * i, Budget: 5000, Queue: 0.6})
+	}
+	for _, s := range services {
+		p.Services = append(p.Services, tariff.Service{Name: s, Readers: 1, Makers: 1})
+	}
+	w.control(w.pick(""), 0, "plan", errand.Pack(p), func(code int, rep []byte) {
+		w.judged("first", 0, code, rep)
+		if code != 200 {
+			w.at(500*time.Millisecond, w.first)
+			return
+		}
+		for _, s := range services {
+			w.list(s, nil)
+		}
+	})
+}
+
+// judged writes down what an operator was told.
+func (w *world) judged(id string, base uint64, code int, rep []byte) {
+	var v tariff.Verdict
+	_ = json.Unmarshal(rep, &v)
+	if v.Result == "taken" && w.o.Sabotage == "sayno" && w.rng.Intn(3) == 0 {
+		v.Result = "beaten" // told no, and it is in force
+	}
+	if v.Result != "" && code != 0 {
+		w.jot(journal.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result})
+		w.res.Plans[v.Result]++
+	}
+}
+
+// list sends a service's servers until the list is taken.
+func (w *world) list(svc string, then func(bool)) {
+	l := w.lists[svc]
+	l.Version++
+	w.lists[svc] = l
+	body := errand.Pack(struct {
+		Service string
+		List    tariff.List
+	}{svc, l})
+	var send func(tries int)
+	send = func(tries int) {
+		w.control(w.pick(""), tariff.PartOf(svc, w.o.Parts), "servers", body, func(code int, rep []byte) {
+			switch {
+			case code == 200:
+				if then != nil {
+					then(true)
+				}
+			case code == 409 || tries == 0:
+				if then != nil {
+					then(false)
+				}
+			default:
+				w.at(300*time.Millisecond, func() { send(tries - 1) })
+			}
+		})
+	}
+	send(30)
+}
+
+// request sends one request of the mix, and its once key a second time.
+func (w *world) request() {
+	if w.now > w.o.Length-9*time.Second {
+		return
+	}
+	mean := w.o.Calls
+	if w.now < w.crowd {
+		mean /= 12
+	}
+	w.at(w.exp(mean), w.request)
+	svc := services[0]
+	if w.rng.Float64() > w.mix {
+		svc = services[1]
+	}
+	pre := w.rng.Intn(4)
+	w.callers++
+	budget := time.Second + time.Duration(w.rng.Int63n(int64(3*time.Second)))
+	ms := budget.Milliseconds()
+	c := &caller{w: w, no: w.callers, budget: budget, asked: dispatch.Asked{Model: svc, Tenant: []string{"express", "regular", "bulk"}[w.rng.Intn(3)], Tokens: 3 + w.rng.Intn(4), Budget: &ms,
+		Parts: []yard.Part{{Key: "shared", Text: strings.Repeat(string(rune('a'+pre)), 150)}, {Text: fmt.Sprintf("own %d ", w.callers) + strings.Repeat("x", 50+w.rng.Intn(150))}}}}
+	cell := w.nodes[w.rng.Intn(len(w.nodes))].cell
+	to := w.pick(cell)
+	if w.rng.Intn(5) < 2 {
+		c.asked.Once = fmt.Sprintf("k%d", c.no)
+		w.callers++
+		twin := &caller{w: w, no: w.callers, budget: budget, asked: c.asked, again: true}
+		other := w.pick("")
+		if w.rng.Intn(3) == 0 { // while the first may be under way
+			w.at(w.exp(60*time.Millisecond), func() { twin.send(other) })
+		} else {
+			c.after = func() { w.at(w.exp(200*time.Millisecond), func() { twin.send(other) }) }
+		}
+	}
+	c.send(to)
+}
--- /dev/null
+++ b/proof/sim/depot.go
@@ -0,0 +1,281 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"mulleinmast/control/interlock"
+	"mulleinmast/proof/journal"
+	"mulleinmast/proof/script"
+	"mulleinmast/traffic/yard"
+)
+
+// depot is a simulated model server. It checks nothing that the fleet is to
+// check: a maker takes up whatever cache a handle leads to.
+type depot struct {
+	w         *world
+	addr      string
+	svc       string
+	cell      string
+	cap       int
+	warm      time.Duration
+	up, dark  bool
+	gone      bool
+	life      int
+	born      time.Duration
+	part      string
+	term, no  uint64
+	busy      int
+	kv        map[string]cache
+	held      map[uint64]bool
+	ids       int
+	links     map[string]int
+	lines     map[*line]bool
+	leaving   bool
+	told      bool
+	cross     bool // replies are crossed: somebody else's handle comes back
+	breaks    bool // streams break
+	skip      bool // a piece is left out
+	twice     bool // a piece comes twice
+	slow      int
+	link      time.Duration
+	lapseAll  bool
+	seenOrder bool
+}
+
+type cache struct {
+	request string
+	attempt int
+	prompt  uint64
+}
+
+func addrOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
+// lag is the time on the wire between a daemon and a server or a requester.
+func (w *world) lag() time.Duration { return 100*time.Microsecond + w.exp(300*time.Microsecond) }
+
+func (d *depot) jot(e journal.Event) { e.Who = d.addr; d.w.jot(e) }
+
+func (d *depot) boot() {
+	if d.up || d.gone {
+		return
+	}
+	d.up, d.dark = true, false
+	d.life++
+	d.born, d.part, d.term, d.no, d.busy = d.w.now, "", 0, 0, 0
+	d.kv, d.held, d.links, d.lines = map[string]cache{}, map[uint64]bool{}, map[string]int{}, map[*line]bool{}
+	d.jot(journal.Event{Ev: "boot", N: d.cap, Cell: d.cell, Warm: int64(d.warm)})
+}
+
+func (d *depot) crash() {
+	d.up = false
+	d.life++
+	for l := range d.lines {
+		delete(d.lines, l)
+		l.end(yard.Lost, "connection lost")
+	}
+}
+
+// in runs f in this life of the server.
+func (d *depot) in(t time.Duration, f func()) {
+	life := d.life
+	d.w.at(t*time.Duration(max(1, d.slow)), func() {
+		if d.up && d.life == life {
+			f()
+		}
+	})
+}
+
+func (d *depot) usage() interlock.Usage {
+	if d.leaving != d.told { // the moment that the first daemon knows
+		d.told = d.leaving
+		d.jot(journal.Event{Ev: map[bool]string{true: "leaving", false: "staying"}[d.told]})
+	}
+	links := map[string]int{}
+	for a, ms := range d.links {
+		links[a] = ms
+	}
+	return interlock.Usage{Active: d.busy, Uptime: (d.w.now - d.born).Milliseconds(), Leaving: d.leaving, Warming: d.w.now-d.born < d.warm && d.w.o.Sabotage != "noramp", Links: links}
+}
+
+func (d *depot) ordered(holder string, o interlock.Order) bool {
+	if !d.up || d.dark {
+		return false
+	}
+	d.jot(journal.Event{Ev: "order", Holder: holder, Term: o.Term, Part: o.Part, Why: o.Why})
+	if o.Term < d.term || o.Term == d.term && o.No <= d.no {
+		return false
+	}
+	d.term, d.no, d.part = o.Term, o.No, o.Part
+	return true
+}
+
+// enter takes a slot for a part, or says why not.
+func (d *depot) enter(part string) string {
+	switch {
+	case d.part != part:
+		return "not a " + part
+	case d.busy >= d.cap:
+		return "full"
+	}
+	d.busy++
+	return ""
+}
+
+func (d *depot) away(l *line, out yard.Outcome, part, why string) {
+	word := "shed"
+	if out == yard.Lapsed {
+		word = "lapsed"
+	}
+	d.jot(journal.Event{Ev: word, Part: part, Request: l.a.Trip, Why: why})
+	l.end(out, why)
+}
+
+func (d *depot) prefill(l *line, p yard.Prefill) {
+	if !d.up || d.dark {
+		if !d.up {
+			l.end(yard.Lost, "connection lost")
+		}
+		return
+	}
+	if why := d.enter(interlock.Reader); why != "" {
+		d.away(l, yard.Shed, interlock.Reader, why)
+		return
+	}
+	d.lines[l] = true
+	d.jot(journal.Event{Ev: "prefill", Request: p.Request, Term: p.Term, N: d.busy})
+	t, cached := 2*time.Millisecond, 0
+	for i, c := range p.Prefix {
+		if d.held[c] {
+			cached = i + 1
+		} else {
+			t += time.Duration(len(p.Parts[i].Text)) * 100 * time.Microsecond
+		}
+	}
+	d.in(t, func() {
+		d.busy--
+		delete(d.lines, l)
+		for _, c := range p.Prefix {
+			d.held[c] = true
+		}
+		d.ids++
+		h := yard.Handle{ID: fmt.Sprintf("%s/%d/%d", d.addr, d.life, d.ids), Request: p.Request, Attempt: p.Attempt, Reader: d.addr, Ver: p.Ver, Cached: cached}
+		d.kv[h.ID] = cache{p.Request, p.Attempt, script.Prompt(p.Parts)}
+		if d.cross {
+			for i := d.ids - 1; i > 0; i-- {
+				id := fmt.Sprintf("%s/%d/%d", d.addr, d.life, i)
+				if c, ok := d.kv[id]; ok && c.request != p.Request {
+					h.ID, h.Request, h.Attempt = id, c.request, c.attempt
+					break
+				}
+			}
+		}
+		l.handle(h)
+	})
+}
+
+// twin is another maker of the same service.
+func (d *depot) twin() *depot {
+	for _, a := range d.w.addrs {
+		if o := d.w.depots[a]; o != d && o.svc == d.svc && o.up && o.part == interlock.Maker {
+			return o
+		}
+	}
+	return nil
+}
+
+func (d *depot) decode(l *line, p yard.Decode) {
+	if !d.up || d.dark {
+		if !d.up {
+			l.end(yard.Lost, "connection lost")
+		}
+		return
+	}
+	if why := d.enter(interlock.Maker); why != "" {
+		d.away(l, yard.Shed, interlock.Maker, why)
+		return
+	}
+	d.lines[l] = true
+	r := d.w.depots[p.Handle.Reader]
+	link := d.link + r.link + d.w.exp(time.Millisecond)
+	if r.cell != d.cell {
+		link += time.Millisecond
+	}
+	d.in(link, func() {
+		kv, ok := r.kv[p.Handle.ID]
+		if !ok || !r.up || r.dark || r.lapseAll {
+			d.busy--
+			delete(d.lines, l)
+			d.away(l, yard.Lapsed, interlock.Maker, "no such handle")
+			return
+		}
+		d.links[r.addr] = int(link.Milliseconds())
+		d.jot(journal.Event{Ev: "decode", Request: p.Handle.Request, Owner: kv.request, Run: p.Run, Once: p.Once, Term: p.Term, N: d.busy})
+		seen := 0
+		d.step(l, p, kv, 0, &seen)
+	})
+}
+
+// step writes one piece and goes on; a daemon that hung up ends the run.
+func (d *depot) step(l *line, p yard.Decode, kv cache, i int, seen *int) {
+	d.in(4*time.Millisecond+d.w.exp(4*time.Millisecond), func() {
+		done := func() {
+			d.busy--
+			delete(d.lines, l)
+		}
+		if !l.open() && d.w.o.Sabotage != "double" {
+			done()
+			return
+		}
+		piece := yard.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: script.Text(kv.prompt, p.Handle.Request, p.Run, i)}
+		switch {
+		case d.breaks && i == 2:
+			done()
+			if d.w.o.Sabotage == "fakeend" { // the broken stream is made to look whole
+				l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
+				return
+			}
+			if d.w.o.Sabotage == "splice" && d.twin() != nil { // another run goes on where this one broke
+				b := d.twin()
+				b.busy++
+				q := p
+				q.Run = p.Run + "-again"
+				b.jot(journal.Event{Ev: "decode", Request: p.Handle.Request, Owner: kv.request, Run: q.Run, N: b.busy})
+				b.lines[l] = true
+				l.a.Make.Run = q.Run
+				b.splice(l, p, q.Run, kv, i, seen)
+				return
+			}
+			l.end(yard.Lost, "stream broke off")
+			return
+		case i == p.Tokens:
+			done()
+			d.jot(journal.Event{Ev: "ended", Request: p.Handle.Request, Run: p.Run, Count: i})
+			l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
+			return
+		case d.skip && i == 1:
+		default:
+			l.piece(piece, seen)
+			if d.twice && i == 1 {
+				l.piece(piece, seen)
+			}
+		}
+		d.step(l, p, kv, i+1, seen)
+	})
+}
+
+// splice is the sabotage that goes on with another run under the first's name.
+func (d *depot) splice(l *line, p yard.Decode, run string, kv cache, i int, seen *int) {
+	d.in(5*time.Millisecond, func() {
+		if i == p.Tokens {
+			d.busy--
+			delete(d.lines, l)
+			d.jot(journal.Event{Ev: "ended", Request: p.Handle.Request, Run: p.Run, Count: i})
+			l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
+			return
+		}
+		l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: script.Text(kv.prompt, p.Handle.Request, run, i)}, seen)
+		d.splice(l, p, run, kv, i+1, seen)
+	})
+}
--- /dev/null
+++ b/proof/sim/fault.go
@@ -0,0 +1,191 @@
+package sim
+
+import (
+	"sort"
+	"time"
+)
+
+// plan lays out a run's failures.
+func (w *world) plan() {
+	w.at(5*time.Second, w.write)
+	end := w.o.Length - w.o.Calm
+	for _, kind := range kinds(w.o.Faults) {
+		if kind == "ackkill" {
+			continue
+		}
+		mean := w.o.Faults[kind]
+		for x := w.rng.ExpFloat64(); x < mean; x += w.rng.ExpFloat64() {
+			at := 6*time.Second + time.Duration(w.rng.Float64()*float64(end-7*time.Second))
+			w.at(at, func() { w.fault(kind, w.nodes[w.rng.Intn(len(w.nodes))]) })
+		}
+	}
+	for _, at := range w.o.Swaps {
+		w.at(at, w.swap)
+	}
+	w.at(end, func() {
+		w.calm = true
+		w.cut = map[[2]string]bool{}
+		w.trace("calm")
+		for _, n := range w.nodes {
+			n.frozen = min(n.frozen, w.now)
+			n.slowTil = 0
+			n.diskAt = min(n.diskAt, w.now)
+			n.start()
+		}
+		w.mend()
+	})
+}
+
+// swap exchanges a core machine once the last exchange is mended: the fleet
+// bears the loss of one disk at a time.
+func (w *world) swap() {
+	for p := 0; p <= w.o.Parts; p++ {
+		whole := false
+		for _, n := range w.nodes {
+			if !n.up || !n.parts[p].Owner(n.local()) {
+				continue
+			}
+			g := n.sec(p).Seat.Group()
+			whole = len(g.Next) == 0
+			for _, m := range w.nodes {
+				whole = whole && (!m.gone || !g.Has(m.ident))
+			}
+			for _, s := range g.Seats {
+				found := false
+				for _, m := range w.nodes {
+					found = found || m.up && m.ident == s.Ident && m.disk != nil && m.disk.meta[p].Set == n.sec(p).Seat.Num()
+				}
+				whole = whole && found
+			}
+		}
+		if !whole {
+			w.at(time.Second, w.swap)
+			return
+		}
+	}
+	w.fault("swap", w.nodes[0])
+}
+
+func kinds(m map[string]float64) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (n *node) kill() {
+	n.up = false
+	n.life++
+	n.diskAt = 0
+	n.hangUp()
+}
+
+func (w *world) back(n *node) {
+	w.at(200*time.Millisecond+w.exp(2*time.Second), n.start)
+}
+
+// fault brings one failure about.
+func (w *world) fault(kind string, n *node) {
+	if w.calm {
+		return
+	}
+	w.res.Faults[kind]++
+	w.trace("FAULT %s %s", kind, n.name)
+	heal := func(f func()) { w.at(200*time.Millisecond+w.exp(2500*time.Millisecond), f) }
+	switch kind {
+	case "kill":
+		n.kill()
+		w.back(n)
+	case "all":
+		for _, m := range w.nodes {
+			m.kill()
+			w.back(m)
+		}
+	case "ackkill": // right after an acknowledgement, sometimes with its disk
+		n.kill()
+		if !w.lost && w.rng.Intn(3) == 0 {
+			w.lost, n.disk = true, nil
+			w.res.Faults["wipe"]++
+		}
+		w.back(n)
+	case "wipe":
+		if w.lost {
+			return
+		}
+		for _, m := range w.nodes {
+			if m.hasDisk && m.disk != nil {
+				n = m
+				if w.rng.Intn(2) == 0 {
+					break
+				}
+			}
+		}
+		w.lost = true
+		n.kill()
+		n.disk = nil
+		w.back(n)
+	case "cut", "oneway":
+		side := map[string]bool{}
+		for _, m := range w.nodes {
+			side[m.name] = w.rng.Intn(2) == 0
+		}
+		var made [][2]string
+		for _, a := range w.nodes {
+			for _, b := range w.nodes {
+				if side[a.name] != side[b.name] && (kind == "cut" || side[a.name]) {
+					made = append(made, [2]string{a.name, b.name})
+				}
+			}
+		}
+		w.sever(made, heal)
+	case "alone":
+		var made [][2]string
+		for _, b := range w.nodes {
+			made = append(made, [2]string{n.name, b.name}, [2]string{b.name, n.name})
+		}
+		w.sever(made, heal)
+	case "swap": // a core machine is replaced by an empty one at a new address
+		for _, m := range w.nodes {
+			if m.hasDisk && !m.gone {
+				n = m
+				break
+			}
+		}
+		n.kill()
+		n.gone = true
+		m := w.add(n.cell, true, len(w.nodes))
+		w.at(w.exp(time.Second), m.start)
+	case "freeze":
+		was := max(n.frozen, w.now)
+		n.frozen = max(n.frozen, w.now+50*time.Millisecond+w.exp(1500*time.Millisecond))
+		if w.o.Sabotage == "standstill" { // a clock that stops while the machine is suspended
+			n.base -= time.Duration(float64(n.frozen-was) * n.rate)
+		}
+	case "cell": // a whole cell, daemons and servers, is lost for a while
+		w.loseCell(n.cell)
+	case "crash", "dark", "lapse", "cross", "break", "skip", "twice", "sluggish", "link", "roll":
+		w.serverFault(kind)
+	case "crowd":
+		w.crowd = w.now + 2*time.Second
+	case "swing":
+		w.mix = 1 - w.mix
+	case "slow", "stall":
+		n.slow, n.slowTil = w.exp(40*time.Millisecond), w.now+w.exp(3*time.Second)
+		if kind == "stall" {
+			n.slow = 2 * time.Second
+		}
+	}
+}
+
+func (w *world) sever(made [][2]string, heal func(func())) {
+	for _, c := range made {
+		w.cut[c] = true
+	}
+	heal(func() {
+		for _, c := range made {
+			delete(w.cut, c)
+		}
+	})
+}
--- /dev/null
+++ b/proof/sim/net.go
@@ -0,0 +1,84 @@
+package sim
+
+import (
+	"mulleinmast/control/tariff"
+	"mulleinmast/wire/form"
+	"time"
+)
+
+func (n *node) send(m form.Send) {
+	w := n.w
+	m.Note.From, m.Note.Epoch, m.Note.Addr = n.ident, n.epoch, n.addr
+	if m.Note.To == n.ident {
+		n.in(0, func() { w.hear(n, m.Note) })
+		return
+	}
+	w.res.Notes++
+	if m.Note.Kind == form.Purge {
+		w.res.Purges++
+	}
+	for _, to := range w.nodes {
+		if to.addr == m.Addr {
+			w.carry(n, to, m.Note)
+		}
+	}
+}
+
+func (w *world) carry(from, to *node, m form.Note) {
+	if w.cut[[2]string{from.name, to.name}] {
+		return
+	}
+	if w.o.Sabotage == "ackpurge" && m.Kind == form.Purge {
+		w.carry(to, from, form.Note{Kind: form.Purged, Part: m.Part, Key: m.Key, Ref: m.Ref, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
+		return
+	}
+	d := 100*time.Microsecond + w.exp(400*time.Microsecond)
+	if !w.calm && !w.o.Clean {
+		switch x := w.rng.Float64(); {
+		case x < 0.005:
+			return // lost
+		case x < 0.02:
+			d += w.exp(200 * time.Millisecond) // late, overtaken by others
+		case x < 0.025:
+			w.at(w.exp(300*time.Millisecond), func() { w.land(to, m) }) // twice
+		}
+	}
+	w.at(d, func() { w.land(to, m) })
+}
+
+// land hands a note over; one that waits at a frozen node is read on waking.
+func (w *world) land(to *node, m form.Note) {
+	to.in(0, func() {
+		if m.To == "" || m.To == to.ident {
+			w.hear(to, m)
+		}
+	})
+}
+
+func (w *world) hear(to *node, m form.Note) {
+	now := to.local()
+	switch {
+	case m.Kind >= form.Hello && m.Kind <= form.Count:
+		for _, s := range to.rost.Hear(now, m).Sends {
+			to.send(s)
+		}
+		return
+	case m.Kind == form.Back:
+		to.errands(to.runs.Hear(now, m))
+		return
+	}
+	p := to.parts[m.Part]
+	if w.o.Trace != nil && m.Kind < form.Ask {
+		w.trace("  %s<-%s part %d %s key=%s no=%d ref=%d len=%v mark=%v keys=%v recs=%d", to.name, m.From, m.Part, m.Kind, m.Key, m.No, m.Ref, time.Duration(m.Len), m.Mark, m.Keys, len(m.Recs))
+	}
+	if w.o.Trace != nil && m.Kind >= form.Ask && m.Kind < form.Hello {
+		w.trace("  %s<-%s part %d %s num=%d set=%d no=%d ref=%d group=%d recs=%d len=%v", to.name, m.From, m.Part, m.Kind, m.Num, m.Set, m.No, m.Ref, m.Group.Num, len(m.Recs), time.Duration(m.Len))
+	}
+	if p.Section().Node.Root() {
+		w.res.RootNotes++
+	}
+	if m.Kind == form.Call && m.Op == "changes" && w.o.Sabotage == "nobase" {
+		m.Body = rebase(m.Body, tariff.Open(w.read(to, tariff.PlanKey)).Version)
+	}
+	to.carry(m.Part, p.Hear(now, m))
+}
--- /dev/null
+++ b/proof/sim/operator.go
@@ -0,0 +1,262 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"mulleinmast/control/errand"
+	"mulleinmast/control/tariff"
+	"mulleinmast/proof/journal"
+	"mulleinmast/wire/form"
+)
+
+func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
+
+// read is a record as a daemon has it, whatever its leases.
+func (w *world) read(n *node, key string) form.Rec {
+	r, _ := n.sec(0).Node.Get(n.local(), key)
+	return r
+}
+
+// rebase is the sabotage that takes every change as if on the current plan.
+func rebase(body []byte, ver uint64) []byte {
+	var c tariff.Changes
+	if json.Unmarshal(body, &c) != nil {
+		return body
+	}
+	c.Base = ver
+	return errand.Pack(c)
+}
+
+// operate is what operators and the platform do through the day.
+func (w *world) operate() {
+	if w.now > w.o.Length-6*time.Second {
+		return
+	}
+	w.at(w.exp(w.o.Orders), w.operate)
+	switch w.rng.Intn(8) {
+	case 0:
+		w.evacuate()
+	case 1:
+		w.leave()
+	case 2:
+		w.selfLeave()
+	default:
+		w.change()
+	}
+}
+
+// change sends a named change; at times two operators at once on one base, an
+// old base, or a broken one.
+func (w *world) change() {
+	n := w.pick("")
+	if !n.up || n.frozen > w.now {
+		return
+	}
+	rec, ok := n.sec(0).Node.Get(n.local(), tariff.PlanKey)
+	if !ok {
+		return
+	}
+	base := tariff.Open(rec).Version
+	one := func(n *node, base uint64, prio int) {
+		w.tags++
+		id := fmt.Sprintf("c%d", w.tags)
+		c := tariff.Changes{ID: id, Base: base, Changes: []tariff.Change{{Op: "set-tenant", Tenant: &tariff.Tenant{Name: "regular", Priority: prio, Budget: 4000 + int(w.tags%1000), Queue: 0.6}}}}
+		w.control(n, 0, "changes", errand.Pack(c), func(code int, rep []byte) { w.judged(id, base, code, rep) })
+	}
+	switch w.rng.Intn(6) {
+	case 0, 1:
+		one(n, base, 4)
+		one(w.pick(""), base, 5)
+	case 2:
+		one(n, base-1, 4)
+	case 3:
+		one(n, base, 77)
+	default:
+		one(n, base, 4)
+	}
+}
+
+// evacuate takes a cell out, and later brings it back.
+func (w *world) evacuate() {
+	if w.out != "" || len(w.o.Cells) < 2 {
+		return
+	}
+	cell := fmt.Sprintf("cell-%d", w.rng.Intn(len(w.o.Cells)))
+	w.out = cell
+	from := w.now
+	w.control(w.pick(""), 0, "evacuate", []byte(cell), func(code int, _ []byte) {
+		if code == 200 { // known from when it was asked, unless that took long
+			at := from
+			if w.now-from > 2*time.Second {
+				at = w.now
+			}
+			w.jot(journal.Event{At: int64(at), Ev: "evacuated", Cell: cell})
+			w.res.Faults["evacuated"]++
+		}
+		w.at(6*time.Second+w.exp(2*time.Second), func() { w.bringBack(cell) })
+	})
+}
+
+func (w *world) bringBack(cell string) {
+	w.jot(journal.Event{Ev: "returned", Cell: cell})
+	w.control(w.pick(""), 0, "return", []byte(cell), func(code int, _ []byte) {
+		if code != 200 {
+			w.at(300*time.Millisecond, func() { w.bringBack(cell) })
+			return
+		}
+		w.out = ""
+	})
+}
+
+func (w *world) someDepot() *depot { return w.depots[w.addrs[w.rng.Intn(len(w.addrs))]] }
+
+// leave marks a server as leaving in the platform's list, and takes it back.
+func (w *world) leave() {
+	d := w.someDepot()
+	if d.gone {
+		return
+	}
+	mark := func(on bool) {
+		l := w.lists[d.svc]
+		l.Servers = append([]tariff.Server(nil), l.Servers...)
+		for i := range l.Servers {
+			if l.Servers[i].Addr == d.addr {
+				l.Servers[i].Leaving = on
+			}
+		}
+		w.lists[d.svc] = l
+	}
+	mark(true)
+	w.list(d.svc, func(ok bool) {
+		if ok {
+			d.jot(journal.Event{Ev: "leaving"})
+			w.res.Faults["leaving"]++
+		}
+		w.at(4*time.Second+w.exp(2*time.Second), func() {
+			if d.gone {
+				return
+			}
+			mark(false)
+			d.jot(journal.Event{Ev: "staying"})
+			w.list(d.svc, nil)
+		})
+	})
+}
+
+// selfLeave has a server say itself that it leaves.
+func (w *world) selfLeave() {
+	d := w.someDepot()
+	if !d.up || d.leaving || d.gone {
+		return
+	}
+	d.leaving = true
+	w.res.Faults["selfleave"]++
+	w.at(4*time.Second+w.exp(2*time.Second), func() { d.leaving = false })
+}
+
+// serverFault brings one failure of a server about, or of all.
+func (w *world) serverFault(kind string) {
+	d := w.someDepot()
+	heal := func(f func()) { w.at(300*time.Millisecond+w.exp(2*time.Second), f) }
+	switch kind {
+	case "crash":
+		if d.up {
+			d.crash()
+			heal(d.boot)
+		}
+	case "roll": // replaced by another, one after the other
+		if d.gone {
+			return
+		}
+		old := w.lists[d.svc]
+		var rest []tariff.Server
+		for _, s := range old.Servers {
+			if s.Addr != d.addr {
+				rest = append(rest, s)
+			}
+		}
+		old.Servers = rest
+		w.lists[d.svc] = old
+		w.depot(d.svc, d.cell)
+		d.gone = true
+		w.list(d.svc, func(ok bool) {
+			if ok {
+				d.jot(journal.Event{Ev: "leaving"})
+			}
+			w.at(3*time.Second, func() {
+				if d.up {
+					d.crash()
+				}
+			})
+		})
+	case "dark":
+		d.dark = true
+		heal(func() { d.dark = false })
+	case "lapse": // every handle is gone at once
+		for _, a := range w.addrs {
+			w.depots[a].kv = map[string]cache{}
+			w.depots[a].lapseAll = true
+		}
+		heal(func() {
+			for _, a := range w.addrs {
+				w.depots[a].lapseAll = false
+			}
+		})
+	case "cross":
+		d.cross = true
+		heal(func() { d.cross = false })
+	case "break":
+		d.breaks = true
+		heal(func() { d.breaks = false })
+	case "skip":
+		d.skip = true
+		heal(func() { d.skip = false })
+	case "twice":
+		d.twice = true
+		heal(func() { d.twice = false })
+	case "sluggish":
+		d.slow = 2 + w.rng.Intn(6)
+		heal(func() { d.slow = 1 })
+	case "link":
+		d.link = w.exp(300 * time.Millisecond)
+		heal(func() { d.link = 0 })
+	}
+}
+
+// loseCell kills every daemon and server of a cell; they come back later.
+func (w *world) loseCell(cell string) {
+	for _, n := range w.nodes {
+		if n.cell == cell && n.up {
+			n.kill()
+			w.at(3*time.Second+w.exp(2*time.Second), n.start)
+		}
+	}
+	for _, a := range w.addrs {
+		if d := w.depots[a]; d.cell == cell && d.up {
+			d.crash()
+			w.at(3*time.Second+w.exp(2*time.Second), d.boot)
+		}
+	}
+}
+
+// mend brings every server back, whole, at the start of the calm.
+func (w *world) mend() {
+	if w.o.Calls == 0 {
+		return
+	}
+	for _, a := range w.addrs {
+		d := w.depots[a]
+		d.dark, d.lapseAll, d.cross, d.breaks, d.skip, d.twice, d.slow, d.link = false, false, false, false, false, false, 1, 0
+		back := time.Duration(0)
+		if w.o.Sabotage == "lateback" {
+			d.crash()
+			back = 14 * time.Second
+		}
+		w.at(back, d.boot)
+	}
+	w.jot(journal.Event{Ev: "mended"})
+}
--- /dev/null
+++ b/proof/sim/options.go
@@ -0,0 +1,99 @@
+package sim
+
+import (
+	"time"
+
+	"mulleinmast/proof/journal"
+)
+
+// Options shape a run.
+type Options struct {
+	Seed     int64
+	Cells    []int // daemons in each cell; the first of each has a disk
+	Parts    int   // beside the configuration part
+	Length   time.Duration
+	Calm     time.Duration      // at the end nothing fails any more
+	Faults   map[string]float64 // mean faults of each kind in a run
+	Writes   time.Duration      // mean time between writes
+	Reads    time.Duration      // mean time between a daemon's reads
+	Keys     int
+	Drift    float64         // how far clocks really run apart
+	Sabotage string          // a fault put in on purpose, to prove the checker
+	Clean    bool            // the network loses, delays and doubles nothing
+	Flat     bool            // no relays: every daemon renews at the owner
+	Calls    time.Duration   // mean time between requests; 0: no servers and no requests
+	Servers  []int           // model servers of each service
+	Orders   time.Duration   // mean time between operators' and the platform's calls
+	Swaps    []time.Duration // when a core machine is exchanged for an empty one
+	Trace    func(string)
+}
+
+// Result is what a run came to.
+type Result struct {
+	History                  []Event
+	Journal                  []journal.Event
+	Broken                   []string
+	Yes, Never, Maybe, Reads int
+	Notes, Purges            int
+	RootNotes                int             // notes into owners
+	Gap                      time.Duration   // longest time without an owner of part 0
+	Waits                    []time.Duration // time from asking for a write to yes
+	Faults                   map[string]int
+	Recs                     int
+	Results, Sheds, Plans    map[string]int // requests by result and by why shed, operators' calls
+}
+
+// Default is a run with every kind of failure.
+//
+// Example: sim.Run(sim.Default(1))
+func Default(seed int64) Options {
+	return Options{Seed: seed, Cells: []int{3, 3, 1}, Parts: 1, Length: 40 * time.Second, Calm: 14 * time.Second, Keys: 3,
+		Writes: 250 * time.Millisecond, Reads: 60 * time.Millisecond, Drift: 0.02,
+		Faults: map[string]float64{"kill": 2, "all": 0.15, "wipe": 0.4, "cut": 1.5, "oneway": 1, "alone": 1, "freeze": 2, "slow": 1, "stall": 0.5, "ackkill": 1}}
+}
+
+// Scenarios are the runs of a sweep.
+//
+// Example: for name, make := range sim.Scenarios { sim.Run(make(seed)) }
+var Scenarios = map[string]func(int64) Options{
+	"storm":   Default,
+	"kills":   only(map[string]float64{"kill": 6, "all": 0.7, "ackkill": 6}),
+	"disks":   only(map[string]float64{"wipe": 1, "ackkill": 3, "slow": 4, "stall": 2, "kill": 1}),
+	"cuts":    only(map[string]float64{"cut": 3, "oneway": 3, "alone": 4}),
+	"freezes": only(map[string]float64{"freeze": 12, "kill": 1}),
+	"rangsit": func(seed int64) Options {
+		o := Default(seed)
+		o.Cells, o.Reads = []int{4, 3, 3}, 100*time.Millisecond
+		return o
+	},
+	"traffic": calls([]int{4, 3, 3}, []int{7, 5}, map[string]float64{"kill": 2, "freeze": 1, "cut": 0.7, "oneway": 0.5, "alone": 0.7, "wipe": 0.3, "stall": 0.5, "ackkill": 1,
+		"crash": 2, "dark": 1, "lapse": 1, "cross": 1, "break": 2, "skip": 1, "twice": 1, "sluggish": 1, "link": 1, "roll": 1, "crowd": 1, "swing": 1}),
+	"servers": calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"crash": 4, "dark": 2, "lapse": 2, "cross": 3, "break": 4, "skip": 2, "twice": 2, "sluggish": 2, "link": 2, "roll": 2, "crowd": 1}),
+	"cells":   calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"cell": 1, "kill": 1, "freeze": 1, "crowd": 1, "swing": 1}),
+	"reboot":  calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"all": 1.5, "kill": 4, "ackkill": 3, "freeze": 3}),
+	// All three core machines are exchanged, one after another, while the
+	// usual trouble goes on.
+	"swaps": func(seed int64) Options {
+		o := Default(seed)
+		o.Length, o.Calm, o.Writes, o.Reads = 130*time.Second, 34*time.Second, time.Second, 250*time.Millisecond
+		o.Faults = map[string]float64{"kill": 1, "freeze": 2, "alone": 0.5, "slow": 1}
+		o.Swaps = []time.Duration{10 * time.Second, 45 * time.Second, 80 * time.Second}
+		return o
+	},
+}
+
+// calls is a whole fleet with servers, requesters, operators and a platform.
+func calls(cells []int, servers []int, f map[string]float64) func(int64) Options {
+	return func(seed int64) Options {
+		return Options{Seed: seed, Cells: cells, Parts: 2, Length: 56 * time.Second, Calm: 24 * time.Second, Keys: 1, Writes: time.Second, Reads: 250 * time.Millisecond, Drift: 0.02,
+			Calls: 45 * time.Millisecond, Servers: servers, Orders: time.Second, Faults: f}
+	}
+}
+
+func only(f map[string]float64) func(int64) Options {
+	return func(seed int64) Options {
+		o := Default(seed)
+		o.Faults = f
+		return o
+	}
+}
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -2,19 +2,20 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
-func sweep(t *testing.T, name string, from, to int64) (yes, reads int) {
+func sweep(t *testing.T, name string, from, to int64) (yes, reads, ok, taken int) {
 	t.Helper()
 	for seed := from; seed <= to; seed++ {
 		r := Run(Scenarios[name](seed))
 		for _, b := range r.Broken {
 			t.Errorf("%s seed %d: %s", name, seed, b)
 		}
-		yes, reads = yes+r.Yes, reads+r.Reads
+		yes, reads, ok, taken = yes+r.Yes, reads+r.Reads, ok+r.Results["ok"], taken+r.Plans["taken"]
 	}
-	return yes, reads
+	return yes, reads, ok, taken
 }
 
 func TestRulesHoldOverSeeds(t *testing.T) {
@@ -22,35 +23,61 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			n := int64(12)
-			if name == "swaps" {
+			o := Scenarios[name](1)
+			if name == "swaps" || o.Calls > 0 {
 				n = 4
 			}
-			yes, reads := sweep(t, name, 1, n)
-			if yes < 20*int(n) || reads < 300*int(n) {
+			yes, reads, ok, taken := sweep(t, name, 1, n)
+			if o.Calls > 0 {
+				if ok < 150*int(n) || taken < 4*int(n) {
+					t.Errorf("too little happened: %d whole replies, %d plans taken", ok, taken)
+				}
+			} else if yes < 20*int(n) || reads < 300*int(n) {
 				t.Errorf("too little happened: %d writes in force, %d reads", yes, reads)
 			}
 		})
 	}
 }
 
-// Each sabotage breaks one thing that safety rests on; the checker must see it.
-func TestCheckerCatchesSabotage(t *testing.T) {
-	for what, name := range map[string]string{
-		"nosync":     "kills",   // says saved before it is on disk
-		"ackpurge":   "cuts",    // a purge is acknowledged and never done
-		"drift":      "freezes", // clocks run further apart than the bound
-		"nowait":     "cuts",    // a granter doesn't wait a lease out
-		"nowaitvote": "kills",   // a restarted voter promises at once
-		"standstill": "freezes", // the clock stops while its machine is suspended
+// Each sabotage breaks one thing that safety rests on; the rule that it breaks
+// must be seen broken.
+func TestEachSabotageIsCaught(t *testing.T) {
+	for what, x := range map[string]struct{ scenario, rule string }{
+		"nosync":       {"kills", "without"},         // says saved before it is on disk
+		"ackpurge":     {"cuts", "without"},          // a purge is acknowledged and never done
+		"drift":        {"freezes", ""},              // clocks run further apart than the bound
+		"nowait":       {"cuts", ""},                 // a granter doesn't wait a lease out
+		"nowaitvote":   {"kills", ""},                // a restarted voter promises at once
+		"standstill":   {"freezes", ""},              // the clock stops while its machine is suspended
+		"double":       {"servers", "once:"},         // a decode goes to two makers
+		"noclaim":      {"servers", "once:"},         // a once key is not claimed first
+		"lostisshed":   {"servers", "refused:"},      // a decode that was lost is taken for turned away
+		"nofit":        {"servers", "foreign:"},      // any handle that comes back is believed
+		"nocount":      {"servers", "stream:"},       // pieces are renumbered until they fit
+		"splice":       {"servers", "stream:"},       // another run goes on where one broke
+		"fakeend":      {"servers", "whole:"},        // a broken stream gets an end piece
+		"stale":        {"servers", "leaving:"},      // records are believed for ever: leaving servers
+		"evacuatelate": {"servers", "evacuated:"},    // the same with evacuated cells
+		"lapsed":       {"traffic", "plan-late:"},    // leases are never looked at
+		"fallback":     {"servers", "plan-back:"},    // a daemon goes back to the plan before
+		"nobase":       {"servers", "plan-race:"},    // a plan's base is not looked at
+		"sayno":        {"servers", "plan-refused:"}, // a plan is refused and written all the same
+		"noretrybound": {"servers", "retries:"},      // retries know no bound
+		"noramp":       {"servers", "flood:"},        // a server that starts gets its whole share
+		"noswap":       {"reboot", "holders:"},       // a new holder orders at once
+		"noafter":      {"servers", "told:"},         // nobody is told when to come back
+		"lateback":     {"servers", "recovery:"},     // servers take 14 s longer to come back
 	} {
 		t.Run(what, func(t *testing.T) {
 			t.Parallel()
 			for seed := int64(1); seed <= 60; seed++ {
-				o := Scenarios[name](seed)
+				o := Scenarios[x.scenario](seed)
 				o.Sabotage = what
 				for _, b := range Run(o).Broken {
-					t.Logf("seed %d: %s", seed, b)
-					return
+					if strings.Contains(b, x.rule) {
+						t.Logf("%s seed %d: %s", x.scenario, seed, b)
+						return
+					}
 				}
 			}
 			t.Errorf("60 seeds and nothing seen")
@@ -59,8 +86,10 @@
 }
 
 func TestSameSeedSameRun(t *testing.T) {
-	a, b := Run(Default(3)), Run(Default(3))
-	if fmt.Sprint(a.History) != fmt.Sprint(b.History) {
-		t.Error("two runs of one seed differ")
+	for _, name := range []string{"storm", "traffic"} {
+		a, b := Run(Scenarios[name](3)), Run(Scenarios[name](3))
+		if fmt.Sprint(a.History) != fmt.Sprint(b.History) || fmt.Sprint(a.Journal) != fmt.Sprint(b.Journal) {
+			t.Errorf("%s: two runs of one seed differ", name)
+		}
 	}
 }
--- /dev/null
+++ b/proof/sim/traffic.go
@@ -0,0 +1,336 @@
+package sim
+
+import (
+	"time"
+
+	"mulleinmast/control/errand"
+	"mulleinmast/control/interlock"
+	"mulleinmast/control/master"
+	"mulleinmast/control/tariff"
+	"mulleinmast/traffic/desk"
+	"mulleinmast/traffic/dispatch"
+	"mulleinmast/traffic/yard"
+	"mulleinmast/wire/form"
+)
+
+// The daemon's side of traffic: what traffic/desk and control/cabin do over
+// HTTP is done here over simulated calls, with the same machines.
+
+type lane struct {
+	*dispatch.Lane
+	part   int
+	asking bool
+	pins   map[string]bool
+}
+
+// ride is a trip's connections.
+type ride struct {
+	n     *node
+	l     *lane
+	req   dispatch.Request
+	c     *caller
+	calls map[int]*call
+	last  time.Duration // when the last thing sent to the caller lands
+}
+
+// call is one connection to a server.
+type call struct {
+	shut bool          // the daemon closed it
+	last time.Duration // when the last thing sent back lands
+}
+
+// works is the holders' config, sabotaged or not.
+func (w *world) works() interlock.Config {
+	c := w.cfg.Works()
+	switch w.o.Sabotage {
+	case "noramp":
+		c.Warm = time.Millisecond
+	case "noswap":
+		c.Swap = 0
+	}
+	return c
+}
+
+// source reads as traffic does, under valid leases.
+func (n *node) source(part int, key string) (form.Rec, bool) {
+	r, ok := n.sec(part).Node.Get(n.local(), key)
+	switch n.w.o.Sabotage {
+	case "stale", "evacuatelate", "fallback":
+		// What was read once is believed for ever: of the servers, of the cells,
+		// and now and then of the plan.
+		old, had := n.past[key]
+		if had && !old.Dead && (n.w.o.Sabotage == "stale" && part > 0 || n.w.o.Sabotage == "evacuatelate" && (part > 0 || key == tariff.CellKey) ||
+			n.w.o.Sabotage == "fallback" && key == tariff.PlanKey && n.w.rng.Intn(4) == 0) {
+			return old, true
+		}
+		if had && !old.Dead && n.w.o.Sabotage == "fallback" {
+			return r, ok
+		}
+	case "lapsed": // leases are never looked at
+		if old, had := n.past[key]; !ok && had {
+			return old, true
+		}
+	}
+	if ok {
+		n.past[key] = r
+	}
+	return r, ok
+}
+
+// errands carries out what a step of the calls to owners asks for.
+func (n *node) errands(o errand.Out) {
+	for _, m := range o.Sends {
+		n.send(m)
+	}
+	for _, d := range o.Done {
+		if f := n.asks[d.No]; f != nil {
+			delete(n.asks, d.No)
+			f(d)
+		}
+	}
+}
+
+// ask calls the owner of a part.
+func (n *node) ask(part int, op string, body []byte, budget time.Duration, then func(errand.Done)) {
+	now := n.local()
+	no, o := n.runs.Start(now, n.view.Owns[part].Seat, part, op, body, now+budget, op == "want")
+	if then != nil {
+		n.asks[no] = then
+	}
+	n.errands(o)
+}
+
+func (n *node) lane(svc string) *lane {
+	if l := n.lanes[svc]; l != nil {
+		return l
+	}
+	cfg := desk.Config(n.w.cfg)
+	if n.w.o.Sabotage == "noretrybound" {
+		cfg.Retry, cfg.Most = 100, 20
+	}
+	if n.w.o.Sabotage == "noafter" {
+		cfg.Back, cfg.Queue.Floor = 0, 0
+	}
+	p := tariff.PartOf(svc, n.w.o.Parts)
+	l := &lane{part: p, pins: map[string]bool{}}
+	l.Lane = dispatch.New(cfg, svc, p, n.source, func() uint64 { return n.view.Owns[p].Num })
+	n.lanes[svc] = l
+	n.beat(l)
+	return l
+}
+
+// beat keeps a lane's share fresh and its queue moving.
+func (n *node) beat(l *lane) {
+	n.do(l, l.Tick(n.local()))
+	for _, k := range l.Keys() {
+		if !l.pins[k] {
+			l.pins[k] = true
+			n.carry(l.part, n.parts[l.part].Pin(n.local(), k))
+		}
+	}
+	n.want(l)
+	n.in(n.w.works().Share/8, func() { n.beat(l) })
+}
+
+func (n *node) want(l *lane) {
+	if l.asking {
+		return
+	}
+	l.asking = true
+	at := n.local()
+	n.ask(l.part, "want", errand.Pack(l.Want()), n.w.works().Share/4, func(d errand.Done) {
+		l.asking = false
+		if sh, ok := share(d); ok {
+			if s := n.w.o.Sabotage; s == "stale" || s == "evacuatelate" { // no slot is ever given back
+				for a, k := range l.Report().Share {
+					sh.Slots[a] = max(sh.Slots[a], k)
+				}
+			}
+			n.do(l, l.Shared(n.local(), sh, at))
+		}
+	})
+}
+
+// do carries out what a lane asks for.
+func (n *node) do(l *lane, o dispatch.Out) {
+	for _, a := range o.Acts {
+		r := n.rides[a.Trip]
+		body := errand.Pack(master.ClaimCall{Key: a.Key, Claim: errand.Claim{Request: a.Trip, Daemon: n.addr, State: a.State}})
+		if a.Kind == dispatch.Settle {
+			n.ask(l.part, "unclaim", body, n.w.cfg.Bounds.Recover, nil)
+			continue
+		}
+		if r == nil {
+			continue
+		}
+		switch a.Kind {
+		case dispatch.Claim:
+			if n.w.o.Sabotage == "noclaim" {
+				n.in(0, func() { n.do(l, l.Claimed(n.local(), a.Trip, 200, nil)) })
+				continue
+			}
+			n.ask(l.part, "claim", body, min(n.w.cfg.Bounds.Plan, r.req.Due-n.local()), func(d errand.Done) {
+				n.do(l, l.Claimed(n.local(), a.Trip, d.Code, d.Body))
+			})
+		case dispatch.Prefill, dispatch.Decode:
+			n.call(r, a)
+		case dispatch.Cut:
+			if c := r.calls[a.No]; c != nil {
+				c.shut = true
+			}
+		case dispatch.Pass:
+			r.pass(a.Piece)
+		case dispatch.Reply:
+			delete(n.rides, a.Trip)
+			r.reply(a.End)
+		}
+	}
+	if o.Kick {
+		n.in(0, func() { n.want(l) })
+	}
+}
+
+// call dials a server, looks a last time, and sends.
+func (n *node) call(r *ride, a dispatch.Act) {
+	w := n.w
+	d := w.depots[a.Addr]
+	c := &call{}
+	r.calls[a.No] = c
+	dial := w.lag()
+	if w.rng.Intn(20) == 0 {
+		dial += w.exp(150 * time.Millisecond)
+	}
+	n.in(dial, func() {
+		switch {
+		case c.shut:
+		case !d.up:
+			n.outcome(r, a, c, yard.NotSent, "no connection")
+		case d.dark: // no word, ever
+		case !r.l.Standing(n.local(), a) && w.o.Sabotage != "nolook":
+			n.outcome(r, a, c, yard.Barred, "")
+		case a.Kind == dispatch.Prefill:
+			w.at(w.lag(), func() { d.prefill(n.line(r, a, c), a.Read) })
+		default:
+			w.at(w.lag(), func() { d.decode(n.line(r, a, c), a.Make) })
+			if w.o.Sabotage == "double" { // sent to a second maker as well
+				if b := d.twin(); b != nil {
+					w.at(w.lag(), func() { b.decode(n.line(r, a, &call{shut: true}), a.Make) })
+				}
+			}
+		}
+	})
+}
+
+// outcome gives the lane the end of a call.
+func (n *node) outcome(r *ride, a dispatch.Act, c *call, out yard.Outcome, why string) {
+	if c.shut {
+		return
+	}
+	c.shut = true
+	if n.w.o.Sabotage == "lostisshed" && out == yard.Lost {
+		out = yard.Shed
+	}
+	if a.Kind == dispatch.Prefill {
+		n.do(r.l, r.l.Handed(n.local(), a.Trip, a.No, yard.Handle{}, out, why))
+		return
+	}
+	n.do(r.l, r.l.Made(n.local(), a.Trip, a.No, out, why))
+}
+
+// line is a server's end of a connection: what it sends back lands in order at
+// this life of the daemon.
+type line struct {
+	n    *node
+	life int
+	r    *ride
+	a    dispatch.Act
+	c    *call
+}
+
+func (n *node) line(r *ride, a dispatch.Act, c *call) *line { return &line{n, n.life, r, a, c} }
+
+// open tells whether the daemon still listens.
+func (l *line) open() bool { return !l.c.shut && l.n.up && l.n.life == l.life }
+
+func (l *line) back(f func()) {
+	w := l.n.w
+	at := max(w.now+w.lag(), l.c.last+1)
+	l.c.last = at
+	life := l.life
+	w.at(at-w.now, func() {
+		if l.n.life == life {
+			l.n.in(0, func() {
+				if !l.c.shut {
+					f()
+				}
+			})
+		}
+	})
+}
+
+func (l *line) end(out yard.Outcome, why string) {
+	l.back(func() { l.n.outcome(l.r, l.a, l.c, out, why) })
+}
+
+func (l *line) handle(h yard.Handle) {
+	l.back(func() {
+		l.c.shut = true
+		if l.n.w.o.Sabotage == "nofit" { // whatever handle comes back is believed
+			h.Request, h.Attempt, h.Reader, h.Ver = l.a.Trip, l.a.No, l.a.Addr, l.a.Read.Ver
+		}
+		l.n.do(l.r.l, l.r.l.Handed(l.n.local(), l.a.Trip, l.a.No, h, yard.OK, ""))
+	})
+}
+
+func (l *line) piece(p yard.Piece, seen *int) {
+	l.back(func() {
+		if l.n.w.o.Sabotage == "nocount" { // numbers are made to fit
+			p.N = *seen
+			if p.End {
+				p.Count = *seen
+			}
+		}
+		*seen++
+		l.n.do(l.r.l, l.r.l.Piece(l.n.local(), l.a.Trip, l.a.No, p))
+	})
+}
+
+// poll and order speak to a server as the owner does.
+func (n *node) poll(m *master.Master, term uint64, key string) {
+	w := n.w
+	d := w.depots[addrOf(key)]
+	told := func(u interlock.Usage, ok bool) { m.Polled(n.local(), term, key, u, ok) }
+	life := n.life
+	w.at(w.lag(), func() {
+		if d == nil || !d.up || d.dark {
+			n.in(2*w.works().Poll, func() { told(interlock.Usage{}, false) })
+			return
+		}
+		u := d.usage()
+		w.at(w.lag(), func() {
+			if n.life == life {
+				n.in(0, func() { told(u, true) })
+			}
+		})
+	})
+}
+
+func (n *node) order(m *master.Master, ord interlock.Order) {
+	w := n.w
+	d := w.depots[ord.Addr]
+	n.in(w.lag(), func() {
+		if d == nil || !d.up || d.dark || !m.MayOrder(n.local(), ord.Term) && w.o.Sabotage != "noswap" {
+			m.Ordered(n.local(), ord, false)
+			return
+		}
+		life := n.life
+		w.at(w.lag(), func() {
+			ok := d.ordered(n.ident, ord)
+			w.at(w.lag(), func() {
+				if n.life == life {
+					n.in(0, func() { m.Ordered(n.local(), ord, ok) })
+				}
+			})
+		})
+	})
+}
--- /dev/null
+++ b/proof/sim/write.go
@@ -0,0 +1,56 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"mulleinmast/control/purge"
+	"mulleinmast/control/section"
+	"mulleinmast/wire/form"
+)
+
+// write asks some daemon that takes itself for the owner to append a tag.
+func (w *world) write() {
+	if !w.calm {
+		w.at(w.exp(w.o.Writes), w.write)
+	}
+	p, k := w.rng.Intn(w.o.Parts+1), key(w.rng.Intn(w.o.Keys))
+	var own []*node
+	for _, n := range w.nodes {
+		if n.up && n.frozen <= w.now && n.parts[p].Owner(n.local()) {
+			own = append(own, n)
+		}
+	}
+	if len(own) > 0 {
+		w.ask(own[w.rng.Intn(len(own))], p, k)
+	}
+}
+
+func (w *world) ask(n *node, p int, k string) {
+	w.tags++
+	tag, at := fmt.Sprintf("w%d", w.tags), w.now
+	name := fmt.Sprintf("%d/%s", p, k)
+	w.note(Event{Kind: Asked, Node: n.name, Part: p, Key: name, Tag: tag})
+	then := func(r section.Result) {
+		e := Event{Node: n.name, Part: p, Key: name, Tag: tag}
+		switch r.Fate {
+		case section.Done:
+			e.Kind = Yes
+			w.res.Yes++
+			w.res.Waits = append(w.res.Waits, w.now-at)
+			if !w.calm && w.rng.Float64() < w.o.Faults["ackkill"]/40 {
+				w.fault("ackkill", n)
+			}
+		case section.NotOwner, section.Unchanged:
+			e.Kind = Never
+			w.res.Never++
+		default:
+			e.Kind = Maybe
+			w.res.Maybe++
+		}
+		w.note(e)
+	}
+	n.carry(p, n.parts[p].Do(n.local(), section.Job{Keys: []string{k}, Make: func(read purge.Source) ([]form.Rec, any) {
+		val, _ := json.Marshal(append(tags(read(k)), tag))
+		return []form.Rec{{Key: k, Val: val}}, nil
+	}}, then))
+}
--- /dev/null
+++ b/traffic/dispatch/sheet.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"mulleinmast/control/tariff"
+	"mulleinmast/traffic/yard"
+	"mulleinmast/wire/form"
+)
+
+// Sheet is a plan made ready for look-ups.
+type Sheet struct {
+	Ver     form.Ver
+	plan    uint64
+	tenants map[string]tariff.Tenant
+	out     map[string]map[string]bool // service -> servers that it excludes
+}
+
+// NewSheet reads the plan in force; do it once a version.
+//
+// Example: s := dispatch.NewSheet(rec)
+func NewSheet(rec form.Rec) *Sheet {
+	p := tariff.Open(rec)
+	s := &Sheet{Ver: rec.Ver, plan: p.Version, tenants: map[string]tariff.Tenant{}, out: map[string]map[string]bool{}}
+	for _, t := range p.Tenants {
+		s.tenants[t.Name] = t
+	}
+	for _, v := range p.Services {
+		s.out[v.Name] = map[string]bool{}
+		for _, a := range v.Exclude {
+			s.out[v.Name][a] = true
+		}
+	}
+	return s
+}
+
+// Asked is what a requester sends.
+type Asked struct {
+	Model  string      `json:"model"`
+	Tenant string      `json:"tenant"`
+	Parts  []yard.Part `json:"parts"`
+	Tokens int         `json:"tokens"`
+	Once   string      `json:"once,omitempty"`
+	Budget *int64      `json:"budget_ms,omitempty"`
+}
+
+// Admit checks a request against the plan; code is 0 if it may go on.
+//
+// Example: req, code, why := sheet.Admit(asked, id, now)
+func (s *Sheet) Admit(q Asked, id string, now time.Duration) (r Request, code int, why string) {
+	ten, ok := s.tenants[q.Tenant]
+	if !ok {
+		return r, 403, fmt.Sprintf("tenant: %q isn't in the plan (version %d)", q.Tenant, s.plan)
+	}
+	if _, ok := s.out[q.Model]; !ok {
+		return r, 404, fmt.Sprintf("model: %q isn't in the plan (version %d)", q.Model, s.plan)
+	}
+	if len(ten.Services) > 0 && !slices.Contains(ten.Services, q.Model) {
+		return r, 403, fmt.Sprintf("model: tenant %q may not use %q", q.Tenant, q.Model)
+	}
+	budget := time.Duration(ten.Budget) * time.Millisecond
+	if q.Budget != nil {
+		budget = time.Duration(*q.Budget) * time.Millisecond
+	}
+	if q.Tokens == 0 {
+		q.Tokens = 16
+	}
+	return Request{ID: id, Tenant: q.Tenant, Model: q.Model, Prio: ten.Priority, Part: ten.Queue, Due: now + budget, Tokens: q.Tokens, Once: q.Once, Parts: q.Parts}, 0, ""
+}
--- a/traffic/slots/slots.go
+++ b/traffic/slots/slots.go
@@ -19,13 +19,13 @@
 
 // Wait is one request in the queue.
 type Wait struct {
+	ID     string
 	Side   Side
 	Prio   int
 	Tenant string
 	Due    time.Duration // its budget ends
 	Pick   func(free []string) string
 	Like   string // the server it hopes for
-	Reply  chan Ticket
 
 	no uint64
 	at time.Duration
@@ -33,6 +33,7 @@
 
 // Ticket is a slot, or the word that there will be none.
 type Ticket struct {
+	ID    string
 	Addr  string
 	Shed  bool
 	Why   string
@@ -50,6 +51,7 @@
 type Queue struct {
 	cfg          Config
 	list         []*Wait
+	out          []Ticket // decided and not yet fetched
 	no           uint64
 	share        map[string]int
 	till         time.Duration
@@ -81,12 +83,24 @@
 	return a.no < b.no
 }
 
-// Put queues a request, or sheds it or a less urgent one.
+// Tickets fetches what was decided since it was last asked.
+//
+// Example: for _, k := range q.Tickets() { send(k) }
+func (q *Queue) Tickets() []Ticket {
+	out := q.out
+	q.out = nil
+	return out
+}
+
+// Put queues a request, or sheds it or a less urgent one. One that comes
+// again keeps its place.
 //
 // Example: q.Put(now, w, 0.5)
 func (q *Queue) Put(now time.Duration, w *Wait, part float64) {
-	q.no++
-	w.no, w.at = q.no, now
+	if w.no == 0 {
+		q.no++
+		w.no, w.at = q.no, now
+	}
 	same, ahead := 0, 0
 	for _, o := range q.list {
 		if o.Tenant == w.Tenant {
@@ -122,7 +136,7 @@
 
 func (q *Queue) shed(now time.Duration, w *Wait, why string, ahead int) {
 	q.Sheds++
-	w.Reply <- Ticket{Shed: true, Why: why, After: q.After(w.Side, ahead)}
+	q.out = append(q.out, Ticket{ID: w.ID, Shed: true, Why: why, After: q.After(w.Side, ahead)})
 }
 
 // After is when to come back, from the queue and its pace.
@@ -209,7 +223,7 @@
 		q.pace[w.Side] -= q.pace[w.Side] / 8
 	}
 	q.last[w.Side] = now
-	w.Reply <- Ticket{Addr: addr}
+	q.out = append(q.out, Ticket{ID: w.ID, Addr: addr})
 }
 
 // Done gives a slot back.
@@ -252,10 +266,19 @@
 	Pace       [2]time.Duration
 }
 
-// Report counts what waits and what is in flight.
+// Report counts what waits and what is in flight; the failures are told once.
 //
 // Example: r := q.Report()
 func (q *Queue) Report() Report {
+	r := q.Peek()
+	q.fails = map[string]int{}
+	return r
+}
+
+// Peek is a Report that leaves everything as it is.
+//
+// Example: q.Peek().Waiting
+func (q *Queue) Peek() Report {
 	r := Report{Read: q.prios[Read], Make: q.prios[Make], Held: map[string]int{}, Fails: q.fails, Like: map[string]int{}, Waiting: len(q.list), Share: q.share, Pace: q.pace}
 	for a, n := range q.held {
 		r.Held[a] = n
@@ -270,6 +293,5 @@
 			r.Make[w.Prio]++
 		}
 	}
-	q.fails = map[string]int{}
 	return r
 }
--- a/traffic/waybill/waybill.go
+++ b/traffic/waybill/waybill.go
@@ -2,6 +2,8 @@
 // of it. The next move is a pure function of the ledger.
 package waybill
 
+import "time"
+
 // Known is what is known of an attempt.
 type Known uint8
 
@@ -178,25 +180,77 @@
 	return Refuse
 }
 
-// Bucket bounds retries to a fraction of first tries, with a small cap and
-// nothing to begin with.
+// Undo takes the last attempt back: nothing went out, so it was none.
+//
+// Example: if out == yard.Barred { l.Undo() }
+func (l *Ledger) Undo() { l.Attempts = l.Attempts[:len(l.Attempts)-1] }
+
+// steps is how finely a Bucket tells time within its window.
+const steps = 16
+
+// Bucket bounds retries to a fraction of first tries in every window, so that
+// what quiet times earned can't be spent in one failure. A sum of buckets
+// keeps the bound that each of them keeps.
 type Bucket struct {
-	Rate, Cap float64
-	has       float64
+	Rate   float64
+	Window time.Duration
+	ring   [steps + 2]struct {
+		no           int64
+		first, again int
+	}
+}
+
+func (b *Bucket) at(now time.Duration) *struct {
+	no           int64
+	first, again int
+} {
+	no := int64(now / (b.Window / steps))
+	s := &b.ring[no%int64(len(b.ring))]
+	if s.no != no {
+		s.no, s.first, s.again = no, 0, 0
+	}
+	return s
 }
 
 // Earn counts a first try.
 //
-// Example: b.Earn()
-func (b *Bucket) Earn() { b.has = min(b.Cap, b.has+b.Rate) }
+// Example: b.Earn(now)
+func (b *Bucket) Earn(now time.Duration) { b.at(now).first++ }
+
+// Has tells whether a retry may be made now. First tries count over a little
+// less than the window, retries over a little more.
+//
+// Example: if !b.Has(now) { giveUp() }
+func (b *Bucket) Has(now time.Duration) bool {
+	no := b.at(now).no
+	first, again := 0, 0
+	for _, s := range b.ring {
+		if s.no > no-steps+1 {
+			first += s.first
+		}
+		if s.no > no-steps-2 {
+			again += s.again
+		}
+	}
+	return float64(again+1) <= b.Rate*float64(first)
+}
 
-// Take spends one token if there is one.
+// Take spends a retry if one may be made.
 //
-// Example: if !b.Take() { giveUp() }
-func (b *Bucket) Take() bool {
-	if b.has < 1 {
+// Example: if !b.Take(now) { giveUp() }
+func (b *Bucket) Take(now time.Duration) bool {
+	if !b.Has(now) {
 		return false
 	}
-	b.has--
+	b.at(now).again++
 	return true
 }
+
+// Give returns a retry that was taken and not made.
+//
+// Example: b.Give(now)
+func (b *Bucket) Give(now time.Duration) {
+	if s := b.at(now); s.again > 0 {
+		s.again--
+	}
+}
--- a/traffic/waybill/waybill_test.go
+++ b/traffic/waybill/waybill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -70,19 +71,34 @@
 	})
 }
 
-func TestBucketBoundsRetries(t *testing.T) {
+// In every window, wherever it ends, retries stay within the fraction; what
+// quiet times earned is not spent in one failure.
+func TestBucketBoundsRetriesInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := Bucket{Rate: 0.2, Cap: 10}
-		first, again := 0, 0
-		for i := 0; i < 300; i++ {
-			if rapid.Bool().Draw(t, "first") {
-				b.Earn()
-				first++
-			} else if b.Take() {
-				again++
+		b := Bucket{Rate: 0.2, Window: 16 * time.Second}
+		var first, again []time.Duration
+		now := 30 * time.Second
+		for i := 0; i < 400; i++ {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 2).Draw(t, "first") > 0 {
+				b.Earn(now)
+				first = append(first, now)
+				continue
 			}
-			if float64(again) > 0.2*float64(first)+1e-9 {
-				t.Fatalf("%d retries over %d first tries", again, first)
+			if !b.Take(now) {
+				continue
+			}
+			again = append(again, now)
+			count := func(list []time.Duration) (n int) {
+				for _, at := range list {
+					if at > now-b.Window {
+						n++
+					}
+				}
+				return n
+			}
+			if float64(count(again)) > 0.2*float64(count(first))+1e-9 {
+				t.Fatalf("%d retries over %d first tries in the window that ends at %v", count(again), count(first), now)
 			}
 		}
 	})
