Copies of one group are compared in the background and mended from the newer

Cause: a seat that restarted with a spoilt or missing record under the present ballot was never compared again; only a change of owner looked. Now: every eighth duty lease an owner without writes under way sends digests (now over values too); a seat whose copy differs is sent what differs, newer wins; a seat that has newer than the owner makes it give up its duty. Never a vote, never above the ballot. Every simulated scenario checks at its end that copies are equal.

--- a/control/interlock/interlock_test.go
+++ b/control/interlock/interlock_test.go
@@ -227,3 +227,45 @@
 		}
 	}
 }
+
+// A server that was killed and is back between two polls is a new one, even if
+// it is up for longer than it was when last seen; and a new holder sees that a
+// server which its record calls up is warming.
+func TestANewLifeIsSeen(t *testing.T) {
+	h, l := fleet(2)
+	berths := map[string]Berth{}
+	drive(h, l, 0, 12*time.Second, berths, idle)
+	key := tariff.BerthKey("m", l.Servers[0].Addr)
+	if berths[key].Status != Up {
+		t.Fatalf("not up: %+v", berths[key])
+	}
+	now := 12 * time.Second
+	again := New(cfg, 2, now)
+	again.Plan(tariff.Plan{Services: []tariff.Service{{Name: "m", Readers: 1, Makers: 1}}}, nil)
+	again.Load(now, "m", l, map[string]Berth{key: berths[key]})
+	again.Tick(now)
+	again.Polled(now, key, Usage{Uptime: 100}, true)
+	now += 900 * time.Millisecond // killed, and back for longer than the 100 ms seen last
+	again.Tick(now)
+	again.Polled(now, key, Usage{Uptime: 500}, true)
+	if s := again.servers[key]; !s.anew || again.total(now, s) != 0 {
+		t.Error("a new life was taken for the old one")
+	}
+	next := New(cfg, 2, now)
+	next.Plan(tariff.Plan{Services: []tariff.Service{{Name: "m", Readers: 1, Makers: 1}}}, nil)
+	b := berths[key]
+	b.Status = Up
+	next.Load(now, "m", l, map[string]Berth{key: b})
+	slots := func() int {
+		var w Want
+		w.Service, w.Read[0], w.Make[0] = "m", 99, 99
+		return next.Asked(now, "d", w, time.Second).Slots[l.Servers[0].Addr]
+	}
+	if n := slots(); n > 0 {
+		t.Errorf("%d slots on a server that this holder has not seen yet", n)
+	}
+	next.Polled(now, key, Usage{Uptime: 1000, Warming: true}, true)
+	if n := slots(); n < 1 || n > 2 {
+		t.Errorf("%d slots of 8 on a server that is up for a second", n)
+	}
+}
--- /dev/null
+++ b/control/interlock/parts.go
@@ -0,0 +1,179 @@
+package interlock
+
+import (
+	"fmt"
+	"time"
+)
+
+// mayOrder: a new holder waits until the older one surely stopped.
+func (h *Holder) mayOrder(now time.Duration) bool { return now-h.since >= h.cfg.Swap }
+
+func (h *Holder) order(now time.Duration, key string, s *server, part, why string, o *Out) {
+	if !h.mayOrder(now) || s.ordering || now-s.orderAt < h.cfg.Poll {
+		return
+	}
+	h.no++
+	s.ordering, s.orderAt = true, now
+	o.Orders = append(o.Orders, Order{Addr: s.Addr, Part: part, Term: h.term, No: h.no, Why: why})
+	o.Notes = append(o.Notes, fmt.Sprintf("%s %s: ordered to be %s (%s)", s.svc, s.Addr, part, why))
+}
+
+// OrderKey finds the berth key an order is for.
+//
+// Example: key := h.OrderKey(order)
+func (h *Holder) OrderKey(a string) string {
+	for k, s := range h.servers {
+		if s.Addr == a {
+			return k
+		}
+	}
+	return ""
+}
+
+// Ordered takes a server's reply to an order.
+//
+// Example: h.Ordered(now, key, order, true)
+func (h *Holder) Ordered(now time.Duration, key string, o Order, ok bool) {
+	if s := h.servers[key]; s != nil {
+		s.ordering = false
+		if ok {
+			s.ordered = o.Part
+		}
+	}
+}
+
+// parts gives new servers a part and shifts servers between the sides.
+func (h *Holder) parts(now time.Duration, svc string, keys []string, o *Out) {
+	count := map[string]int{}
+	busy := map[string]float64{}
+	moving := false
+	for _, key := range keys {
+		s := h.servers[key]
+		if !s.listed {
+			continue
+		}
+		part := s.Part
+		if s.To != "" {
+			moving = true
+			part = s.To
+		}
+		if part != "" && s.Status != Dark && !s.leaving() {
+			count[part]++
+			busy[part] += s.busy
+		}
+	}
+	for _, key := range keys {
+		s := h.servers[key]
+		if !s.listed || s.writing || s.fails > 0 && s.Part == "" {
+			continue
+		}
+		switch {
+		case s.Part == "": // new: order first, then write
+			if !s.seen || s.leaving() {
+				continue
+			}
+			if s.ordered == "" {
+				to := Reader
+				if count[Reader] > count[Maker] {
+					to = Maker
+				}
+				count[to]++
+				h.order(now, key, s, to, "new", o)
+			} else {
+				s.warmAt = now
+				h.write(o, key, s, Berth{Addr: s.Addr, Cell: s.Cell, Cap: s.Cap, Part: s.ordered, Status: Warming}, "took its first order")
+			}
+		case s.To != "": // leaving its part; the purge is complete
+			if s.ordered == s.To {
+				b := s.Berth
+				b.Part, b.To, b.Status, b.Pairs = s.To, "", Warming, nil
+				s.warmAt = now
+				h.write(o, key, s, b, "shifted")
+			} else if s.usage.Active == 0 && h.held(svc, s.Addr) == 0 || now-s.leftAt > h.cfg.Drain {
+				h.order(now, key, s, s.To, "shift", o)
+			}
+		case s.ordered != s.Part && s.fails == 0 && s.seen && !s.anew:
+			// A holder that is new, or a server that is: say it again.
+			h.order(now, key, s, s.Part, "again", o)
+		}
+	}
+	h.shift(now, svc, keys, count, busy, moving, o)
+}
+
+func (h *Holder) held(svc, addr string) int {
+	n := 0
+	for id, d := range h.daemons {
+		if d.want.Service == svc && id != "" {
+			n += d.want.Held[addr]
+		}
+	}
+	return n
+}
+
+// demand is what waits for or holds each side, over all daemons.
+func (h *Holder) demand(svc string) (read, mk int) {
+	for _, d := range h.daemons {
+		if d.want.Service == svc {
+			for p := range d.want.Read {
+				read += d.want.Read[p]
+				mk += d.want.Make[p]
+			}
+		}
+	}
+	return read, mk
+}
+
+// shift moves one server from the side that can spare it to the one that has
+// been short for a whole window; never the last, never below the plan.
+func (h *Holder) shift(now time.Duration, svc string, keys []string, count map[string]int, busy map[string]float64, moving bool, o *Out) {
+	if moving || now-h.moved[svc] < h.cfg.Dwell || now-h.since < h.cfg.Swap {
+		return
+	}
+	caps := map[string]int{}
+	for _, key := range keys {
+		if s := h.servers[key]; s.listed && !s.leaving() && s.Status != Dark {
+			caps[s.Part] += s.Cap
+		}
+	}
+	read, mk := h.demand(svc)
+	need := map[string]float64{Reader: float64(read) / float64(max(1, caps[Reader])), Maker: float64(mk) / float64(max(1, caps[Maker]))}
+	least := map[string]int{Reader: max(1, h.plan[svc].Readers), Maker: max(1, h.plan[svc].Makers)}
+	for _, to := range []string{Reader, Maker} {
+		from := Maker
+		if to == Maker {
+			from = Reader
+		}
+		key := svc + "/" + to
+		spare := count[from] > least[from]
+		under := count[to] < least[to] && count[from] > 1
+		if !(spare && need[to] > h.cfg.High && need[from] < h.cfg.Low || under) {
+			delete(h.short, key)
+			continue
+		}
+		if _, ok := h.short[key]; !ok {
+			h.short[key] = now
+		}
+		if now-h.short[key] < h.cfg.Window && !under {
+			continue
+		}
+		var pick *server
+		at := ""
+		for _, k := range keys {
+			s := h.servers[k]
+			if s.listed && !s.writing && s.Part == from && s.To == "" && s.Status == Up && !s.leaving() && s.ordered == s.Part &&
+				(pick == nil || s.usage.Active < pick.usage.Active) {
+				pick, at = s, k
+			}
+		}
+		if pick == nil {
+			continue
+		}
+		delete(h.short, key)
+		h.moved[svc] = now
+		pick.leftAt = now
+		b := pick.Berth
+		b.To, b.Status, b.Pairs = to, Leaving, nil
+		h.write(o, at, pick, b, fmt.Sprintf("%s side needs %.2f of its slots, %s side %.2f", to, need[to], from, need[from]))
+		return
+	}
+}
--- /dev/null
+++ b/control/interlock/shape.go
@@ -0,0 +1,90 @@
+package interlock
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"mulleinmast/wire/form"
+)
+
+// The parts that a server plays.
+const (
+	Reader = "reader"
+	Maker  = "maker"
+)
+
+// The statuses of a server.
+const (
+	Warming = "warming"
+	Up      = "up"
+	Dark    = "dark"
+	Leaving = "leaving" // it leaves its part: no new work
+)
+
+// Berth is the record of one server.
+type Berth struct {
+	Addr   string   `json:"addr"`
+	Cell   string   `json:"cell"`
+	Cap    int      `json:"cap"`
+	Part   string   `json:"part"`
+	To     string   `json:"to,omitempty"` // the part it shifts to
+	Status string   `json:"status"`
+	Pairs  []string `json:"pairs,omitempty"`
+}
+
+// OpenBerth reads a berth record.
+//
+// Example: b, ok := interlock.OpenBerth(rec)
+func OpenBerth(r form.Rec) (b Berth, ok bool) {
+	if r.Dead || len(r.Val) == 0 {
+		return b, false
+	}
+	if err := json.Unmarshal(r.Val, &b); err != nil {
+		panic(fmt.Sprintf("berth record %q can't be read: %v", r.Key, err))
+	}
+	return b, true
+}
+
+// Usage is what a server reports of itself.
+type Usage struct {
+	Active  int            `json:"active"`
+	Queued  int            `json:"queued"`
+	Uptime  int64          `json:"uptime_ms"`
+	Leaving bool           `json:"leaving"`
+	Warming bool           `json:"warming,omitempty"`  // by its own word still warming up
+	Links   map[string]int `json:"links_ms,omitempty"` // seen when handing KV caches over
+}
+
+// Want is a daemon's report and wish for one service.
+type Want struct {
+	Service string         `json:"s"`
+	Ack     uint64         `json:"a"`
+	Read    [10]int        `json:"r"` // waiting for or holding a reader, by priority
+	Make    [10]int        `json:"m"`
+	Held    map[string]int `json:"h"` // in flight, by server
+	Fails   map[string]int `json:"f,omitempty"`
+	Like    map[string]int `json:"l,omitempty"` // waiting requests whose prefix a reader holds
+}
+
+// Share is the slots a daemon may fill.
+type Share struct {
+	No    uint64         `json:"n"`
+	Len   int64          `json:"t"`
+	Slots map[string]int `json:"s"`
+}
+
+// Order tells a server which part to play.
+type Order struct {
+	Addr string `json:"-"`
+	Part string `json:"part"`
+	Term uint64 `json:"term"`
+	No   uint64 `json:"no"`
+	Why  string `json:"why"`
+}
+
+// Write is a berth to be written; Gone removes it.
+type Write struct {
+	Key  string
+	Val  []byte
+	Gone bool
+}
--- /dev/null
+++ b/control/interlock/status.go
@@ -0,0 +1,98 @@
+package interlock
+
+import (
+	"fmt"
+	"time"
+)
+
+// Polled takes a server's reply to a poll, or its silence.
+//
+// Example: h.Polled(now, key, usage, true)
+func (h *Holder) Polled(now time.Duration, key string, u Usage, ok bool) {
+	s := h.servers[key]
+	if s == nil {
+		return
+	}
+	s.polling = false
+	if !ok {
+		s.fails++
+		return
+	}
+	// It was born between these two moments of our clock. If that is after the
+	// latest that it can have been before, it is another life, however long its
+	// uptime: what it played is gone.
+	up := time.Duration(u.Uptime) * time.Millisecond
+	drift := time.Duration(float64(now-s.bornAt)*h.cfg.Drift) + h.cfg.Margin
+	if s.seen && (u.Uptime < s.usage.Uptime || s.pollAt-up > s.born+drift) {
+		s.anew, s.ordered, s.warmAt = true, "", now
+	}
+	s.born, s.bornAt = now-up, now
+	if s.fails >= h.cfg.Dark {
+		s.warmAt = now
+	}
+	s.fails, s.seen, s.usage = 0, true, u
+	part := float64(h.cfg.Poll) / float64(h.cfg.Window)
+	s.busy += (float64(u.Active)/float64(max(1, s.Cap)) - s.busy) * min(1, part)
+}
+
+// young tells whether a server is warming up, by its own word or its uptime.
+func (h *Holder) young(s *server) bool {
+	return s.seen && (s.usage.Warming || time.Duration(s.usage.Uptime)*time.Millisecond < h.cfg.Warm)
+}
+
+func (h *Holder) poll(now time.Duration, keys []string, o *Out) {
+	for _, key := range keys {
+		s := h.servers[key]
+		if s.listed && !s.polling && now-s.pollAt >= h.cfg.Poll {
+			s.polling, s.pollAt = true, now
+			o.Polls = append(o.Polls, key)
+		}
+	}
+}
+
+// status writes what the polls and the list say, and removes what left.
+func (h *Holder) status(now time.Duration, keys []string, o *Out) {
+	for _, key := range keys {
+		s := h.servers[key]
+		if s.writing {
+			continue
+		}
+		if !s.listed {
+			if s.Part == "" && s.Status == "" {
+				delete(h.servers, key)
+				continue
+			}
+			s.writing = true
+			o.Writes = append(o.Writes, Write{Key: key, Gone: true})
+			o.Notes = append(o.Notes, fmt.Sprintf("%s %s: no longer listed", s.svc, s.Addr))
+			continue
+		}
+		if s.Part == "" {
+			continue
+		}
+		b := s.Berth
+		switch {
+		case (s.anew || s.fails >= h.cfg.Dark) && s.Status != Dark:
+			b.Status, b.To = Dark, ""
+			h.write(o, key, s, b, "polls fail or it started anew")
+		case s.fails == 0 && s.seen && s.Status == Dark && s.ordered == s.Part:
+			s.warmAt = now
+			b.Status = Warming
+			h.write(o, key, s, b, "back")
+		case s.Status == Up && s.To == "" && h.young(s) && !s.leaving(): // an earlier holder left it so
+			s.warmAt = now
+			b.Status = Warming
+			h.write(o, key, s, b, "warms up")
+		case s.leaving() && s.To == "" && (s.Status == Up || s.Status == Warming):
+			b.Status = Leaving
+			h.write(o, key, s, b, "leaving")
+		case !s.leaving() && s.To == "" && s.Status == Leaving:
+			s.warmAt = now
+			b.Status = Warming
+			h.write(o, key, s, b, "stays")
+		case s.Status == Warming && now-s.warmAt >= h.cfg.Warm && s.fails == 0 && s.seen && !h.young(s):
+			b.Status = Up
+			h.write(o, key, s, b, "warm")
+		}
+	}
+}
--- /dev/null
+++ b/control/notary/duty.go
@@ -0,0 +1,106 @@
+package notary
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+func (s *Seat) supported(now time.Duration, n form.Note) {
+	if n.Num == s.num {
+		delete(s.stuck, n.From)
+	}
+	at, ok := s.rounds[n.Ref]
+	if !ok || n.Num != s.num {
+		return
+	}
+	if s.yes[n.Ref] == nil {
+		s.yes[n.Ref] = map[string]bool{}
+	}
+	s.yes[n.Ref][n.From] = true
+	if s.meta.Group.Quorum(func(id string) bool { return s.yes[n.Ref][id] }) {
+		// A lease that has lapsed is not revived: others may have been promised since.
+		if now < s.lease {
+			s.lease = max(s.lease, at+s.cfg.Duty)
+		}
+		delete(s.rounds, n.Ref)
+		delete(s.yes, n.Ref)
+	}
+}
+
+func (s *Seat) beat(now time.Duration, o *Out) {
+	s.beatAt = now
+	s.round++
+	s.rounds[s.round] = now
+	for r := range s.rounds {
+		if r+8 < s.round {
+			delete(s.rounds, r)
+			delete(s.yes, r)
+		}
+	}
+	for _, seat := range s.meta.Group.All() {
+		o.send(seat, form.Note{Kind: form.Support, Part: s.part, Num: s.num, No: s.round})
+	}
+}
+
+// Tick lets time pass.
+//
+// Example: out := s.Tick(now)
+func (s *Seat) Tick(now time.Duration) (o Out) {
+	for _, since := range s.stuck {
+		if s.mode == owning && now-since > 16*s.cfg.Duty && len(s.writes) == 0 {
+			s.drop(&o)
+			return o
+		}
+	}
+	if s.mode == owning && now >= s.lease || s.mode == filling && now >= s.lease {
+		s.drop(&o)
+		s.next = now + s.cfg.Duty/4 + s.delay()
+		return o
+	}
+	if s.quit || !s.meta.Group.Has(s.me.Ident) {
+		return o
+	}
+	switch s.mode {
+	case idle:
+		if now >= s.till && now >= s.next {
+			s.probe(now, &o)
+		} else if now < s.till {
+			s.next = s.till + s.delay()
+		}
+	case probing, asking:
+		if now-s.askAt > s.cfg.Duty/2 {
+			s.drop(&o)
+			s.next = max(s.next, now+s.delay()+s.cfg.Beat)
+		}
+	case filling, owning:
+		if now-s.beatAt >= s.cfg.Beat {
+			s.beat(now, &o)
+		}
+		for _, seat := range s.meta.Group.All() {
+			if !s.filled[seat.Ident] && now-s.fillAt[seat.Ident] >= 2*s.cfg.Beat {
+				s.sendFill(now, seat, nil, &o)
+			}
+		}
+		s.repair(now, &o)
+		for _, no := range slices.Sorted(maps.Keys(s.writes)) {
+			w := s.writes[no]
+			if now-w.sent >= s.cfg.Beat {
+				w.sent = now
+				s.sendWrite(no, w, &o)
+			}
+		}
+	}
+	return o
+}
+
+// Resign lets the duty lapse: nothing is renewed and nothing is taken on.
+//
+// Example: s.Resign()
+func (s *Seat) Resign() { s.quit = true }
+
+func (s *Seat) standing(num uint64) bool {
+	return (s.mode == filling || s.mode == owning) && s.num == num
+}
--- /dev/null
+++ b/control/purge/child.go
@@ -0,0 +1,153 @@
+package purge
+
+import (
+	"sort"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+// Adopt sets the parent. The old one's lease goes on being honoured until the
+// new one has confirmed our records.
+//
+// Example: out := n.Adopt(now, seat)
+func (n *Node) Adopt(now time.Duration, p form.Seat) (o Out) {
+	if n.root || p.Ident == n.me.Ident || p == n.parent {
+		return o
+	}
+	n.parent, n.pmark = p, form.Mark{}
+	n.reqs, n.listAt = map[uint64]ask{}, 0
+	n.backAt = now
+	if p.Ident != "" {
+		n.renew(now, &o)
+	}
+	return o
+}
+
+func (n *Node) fetch(now time.Duration, key string) {
+	if _, ok := n.want[key]; !ok {
+		n.want[key] = now
+	}
+}
+
+// renew asks the parent for the volume lease and for everything wanted.
+func (n *Node) renew(now time.Duration, o *Out) {
+	if n.root || n.parent.Ident == "" {
+		return
+	}
+	n.no++
+	keys := make([]string, 0, len(n.want))
+	for k := range n.want {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	n.reqs[n.no] = ask{at: now}
+	if len(n.reqs) > 16 {
+		for r := range n.reqs {
+			if r+12 < n.no {
+				delete(n.reqs, r)
+			}
+		}
+	}
+	n.sentAt = now
+	o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: form.Note{Kind: form.Renew, Part: n.part, No: n.no, Mark: n.pmark, Keys: keys, To: n.parent.Ident, Cost: int64(n.cost)}})
+}
+
+func (n *Node) fromParent(now time.Duration, m form.Note, o *Out) {
+	if m.Mark.Ident != m.From {
+		return
+	}
+	if m.Kind == form.Steer && m.Why == "return" {
+		o.Steer = m.Hint
+		return
+	}
+	if m.Num != n.epoch {
+		return // meant for an earlier life of ours: the granter notes it there
+	}
+	if m.Kind == form.Purge {
+		// Whoever says so, dropping a record is safe; the number makes a grant
+		// that was overtaken by this purge come too late.
+		n.heard[m.Mark] = max(n.heard[m.Mark], m.No)
+		n.sweep(now, m.Key, &back{seat: form.Seat{Ident: m.From, Addr: m.Addr}, ref: m.Ref, mark: m.Mark}, 0, o)
+		return
+	}
+	if n.root || m.From != n.parent.Ident || m.No <= n.heard[m.Mark] {
+		return
+	}
+	n.heard[m.Mark] = m.No
+	n.backAt = now
+	switch m.Kind {
+	case form.Reconnect:
+		// One at a time: two that overlap would undo one another for ever.
+		if n.listAt > 0 && now-n.listAt < n.cfg.Beat/2 {
+			return
+		}
+		n.listAt = now
+		n.no++
+		n.reqs[n.no] = ask{at: now}
+		list := form.Note{Kind: form.Listing, Part: n.part, No: n.no, Mark: m.Mark, To: n.parent.Ident}
+		for key, c := range n.objs {
+			if now < c.till {
+				list.Recs = append(list.Recs, form.Rec{Key: key, Ver: c.rec.Ver, Dead: c.rec.Dead})
+			}
+		}
+		sort.Slice(list.Recs, func(i, j int) bool { return list.Recs[i].Key < list.Recs[j].Key })
+		o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: list})
+	case form.Synced:
+		req, ok := n.reqs[m.Ref]
+		if !ok {
+			return
+		}
+		delete(n.reqs, m.Ref)
+		n.costed(now - req.at)
+		keep := map[string]form.Rec{}
+		for _, r := range m.Recs {
+			keep[r.Key] = r
+		}
+		for _, key := range sorted(n.objs) {
+			c := n.objs[key]
+			if r, ok := keep[key]; ok && r.Ver == c.rec.Ver && r.Dead == c.rec.Dead {
+				c.till = req.at + time.Duration(m.Long)
+				n.objs[key] = c
+				continue
+			}
+			n.sweep(now, key, nil, 0, o)
+		}
+		n.pmark = m.Mark
+		n.till = req.at + time.Duration(m.Len)
+		o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: form.Note{Kind: form.Connect, Part: n.part, Ref: m.No, Mark: m.Mark, To: n.parent.Ident}})
+		for key := range n.pins {
+			if _, ok := n.Get(now, key); !ok {
+				n.fetch(now, key)
+			}
+		}
+		if len(n.want) > 0 {
+			n.renew(now, o)
+		}
+		n.answerKids(now, o)
+	case form.Grant:
+		if m.Mark != n.pmark {
+			return
+		}
+		if req, ok := n.reqs[m.Ref]; ok && m.Len > 0 {
+			n.till = max(n.till, req.at+time.Duration(m.Len))
+			delete(n.reqs, m.Ref)
+			n.costed(now - req.at)
+		}
+		for _, r := range m.Recs {
+			at, ok := n.want[r.Key]
+			if !ok || n.sweeps[r.Key] != nil {
+				continue
+			}
+			delete(n.want, r.Key)
+			n.objs[r.Key] = cached{rec: r, till: at + time.Duration(m.Long)}
+			o.Fresh = append(o.Fresh, r.Key)
+			n.serve(now, r.Key, o)
+		}
+		n.answerKids(now, o)
+	case form.Deny:
+		o.Orphan = true
+	case form.Steer:
+		o.Steer = m.Hint
+	}
+}
--- /dev/null
+++ b/control/purge/parent.go
@@ -0,0 +1,222 @@
+package purge
+
+import (
+	"fmt"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+type kid struct {
+	id     string // identity and epoch: a child that started anew is another child
+	seat   form.Seat
+	epoch  uint64
+	till   time.Duration
+	objs   map[string]hold
+	listed bool   // on the unreachable list
+	known  bool   // went through reconnect since we know it
+	sync   uint64 // number of the Synced whose Connect clears the list
+	ask    *form.Note
+	askAt  time.Duration
+	cost   time.Duration
+	seen   time.Duration
+}
+
+// list puts a child on the unreachable list; only a Connect for a later Synced
+// takes it off.
+func (k *kid) list() { k.listed, k.sync = true, 0 }
+
+func (n *Node) tell(k *kid, note form.Note, o *Out) {
+	n.out++
+	note.Part, note.No, note.Num, note.Mark, note.To = n.part, n.out, k.epoch, n.Mark(), k.seat.Ident
+	o.Sends = append(o.Sends, form.Send{Addr: k.seat.Addr, Note: note})
+}
+
+// kidID tells one life of a child from another: a relay that starts anew can't
+// answer for what it granted before, so its old life's lease is waited out.
+func kidID(m form.Note) string { return fmt.Sprintf("%s#%d", m.From, m.Epoch) }
+
+func (n *Node) child(m form.Note) *kid {
+	id := kidID(m)
+	k := n.kids[id]
+	if k == nil {
+		k = &kid{id: id, epoch: m.Epoch, objs: map[string]hold{}}
+		n.kids[id] = k
+	}
+	k.seat = form.Seat{Ident: m.From, Addr: m.Addr}
+	return k
+}
+
+func (n *Node) renewed(now time.Duration, m form.Note, o *Out) {
+	k := n.child(m)
+	k.seen, k.cost = now, time.Duration(m.Cost)
+	n.counted(now, k, n.Live(now) && n.holds(now, m.Keys))
+	if !n.Live(now) {
+		if n.root || n.parent.Ident == "" || n.parent.Ident == m.From {
+			n.tell(k, form.Note{Kind: form.Deny, Ref: m.No, Why: "no lease"}, o)
+			return
+		}
+		if k.ask == nil {
+			k.askAt = now
+		}
+		k.ask = &m
+		if now-n.sentAt > n.cfg.Beat/2 {
+			n.renew(now, o)
+		}
+		return
+	}
+	k.ask = nil
+	for _, key := range sorted(n.sweeps) {
+		s := n.sweeps[key]
+		if _, ok := s.wait[k.id]; ok {
+			// Not renewed while it owes us a purge; told again only if the first
+			// may be lost, since its acknowledgement may just have been overtaken.
+			if now-s.wait[k.id] < n.cfg.Beat/4 {
+				continue
+			}
+			s.wait[k.id] = now
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
+		}
+	}
+	// Who owes a purge is renewed for a little while longer: a relay that waits
+	// for a child which is gone would else lose its whole cell's leases. The
+	// bound keeps a write from waiting for ever.
+	if n.owesSince(k.id, now) > n.cfg.Vol/2 {
+		return
+	}
+	if !k.known || k.listed || m.Mark != n.Mark() {
+		n.tell(k, form.Note{Kind: form.Reconnect, Ref: m.No}, o)
+		return
+	}
+	n.grant(now, k, m.No, m.Keys, true, o)
+}
+
+func (n *Node) holds(now time.Duration, keys []string) bool {
+	for _, key := range keys {
+		if _, ok := n.Get(now, key); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// owesSince is how long a child has owed a purge, 0 if it owes none.
+func (n *Node) owesSince(id string, now time.Duration) (d time.Duration) {
+	for _, s := range n.sweeps {
+		if _, ok := s.wait[id]; ok {
+			d = max(d, now-s.from)
+		}
+	}
+	return d
+}
+
+func (n *Node) owes(id string) bool {
+	for _, s := range n.sweeps {
+		if _, ok := s.wait[id]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// volLen is the longest volume lease that may be granted now.
+func (n *Node) volLen(now time.Duration) time.Duration {
+	return max(0, min(n.cfg.Vol, n.Till()-now))
+}
+
+// grant sends what is held; what is not is asked for and sent when it comes.
+func (n *Node) grant(now time.Duration, k *kid, ref uint64, keys []string, vol bool, o *Out) {
+	g := form.Note{Kind: form.Grant, Ref: ref}
+	if vol {
+		d := n.volLen(now)
+		g.Len = int64(d)
+		k.till = max(k.till, now+n.cfg.wait(d))
+	}
+	for _, key := range keys {
+		rec, ok := n.Get(now, key)
+		if s := n.sweeps[key]; !ok || s != nil {
+			n.need(now, key, k.id, o)
+			continue
+		}
+		g.Recs = append(g.Recs, rec)
+		k.objs[key] = hold{ver: rec.Ver, till: now + n.cfg.wait(n.cfg.Obj)}
+	}
+	if len(g.Recs) > 0 {
+		g.Long = int64(n.cfg.Obj)
+	}
+	if vol || len(g.Recs) > 0 {
+		n.tell(k, g, o)
+	}
+}
+
+func (n *Node) need(now time.Duration, key, id string, o *Out) {
+	if n.needs[key] == nil {
+		n.needs[key] = map[string]bool{}
+	}
+	n.needs[key][id] = true
+	if !n.root {
+		if _, asked := n.want[key]; !asked {
+			n.fetch(now, key)
+			n.renew(now, o)
+		}
+	}
+}
+
+// serve sends a record to the children that wait for it.
+func (n *Node) serve(now time.Duration, key string, o *Out) {
+	if n.sweeps[key] != nil {
+		return
+	}
+	ids := n.needs[key]
+	if len(ids) == 0 {
+		return
+	}
+	if _, ok := n.Get(now, key); !ok {
+		return
+	}
+	delete(n.needs, key)
+	for _, id := range sorted(ids) {
+		if k := n.kids[id]; k != nil && k.known && !k.listed && now < k.till && !n.owes(id) {
+			n.grant(now, k, 0, []string{key}, false, o)
+		}
+	}
+}
+
+// listing is the second half of a reconnect: matching records are granted,
+// the rest invalidated, and the volume lease granted, in one note.
+func (n *Node) listing(now time.Duration, m form.Note, o *Out) {
+	k := n.child(m)
+	if !n.Live(now) || n.owes(k.id) || m.Mark != n.Mark() {
+		return
+	}
+	// Listed until its Connect; object leases noted earlier stay noted, since a
+	// late Listing must not make us forget what the child got meanwhile.
+	k.listed, k.known = true, true
+	s := form.Note{Kind: form.Synced, Ref: m.No, Long: int64(n.cfg.Obj)}
+	for _, r := range m.Recs {
+		cur, ok := n.Get(now, r.Key)
+		if ok && n.sweeps[r.Key] == nil && cur.Ver == r.Ver && cur.Dead == r.Dead {
+			s.Recs = append(s.Recs, form.Rec{Key: r.Key, Ver: r.Ver, Dead: r.Dead})
+			k.objs[r.Key] = hold{ver: r.Ver, till: now + n.cfg.wait(n.cfg.Obj)}
+		}
+	}
+	d := n.volLen(now)
+	s.Len = int64(d)
+	k.till = max(k.till, now+n.cfg.wait(d))
+	n.tell(k, s, o)
+	k.sync = n.out
+}
+
+// answerKids serves the renewals that waited for our own lease.
+func (n *Node) answerKids(now time.Duration, o *Out) {
+	if !n.Live(now) {
+		return
+	}
+	for _, id := range sorted(n.kids) {
+		if k := n.kids[id]; k.ask != nil {
+			m := *k.ask
+			k.ask = nil
+			n.renewed(now, m, o)
+		}
+	}
+}
--- /dev/null
+++ b/control/purge/sweep.go
@@ -0,0 +1,110 @@
+package purge
+
+import (
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+type back struct {
+	seat form.Seat
+	ref  uint64
+	mark form.Mark
+}
+
+type sweep struct {
+	key  string
+	from time.Duration
+	no   uint64                   // acks carry it: one for an earlier sweep doesn't count
+	wait map[string]time.Duration // child -> when its purge was last sent
+	ups  []back
+	tags []uint64
+}
+
+// Hold stops serving a record at the root and withdraws it from the tree;
+// Out.Purged carries the tag when no valid lease on it is left below.
+//
+// Example: out := n.Hold(now, "plan/now", 17)
+func (n *Node) Hold(now time.Duration, key string, tag uint64) (o Out) {
+	n.held[key]++
+	n.sweep(now, key, nil, tag, &o)
+	return o
+}
+
+// Free serves a held record again, in its new version.
+//
+// Example: out := n.Free(now, "plan/now")
+func (n *Node) Free(now time.Duration, key string) (o Out) {
+	if n.held[key]--; n.held[key] <= 0 {
+		delete(n.held, key)
+		n.serve(now, key, &o)
+	}
+	return o
+}
+
+// sweep drops a record here and below: children with a valid volume lease get
+// the purge and are waited for; lapsed ones go on the unreachable list.
+func (n *Node) sweep(now time.Duration, key string, up *back, tag uint64, o *Out) {
+	if _, ok := n.objs[key]; ok {
+		delete(n.objs, key)
+		o.Gone = append(o.Gone, key)
+	}
+	s := n.sweeps[key]
+	if s == nil {
+		n.passes++
+		s = &sweep{key: key, from: now, no: n.passes, wait: map[string]time.Duration{}}
+		for _, id := range sorted(n.kids) {
+			k := n.kids[id]
+			h, ok := k.objs[key]
+			if !ok {
+				continue
+			}
+			delete(k.objs, key)
+			if now >= h.till {
+				continue
+			}
+			if now >= k.till {
+				k.list()
+				continue
+			}
+			s.wait[id] = now
+			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
+		}
+		n.sweeps[key] = s
+	}
+	if up != nil {
+		s.ups = append(s.ups, *up)
+	}
+	if tag != 0 {
+		s.tags = append(s.tags, tag)
+	}
+	n.swept(now, s, o)
+}
+
+func (n *Node) purged(now time.Duration, id, key string, ref uint64, o *Out) {
+	if s := n.sweeps[key]; s != nil && s.no == ref {
+		if _, ok := s.wait[id]; ok {
+			delete(s.wait, id)
+			n.swept(now, s, o)
+		}
+	}
+}
+
+// swept finishes a sweep that waits for nobody any more.
+func (n *Node) swept(now time.Duration, s *sweep, o *Out) {
+	if len(s.wait) > 0 {
+		return
+	}
+	delete(n.sweeps, s.key)
+	for _, up := range s.ups {
+		o.Sends = append(o.Sends, form.Send{Addr: up.seat.Addr, Note: form.Note{Kind: form.Purged, Part: n.part, Key: s.key, Ref: up.ref, Mark: up.mark, To: up.seat.Ident}})
+	}
+	o.Purged = append(o.Purged, s.tags...)
+	if !n.root && n.pins[s.key] {
+		if _, ok := n.Get(now, s.key); !ok {
+			n.fetch(now, s.key)
+			n.renew(now, o)
+		}
+	}
+	n.serve(now, s.key, o)
+}
--- /dev/null
+++ b/control/purge/view.go
@@ -0,0 +1,41 @@
+package purge
+
+import (
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+// KidView is what a node knows of one child.
+type KidView struct {
+	Seat   form.Seat `json:"seat"`
+	Left   int64     `json:"left_ms"`
+	Objs   int       `json:"objs"`
+	Listed bool      `json:"listed"`
+}
+
+// View is the node as the query shell shows it.
+type View struct {
+	Part   int               `json:"part"`
+	Root   bool              `json:"root"`
+	Parent form.Seat         `json:"parent"`
+	Left   int64             `json:"left_ms"`
+	Objs   map[string]string `json:"objs"`
+	Kids   []KidView         `json:"kids"`
+	Sweeps []string          `json:"sweeps,omitempty"`
+}
+
+// View snapshots the node.
+//
+// Example: json.Marshal(n.View(now))
+func (n *Node) View(now time.Duration) View {
+	v := View{Part: n.part, Root: n.root, Parent: n.parent, Left: (n.Till() - now).Milliseconds(), Objs: map[string]string{}, Sweeps: sorted(n.sweeps)}
+	for key, c := range n.objs {
+		v.Objs[key] = c.rec.Ver.String()
+	}
+	for _, id := range sorted(n.kids) {
+		k := n.kids[id]
+		v.Kids = append(v.Kids, KidView{k.seat, (k.till - now).Milliseconds(), len(k.objs), k.listed})
+	}
+	return v
+}
--- a/control/survey/survey.go
+++ b/control/survey/survey.go
@@ -33,7 +33,12 @@
 //
 // Example: survey.Print(rec) != survey.Print(newerRec)
 func Print(r form.Rec) uint64 {
-	return mix(hash(r.Key) ^ mix(r.Ver.Term*0x9e3779b97f4a7c15^mix(r.Ver.Seq+1)))
+	h := fnv.New64a()
+	_, _ = h.Write(r.Val)
+	if r.Dead {
+		_, _ = h.Write([]byte{1})
+	}
+	return mix(hash(r.Key) ^ mix(r.Ver.Term*0x9e3779b97f4a7c15^mix(r.Ver.Seq+1)) ^ mix(h.Sum64()))
 }
 
 // Book is a set of records with its digests kept up to date.
--- a/proof/sim/depot.go
+++ b/proof/sim/depot.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -71,7 +73,8 @@
 func (d *depot) crash() {
 	d.up = false
 	d.life++
-	for l := range d.lines {
+	lines := slices.SortedFunc(maps.Keys(d.lines), func(a, b *line) int { return strings.Compare(a.a.Trip, b.a.Trip) })
+	for _, l := range lines {
 		delete(d.lines, l)
 		l.end(yard.Lost, "connection lost")
 	}
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -1,6 +1,8 @@
 package sim
 
 import (
+	"fmt"
+	"mulleinmast/control/survey"
 	"sort"
 	"time"
 )
@@ -126,6 +128,8 @@
 		n.kill()
 		n.disk = nil
 		w.back(n)
+	case "rot": // a record on a disk at rest is lost or spoilt
+		w.rot(n)
 	case "cut", "oneway":
 		side := map[string]bool{}
 		for _, m := range w.nodes {
@@ -189,3 +193,49 @@
 		}
 	})
 }
+
+// rot spoils one record on the disk of a core machine that restarts.
+func (w *world) rot(n *node) {
+	if w.lost { // the fleet bears the loss of one disk
+		return
+	}
+	for _, m := range w.nodes {
+		if m.hasDisk && m.disk != nil && (!n.hasDisk || w.rng.Intn(3) == 0) {
+			n = m
+		}
+	}
+	p := w.rng.Intn(w.o.Parts + 1)
+	k := key(w.rng.Intn(w.o.Keys))
+	rec, ok := n.disk.recs[p][k]
+	if !ok {
+		return
+	}
+	w.lost = true
+	n.kill()
+	if w.rng.Intn(2) == 0 {
+		delete(n.disk.recs[p], k)
+	} else {
+		rec.Val = []byte("[]")
+		n.disk.recs[p][k] = rec
+	}
+	w.res.Faults["rotten"]++
+	w.back(n)
+}
+
+// copies looks whether every seat's copy equals its owner's at the end.
+func (w *world) copies() {
+	for p := 0; p <= w.o.Parts; p++ {
+		for _, own := range w.nodes {
+			if !own.up || !own.parts[p].Owner(own.local()) {
+				continue
+			}
+			g := own.sec(p).Seat.Group()
+			for _, n := range w.nodes {
+				if n.up && g.Has(n.ident) && len(survey.Differ(own.sec(p).Digs(), n.sec(p).Digs())) > 0 {
+					w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("has a copy of part %d that differs from its owner's, %v after the last failure", p, w.o.Calm)})
+				}
+			}
+			w.res.Mended += own.sec(p).Seat.Mended
+		}
+	}
+}
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -32,6 +32,9 @@
 		w.carry(to, from, form.Note{Kind: form.Purged, Part: m.Part, Key: m.Key, Ref: m.Ref, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
 		return
 	}
+	if w.o.Sabotage == "nomend" && m.Kind == form.Fill && m.Op != "" {
+		return
+	}
 	d := 100*time.Microsecond + w.exp(400*time.Microsecond)
 	if !w.calm && !w.o.Clean {
 		switch x := w.rng.Float64(); {
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -39,7 +39,7 @@
 	Gap                      time.Duration   // longest time without an owner of part 0
 	Waits                    []time.Duration // time from asking for a write to yes
 	Faults                   map[string]int
-	Recs                     int
+	Recs, Mended             int
 	Results, Sheds, Plans    map[string]int // requests by result and by why shed, operators' calls
 }
 
@@ -71,6 +71,7 @@
 	"servers": calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"crash": 4, "dark": 2, "lapse": 2, "cross": 3, "break": 4, "skip": 2, "twice": 2, "sluggish": 2, "link": 2, "roll": 2, "crowd": 1}),
 	"cells":   calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"cell": 1, "kill": 1, "freeze": 1, "crowd": 1, "swing": 1}),
 	"reboot":  calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"all": 1.5, "kill": 4, "ackkill": 3, "freeze": 3}),
+	"rot":     only(map[string]float64{"rot": 2, "slow": 1}),
 	// All three core machines are exchanged, one after another, while the
 	// usual trouble goes on.
 	"swaps": func(seed int64) Options {
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -168,6 +168,7 @@
 
 // last looks whether the fleet, long whole again, serves every record.
 func (w *world) last() {
+	w.copies()
 	for _, n := range w.nodes {
 		if n.gone {
 			continue
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -49,6 +49,7 @@
 		"nowait":       {"cuts", ""},                 // a granter doesn't wait a lease out
 		"nowaitvote":   {"kills", ""},                // a restarted voter promises at once
 		"standstill":   {"freezes", ""},              // the clock stops while its machine is suspended
+		"nomend":       {"rot", "copy"},              // copies are not compared
 		"double":       {"servers", "once:"},         // a decode goes to two makers
 		"noclaim":      {"servers", "once:"},         // a once key is not claimed first
 		"lostisshed":   {"servers", "refused:"},      // a decode that was lost is taken for turned away
--- a/traffic/dispatch/trip.go
+++ b/traffic/dispatch/trip.go
@@ -451,8 +451,10 @@
 
 // final makes the last move.
 func (l *Lane) final(now time.Duration, t *trip, move waybill.Move, o *Out) {
+	kind := t.why // a few fixed words, to count by
 	if t.why == "" && len(t.led.Attempts) > 0 {
-		t.why = t.led.Attempts[len(t.led.Attempts)-1].Why
+		last := t.led.Attempts[len(t.led.Attempts)-1]
+		kind, t.why = fmt.Sprintf("last %s: %s", last.Phase, last.Known), last.Why
 	}
 	e := End{Result: move.String(), Why: t.why, After: t.after}
 	if e.After == 0 {
@@ -476,7 +478,7 @@
 			e.Code = 429
 		}
 		l.n.Sheds++
-		l.n.Why[t.why]++
+		l.n.Why[kind]++
 		for _, a := range t.led.Attempts {
 			if a.Known == waybill.Handle {
 				l.n.Wasted++
