Platform stand-in, rolling restarts, slow requesters, full disks, lost majorities on processes

After SIGTERM a daemon is not ready at once and still takes requests for a plan bound, until the platform has seen it. A seed without a disk refers to those with one; core machines remember their groups' addresses, so exchanged seeds don't strand them. Ruled out: handing duties back early on the warning: children's leases under the duty outlive it.

--- a/cmd/signalbox/main.go
+++ b/cmd/signalbox/main.go
@@ -47,7 +47,8 @@
 	go func() {
 		<-sig
 		c.Leave()
-		// Streams that have begun may end; a second signal cuts them off.
+		// Requests are taken until the platform has seen that we are not ready;
+		// streams that have begun may end. A second signal cuts them off.
 		limit := time.After(cfg.Bounds.Recover)
 		for t := time.NewTicker(cfg.Vol() / 16); ; {
 			select {
@@ -58,7 +59,7 @@
 				stop()
 				return
 			case <-t.C:
-				if d.Open() == 0 {
+				if c.Closed() && d.Open() == 0 {
 					stop()
 					return
 				}
--- a/cmd/testtrack/main.go
+++ b/cmd/testtrack/main.go
@@ -30,6 +30,7 @@
 	kinds := flag.String("sweep", "", "instead: run simulated `scenarios` (a,b or all) over many seeds")
 	from := flag.Int64("from", 1, "first seed of a sweep")
 	count := flag.Int64("seeds", 1000, "seeds of a sweep, for each scenario")
+	old := flag.String("old", "", "`folder` with another build's signalbox, for the scenario versions")
 	grow := flag.Bool("scale", false, "instead: simulate healthy fleets of growing size, flat and with relays")
 	flag.Parse()
 	if *grow {
@@ -71,6 +72,7 @@
 	defer stop()
 	f, err := track.Start(*dir, filepath.Dir(exe), l, *base)
 	defer f.Stop()
+	f.Old = *old
 	if err == nil {
 		err = f.Begin(ctx)
 	}
--- a/control/archive/archive.go
+++ b/control/archive/archive.go
@@ -275,6 +275,19 @@
 	return Error.Wrap(err)
 }
 
+// Full is a switch for tests: the disk is as if full, so that SQLite itself
+// refuses to grow the file.
+//
+// Example: err := a.Full(true)
+func (a *Archive) Full(on bool) error {
+	most := 1 << 30
+	if on {
+		most = 1 // SQLite takes the pages in use as the least
+	}
+	_, err := a.db.Exec(fmt.Sprintf("pragma max_page_count=%d", most))
+	return Error.Wrap(err)
+}
+
 // Close closes the folder.
 //
 // Example: defer a.Close()
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -35,6 +35,32 @@
 // Build names this build to others.
 const Build = "1"
 
+const writeBuffer = 64 << 10
+
+// planSeen is the plan in force, parsed once a version.
+type planSeen struct {
+	ver  form.Ver
+	id   string
+	plan uint64
+}
+
+// Plan names the plan in force here, if it is under valid leases.
+//
+// Example: id, version, ok := c.Plan()
+func (c *Cabin) Plan() (id string, version uint64, ok bool) {
+	rec, ok := c.Read(0, tariff.PlanKey)
+	if !ok {
+		return "", 0, false
+	}
+	p := c.plan.Load()
+	if p == nil || p.ver != rec.Ver {
+		now := tariff.Open(rec)
+		p = &planSeen{rec.Ver, now.ID, now.Version}
+		c.plan.Store(p)
+	}
+	return p.id, p.plan, true
+}
+
 // Error is the class of start-up errors; InUse marks an address that can't be used.
 var (
 	Error = errs.Class("signalbox")
@@ -66,6 +92,8 @@
 	rmu    sync.Mutex
 	rost   *roster.Roster
 	stop   atomic.Bool
+	stopAt atomic.Int64
+	plan   atomic.Pointer[planSeen]
 	ready  atomic.Bool
 
 	dmu   sync.Mutex
@@ -119,6 +147,13 @@
 	c.web = ln
 	c.runs = errand.New(errand.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}) // calls may be sent twice: each is known by its id
 	c.rost = roster.New(cfg.Sessions(), c.member(), cfg.Seeds)
+	if c.arch != nil {
+		for _, h := range c.arch.Parts {
+			for _, seat := range h.Meta.Group.All() {
+				c.rost.Know(seat.Addr)
+			}
+		}
+	}
 	c.view.Store(c.rost.View())
 	now := c.Now()
 	for p := 0; p <= cfg.Parts; p++ {
@@ -227,7 +262,14 @@
 func (s service) Serve(ctx context.Context) error { return s(ctx) }
 
 func (c *Cabin) serveWeb(ctx context.Context) error {
-	srv := &http.Server{Handler: c.Mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
+	// A small buffer: what a requester doesn't read must not pile up here.
+	small := func(ctx context.Context, conn net.Conn) context.Context {
+		if t, ok := conn.(*net.TCPConn); ok {
+			_ = t.SetWriteBuffer(writeBuffer)
+		}
+		return ctx
+	}
+	srv := &http.Server{Handler: c.Mux, ConnContext: small, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	err := srv.Serve(c.web)
@@ -237,15 +279,19 @@
 	return err
 }
 
-// Stopping tells whether the daemon was told to go.
+// Closed tells whether the daemon was told to go so long ago that the platform
+// has seen it is not ready; until then it still takes requests.
 //
-// Example: if c.Stopping() { shed() }
-func (c *Cabin) Stopping() bool { return c.stop.Load() }
+// Example: if c.Closed() { shed() }
+func (c *Cabin) Closed() bool {
+	return c.stop.Load() && c.Now()-time.Duration(c.stopAt.Load()) >= c.Cfg.Bounds.Plan
+}
 
 // Leave makes the daemon not ready and lets its duties lapse.
 //
 // Example: c.Leave(); waitForStreams()
 func (c *Cabin) Leave() {
+	c.stopAt.Store(int64(c.Now()))
 	c.stop.Store(true)
 	c.ready.Store(false)
 	c.Book.Note("stop", "asked to stop")
--- a/control/cabin/operate.go
+++ b/control/cabin/operate.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"mulleinmast/control/errand"
@@ -62,7 +63,8 @@
 	m.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { Reply(w, 200, errand.Word{Result: "live"}) })
 	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, r *http.Request) {
 		if c.ready.Load() && c.isReady() {
-			Reply(w, 200, errand.Word{Result: "ready"})
+			id, version, _ := c.Plan()
+			Reply(w, 200, errand.Word{Result: "ready", Plan: id, Version: version})
 			return
 		}
 		Reply(w, 503, errand.Word{Result: "not ready", Why: c.unready(), After: 1000})
@@ -181,6 +183,17 @@
 			}
 			Reply(w, 200, map[string]any{"result": "done", "parts_still_held": held, "plan_still_valid": st.PlanOK})
 		})
+		m.HandleFunc("POST /test/full", func(w http.ResponseWriter, r *http.Request) {
+			if c.arch == nil {
+				Reply(w, 400, errand.Word{Result: "broken", Faults: []string{"no data folder here"}})
+				return
+			}
+			if err := c.arch.Full(r.URL.Query().Get("on") == "1"); err != nil {
+				Reply(w, 500, errand.Word{Result: "not done", Why: err.Error()})
+				return
+			}
+			Reply(w, 200, errand.Word{Result: "done"})
+		})
 		m.HandleFunc("POST /test/stall", func(w http.ResponseWriter, r *http.Request) {
 			d, err := time.ParseDuration(r.URL.Query().Get("for"))
 			if err != nil {
@@ -198,7 +211,26 @@
 	case c.stop.Load():
 		return "stopping"
 	case !c.View().Live:
-		return "no session with a control daemon"
+		return "no session with a control daemon; asked at the seeds " + strings.Join(c.Cfg.Seeds, ", ")
+	}
+	for _, s := range c.shards {
+		s.mu.Lock()
+		var g form.Group
+		if s.Section().Seat != nil {
+			g = s.Section().Seat.Group()
+		}
+		s.mu.Unlock()
+		here := 0
+		there := func(id string) bool {
+			_, ok := c.View().Find(id)
+			if ok {
+				here++
+			}
+			return ok
+		}
+		if g.Num > 0 && !g.Quorum(there) {
+			return fmt.Sprintf("part %d: %d of its group's %d disks are here, a majority is needed; bring the others back, or restore their folders from a back-up", s.part, here, len(g.All()))
+		}
 	}
 	return "no valid leases on the configuration"
 }
@@ -253,9 +285,7 @@
 func (c *Cabin) State() State {
 	v := c.View()
 	st := State{Fleet: c.Cfg.Fleet, Me: v.Me, Members: v.Members, Live: v.Live, Cells: []string{}, Wire: [3]int64{c.Line.Sent.Load(), c.Line.Got.Load(), c.Line.Lost.Load()}}
-	if r, ok := c.Read(0, tariff.PlanKey); ok {
-		st.Plan, st.PlanOK = tariff.Open(r).Version, true
-	}
+	_, st.Plan, st.PlanOK = c.Plan()
 	if r, ok := c.Read(0, tariff.CellKey); ok {
 		for cell := range tariff.Cells(r) {
 			st.Cells = append(st.Cells, cell)
--- a/control/errand/word.go
+++ b/control/errand/word.go
@@ -16,6 +16,7 @@
 	Faults  []string `json:"faults,omitempty"`
 	After   int64    `json:"retry_after_ms,omitempty"`
 	Claim   *Claim   `json:"claim,omitempty"`
+	Plan    string   `json:"plan,omitempty"`
 	Version uint64   `json:"version,omitempty"`
 }
 
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -5,6 +5,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sort"
 	"time"
 
@@ -113,6 +114,7 @@
 	heard  map[string]rumour  // what other control daemons told
 	view   []form.Member
 	owns   map[int]form.Own
+	other  []string        // control addresses from elsewhere, such as our own groups
 	dead   map[string]bool // identities known to be gone for good
 	goneAt map[string]time.Duration
 
@@ -134,6 +136,12 @@
 		dead: map[string]bool{}, goneAt: map[string]time.Duration{}, backAt: -cfg.Session}
 }
 
+// Know adds addresses of control daemons that were learnt elsewhere: seeds may
+// all have been exchanged since the config was written.
+//
+// Example: r.Know("10.0.0.7:7000")
+func (r *Roster) Know(addrs ...string) { r.other = append(r.other, addrs...) }
+
 // Out is what a step asks for.
 type Out struct {
 	Sends []form.Send
@@ -233,6 +241,9 @@
 	for _, a := range r.seeds {
 		set[a] = true
 	}
+	for _, a := range r.other {
+		set[a] = true
+	}
 	delete(set, r.me.Addr)
 	out := make([]string, 0, len(set))
 	for a := range set {
@@ -257,6 +268,9 @@
 	return out
 }
 
+// refer marks a Welcome that opens no session and only names control daemons.
+const refer = "refer"
+
 // Hear takes a note.
 //
 // Example: out := r.Hear(now, note)
@@ -271,8 +285,19 @@
 				rep.Members = r.view
 			}
 			o.Sends = append(o.Sends, form.Send{Addr: n.Self.Addr, Note: rep})
+		} else if n.Self.Ident != "" && r.live {
+			// A seed without a disk can't hold a session, but knows who can.
+			o.Sends = append(o.Sends, form.Send{Addr: n.Self.Addr, Note: form.Note{Kind: form.Welcome, Op: refer, Members: r.view}})
 		}
 	case form.Welcome:
+		if n.Op == refer {
+			for _, m := range n.Members {
+				if m.Disk && !slices.Contains(r.other, m.Addr) && len(r.other) < 16 {
+					r.Know(m.Addr)
+				}
+			}
+			return o
+		}
 		r.backAt, r.live = now, true
 		if len(n.Members) > 0 {
 			r.view = n.Members
--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -44,6 +44,7 @@
 		"stream":       {{At: 7 * one, Who: "c", Ev: "reply", Result: "wrong", Why: "piece 3 where 2 was due"}},
 		"whole":        {{At: 7 * one, Who: "c", Ev: "reply", Request: "r8", Result: "ok", Run: "r8-1", Count: 2}},
 		"final":        {{At: 9 * one, Who: "c", Ev: "reply", Request: "r2", Result: "broken"}},
+		"answered":     {{At: 9 * one, Who: "c", Ev: "reply", Request: "r11", Result: "hung", Took: 15 * one}},
 		"told":         {{At: 9 * one, Who: "c", Ev: "reply", Request: "r7", Result: "uncertain"}},
 		"holders":      {{At: 6 * one, Who: "m", Ev: "order", Holder: "z", Term: 3}},
 		"leaving":      {{At: 8*one + 2, Who: "m", Ev: "prefill", Request: "r5"}},
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand"
+	"net"
 	"net/http"
 	"sort"
 	"strings"
@@ -23,15 +24,18 @@
 // Config is one run of load.
 type Config struct {
 	Targets []string
-	Mix     string  // rangsit or pat
-	Rate    float64 // requests a second
-	For     time.Duration
-	Most    int // requests in all
-	Seed    int64
-	Budget  time.Duration
-	Once    float64 // part of the requests that carry a once key
-	Again   bool    // send a once key again to another daemon whatever the reply
-	Swing   float64 // part of long prompts; below 0 the mix's own
+	Cells   []string // where requesters are
+	// Pick hands a requester of a cell a daemon; without it one of Targets.
+	Pick   func(cell string, dice int) string
+	Mix    string  // rangsit or pat
+	Rate   float64 // requests a second
+	For    time.Duration
+	Most   int // requests in all
+	Seed   int64
+	Budget time.Duration
+	Once   float64 // part of the requests that carry a once key
+	Again  bool    // send a once key again to another daemon whatever the reply
+	Swing  float64 // part of long prompts; below 0 the mix's own
 }
 
 // Mixes names the kinds of request of each deployment.
@@ -101,17 +105,27 @@
 			key = fmt.Sprintf("k%d-%d-%d", c.Seed, from.UnixNano(), i)
 			body["once"] = key
 		}
-		a, b := c.Targets[rng.Intn(len(c.Targets))], c.Targets[rng.Intn(len(c.Targets))]
+		cell := ""
+		if len(c.Cells) > 0 {
+			cell = c.Cells[rng.Intn(len(c.Cells))]
+		}
+		pick := func() string {
+			if c.Pick != nil {
+				return c.Pick(cell, rng.Intn(1<<20))
+			}
+			return c.Targets[rng.Intn(len(c.Targets))]
+		}
+		a, b := pick(), pick()
 		raw, _ := json.Marshal(body)
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			e := one(ctx, web, a, raw, script.Prompt(parts), c.Budget)
-			e.Once, e.Tenant, e.Prio, e.Mix = key, ten.Name, ten.Prio, k.Name
+			e.Once, e.Tenant, e.Prio, e.Mix, e.Cell = key, ten.Name, ten.Prio, k.Name, cell
 			book.Put(e)
 			if key != "" && c.Again {
 				e = one(ctx, web, b, raw, script.Prompt(parts), c.Budget)
-				e.Once, e.Tenant, e.Prio, e.Mix, e.Again = key, ten.Name, ten.Prio, k.Name, true
+				e.Once, e.Tenant, e.Prio, e.Mix, e.Cell, e.Again = key, ten.Name, ten.Prio, k.Name, cell, true
 				book.Put(e)
 			}
 		}()
@@ -135,6 +149,9 @@
 	res, err := web.Do(req)
 	if err != nil {
 		e.Result, e.Why = "error", err.Error()
+		if ctx.Err() != nil { // its budget and five seconds more went by
+			e.Result = "hung"
+		}
 		return e
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -267,3 +284,47 @@
 	}
 	return b.String()
 }
+
+// Stuck sends a request, reads its first piece and then nothing for a while,
+// as a requester does whose machine hangs. It says how many bytes it could
+// still read afterwards and whether the reply was whole.
+//
+// Example: got, whole := load.Stuck(ctx, addr, body, 8*time.Second)
+func Stuck(ctx context.Context, to string, raw []byte, hold time.Duration) (got int64, whole bool) {
+	dial := &net.Dialer{}
+	web := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial.DialContext(ctx, network, addr)
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetReadBuffer(4096)
+		}
+		return c, err
+	}}}
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+"/v1/generate", bytes.NewReader(raw))
+	if err != nil {
+		return 0, false
+	}
+	res, err := web.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	r := bufio.NewReaderSize(res.Body, 4096)
+	if _, err := r.ReadBytes('\n'); err != nil {
+		return 0, false
+	}
+	t := time.NewTimer(hold)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	for {
+		line, err := r.ReadBytes('\n')
+		got += int64(len(line))
+		if err != nil {
+			return got, whole
+		}
+		var p yard.Piece
+		whole = json.Unmarshal(line, &p) == nil && p.End
+	}
+}
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -164,6 +164,7 @@
 	case "freeze":
 		was := max(n.frozen, w.now)
 		n.frozen = max(n.frozen, w.now+50*time.Millisecond+w.exp(1500*time.Millisecond))
+		n.thawed = n.frozen
 		if w.o.Sabotage == "standstill" { // a clock that stops while the machine is suspended
 			n.base -= time.Duration(float64(n.frozen-was) * n.rate)
 		}
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -35,6 +35,7 @@
 	up      bool
 	gone    bool          // for good
 	frozen  time.Duration // until this true time
+	thawed  time.Duration // when it last was, or will be, awake again
 	rate    float64
 	base    time.Duration
 	slow    time.Duration
--- a/proof/track/track_test.go
+++ b/proof/track/track_test.go
@@ -55,6 +55,7 @@
 	for _, x := range []struct{ layout, name string }{
 		{"rangsit", "kill-owner"}, {"pat", "kill-all"}, {"pat", "lost-disk"}, {"rangsit", "freeze-owner"}, {"pat", "cut-core"},
 		{"rangsit", "lost-cell"}, {"pat", "evacuate"}, {"rangsit", "leaving"}, {"pat", "plans"}, {"rangsit", "servers-roll"},
+		{"pat", "roll"}, {"rangsit", "suspend"}, {"pat", "slow-readers"}, {"pat", "disk-full"},
 	} {
 		base += 400
 		port := base
--- a/traffic/desk/desk.go
+++ b/traffic/desk/desk.go
@@ -225,7 +225,7 @@
 		return
 	}
 	at := d.c.Now()
-	if d.c.Stopping() {
+	if d.c.Closed() {
 		d.shed(w, "this daemon is stopping", d.c.Cfg.Bounds.Plan/2)
 		return
 	}
