--- a/cmd/testtrack/sweep.go
+++ b/cmd/testtrack/sweep.go
@@ -115,5 +115,10 @@
 				size, shape, float64(r.RootNotes)/25/2, float64(r.Purges)/float64(max(1, r.Yes)), at(r.Waits, 0.5), at(r.Waits, 0.99), len(r.Broken))
 		}
 	}
+	for _, static := range []bool{true, false} {
+		r := sim.Run(sim.Tree(seed, static))
+		fmt.Printf("18 daemons in 3 far cells, one cell's relays slow for 40 s, static %v: %d joins and %d splits told, renewal in that cell meanwhile %v, %.1f notes a second into each owner, %d rules broken\n",
+			static, r.Steers["join"], r.Steers["split"], r.Renewal.Round(10*time.Microsecond), float64(r.RootNotes)/130/2, len(r.Broken))
+	}
 	return 0
 }
--- /dev/null
+++ b/control/errand/errand_test.go
@@ -0,0 +1,74 @@
+package errand
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+var (
+	cfg = Config{Try: 400 * time.Millisecond, Pause: 25 * time.Millisecond, After: 2 * time.Second}
+	own = form.Seat{Ident: "o", Addr: "10.0.0.1:1"}
+)
+
+func word(t *testing.T, d []Done) Word {
+	t.Helper()
+	var w Word
+	if len(d) != 1 || json.Unmarshal(d[0].Body, &w) != nil {
+		t.Fatalf("ends: %+v", d)
+	}
+	return w
+}
+
+// A call that nobody took is "not done", one that was sent without a word is
+// "uncertain"; neither waits past its budget, both say when to come back.
+func TestFateOfACall(t *testing.T) {
+	for what, x := range map[string]struct {
+		own  form.Seat
+		back int
+		want string
+	}{
+		"no owner":      {form.Seat{}, 0, "not done"},
+		"silent owner":  {own, 0, "uncertain"},
+		"not the owner": {own, Other, "not done"},
+		"owner unsure":  {own, Uncertain, "uncertain"},
+	} {
+		e := New(cfg)
+		_, o := e.Start(0, x.own, 0, "plan", nil, 2*time.Second, false)
+		var done []Done
+		now := time.Duration(0)
+		for ; now < 4*time.Second && len(done) == 0; now += 10 * time.Millisecond {
+			for _, m := range o.Sends {
+				if x.back != 0 {
+					done = append(done, e.Hear(now, form.Note{Ref: m.Note.No, Code: x.back}).Done...)
+				}
+			}
+			o = e.Tick(now, func(int) form.Seat { return x.own })
+			done = append(done, o.Done...)
+		}
+		if w := word(t, done); w.Result != x.want || w.After <= 0 || now > 2100*time.Millisecond {
+			t.Errorf("%s: %+v after %v", what, w, now)
+		}
+	}
+}
+
+// A reply to an earlier try counts; a second one, or one to nobody, does not.
+func TestLateAndStrayReplies(t *testing.T) {
+	e := New(cfg)
+	no, o := e.Start(0, own, 0, "plan", nil, 4*time.Second, false)
+	first := o.Sends[0].Note.No
+	if o = e.Tick(500*time.Millisecond, func(int) form.Seat { return own }); len(o.Sends) != 1 {
+		t.Fatalf("not sent again: %+v", o)
+	}
+	if d := e.Hear(time.Second, form.Note{Ref: 999, Code: 200}).Done; len(d) > 0 {
+		t.Errorf("a stray reply ended %+v", d)
+	}
+	if d := e.Hear(time.Second, form.Note{Ref: first, Code: 200}).Done; len(d) != 1 || d[0].No != no {
+		t.Errorf("a late reply ended %+v", d)
+	}
+	if d := e.Hear(time.Second, form.Note{Ref: o.Sends[0].Note.No, Code: 409}).Done; len(d) > 0 {
+		t.Errorf("a second reply ended %+v", d)
+	}
+}
--- a/control/purge/shape.go
+++ b/control/purge/shape.go
@@ -34,6 +34,11 @@
 	return Shape{cost: s.cost, Relay: s.Relay, skip: map[form.Seat]*ghost{}}
 }
 
+// Cost is RenewCost at the parent, smoothed.
+//
+// Example: if n.Cost() > 20*time.Millisecond { look() }
+func (n *Node) Cost() time.Duration { return n.cost }
+
 // costed notes a measured renewal at the parent.
 func (n *Node) costed(d time.Duration) {
 	if n.cost == 0 {
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -63,9 +65,11 @@
 	now := n.local()
 	rec, ok := n.source(0, tariff.PlanKey)
 	if !ok && waited < min(2*c.w.cfg.Vol(), c.budget) {
+		n.early[c.no] = c
 		n.in(20*time.Millisecond, func() { c.land(waited + 20*time.Millisecond) })
 		return
 	}
+	delete(n.early, c.no)
 	if !ok {
 		c.end("shed", "no valid lease on the plan", 1000)
 		return
@@ -160,6 +164,10 @@
 		w.at(r.last-w.now, func() { r.c.end("broken", "connection lost", 0) })
 	}
 	n.rides = map[string]*ride{}
+	for _, no := range slices.Sorted(maps.Keys(n.early)) {
+		n.early[no].end("broken", "connection lost", 0)
+	}
+	n.early = map[int]*caller{}
 }
 
 // traffic lays out servers, operators, the platform and requesters.
@@ -289,6 +297,7 @@
 	var send func(tries int)
 	send = func(tries int) {
 		w.control(w.pick(""), tariff.PartOf(svc, w.o.Parts), "servers", body, func(code int, rep []byte) {
+			w.trace("LIST %s version %d: %d %s; leaving %v", svc, l.Version, code, rep, leavers(l))
 			switch {
 			case code == 200:
 				if then != nil {
@@ -341,3 +350,12 @@
 	}
 	c.send(to)
 }
+
+func leavers(l tariff.List) (out []string) {
+	for _, s := range l.Servers {
+		if s.Leaving {
+			out = append(out, s.Addr)
+		}
+	}
+	return out
+}
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -32,10 +32,19 @@
 		w.carry(to, from, form.Note{Kind: form.Purged, Part: m.Part, Key: m.Key, Ref: m.Ref, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
 		return
 	}
+	if m.Kind == form.Steer {
+		w.res.Steers[m.Why]++
+	}
 	if w.o.Sabotage == "nomend" && m.Kind == form.Fill && m.Op != "" {
 		return
 	}
 	d := 100*time.Microsecond + w.exp(400*time.Microsecond)
+	if from.cell != to.cell {
+		d += w.o.Far
+	}
+	if (w.lame(from) || w.lame(to)) && from != to {
+		d += w.o.Lame
+	}
 	if !w.calm && !w.o.Clean {
 		switch x := w.rng.Float64(); {
 		case x < 0.005:
@@ -85,3 +94,16 @@
 	}
 	to.carry(m.Part, p.Hear(now, m))
 }
+
+// lame tells whether a daemon's machine is slow now: the last cell's relays.
+func (w *world) lame(n *node) bool {
+	if w.o.Lame == 0 || w.now < 15*time.Second || w.now > 55*time.Second || n.cell != w.nodes[len(w.nodes)-1].cell {
+		return false
+	}
+	for p := 0; p <= w.o.Parts; p++ {
+		if n.view.Relay(p, n.cell).Ident == n.ident {
+			return true
+		}
+	}
+	return false
+}
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -54,6 +54,7 @@
 	asks  map[uint64]func(errand.Done)
 	lanes map[string]*lane
 	rides map[string]*ride
+	early map[int]*caller     // requests that wait for the plan
 	past  map[string]form.Rec // what a sabotaged daemon goes on reading
 }
 
@@ -110,13 +111,16 @@
 		n.ident, n.epoch = n.disk.ident, n.disk.epoch
 	}
 	n.parts, n.guides, n.asks = nil, nil, map[uint64]func(errand.Done){}
-	n.lanes, n.rides, n.past = map[string]*lane{}, map[string]*ride{}, map[string]form.Rec{}
+	n.lanes, n.rides, n.early, n.past = map[string]*lane{}, map[string]*ride{}, map[int]*caller{}, map[string]form.Rec{}
 	n.runs = errand.New(errand.Config{Try: w.cfg.Vol() / 2, Pause: w.cfg.Vol() / 32, After: w.cfg.Bounds.Plan})
 	me := form.Seat{Ident: n.ident, Addr: n.addr}
 	leases := w.cfg.Leases()
 	if w.o.Sabotage == "nowait" {
 		leases.Drift, leases.Margin = -0.6, 0
 	}
+	if w.o.Static {
+		leases.Span = 0
+	}
 	sess := w.cfg.Sessions()
 	if w.o.Flat {
 		sess.Small = len(w.nodes) + 1
@@ -346,6 +350,10 @@
 		w.jot(journal.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
 	}
 	w.owners()
+	if w.o.Lame > 0 && w.now > 25*time.Second && w.now < 55*time.Second && n.cell == w.nodes[len(w.nodes)-1].cell && !w.lame(n) {
+		w.cost += n.sec(p).Node.Cost()
+		w.costs++
+	}
 	n.in(w.exp(w.o.Reads), n.read)
 }
 
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -117,7 +117,7 @@
 // leave marks a server as leaving in the platform's list, and takes it back.
 func (w *world) leave() {
 	d := w.someDepot()
-	if d.gone {
+	if d.gone || slices.Contains(leavers(w.lists[d.svc]), d.addr) {
 		return
 	}
 	mark := func(on bool) {
@@ -132,9 +132,11 @@
 	}
 	mark(true)
 	w.list(d.svc, func(ok bool) {
-		if ok {
-			d.jot(journal.Event{Ev: "leaving"})
-			w.res.Faults["leaving"]++
+		if ok { // an older list that is acknowledged late says nothing any more
+			if slices.Contains(leavers(w.lists[d.svc]), d.addr) {
+				d.jot(journal.Event{Ev: "leaving"})
+				w.res.Faults["leaving"]++
+			}
 		}
 		w.at(4*time.Second+w.exp(2*time.Second), func() {
 			if d.gone {
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -25,6 +25,9 @@
 	Servers  []int           // model servers of each service
 	Orders   time.Duration   // mean time between operators' and the platform's calls
 	Swaps    []time.Duration // when a core machine is exchanged for an empty one
+	Far      time.Duration   // more between cells, one way
+	Lame     time.Duration   // more to and from one relay, from 15 s to 55 s
+	Static   bool            // the tree is not reshaped by load and cost
 	Trace    func(string)
 }
 
@@ -40,6 +43,8 @@
 	Waits                    []time.Duration // time from asking for a write to yes
 	Faults                   map[string]int
 	Recs, Mended             int
+	Steers                   map[string]int // notes that moved a daemon in the tree, by why
+	Renewal                  time.Duration  // mean time of a renewal of a lease while a relay was lame
 	Results, Sheds, Plans    map[string]int // requests by result and by why shed, operators' calls
 }
 
@@ -91,6 +96,18 @@
 	}
 }
 
+// Tree is a healthy fleet of three far cells in which the relays of one cell
+// become slow for a while: the paper's inequalities ask for a join, and for a
+// split once they are well again.
+//
+// Example: r := sim.Run(sim.Tree(1, false)); r.Steers["join"] > 0
+func Tree(seed int64, static bool) Options {
+	o := Default(seed)
+	o.Cells, o.Faults, o.Length, o.Calm, o.Clean = []int{6, 6, 6}, nil, 130*time.Second, time.Second, true
+	o.Far, o.Lame, o.Static = 40*time.Millisecond, 90*time.Millisecond, static
+	return o
+}
+
 func only(f map[string]float64) func(int64) Options {
 	return func(seed int64) Options {
 		o := Default(seed)
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -68,6 +68,8 @@
 	ready   []*node
 	crowd   time.Duration // until when requests come thick
 	mix     float64
+	cost    time.Duration
+	costs   int
 }
 
 // Run makes one run.
@@ -76,7 +78,7 @@
 func Run(o Options) Result {
 	w := &world{o: o, cfg: cabin.Default(), rng: rand.New(rand.NewSource(o.Seed)), cut: map[[2]string]bool{}}
 	w.cfg.Parts, w.cfg.Test = o.Parts, true
-	w.res.Faults, w.res.Results, w.res.Sheds, w.res.Plans = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
+	w.res.Steers, w.res.Faults, w.res.Results, w.res.Sheds, w.res.Plans = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	if o.Sabotage == "drift" {
 		o.Drift, w.o.Drift = 0.5, 0.5
 	}
@@ -104,6 +106,7 @@
 		}
 	}
 	w.last()
+	w.res.Renewal = w.cost / time.Duration(max(1, w.costs))
 	w.res.Broken = Check(w.res.History)
 	for _, b := range judge.All(w.res.Journal, judge.Default()) {
 		w.res.Broken = append(w.res.Broken, b.String())
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// Where a cell's relays are slow the paper's inequality joins their children to
+// the owner, and once they are well a split brings them back; both keep the
+// rules and make renewals cheaper than the static tree's.
+func TestTheTreeIsReshapedByCost(t *testing.T) {
+	static, moving := Run(Tree(1, true)), Run(Tree(1, false))
+	for _, b := range append(static.Broken, moving.Broken...) {
+		t.Error(b)
+	}
+	if static.Steers["join"]+static.Steers["split"] > 0 || moving.Steers["join"] == 0 || moving.Steers["split"] == 0 {
+		t.Errorf("static %v, moving %v", static.Steers, moving.Steers)
+	}
+	if moving.Renewal*2 > static.Renewal {
+		t.Errorf("a renewal takes %v, in the static tree %v", moving.Renewal, static.Renewal)
+	}
+}
+
 func TestSameSeedSameRun(t *testing.T) {
 	for _, name := range []string{"storm", "traffic"} {
 		a, b := Run(Scenarios[name](3)), Run(Scenarios[name](3))
--- a/traffic/yard/yard.go
+++ b/traffic/yard/yard.go
@@ -147,7 +147,12 @@
 	if err != nil {
 		return p, fmt.Errorf("stream broke off: %w", err)
 	}
-	return p, json.Unmarshal(line, &p)
+	return parse(line)
+}
+
+func parse(line []byte) (p Piece, err error) {
+	err = json.Unmarshal(line, &p)
+	return p, err
 }
 
 // Close ends the stream.
@@ -171,7 +176,8 @@
 	if res.StatusCode != http.StatusOK {
 		return u, fmt.Errorf("status %d", res.StatusCode)
 	}
-	return u, json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(&u)
+	err = json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(&u)
+	return u, err
 }
 
 // Order tells a server its part.
--- /dev/null
+++ b/traffic/yard/yard_test.go
@@ -0,0 +1,55 @@
+package yard
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// A call whose ground is gone at the last look never reaches a server whole,
+// on a fresh connection or on one in use; and the next call goes through.
+func TestTheLastLookStopsACall(t *testing.T) {
+	var whole atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		whole.Add(1)
+		_, _ = w.Write([]byte(`{"handle":"h"}`))
+	}))
+	defer srv.Close()
+	addr := srv.Listener.Addr().String()
+	h := NewHands(time.Second)
+	call := func(may bool) Outcome {
+		_, out, _ := h.Prefill(context.Background(), addr, Prefill{Request: "r", Parts: []Part{{Text: "long enough"}}}, func() bool { return may })
+		return out
+	}
+	for i, may := range []bool{false, true, true, false, true} {
+		if out := call(may); (out == OK) != may || !may && out != Barred {
+			t.Errorf("call %d, allowed %v: outcome %d", i, may, out)
+		}
+	}
+	if n := whole.Load(); n != 3 {
+		t.Errorf("%d calls reached the server, 3 were allowed", n)
+	}
+}
+
+// What a server says, mutated one byte at a time, never passes for a piece of
+// another run, and never panics.
+func TestMutatedPieces(t *testing.T) {
+	good := []byte(`{"request":"req-1","run":"run-1","n":3,"text":"abc"}`)
+	for i := range good {
+		for _, x := range []byte{0, '0', '9', '"', '}', 'x'} {
+			line := append([]byte(nil), good...)
+			line[i] = x
+			p, err := parse(line)
+			if err == nil && p.Fit("req-1", "run-1", 3) == "" && (p.Request != "req-1" || p.Run != "run-1" || p.N != 3 || p.Error != "") {
+				t.Fatalf("%q passes", line)
+			}
+		}
+	}
+}
