A once key that can't be claimed is uncertain, not shed; urgent tenants judged in crowds

Cause: 'shed' was said to a once key whose claim had no word from its owner, while an earlier request with the key might have run. Now 'uncertain', and the judge names a key refused after it had run (planted fault caught).

--- a/proof/judge/judge.go
+++ b/proof/judge/judge.go
@@ -88,10 +88,20 @@
 			no[e.Request] = true
 		}
 	}
+	ran := map[string]int64{}
 	for _, e := range ev {
 		if e.Ev == "decode" && no[e.Request] {
 			bad("request %s was shed and ran on %s", e.Request, e.Who)
 		}
+		if _, ok := ran[e.Once]; e.Ev == "decode" && !ok {
+			ran[e.Once] = e.At
+		}
+	}
+	// Nor is a once key refused that had run before it was sent this time.
+	for _, e := range ev {
+		if at, ok := ran[e.Once]; e.Ev == "reply" && e.Result == "shed" && e.Once != "" && ok && at < e.At-e.Took {
+			bad("key %s was shed to request %s after it had run", e.Once, e.Request)
+		}
 	}
 }
 
--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"mulleinmast/proof/journal"
@@ -40,6 +41,7 @@
 	plant := map[string][]journal.Event{
 		"once":         {{At: 7*one + 1, Who: "q", Ev: "decode", Request: "r9", Owner: "r9", Run: "r9-1", Once: "k1"}},
 		"refused":      {{At: 9 * one, Who: "q", Ev: "decode", Request: "r2", Owner: "r2"}},
+		"refused key":  {{At: 9 * one, Who: "c", Ev: "reply", Request: "r12", Once: "k1", Result: "shed", After: 1, Took: one / 2}},
 		"foreign":      {{At: 7 * one, Who: "q", Ev: "decode", Request: "r3", Owner: "r4"}},
 		"stream":       {{At: 7 * one, Who: "c", Ev: "reply", Result: "wrong", Why: "piece 3 where 2 was due"}},
 		"whole":        {{At: 7 * one, Who: "c", Ev: "reply", Request: "r8", Result: "ok", Run: "r8-1", Count: 2}},
@@ -62,13 +64,18 @@
 	}
 	plant["retries"] = many
 	for _, r := range Rules {
-		rows := All(append(clean(), plant[r.Name]...), Default())
+		if plant[r.Name] == nil {
+			t.Errorf("%s: no fault planted", r.Name)
+		}
+	}
+	for name, add := range plant {
+		rows := All(append(clean(), add...), Default())
 		if len(rows) == 0 {
-			t.Errorf("%s: planted fault not caught", r.Name)
+			t.Errorf("%s: planted fault not caught", name)
 		}
 		for _, b := range rows {
-			if b.Rule != r.Name {
-				t.Errorf("%s: also caught %v", r.Name, b)
+			if b.Rule != strings.Fields(name)[0] {
+				t.Errorf("%s: also caught %v", name, b)
 			}
 		}
 	}
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -31,6 +31,7 @@
 	broken string
 	over   bool
 	again  bool
+	crowd  bool // sent while requests come thick
 	after  func()
 }
 
@@ -41,7 +42,7 @@
 // send hands the request to a daemon.
 func (c *caller) send(n *node) {
 	w := c.w
-	c.n, c.at = n, w.now
+	c.n, c.at, c.crowd = n, w.now, w.now < w.crowd && !c.again
 	c.see.Prompt = script.Prompt(c.asked.Parts)
 	w.at(w.lag(), func() {
 		if !n.up {
@@ -136,6 +137,12 @@
 	c.over = true
 	w := c.w
 	w.res.Results[result]++
+	if c.crowd {
+		w.res.Sent[c.asked.Tenant]++
+		if result == "ok" {
+			w.res.Served[c.asked.Tenant]++
+		}
+	}
 	if result == "shed" {
 		w.res.Sheds[why]++
 	}
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -43,6 +43,7 @@
 	Waits                    []time.Duration // time from asking for a write to yes
 	Faults                   map[string]int
 	Recs, Mended             int
+	Served, Sent             map[string]int // requests by tenant, in crowds
 	Steers                   map[string]int // notes that moved a daemon in the tree, by why
 	Renewal                  time.Duration  // mean time of a renewal of a lease while a relay was lame
 	Results, Sheds, Plans    map[string]int // requests by result and by why shed, operators' calls
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -78,7 +78,7 @@
 func Run(o Options) Result {
 	w := &world{o: o, cfg: cabin.Default(), rng: rand.New(rand.NewSource(o.Seed)), cut: map[[2]string]bool{}}
 	w.cfg.Parts, w.cfg.Test = o.Parts, true
-	w.res.Steers, w.res.Faults, w.res.Results, w.res.Sheds, w.res.Plans = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
+	w.res.Served, w.res.Sent, w.res.Steers, w.res.Faults, w.res.Results, w.res.Sheds, w.res.Plans = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	if o.Sabotage == "drift" {
 		o.Drift, w.o.Drift = 0.5, 0.5
 	}
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -86,6 +86,32 @@
 	}
 }
 
+// When requests come at several times what the servers bear, the urgent tenant
+// is served first.
+func TestUrgentTenantsGoFirstInCrowds(t *testing.T) {
+	sent, served := map[string]int{}, map[string]int{}
+	for seed := int64(1); seed <= 3; seed++ {
+		o := Scenarios["servers"](seed)
+		o.Faults = map[string]float64{"crowd": 3}
+		r := Run(o)
+		for _, b := range r.Broken {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		for k, n := range r.Sent {
+			sent[k] += n
+			served[k] += r.Served[k]
+		}
+	}
+	part := func(k string) float64 { return float64(served[k]) / float64(max(1, sent[k])) }
+	t.Logf("served in crowds: express %.2f, regular %.2f, bulk %.2f", part("express"), part("regular"), part("bulk"))
+	if sent["express"] < 200 || part("bulk") > 0.8 {
+		t.Fatalf("no crowd: sent %v, served %v", sent, served)
+	}
+	if part("express") < part("regular") || part("regular") < part("bulk") || part("express") < 1.5*part("bulk") {
+		t.Errorf("express %.2f, regular %.2f, bulk %.2f", part("express"), part("regular"), part("bulk"))
+	}
+}
+
 // Where a cell's relays are slow the paper's inequality joins their children to
 // the owner, and once they are well a split brings them back; both keep the
 // rules and make renewals cheaper than the static tree's.
--- a/traffic/dispatch/trip.go
+++ b/traffic/dispatch/trip.go
@@ -89,9 +89,11 @@
 		l.n.Dups++
 		l.end(now, t, End{Result: "duplicate", Code: 409, Word: body}, &o)
 	default:
-		// Whatever became of the claim, this request was not and will not be run.
-		t.why = "the once key could not be claimed"
-		l.final(now, t, waybill.Refuse, &o)
+		// This request was not and will not be run, but whether its key ran before
+		// is not known: so it isn't "shed".
+		l.n.Unsure++
+		l.act(&o, Act{Trip: id, Kind: Settle, Key: t.key(), State: "shed"})
+		l.end(now, t, End{Result: "uncertain", Code: 504, Why: "the once key could not be claimed, whether it ran before is not known; ask again with the same key", After: l.cfg.Back}, &o)
 	}
 	return o
 }
