--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -6,6 +6,7 @@
 import (
 	"hash/fnv"
 	"iter"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -189,8 +190,8 @@
 		return o
 	}
 	var list []form.Member
-	for _, s := range r.mine {
-		list = append(list, s.m)
+	for _, id := range slices.Sorted(maps.Keys(r.mine)) {
+		list = append(list, r.mine[id].m)
 	}
 	for _, to := range r.controls() {
 		o.Sends = append(o.Sends, form.Send{Addr: to, Note: form.Note{Kind: form.Gossip, Self: me, Members: list, Owns: r.known()}})
@@ -279,6 +280,11 @@
 	switch n.Kind {
 	case form.Hello:
 		if r.me.Disk && n.Self.Ident != "" {
+			for id, s := range r.mine {
+				if s.m.Addr == n.Self.Addr { // its machine's earlier life is over
+					delete(r.mine, id)
+				}
+			}
 			r.mine[n.Self.Ident] = session{n.Self, now}
 			r.rebuild(now)
 			rep := form.Note{Kind: form.Welcome, Owns: r.known(), Num: r.print()}
--- /dev/null
+++ b/control/roster/roster_test.go
@@ -0,0 +1,76 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+var cfg = Config{Session: 1200 * time.Millisecond, Beat: 200 * time.Millisecond, Small: 3}
+
+func disk(id, addr string) form.Member { return form.Member{Ident: id, Epoch: 1, Addr: addr, Disk: true} }
+
+// A machine that restarts under a new identity is known by it at once, here
+// and at the control daemons that are told of it.
+func TestAnEarlierLifeIsForgotten(t *testing.T) {
+	for try := 0; try < 20; try++ {
+		a, b := New(cfg, disk("a", "10.0.0.1:1"), nil), New(cfg, disk("b", "10.0.0.2:1"), nil)
+		a.Know("10.0.0.2:1")
+		for i, id := range []string{"old", "new"} {
+			a.Hear(time.Duration(i)*100*time.Millisecond, form.Note{Kind: form.Hello, Self: form.Member{Ident: id, Epoch: 1, Addr: "10.0.0.9:1"}})
+		}
+		for _, m := range a.Tick(time.Second, disk("a", "10.0.0.1:1"), nil).Sends {
+			if m.Note.Kind == form.Gossip {
+				b.Hear(time.Second, m.Note)
+			}
+		}
+		for who, r := range map[string]*Roster{"a": a, "b": b} {
+			if _, ok := r.View().Find("new"); !ok {
+				t.Fatalf("%s doesn't know the new life", who)
+			}
+			if _, ok := r.View().Find("old"); ok {
+				t.Fatalf("%s still knows the old life", who)
+			}
+		}
+	}
+}
+
+// A seed without a disk holds no session and says who can; the first fleet is
+// founded only when every seed is empty.
+func TestSeeds(t *testing.T) {
+	near := New(cfg, form.Member{Ident: "n", Addr: "10.0.0.5:1"}, []string{"10.0.0.1:1"})
+	near.Hear(0, form.Note{Kind: form.Welcome, Members: []form.Member{disk("a", "10.0.0.1:1"), {Ident: "n", Addr: "10.0.0.5:1"}}})
+	me := form.Member{Ident: "m", Addr: "10.0.0.6:1"}
+	lost := New(cfg, me, []string{"10.0.0.5:1"})
+	for _, m := range near.Hear(0, form.Note{Kind: form.Hello, Self: me}).Sends {
+		lost.Hear(0, m.Note)
+	}
+	if lost.View().Live {
+		t.Error("a referral is no session")
+	}
+	asked := map[string]bool{}
+	for now := time.Second; now < 5*time.Second; now += 250 * time.Millisecond {
+		for _, m := range lost.Tick(now, me, nil).Sends {
+			asked[m.Addr] = true
+		}
+	}
+	if !asked["10.0.0.1:1"] {
+		t.Errorf("asked only %v", asked)
+	}
+	seeds := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+	for _, third := range []bool{true, false} {
+		own := disk("a", seeds[0])
+		own.Empty = true
+		r := New(cfg, own, seeds)
+		r.Tick(time.Second, own, nil)
+		for i, a := range seeds[1:] {
+			m := disk(a, a)
+			m.Empty = i == 0 || third
+			r.Hear(time.Second, form.Note{Kind: form.Count, Ref: 1, Self: m})
+		}
+		if found := r.Tick(2*time.Second, own, nil).Found; (len(found) == 3) != third {
+			t.Errorf("third seed empty %v: founded %v", third, found)
+		}
+	}
+}
