--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -9,7 +9,9 @@
 
 var cfg = Config{Session: 1200 * time.Millisecond, Beat: 200 * time.Millisecond, Small: 3}
 
-func disk(id, addr string) form.Member { return form.Member{Ident: id, Epoch: 1, Addr: addr, Disk: true} }
+func disk(id, addr string) form.Member {
+	return form.Member{Ident: id, Epoch: 1, Addr: addr, Disk: true}
+}
 
 // A machine that restarts under a new identity is known by it at once, here
 // and at the control daemons that are told of it.
