Flags of the tools checked; an unknown cell is said to be; a bad line number is named

Tried every call and flag with bad input on running programs: -rate 0, a wrong address and a bad since were taken; evacuating a cell that no daemon is in said no more than done.

--- a/cmd/carrier/main.go
+++ b/cmd/carrier/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -37,6 +38,25 @@
 		os.Exit(2)
 	}
 	c.Targets = strings.Split(*to, ",")
+	var faults []string
+	for _, a := range c.Targets {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			faults = append(faults, fmt.Sprintf("-targets: %q: expected an IP address and port", a))
+		}
+	}
+	if c.Rate <= 0 {
+		faults = append(faults, fmt.Sprintf("-rate %v: expected more than 0", c.Rate))
+	}
+	if c.Once < 0 || c.Once > 1 {
+		faults = append(faults, fmt.Sprintf("-once %v: expected 0 to 1", c.Once))
+	}
+	if c.Budget <= 0 || c.Most < 1 {
+		faults = append(faults, "-budget and -most: expected more than 0")
+	}
+	if len(faults) > 0 {
+		_, _ = fmt.Fprintln(os.Stderr, "carrier: "+strings.Join(faults, "\ncarrier: "))
+		os.Exit(2)
+	}
 	book, err := journal.Open(*path)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "carrier:", err)
--- a/cmd/depot/main.go
+++ b/cmd/depot/main.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
@@ -26,6 +27,10 @@
 	flag.BoolVar(&c.Naive, "naive", false, "as a maker, take up whatever cache a handle leads to")
 	path := flag.String("journal", "", "journal `file`")
 	flag.Parse()
+	if _, err := netip.ParseAddrPort(c.Addr); err != nil || c.Capacity < 1 {
+		_, _ = fmt.Fprintf(os.Stderr, "depot: -addr %q, -capacity %d: expected an IP address and port, and at least one slot\n", c.Addr, c.Capacity)
+		os.Exit(2)
+	}
 	book, err := journal.Open(*path)
 	if err == nil {
 		srv := &http.Server{Addr: c.Addr, Handler: depot.New(c, book), IdleTimeout: 5 * time.Minute, ReadHeaderTimeout: 10 * time.Second}
--- a/control/cabin/operate.go
+++ b/control/cabin/operate.go
@@ -88,6 +88,13 @@
 			Reply(w, 404, errand.Word{Result: "broken", Faults: []string{fmt.Sprintf("cell %q, op %q: expected a cell's name and evacuate or return", cell, op)}})
 			return
 		}
+		known := false
+		for range c.View().In(cell) {
+			known = true
+		}
+		if !known { // carried out all the same: it may have servers and no daemon
+			w.Header().Set("Warning", fmt.Sprintf("299 - \"no daemon of the fleet is in cell %s\"", cell))
+		}
 		c.operator(w, r, 0, op, func([]byte) ([]byte, tariff.Faults) { return []byte(cell), tariff.Faults{} })
 	})
 	m.HandleFunc("POST /v1/seats", func(w http.ResponseWriter, r *http.Request) {
@@ -134,7 +141,12 @@
 	})
 	m.HandleFunc("GET /v1/state", func(w http.ResponseWriter, r *http.Request) { Reply(w, 200, c.State()) })
 	m.HandleFunc("GET /v1/ring", func(w http.ResponseWriter, r *http.Request) {
-		from, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+		since := r.URL.Query().Get("since")
+		from, err := strconv.ParseUint(since, 10, 64)
+		if err != nil && since != "" {
+			Reply(w, 400, errand.Word{Result: "broken", Faults: []string{fmt.Sprintf("since: %q: expected a line's number", since)}})
+			return
+		}
 		Reply(w, 200, map[string]any{"ident": c.me.Ident, "addr": c.Cfg.Web, "lines": c.Book.Since(from)})
 	})
 	if c.arch != nil {
