--- /dev/null
+++ b/control/survey/survey_test.go
@@ -0,0 +1,49 @@
+package survey
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mulleinmast/wire/form"
+)
+
+// Whatever is put, taken and dropped, digests are those of what is in the
+// book; two books differ in just the ranges whose records do, in value too.
+func TestDigestsFollowTheRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := NewBook()
+		for i := 0; i < 60; i++ {
+			r := form.Rec{Key: fmt.Sprint("k", rapid.IntRange(0, 20).Draw(t, "key")), Ver: form.Ver{Term: 1, Seq: uint64(rapid.IntRange(0, 5).Draw(t, "seq"))}, Val: []byte{byte(i)}}
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				a.Put(r)
+			case 1:
+				old, had := a.Get(r.Key)
+				if took := a.Take(r); took != (!had || old.Ver.Less(r.Ver)) {
+					t.Fatalf("took %v: %v over %v", took, r.Ver, old.Ver)
+				}
+			case 2:
+				a.Drop(r.Key)
+			}
+		}
+		b := NewBook()
+		n := 0
+		for r := range a.All() {
+			b.Put(r)
+			n++
+		}
+		if d := Differ(a.Digs(), b.Digs()); len(d) > 0 || n != a.Size() {
+			t.Fatalf("a copy differs in %v, %d records of %d", d, n, a.Size())
+		}
+		for r := range a.All() { // one record spoilt
+			r.Val = append([]byte{1}, r.Val...)
+			b.Put(r)
+			if d := Differ(a.Digs(), b.Digs()); len(d) != 1 || d[0] != Span(r.Key) {
+				t.Fatalf("%s spoilt, ranges %v differ", r.Key, d)
+			}
+			return
+		}
+	})
+}
