--- a/control/master/master.go
+++ b/control/master/master.go
@@ -93,7 +93,6 @@
 // wrap hands out the results of a section's step.
 func (m *Master) wrap(s section.Out) (o Out) {
 	for _, r := range s.Results {
-		m.dirty = m.dirty || r.Fate == section.Done
 		if f := m.acts[r.Tag]; f != nil {
 			delete(m.acts, r.Tag)
 			f(r)
@@ -190,6 +189,7 @@
 	}
 	line := Line{}
 	o := m.Do(now, j, func(r section.Result) {
+		m.dirty = m.dirty || n.Op == "servers" // once keys come by the hundred and concern no server
 		switch r.Fate {
 		case section.NotOwner:
 			m.back(n, errand.Other, nil)
@@ -358,6 +358,7 @@
 		return []form.Rec{{Key: w.Key, Val: w.Val, Dead: w.Gone}}, nil
 	}}, func(r section.Result) {
 		b, _ := interlock.OpenBerth(form.Rec{Key: w.Key, Val: w.Val, Dead: w.Gone})
+		m.dirty = true
 		if m.holder == h {
 			h.Wrote(w.Key, b, r.Fate == section.Done)
 		}
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -148,7 +148,8 @@
 		}
 	}
 	if result == "shed" {
-		w.res.Sheds[why]++
+		kind, _, _ := strings.Cut(why, " of \"")
+		w.res.Sheds[kind]++
 	}
 	w.jot(journal.Event{Who: c.n.name, Ev: "reply", Request: c.see.Request, Run: c.see.Run, Count: c.see.N, Once: c.asked.Once, Tenant: c.asked.Tenant, Result: result, Why: why,
 		After: after, Took: int64(w.now - c.at), Cell: c.n.cell, Again: c.again})
