--- a/proof/sim/depot.go
+++ b/proof/sim/depot.go
@@ -135,18 +135,26 @@
 	l.end(out, why)
 }
 
-func (d *depot) prefill(l *line, p yard.Prefill) {
+// lets takes a call in, or says why not; a dark server says nothing.
+func (d *depot) lets(l *line, part string) bool {
+	if !d.up {
+		l.end(yard.Lost, "connection lost")
+	}
 	if !d.up || d.dark {
-		if !d.up {
-			l.end(yard.Lost, "connection lost")
-		}
-		return
+		return false
 	}
-	if why := d.enter(interlock.Reader); why != "" {
-		d.away(l, yard.Shed, interlock.Reader, why)
-		return
+	if why := d.enter(part); why != "" {
+		d.away(l, yard.Shed, part, why)
+		return false
 	}
 	d.lines[l] = true
+	return true
+}
+
+func (d *depot) prefill(l *line, p yard.Prefill) {
+	if !d.lets(l, interlock.Reader) {
+		return
+	}
 	d.jot(journal.Event{Ev: "prefill", Request: p.Request, Term: p.Term, N: d.busy})
 	t, cached := 2*time.Millisecond, 0
 	for i, c := range p.Prefix {
@@ -189,17 +197,9 @@
 }
 
 func (d *depot) decode(l *line, p yard.Decode) {
-	if !d.up || d.dark {
-		if !d.up {
-			l.end(yard.Lost, "connection lost")
-		}
-		return
-	}
-	if why := d.enter(interlock.Maker); why != "" {
-		d.away(l, yard.Shed, interlock.Maker, why)
+	if !d.lets(l, interlock.Maker) {
 		return
 	}
-	d.lines[l] = true
 	r := d.w.depots[p.Handle.Reader]
 	link := d.link + r.link + d.w.exp(time.Millisecond)
 	if r.cell != d.cell {
--- a/traffic/dispatch/call.go
+++ b/traffic/dispatch/call.go
@@ -106,17 +106,27 @@
 	l.settle(now, o)
 }
 
-// Handed takes a reader's reply, or its silence.
-//
-// Example: out := l.Handed(now, id, no, handle, yard.OK, "")
-func (l *Lane) Handed(now time.Duration, id string, no int, hd yard.Handle, out yard.Outcome, why string) (o Out) {
+// came finds the trip that an outcome is for, unless there is nothing more to
+// do: a stray one, or a call that the last look stopped.
+func (l *Lane) came(now time.Duration, id string, no int, out yard.Outcome, o *Out) *trip {
 	t := l.open(id, no)
 	if t == nil {
-		return o
+		return nil
 	}
 	l.look(now)
 	if out == yard.Barred {
-		l.barred(now, t, &o)
+		l.barred(now, t, o)
+		return nil
+	}
+	return t
+}
+
+// Handed takes a reader's reply, or its silence.
+//
+// Example: out := l.Handed(now, id, no, handle, yard.OK, "")
+func (l *Lane) Handed(now time.Duration, id string, no int, hd yard.Handle, out yard.Outcome, why string) (o Out) {
+	t := l.came(now, id, no, out, &o)
+	if t == nil {
 		return o
 	}
 	if out == yard.OK {
@@ -151,15 +161,10 @@
 //
 // Example: out := l.Made(now, id, no, yard.Shed, "full")
 func (l *Lane) Made(now time.Duration, id string, no int, out yard.Outcome, why string) (o Out) {
-	t := l.open(id, no)
+	t := l.came(now, id, no, out, &o)
 	if t == nil {
 		return o
 	}
-	l.look(now)
-	if out == yard.Barred {
-		l.barred(now, t, &o)
-		return o
-	}
 	l.made(now, t, out, why, &o)
 	l.settle(now, &o)
 	return o
