--- a/cmd/testtrack/sweep.go
+++ b/cmd/testtrack/sweep.go
@@ -120,5 +120,10 @@
 		fmt.Printf("18 daemons in 3 far cells, one cell's relays slow for 40 s, static %v: %d joins and %d splits told, renewal in that cell meanwhile %v, %.1f notes a second into each owner, %d rules broken\n",
 			static, r.Steers["join"], r.Steers["split"], r.Renewal.Round(10*time.Microsecond), float64(r.RootNotes)/130/2, len(r.Broken))
 	}
+	o := sim.Scenarios["servers"](seed)
+	o.Faults, o.Back = map[string]float64{"crowd": 3}, true
+	r := sim.Run(o)
+	fmt.Printf("crowds of 12 times the usual rate: %d requests shed came back when told to, %d of them served; whole replies by tenant %v of %v sent in crowds; %d rules broken\n",
+		r.Returned, r.Helped, r.Served, r.Sent, len(r.Broken))
 	return 0
 }
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -31,6 +31,7 @@
 	broken string
 	over   bool
 	again  bool
+	back   bool // came back when it was told to
 	crowd  bool // sent while requests come thick
 	after  func()
 }
@@ -162,6 +163,16 @@
 	if c.after != nil {
 		c.after()
 	}
+	if c.back {
+		w.res.Returned++
+		if result == "ok" {
+			w.res.Helped++
+		}
+	} else if w.o.Back && result == "shed" && after > 0 {
+		w.callers++
+		again := &caller{w: w, no: w.callers, budget: c.budget, asked: c.asked, back: true}
+		w.at(time.Duration(after)*time.Millisecond, func() { again.send(w.pick(c.n.cell)) })
+	}
 }
 
 // hangUp ends a killed daemon's connections.
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -27,6 +27,7 @@
 	Swaps    []time.Duration // when a core machine is exchanged for an empty one
 	Far      time.Duration   // more between cells, one way
 	Lame     time.Duration   // more to and from one relay, from 15 s to 55 s
+	Back     bool            // who is shed comes back when told to, once
 	Static   bool            // the tree is not reshaped by load and cost
 	Mutate   float64         // part of the notes that come a second time with one field changed, as from a stranger
 	Trace    func(string)
@@ -44,6 +45,7 @@
 	Waits                    []time.Duration // time from asking for a write to yes
 	Faults                   map[string]int
 	Recs, Mended             int
+	Returned, Helped         int            // requests that came back when told to, and those served then
 	Served, Sent             map[string]int // requests by tenant, in crowds
 	Steers                   map[string]int // notes that moved a daemon in the tree, by why
 	Renewal                  time.Duration  // mean time of a renewal of a lease while a relay was lame
