Servers that don't say their uptime are used, and told their part again after the dark

Cause, found reading the change again: with no uptime in a server's report every poll looked like a new life, so it would have been dark for ever. TestServersThatDoNotSayTheirUptime fails before, passes after. A server that comes back from the dark may be new: it gets its order again.

--- a/control/interlock/interlock_test.go
+++ b/control/interlock/interlock_test.go
@@ -269,3 +269,49 @@
 		t.Errorf("%d slots of 8 on a server that is up for a second", n)
 	}
 }
+
+// A server that doesn't say its uptime is used all the same, and is told its
+// part again when it comes back from the dark.
+func TestServersThatDoNotSayTheirUptime(t *testing.T) {
+	h, l := fleet(2)
+	berths := map[string]Berth{}
+	said := 0
+	run := func(from, to time.Duration, ok bool) {
+		for now := from; now < to; now += 50 * time.Millisecond {
+			h.Load(now, "m", l, berths)
+			o := h.Tick(now)
+			for _, k := range o.Polls {
+				h.Polled(now, k, Usage{}, ok)
+			}
+			for _, x := range o.Orders {
+				said++
+				h.Ordered(now, h.OrderKey(x.Addr), x, true)
+			}
+			for _, w := range o.Writes {
+				b, _ := OpenBerth(form.Rec{Key: w.Key, Val: w.Val})
+				berths[w.Key] = b
+				h.Wrote(w.Key, b, true)
+			}
+		}
+	}
+	up := func() (n int) {
+		for _, b := range berths {
+			if b.Status == Up {
+				n++
+			}
+		}
+		return n
+	}
+	run(0, 12*time.Second, true)
+	if up() != 2 || said != 2 {
+		t.Fatalf("%d of 2 up after %d orders: %v", up(), said, berths)
+	}
+	run(12*time.Second, 15*time.Second, false)
+	if up() != 0 {
+		t.Errorf("dark servers are up: %v", berths)
+	}
+	run(15*time.Second, 25*time.Second, true)
+	if up() != 2 || said != 4 {
+		t.Errorf("back: %d of 2 up after %d orders: %v", up(), said, berths)
+	}
+}
--- a/control/interlock/status.go
+++ b/control/interlock/status.go
@@ -21,14 +21,15 @@
 	// It was born between these two moments of our clock. If that is after the
 	// latest that it can have been before, it is another life, however long its
 	// uptime: what it played is gone.
+	// A server that doesn't say its uptime is known to be new by having been dark.
 	up := time.Duration(u.Uptime) * time.Millisecond
 	drift := time.Duration(float64(now-s.bornAt)*h.cfg.Drift) + h.cfg.Margin
-	if s.seen && (u.Uptime < s.usage.Uptime || s.pollAt-up > s.born+drift) {
+	if s.seen && u.Uptime > 0 && s.usage.Uptime > 0 && (u.Uptime < s.usage.Uptime || s.pollAt-up > s.born+drift) {
 		s.anew, s.ordered, s.warmAt = true, "", now
 	}
 	s.born, s.bornAt = now-up, now
-	if s.fails >= h.cfg.Dark {
-		s.warmAt = now
+	if s.fails >= h.cfg.Dark { // it may have started anew: say its part again
+		s.warmAt, s.ordered = now, ""
 	}
 	s.fails, s.seen, s.usage = 0, true, u
 	part := float64(h.cfg.Poll) / float64(h.cfg.Window)
@@ -37,7 +38,7 @@
 
 // young tells whether a server is warming up, by its own word or its uptime.
 func (h *Holder) young(s *server) bool {
-	return s.seen && (s.usage.Warming || time.Duration(s.usage.Uptime)*time.Millisecond < h.cfg.Warm)
+	return s.seen && (s.usage.Warming || s.usage.Uptime > 0 && time.Duration(s.usage.Uptime)*time.Millisecond < h.cfg.Warm)
 }
 
 func (h *Holder) poll(now time.Duration, keys []string, o *Out) {
