--- a/control/roster/guide.go
+++ b/control/roster/guide.go
@@ -14,7 +14,6 @@
 
 	steer     form.Seat
 	steerTill time.Duration
-	under     uint64 // ballot of the owner under which we were steered
 	fallTill  time.Duration
 	live      bool
 }
@@ -30,7 +29,7 @@
 //
 // Example: g.Steered(now, out.Steer)
 func (g *Guide) Steered(now time.Duration, to form.Seat) {
-	g.steer, g.steerTill, g.fallTill, g.under = to, now+40*g.Vol, 0, 0
+	g.steer, g.steerTill, g.fallTill = to, now+40*g.Vol, 0
 }
 
 // Parent is the seat to renew at now; none for the owner itself.
@@ -41,17 +40,11 @@
 	if own.Ident == v.Me.Ident {
 		return form.Seat{}
 	}
-	// Under another owner the tree is another: who was steered to the old owner
-	// would hang below a relay's child, with a lease too short to renew in time.
-	if num := v.Owns[g.Part].Num; g.under == 0 {
-		g.under = num
-	} else if g.under != num {
-		g.steer = form.Seat{}
-	}
-	if g.steer.Ident != "" && g.steer.Ident != v.Me.Ident && now < g.steerTill {
-		if _, ok := v.Find(g.steer.Ident); ok || g.steer == own {
-			return g.steer
-		}
+	// A steer leads to the owner or to our cell's relay. When the view says that
+	// its target is neither any more, it would have us hang below a relay's
+	// child, with a lease too short to renew in time.
+	if to := g.steer.Ident; to != "" && to != v.Me.Ident && now < g.steerTill && (to == own.Ident || to == v.Relay(g.Part, v.Me.Cell).Ident) {
+		return g.steer
 	}
 	if now < g.fallTill {
 		return own
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -78,8 +78,8 @@
 }
 
 // Who was steered to an owner goes back to its static parent when another
-// daemon is owner.
-func TestASteerEndsWithItsOwner(t *testing.T) {
+// daemon is owner; who was steered to a relay, when another is relay.
+func TestASteerEndsWithItsTarget(t *testing.T) {
 	v := &View{Me: form.Member{Ident: "m", Cell: "c"}, Owns: map[int]form.Own{0: {Num: 4, Seat: form.Seat{Ident: "a", Addr: "a"}}}, small: 2, by: map[string]form.Member{}}
 	for _, id := range []string{"a", "b", "m", "r"} {
 		v.Members = append(v.Members, form.Member{Ident: id, Addr: id, Cell: map[bool]string{true: "c", false: "d"}[id == "m" || id == "r"]})
@@ -95,4 +95,15 @@
 	if p := g.Parent(3*time.Second, v); p.Ident == "a" {
 		t.Error("still at the old owner")
 	}
+	relay := v.Relay(0, "c")
+	g.Steered(4*time.Second, relay)
+	if p := g.Parent(5*time.Second, v); p != relay && relay.Ident != "m" {
+		t.Errorf("not steered to the relay %v: %v", relay, p)
+	}
+	other := form.Seat{Ident: map[bool]string{true: "q", false: "r"}[relay.Ident == "r"], Addr: "q"}
+	v.by[other.Ident] = form.Member{Ident: other.Ident, Cell: "c"}
+	g.Steered(6*time.Second, other)
+	if p := g.Parent(7*time.Second, v); p == other {
+		t.Errorf("steered to %v, which is no relay", other)
+	}
 }
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -42,9 +42,9 @@
 // Runs that broke a rule once.
 func TestSeedsThatBrokeARule(t *testing.T) {
 	for name, seeds := range map[string][]int64{
-		"kills":   {568}, // a core machine was killed just after it had stood with a ballot above the owner's
-		"rangsit": {120}, // a daemon that was steered to an owner stayed there under the next one
-		"servers": {151}, // a server killed and back between two polls
+		"kills":   {568},      // a core machine was killed just after it had stood with a ballot above the owner's
+		"rangsit": {120, 262}, // a daemon steered to an owner, or a relay, stayed there under the next one
+		"servers": {151},      // a server killed and back between two polls
 		"traffic": {2, 60},
 	} {
 		for _, seed := range seeds {
