A value spoilt in place counts as missing: a sum stands beside each record on disk

The sums stand in a table of their own by key and version, so that the build before reads and writes the files as it did, and what it writes is taken as it is. TestASpoiltValueIsMissing; ruled out: a sum over the whole book, which would cost the whole machine's copy for one record.

--- a/control/archive/archive.go
+++ b/control/archive/archive.go
@@ -36,14 +36,15 @@
 
 // Archive is an open data folder.
 type Archive struct {
-	db    *sql.DB
-	lock  *os.File
-	Ident string
-	Epoch uint64
-	Empty bool   // nothing was here before
-	Moved string // where a damaged file was put, if one was found
-	Parts map[int]Held
-	Stall func() // test switch: called before each write
+	db     *sql.DB
+	lock   *os.File
+	Ident  string
+	Epoch  uint64
+	Empty  bool   // nothing was here before
+	Moved  string // where a damaged file was put, if one was found
+	Parts  map[int]Held
+	Spoilt int    // records whose value isn't what was written: they count as missing
+	Stall  func() // test switch: called before each write
 }
 
 // Open opens or makes the data folder, locks it, counts the epoch up and
@@ -109,6 +110,7 @@
 create table if not exists meta(k text primary key, v text not null);
 create table if not exists seat(part integer primary key, v text not null);
 create table if not exists rec(part integer, key text, span integer, term integer, seq integer, dead integer, val blob, primary key(part,key)) without rowid;
+create table if not exists sums(part integer, key text, term integer, seq integer, sum integer, primary key(part,key)) without rowid;
 create index if not exists spans on rec(part, span);`
 
 func (a *Archive) open(path, fleet string) error {
@@ -199,7 +201,7 @@
 		a.Parts[part] = h
 	}
 	_ = rows.Close()
-	recs, err := a.db.Query("select part, key, term, seq, dead, val from rec")
+	recs, err := a.db.Query("select r.part, r.key, r.term, r.seq, r.dead, r.val, s.sum from rec r left join sums s on s.part=r.part and s.key=r.key and s.term=r.term and s.seq=r.seq")
 	if err != nil {
 		return damage{Error.Wrap(err)}
 	}
@@ -207,13 +209,18 @@
 	for recs.Next() {
 		var part int
 		var r form.Rec
-		if err := recs.Scan(&part, &r.Key, &r.Ver.Term, &r.Ver.Seq, &r.Dead, &r.Val); err != nil {
+		var sum sql.NullInt64 // a build before this one writes none
+		if err := recs.Scan(&part, &r.Key, &r.Ver.Term, &r.Ver.Seq, &r.Dead, &r.Val, &sum); err != nil {
 			return damage{Error.Wrap(err)}
 		}
 		h, ok := a.Parts[part]
 		if !ok {
 			return damage{Error.New("record %q of part %d, which has no seat", r.Key, part)}
 		}
+		if sum.Valid && sum.Int64 != int64(survey.Print(r)) {
+			a.Spoilt++
+			continue
+		}
 		h.Book.Put(r)
 	}
 	if err := recs.Err(); err != nil {
@@ -248,14 +255,19 @@
 				}
 			}
 			for _, k := range s.Drop {
-				if _, err := tx.Exec("delete from rec where part=? and key=?", s.Part, k); err != nil {
-					return err
+				for _, from := range []string{"rec", "sums"} {
+					if _, err := tx.Exec("delete from "+from+" where part=? and key=?", s.Part, k); err != nil {
+						return err
+					}
 				}
 			}
 			for _, r := range s.Recs {
 				if _, err := tx.Exec("insert or replace into rec values(?,?,?,?,?,?,?)", s.Part, r.Key, survey.Span(r.Key), r.Ver.Term, r.Ver.Seq, r.Dead, r.Val); err != nil {
 					return err
 				}
+				if _, err := tx.Exec("insert or replace into sums values(?,?,?,?,?)", s.Part, r.Key, r.Ver.Term, r.Ver.Seq, int64(survey.Print(r))); err != nil {
+					return err
+				}
 			}
 		}
 		return nil
--- a/control/archive/archive_test.go
+++ b/control/archive/archive_test.go
@@ -115,3 +115,34 @@
 		t.Errorf("with room again: %v", err)
 	}
 }
+
+// A value spoilt in place, its version intact, counts as missing.
+func TestASpoiltValueIsMissing(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	recs := []form.Rec{{Key: "a", Ver: form.Ver{Term: 1, Seq: 1}, Val: []byte("x")}, {Key: "b", Ver: form.Ver{Term: 1, Seq: 2}, Dead: true}, {Key: "c", Ver: form.Ver{Term: 1, Seq: 3}}}
+	if err := a.Write([]notary.Save{{Part: 0, Recs: recs}}); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	if a = open(t, dir); a.Spoilt != 0 || a.Parts[0].Book.Size() != 3 {
+		t.Fatalf("%d spoilt, %d held", a.Spoilt, a.Parts[0].Book.Size())
+	}
+	if _, err := a.db.Exec("update rec set val='y' where key='a'"); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	a = open(t, dir)
+	defer a.Close()
+	if _, ok := a.Parts[0].Book.Get("a"); ok || a.Spoilt != 1 || a.Parts[0].Book.Size() != 2 {
+		t.Errorf("%d spoilt, %d held", a.Spoilt, a.Parts[0].Book.Size())
+	}
+	// A record written by a build that keeps no sums is taken as it is.
+	if _, err := a.db.Exec("insert or replace into rec values(0,'a',0,2,1,0,'z')"); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	if a = open(t, dir); a.Spoilt != 0 || a.Parts[0].Book.Size() != 3 {
+		t.Errorf("written by another build: %d spoilt, %d held", a.Spoilt, a.Parts[0].Book.Size())
+	}
+}
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -94,6 +94,9 @@
 		if a.Moved != "" {
 			book.Say("disk", "state was damaged; set aside as %s, starting empty as %s", a.Moved, a.Ident)
 		}
+		if a.Spoilt > 0 {
+			book.Say("disk", "%d records are spoilt and count as missing; the other copies have them", a.Spoilt)
+		}
 		for p := range a.Parts {
 			if p > cfg.Parts {
 				a.Close()
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -22,6 +22,7 @@
 	epoch uint64
 	meta  map[int]notary.Meta
 	recs  map[int]map[string]form.Rec
+	sums  map[string]uint64 // by part and key, as control/archive keeps them
 }
 
 type node struct {
@@ -103,7 +104,7 @@
 	now := n.local()
 	if n.hasDisk {
 		if n.disk == nil {
-			n.disk = &folder{ident: n.ident, meta: map[int]notary.Meta{}, recs: map[int]map[string]form.Rec{}}
+			n.disk = &folder{ident: n.ident, meta: map[int]notary.Meta{}, recs: map[int]map[string]form.Rec{}, sums: map[string]uint64{}}
 			if w.o.Sabotage == "samename" {
 				n.disk.ident = n.name
 			}
@@ -132,8 +133,10 @@
 		var seat *notary.Seat
 		if n.hasDisk {
 			book := survey.NewBook()
-			for _, r := range n.disk.recs[p] {
-				book.Put(r)
+			for k, r := range n.disk.recs[p] {
+				if n.disk.sums[sumKey(p, k)] == survey.Print(r) { // else it is spoilt and counts as missing
+					book.Put(r)
+				}
 			}
 			meta := n.disk.meta[p]
 			if w.o.Sabotage == "forget" {
@@ -333,6 +336,8 @@
 	})
 }
 
+func sumKey(p int, key string) string { return fmt.Sprintf("%d/%s", p, key) }
+
 // sync is what a transaction leaves behind.
 func (f *folder) sync(list []notary.Save) {
 	for _, s := range list {
@@ -352,6 +357,7 @@
 		}
 		for _, r := range s.Recs {
 			f.recs[s.Part][r.Key] = r
+			f.sums[sumKey(s.Part, r.Key)] = survey.Print(r)
 		}
 	}
 }
