--- a/control/archive/archive.go
+++ b/control/archive/archive.go
@@ -43,8 +43,7 @@
 	Empty  bool   // nothing was here before
 	Moved  string // where a damaged file was put, if one was found
 	Parts  map[int]Held
-	Spoilt int    // records whose value isn't what was written: they count as missing
-	Stall  func() // test switch: called before each write
+	Spoilt int // records whose value isn't what was written: they count as missing
 }
 
 // Open opens or makes the data folder, locks it, counts the epoch up and
@@ -233,9 +232,6 @@
 //
 // Example: err := a.Write(out.Saves)
 func (a *Archive) Write(list []notary.Save) error {
-	if a.Stall != nil {
-		a.Stall()
-	}
 	tx, err := a.db.Begin()
 	if err != nil {
 		return Error.Wrap(err)
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -116,8 +116,7 @@
 	heard  map[string]rumour  // what other control daemons told
 	view   []form.Member
 	owns   map[int]form.Own
-	other  []string        // control addresses from elsewhere, such as our own groups
-	dead   map[string]bool // identities known to be gone for good
+	other  []string // control addresses from elsewhere, such as our own groups
 	goneAt map[string]time.Duration
 
 	ctl    int
@@ -135,7 +134,7 @@
 // Example: r := roster.New(cfg, me, seeds)
 func New(cfg Config, me form.Member, seeds []string) *Roster {
 	return &Roster{cfg: cfg, me: me, seeds: seeds, mine: map[string]session{}, heard: map[string]rumour{}, owns: map[int]form.Own{},
-		dead: map[string]bool{}, goneAt: map[string]time.Duration{}, backAt: -cfg.Session}
+		goneAt: map[string]time.Duration{}, backAt: -cfg.Session}
 }
 
 // Know adds addresses of control daemons that were learnt elsewhere: seeds may
--- a/proof/sim/depot.go
+++ b/proof/sim/depot.go
@@ -16,34 +16,33 @@
 // depot is a simulated model server. It checks nothing that the fleet is to
 // check: a maker takes up whatever cache a handle leads to.
 type depot struct {
-	w         *world
-	addr      string
-	svc       string
-	cell      string
-	cap       int
-	warm      time.Duration
-	up, dark  bool
-	gone      bool
-	life      int
-	born      time.Duration
-	part      string
-	term, no  uint64
-	busy      int
-	kv        map[string]cache
-	held      map[uint64]bool
-	ids       int
-	links     map[string]int
-	lines     map[*line]bool
-	leaving   bool
-	told      bool
-	cross     bool // replies are crossed: somebody else's handle comes back
-	breaks    bool // streams break
-	skip      bool // a piece is left out
-	twice     bool // a piece comes twice
-	slow      int
-	link      time.Duration
-	lapseAll  bool
-	seenOrder bool
+	w        *world
+	addr     string
+	svc      string
+	cell     string
+	cap      int
+	warm     time.Duration
+	up, dark bool
+	gone     bool
+	life     int
+	born     time.Duration
+	part     string
+	term, no uint64
+	busy     int
+	kv       map[string]cache
+	held     map[uint64]bool
+	ids      int
+	links    map[string]int
+	lines    map[*line]bool
+	leaving  bool
+	told     bool
+	cross    bool // replies are crossed: somebody else's handle comes back
+	breaks   bool // streams break
+	skip     bool // a piece is left out
+	twice    bool // a piece comes twice
+	slow     int
+	link     time.Duration
+	lapseAll bool
 }
 
 type cache struct {
--- a/traffic/slots/slots.go
+++ b/traffic/slots/slots.go
@@ -49,18 +49,17 @@
 
 // Queue is the state; its user holds the lock.
 type Queue struct {
-	cfg          Config
-	list         []*Wait
-	out          []Ticket // decided and not yet fetched
-	no           uint64
-	share        map[string]int
-	till         time.Duration
-	held         map[string]int
-	prios        map[Side][10]int // in flight by priority
-	fails        map[string]int
-	pace         [2]time.Duration // smoothed time between slots given
-	last         [2]time.Duration
-	Given, Sheds int64
+	cfg   Config
+	list  []*Wait
+	out   []Ticket // decided and not yet fetched
+	no    uint64
+	share map[string]int
+	till  time.Duration
+	held  map[string]int
+	prios map[Side][10]int // in flight by priority
+	fails map[string]int
+	pace  [2]time.Duration // smoothed time between slots given
+	last  [2]time.Duration
 }
 
 // New makes a queue.
@@ -135,7 +134,6 @@
 }
 
 func (q *Queue) shed(now time.Duration, w *Wait, why string, ahead int) {
-	q.Sheds++
 	q.out = append(q.out, Ticket{ID: w.ID, Shed: true, Why: why, After: q.After(w.Side, ahead)})
 }
 
@@ -214,7 +212,6 @@
 	p := q.prios[w.Side]
 	p[w.Prio]++
 	q.prios[w.Side] = p
-	q.Given++
 	// The pace counts only while something waited: idle time isn't slowness.
 	if w.at < now || len(q.list) > 1 {
 		gap := now - max(q.last[w.Side], w.at)
