--- a/cmd/signalbox/main.go
+++ b/cmd/signalbox/main.go
@@ -7,19 +7,29 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
 	"mulleinmast/control/archive"
 	"mulleinmast/control/cabin"
 	"mulleinmast/control/daybook"
+	"mulleinmast/platform"
 	"mulleinmast/traffic/desk"
 )
 
 func main() { os.Exit(run()) }
 
 func run() int {
-	cfg, err := cabin.ReadConfig("signalbox", os.Args[1:], os.Stderr)
+	boot, ours, err := platform.Boot(os.Getenv)
+	var cfg cabin.Config
+	if ours && err == nil {
+		cfg = boot.Config()
+	} else if !ours {
+		cfg, err = cabin.ReadConfig("signalbox", os.Args[1:], os.Stderr)
+	}
 	if errors.Is(err, cabin.ErrHelp) {
 		return 0
 	}
@@ -27,44 +37,54 @@
 		_, _ = fmt.Fprintf(os.Stderr, "signalbox: bad config:\n%v\n", err)
 		return 2
 	}
+	if cfg.Cores > 0 {
+		runtime.GOMAXPROCS(cfg.Cores)
+	}
+	if cfg.Memory > 0 {
+		debug.SetMemoryLimit(cfg.Memory)
+	}
 	book := daybook.New(cfg.Ring, os.Stderr)
+	book.Loud = ours && slices.Contains(os.Args[1:], "-say") // every line is written out at once
 	c, err := cabin.Open(cfg, book)
 	if err != nil {
-		_, _ = fmt.Fprintf(os.Stderr, "signalbox: %v\n", err)
-		switch {
-		case archive.Error.Has(err):
-			return 3
-		case cabin.InUse.Has(err):
-			return 4
-		}
-		return 1
+		return fail(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
 	d := desk.New(ctx, c)
-	book.Say("start", "fleet %s cell %s wire %s web %s identity %s", cfg.Fleet, cfg.Cell, cfg.Wire, cfg.Web, c.Ident())
+	// The servers' list and the front of the platform are hooked in here.
+	var host *platform.Host
+	if ours {
+		if host, err = platform.Start(boot, c, nil); err != nil {
+			return fail(err)
+		}
+	}
+	book.Say("start", "fleet %s cell %s wire %s web %s identity %s seeds %v", cfg.Fleet, cfg.Cell, cfg.Wire, cfg.Web, c.Ident(), cfg.Seeds)
 	sig := make(chan os.Signal, 2)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
-		<-sig
-		c.Leave()
-		// Requests are taken until the platform has seen that we are not ready;
-		// streams that have begun may end. A second signal cuts them off.
-		limit := time.After(cfg.Bounds.Recover)
-		for t := time.NewTicker(cfg.Vol() / 16); ; {
-			select {
-			case <-sig:
-				stop()
-				return
-			case <-limit:
-				stop()
-				return
-			case <-t.C:
-				if c.Closed() && d.Open() == 0 {
-					stop()
-					return
+		for s := range sig {
+			if s != syscall.SIGHUP {
+				break
+			}
+			if host != nil {
+				host.Reload()
+			}
+		}
+		leave, cut := context.WithCancel(ctx)
+		go func() { // a second signal cuts off what is under way
+			for s := range sig {
+				if s != syscall.SIGHUP {
+					cut()
 				}
 			}
+		}()
+		if host != nil {
+			host.Stop(leave)
+		} else {
+			finish(leave, c, d)
 		}
+		stop()
 	}()
 	if err := c.Run(ctx); err != nil {
 		book.Trouble("stop", "%v", err)
@@ -73,3 +93,35 @@
 	book.Say("stop", "stopped")
 	return 0
 }
+
+func fail(err error) int {
+	_, _ = fmt.Fprintf(os.Stderr, "signalbox: %v\n", err)
+	switch {
+	case archive.Error.Has(err):
+		return 3
+	case cabin.InUse.Has(err):
+		return 4
+	}
+	return 1
+}
+
+// finish takes requests until those who check have seen that we are not ready,
+// and waits for the streams that have begun.
+func finish(ctx context.Context, c *cabin.Cabin, d *desk.Desk) {
+	c.Leave()
+	limit := time.After(c.Cfg.Bounds.Recover)
+	t := time.NewTicker(c.Cfg.Vol() / 16)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit:
+			return
+		case <-t.C:
+			if c.Closed() && d.Open() == 0 {
+				return
+			}
+		}
+	}
+}
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -49,6 +49,8 @@
 	Hands *yard.Hands
 	Mux   *http.ServeMux
 	More  func() map[string]any // what traffic adds to the state dump
+	// Source tells which servers there are; none: the platform PUTs the lists.
+	Source Source
 
 	clock  *regulator.Clock
 	arch   *archive.Archive
@@ -62,6 +64,7 @@
 	stopAt atomic.Int64
 	plan   atomic.Pointer[planSeen]
 	ready  atomic.Bool
+	begun  atomic.Bool // it was ready once
 
 	dmu   sync.Mutex
 	dq    []notary.Save
@@ -75,7 +78,8 @@
 	nmu  sync.Mutex
 	news chan struct{}
 
-	web net.Listener
+	web   net.Listener
+	extra []suture.Service
 }
 
 // Open readies a daemon: data folder, addresses, machines. Nothing runs yet.
@@ -197,6 +201,12 @@
 	}
 	if c.arch != nil {
 		sup.Add(service(c.serveDisk))
+		if c.Source != nil {
+			sup.Add(service(c.tickSource))
+		}
+	}
+	for _, s := range c.extra {
+		sup.Add(s)
 	}
 	err := sup.Serve(ctx)
 	if ctx.Err() != nil {
--- a/control/cabin/config.go
+++ b/control/cabin/config.go
@@ -40,13 +40,39 @@
 	Queue  int
 	Test   bool // opens the switches for tests
 	Ring   int
+	Losses int           // machines with state that may be lost at once
+	First  bool          // the whole fleet starts for the first time; else a group is joined, never founded
+	Touch  time.Duration // for how long a machine is well before bounds hold for it
+	Ack    time.Duration // an operator's order is acknowledged within this
+	Grace  time.Duration // from the signal to stop until the process is killed
+	Cores  int           // processors to use; 0: all
+	CPU    float64       // the share of a processor that this daemon gets
+	Memory int64         // bytes, at most; 0: no bound
+	Retry  Retry         // of opaque requests, over the whole fleet
+	Warm   Warm
+}
+
+// Retry bounds what the daemons together send beyond the first call of each
+// request: Ratio of the requests of a Window, and Slack more.
+type Retry struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  int
+}
+
+// Warm bounds what a warming server gets in a second, from all daemons: what
+// it bears times Over, and Slack more.
+type Warm struct {
+	Over  float64
+	Slack float64
 }
 
 // Default is the config before the file and the flags.
 //
 // Example: c := cabin.Default()
 func Default() Config {
-	return Config{Fleet: "mulleinmast", Cell: "cell-1", Parts: 8, Drift: 0.02, Queue: 512, Ring: 4096,
+	return Config{Fleet: "mulleinmast", Cell: "cell-1", Parts: 8, Drift: 0.02, Queue: 512, Ring: 4096, Losses: 1, First: true,
+		Touch: 3 * time.Second, Ack: 4 * time.Second, Grace: 12 * time.Second, CPU: 1, Retry: Retry{Ratio: 0.2, Window: 12 * time.Second}, Warm: Warm{Over: 1},
 		Bounds: Bounds{Plan: 2 * time.Second, Leave: 3 * time.Second, Evacuate: 5 * time.Second, Swap: 3 * time.Second, Recover: 12 * time.Second}}
 }
 
@@ -61,6 +87,8 @@
 	Drift    *float64 `json:"drift"`
 	Queue    *int     `json:"queue"`
 	Ring     *int     `json:"ring"`
+	Losses   *int     `json:"losses"`
+	First    *bool    `json:"first"`
 	Plan     *string  `json:"bound_plan"`
 	Leave    *string  `json:"bound_leave"`
 	Evacuate *string  `json:"bound_evacuate"`
@@ -90,10 +118,12 @@
 	wire := fs.String("wire", "", "`ip:port` for other daemons")
 	web := fs.String("web", "", "`ip:port` for requesters, the platform and operators (HTTP)")
 	cell := fs.String("cell", c.Cell, "`name` of this machine's cell")
-	seeds := fs.String("seeds", "", "three `ip:port,ip:port,ip:port` of other daemons' -wire")
+	seeds := fs.String("seeds", "", "up to three `ip:port,ip:port,ip:port` of daemons' -wire")
 	data := fs.String("data", "", "data `folder`; a daemon with one holds state")
 	parts := fs.Int("parts", c.Parts, "service parts; the same on all daemons, for good")
 	drift := fs.Float64("drift", c.Drift, "most by which one clock outruns another")
+	losses := fs.Int("losses", c.Losses, "daemons with a data folder that may be lost at once; the first group has twice as many seats, and one")
+	first := fs.Bool("first", c.First, "the fleet may start for the first time; say false once it has, where a seed has no data folder")
 	queue := fs.Int("queue", c.Queue, "most requests waiting, per service")
 	test := fs.Bool("test-switches", false, "open the switches that tests use (never in production)")
 	fs.Usage = func() {
@@ -128,6 +158,10 @@
 			c.Parts = *parts
 		case "drift":
 			c.Drift = *drift
+		case "losses":
+			c.Losses = *losses
+		case "first":
+			c.First = *first
 		case "queue":
 			c.Queue = *queue
 		case "test-switches":
@@ -161,6 +195,8 @@
 	set(&c.Drift, in.Drift)
 	set(&c.Queue, in.Queue)
 	set(&c.Ring, in.Ring)
+	set(&c.Losses, in.Losses)
+	set(&c.First, in.First)
 	if in.Seeds != nil {
 		c.Seeds = in.Seeds
 	}
@@ -182,6 +218,14 @@
 	}
 }
 
+// Check lists every fault of a config at once.
+//
+// Example: f := c.Check(); f.Any() == false
+func (c Config) Check() (f tariff.Faults) {
+	c.check(&f)
+	return f
+}
+
 func (c Config) check(f *tariff.Faults) {
 	addr := func(what, s string) {
 		p, err := netip.ParseAddrPort(s)
@@ -196,8 +240,8 @@
 	if c.Wire != "" && c.Wire == c.Web {
 		f.Add("wire and web: both are %s", c.Wire)
 	}
-	if len(c.Seeds) != 3 {
-		f.Add("seeds: %d given, expected three", len(c.Seeds))
+	if len(c.Seeds) < 1 || len(c.Seeds) > 3 {
+		f.Add("seeds: %d given, expected one to three", len(c.Seeds))
 	}
 	seen := map[string]bool{}
 	for _, s := range c.Seeds {
@@ -222,6 +266,9 @@
 	if c.Queue < 1 || c.Queue > 1<<20 {
 		f.Add("queue: %d: expected 1 to %d", c.Queue, 1<<20)
 	}
+	if c.Losses < 0 || c.Losses > 4 {
+		f.Add("losses: %d: expected 0 to 4", c.Losses)
+	}
 	if c.Ring < 16 || c.Ring > 1<<20 {
 		f.Add("ring: %d: expected 16 to %d", c.Ring, 1<<20)
 	}
@@ -269,7 +316,7 @@
 //
 // Example: r := roster.New(c.Sessions(), me, c.Seeds)
 func (c Config) Sessions() roster.Config {
-	return roster.Config{Session: part(c.Bounds.Plan, 0.6), Beat: part(c.Bounds.Plan, 0.1), Small: 3}
+	return roster.Config{Session: part(c.Bounds.Plan, 0.6), Beat: part(c.Bounds.Plan, 0.1), Small: 3, Losses: c.Losses, First: c.First}
 }
 
 // Works is the config of the servers' holder.
--- a/control/cabin/fleet.go
+++ b/control/cabin/fleet.go
@@ -49,7 +49,9 @@
 			}
 			s.mu.Unlock()
 		}
-		c.ready.Store(c.isReady())
+		if now := c.isReady(); c.ready.Swap(now) != now {
+			c.turned(now)
+		}
 		me := c.member() // takes the shards' locks, so before the roster's
 		c.rmu.Lock()
 		o := c.rost.Tick(c.Now(), me, owns)
@@ -67,7 +69,7 @@
 
 // found makes the first group of every part, in one transaction.
 func (c *Cabin) found(seats []form.Seat) {
-	c.Book.Note("fleet", "every seed is empty: founding the fleet with %v", seats)
+	c.Book.Say("fleet", "nobody knows of a group: the fleet is founded with %v", seats)
 	var saves []notary.Save
 	var sends []form.Send
 	for _, s := range c.shards {
@@ -82,6 +84,19 @@
 	}
 }
 
+// turned notes that the daemon became ready, or no longer is; the first time
+// is written out.
+func (c *Cabin) turned(ready bool) {
+	switch {
+	case !ready:
+		c.Book.Note("ready", "no more: %s", c.unready())
+	case c.begun.Swap(true):
+		c.Book.Note("ready", "again")
+	default:
+		c.Book.Say("ready", "ready %v after the start", c.Now().Round(time.Millisecond))
+	}
+}
+
 func (c *Cabin) isReady() bool {
 	if c.stop.Load() || !c.View().Live {
 		return false
--- a/control/cabin/shard.go
+++ b/control/cabin/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mulleinmast/control/master"
@@ -13,6 +14,7 @@
 type shard struct {
 	mu   sync.Mutex
 	part int
+	gen  atomic.Uint64 // counts changes of what may be served
 	*master.Master
 	guide roster.Guide
 }
@@ -48,6 +50,10 @@
 	if len(o.Fresh)+len(o.Gone) > 0 || o.Won || o.Lost {
 		c.tellNews()
 	}
+	if gen := s.Section().Node.Gen(); gen != s.gen.Load() {
+		s.gen.Store(gen)
+		c.tellNews()
+	}
 }
 
 // send puts a note on the line; one to ourselves never leaves the daemon.
@@ -82,13 +88,16 @@
 
 func (c *Cabin) hear(n form.Note) {
 	switch {
-	case n.Kind >= form.Hello && n.Kind <= form.Count:
+	case n.Kind >= form.Hello && n.Kind <= form.Count, n.Kind == form.Found:
 		c.rmu.Lock()
 		o := c.rost.Hear(c.Now(), n)
 		c.rmu.Unlock()
 		for _, m := range o.Sends {
 			c.Line.Send(m)
 		}
+		if o.Found != nil {
+			c.found(o.Found)
+		}
 	case n.Kind == form.Back:
 		c.cmu.Lock()
 		o := c.runs.Hear(c.Now(), n)
@@ -111,6 +120,23 @@
 	return s.Section().Node.Get(c.Now(), key)
 }
 
+// Gen counts the changes of what a part serves here: what was read stands as
+// long as Gen is the same and Until has not passed.
+//
+// Example: gen := c.Gen(p); read(); ...; if c.Gen(p) != gen { readAgain() }
+func (c *Cabin) Gen(part int) uint64 { return c.shards[part].gen.Load() }
+
+// Until is when the first of the leases lapses under which this daemon serves
+// a part's records, unless they are renewed before.
+//
+// Example: if c.Now() < c.Until(p) { serve() }
+func (c *Cabin) Until(part int) time.Duration {
+	s := c.shards[part]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Section().Node.Until()
+}
+
 // Pin keeps a record wanted here.
 //
 // Example: c.Pin(p, tariff.ListKey("timetable"))
--- /dev/null
+++ b/control/cabin/source.go
@@ -0,0 +1,105 @@
+package cabin
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"mulleinmast/control/errand"
+	"mulleinmast/control/master"
+	"mulleinmast/control/tariff"
+)
+
+// Source tells which servers there are, by service. Where the platform keeps a
+// list to be asked for, the owner of the configuration asks, and writes what
+// changed to the owners of the services.
+type Source interface {
+	// List asks for the whole list; an error leaves everything as it is.
+	List(ctx context.Context) (map[string][]tariff.Server, error)
+}
+
+// listing is what the source said last, under one ballot.
+type listing struct {
+	term  uint64
+	seq   uint64
+	taken map[string][]byte // by service, as its owner took it
+}
+
+// tickSource asks the source at a steady pace while this daemon owns the
+// configuration.
+func (c *Cabin) tickSource(ctx context.Context) error {
+	t := time.NewTicker(part(c.Cfg.Bounds.Leave, 0.15))
+	defer t.Stop()
+	var l listing
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		s := c.shards[0]
+		s.mu.Lock()
+		owner, term := s.Owner(c.Now()), uint64(0)
+		if owner {
+			term = s.Section().Seat.Num()
+		}
+		s.mu.Unlock()
+		if !owner {
+			continue
+		}
+		if l.term != term {
+			l = listing{term: term, taken: map[string][]byte{}}
+		}
+		c.pull(ctx, &l)
+	}
+}
+
+// pull takes one look at the source and hands on what changed.
+func (c *Cabin) pull(ctx context.Context, l *listing) {
+	ctx, done := context.WithTimeout(ctx, c.Cfg.Bounds.Leave/3)
+	defer done()
+	got, err := c.Source.List(ctx)
+	if err != nil {
+		c.Book.Note("source", "%v", err)
+		return
+	}
+	rec, ok := c.Read(0, tariff.PlanKey)
+	if !ok {
+		return
+	}
+	for _, svc := range tariff.Open(rec).Services {
+		if _, ok := got[svc.Name]; !ok {
+			got[svc.Name] = nil
+		}
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	for _, svc := range slices.Sorted(maps.Keys(got)) {
+		list := tariff.List{Servers: got[svc]}
+		slices.SortFunc(list.Servers, func(a, b tariff.Server) int { return bytes.Compare([]byte(a.Key()), []byte(b.Key())) })
+		if f := list.Check(); f.Any() || !tariff.GoodName(svc) {
+			c.Book.Note("source", "list of %q not taken: %v", svc, f.List)
+			continue
+		}
+		val := errand.Pack(list)
+		mu.Lock()
+		same := bytes.Equal(val, l.taken[svc]) && l.taken[svc] != nil
+		mu.Unlock()
+		if same {
+			continue
+		}
+		l.seq++
+		list.Version = l.term<<24 + l.seq
+		wait.Go(func() {
+			if code, _ := c.Ask(ctx, c.Part(svc), "servers", errand.Pack(master.ServersCall{Service: svc, List: list}), c.Cfg.Bounds.Leave/3); code == 200 {
+				mu.Lock()
+				l.taken[svc] = val
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+}
--- a/control/daybook/daybook.go
+++ b/control/daybook/daybook.go
@@ -21,6 +21,8 @@
 
 // Book is the ring.
 type Book struct {
+	Loud bool // each line is written out as it comes; set before use
+
 	mu   sync.Mutex
 	ring []Entry
 	no   uint64
@@ -43,7 +45,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.no++
-	b.ring[b.no%uint64(len(b.ring))] = Entry{b.no, time.Now(), kind, fmt.Sprintf(how, args...)}
+	e := Entry{b.no, time.Now(), kind, fmt.Sprintf(how, args...)}
+	b.ring[b.no%uint64(len(b.ring))] = e
+	if b.Loud {
+		b.out.Info().Str("kind", e.Kind).Msg(e.Text)
+	}
 }
 
 // Trouble adds a line and writes out what the ring gathered since the last
--- a/control/interlock/interlock.go
+++ b/control/interlock/interlock.go
@@ -45,7 +45,9 @@
 	Berth
 	svc      string
 	listed   bool
-	out      bool // leaves by the list, the plan or an evacuation
+	told     string // the part it plays by the platform's word; it isn't polled then
+	cold     bool   // warming up by the platform's word
+	out      bool   // leaves by the list, the plan or an evacuation
 	usage    Usage
 	seen     bool
 	pollAt   time.Duration
@@ -113,7 +115,7 @@
 		}
 	}
 	for _, e := range list.Servers {
-		key := tariff.BerthKey(svc, e.Addr)
+		key := tariff.BerthKey(svc, e.Key())
 		s := h.servers[key]
 		if s == nil {
 			s = &server{svc: svc, warmAt: now}
@@ -129,6 +131,7 @@
 			s.Berth = Berth{}
 		}
 		s.Addr, s.Cell, s.Cap = e.Addr, e.Cell, e.Capacity
+		h.listing(s, e)
 	}
 	for key, b := range berths {
 		if h.servers[key] == nil {
--- a/control/interlock/parts.go
+++ b/control/interlock/parts.go
@@ -68,6 +68,10 @@
 			continue
 		}
 		switch {
+		case s.Part == "" && s.told != "": // new, and it plays a part already
+			if !s.leaving() {
+				h.write(o, key, s, Berth{Addr: s.Addr, Cell: s.Cell, Cap: s.Cap, Part: s.told, Status: s.fresh()}, "listed")
+			}
 		case s.Part == "": // new: order first, then write
 			if !s.seen || s.leaving() {
 				continue
--- a/control/interlock/status.go
+++ b/control/interlock/status.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"mulleinmast/control/tariff"
 )
 
 // Polled takes a server's reply to a poll, or its silence.
@@ -38,13 +40,16 @@
 
 // young tells whether a server is warming up, by its own word or its uptime.
 func (h *Holder) young(s *server) bool {
+	if s.told != "" {
+		return s.cold
+	}
 	return s.seen && (s.usage.Warming || s.usage.Uptime > 0 && time.Duration(s.usage.Uptime)*time.Millisecond < h.cfg.Warm)
 }
 
 func (h *Holder) poll(now time.Duration, keys []string, o *Out) {
 	for _, key := range keys {
 		s := h.servers[key]
-		if s.listed && !s.polling && now-s.pollAt >= h.cfg.Poll {
+		if s.listed && s.told == "" && !s.polling && now-s.pollAt >= h.cfg.Poll {
 			s.polling, s.pollAt = true, now
 			o.Polls = append(o.Polls, key)
 		}
@@ -91,9 +96,30 @@
 			s.warmAt = now
 			b.Status = Warming
 			h.write(o, key, s, b, "stays")
-		case s.Status == Warming && now-s.warmAt >= h.cfg.Warm && s.fails == 0 && s.seen && !h.young(s):
+		case s.Status == Warming && (s.told != "" || now-s.warmAt >= h.cfg.Warm) && s.fails == 0 && s.seen && !h.young(s):
 			b.Status = Up
 			h.write(o, key, s, b, "warm")
 		}
 	}
 }
+
+// fresh is the status of a server that the platform lists with its part.
+func (s *server) fresh() string {
+	if s.cold {
+		return Warming
+	}
+	return Up
+}
+
+// listing takes what the platform's list says of a server beside its place.
+// A part named there counts as ordered until this holder orders another; it
+// lags behind an order, so a changed word is followed, a standing one is not.
+func (h *Holder) listing(s *server, e tariff.Server) {
+	if e.Part == "" {
+		return
+	}
+	if s.told != e.Part {
+		s.ordered = e.Part
+	}
+	s.told, s.cold, s.seen = e.Part, e.Warming, true
+}
--- a/control/master/job.go
+++ b/control/master/job.go
@@ -75,6 +75,10 @@
 	var whole tariff.Plan
 	var named tariff.Changes
 	var f tariff.Faults
+	body, err := tariff.Plain(body) // a daemon may pack what it passes on
+	if err != nil {
+		return section.Job{}, err.Error()
+	}
 	if op == "plan" {
 		f = tariff.Decode(body, &whole)
 	} else {
--- a/control/master/master.go
+++ b/control/master/master.go
@@ -396,7 +396,7 @@
 			return
 		}
 	}
-	if len(want) == 3 {
+	if n := len(want); n > 0 && n == len(seat.Group().Seats) {
 		o.add(m.wrap(m.sec.Regroup(now, want)))
 	}
 }
--- a/control/purge/child.go
+++ b/control/purge/child.go
@@ -141,6 +141,7 @@
 			}
 			delete(n.want, r.Key)
 			n.objs[r.Key] = cached{rec: r, till: at + time.Duration(m.Long)}
+			n.gen++
 			o.Fresh = append(o.Fresh, r.Key)
 			n.serve(now, r.Key, o)
 		}
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -87,6 +87,7 @@
 	objs   map[string]cached
 	want   map[string]time.Duration // asked of the parent, and when first
 	pins   map[string]bool
+	gen    uint64
 
 	kids   map[string]*kid
 	needs  map[string]map[string]bool // key -> children waiting for it
@@ -115,6 +116,7 @@
 // Example: n.Crown(seat.Num(), src, seat.Lease)
 func (n *Node) Crown(term uint64, src Source, lease func() time.Duration) {
 	n.clear()
+	n.gen++
 	n.root, n.term, n.src, n.lease = true, term, src, lease
 	n.held = map[string]int{}
 	n.objs, n.want, n.reqs = map[string]cached{}, map[string]time.Duration{}, map[uint64]ask{}
@@ -126,6 +128,7 @@
 // Example: n.Uncrown()
 func (n *Node) Uncrown() {
 	n.clear()
+	n.gen++
 	n.root, n.src, n.lease, n.term = false, nil, nil, 0
 	n.held = map[string]int{}
 }
@@ -155,6 +158,25 @@
 	return n.till
 }
 
+// Gen counts the changes of what this node serves: what was read stands as long
+// as Gen is the same and Until has not passed. At the root a held record is not
+// served either, so holding and freeing count.
+//
+// Example: gen := n.Gen(); read(); if n.Gen() != gen { readAgain() }
+func (n *Node) Gen() uint64 { return n.gen }
+
+// Until is when the first lease lapses, the volume's or an object's, under
+// which this node serves what it holds.
+//
+// Example: if now < n.Until() { serveFromSnapshot() }
+func (n *Node) Until() time.Duration {
+	till := n.Till()
+	for _, c := range n.objs {
+		till = min(till, c.till)
+	}
+	return till
+}
+
 // Live tells whether the volume lease is valid.
 //
 // Example: ready := n.Live(now)
--- a/control/purge/sweep.go
+++ b/control/purge/sweep.go
@@ -27,6 +27,7 @@
 // Example: out := n.Hold(now, "plan/now", 17)
 func (n *Node) Hold(now time.Duration, key string, tag uint64) (o Out) {
 	n.held[key]++
+	n.gen++
 	n.sweep(now, key, nil, tag, &o)
 	return o
 }
@@ -35,6 +36,7 @@
 //
 // Example: out := n.Free(now, "plan/now")
 func (n *Node) Free(now time.Duration, key string) (o Out) {
+	n.gen++
 	if n.held[key]--; n.held[key] <= 0 {
 		delete(n.held, key)
 		n.serve(now, key, &o)
@@ -47,6 +49,7 @@
 func (n *Node) sweep(now time.Duration, key string, up *back, tag uint64, o *Out) {
 	if _, ok := n.objs[key]; ok {
 		delete(n.objs, key)
+		n.gen++
 		o.Gone = append(o.Gone, key)
 	}
 	s := n.sweeps[key]
--- /dev/null
+++ b/control/roster/found_test.go
@@ -0,0 +1,363 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+// machine is a daemon of a small fleet in which notes are lost, held up or
+// carried over at once, and daemons start anew.
+type machine struct {
+	m     form.Member
+	r     *Roster
+	down  bool
+	group []form.Seat // on its disk
+	lives int
+}
+
+type parcel struct {
+	at       time.Duration
+	from, to string
+	note     form.Note
+}
+
+type yard struct {
+	cfg     Config
+	always  bool // every life counts as the first, as without a platform
+	now     time.Duration
+	seeds   []string
+	list    []*machine
+	by      map[string]*machine
+	mail    []parcel
+	lose    func(p parcel) bool
+	late    func() time.Duration
+	founded map[string]bool // groups that were ever on a disk
+}
+
+// newYard makes a fleet; each cell is a word of 'd' for machines with a disk
+// and '-' for others, in capitals for seeds ('D', '+').
+func newYard(losses int, cells ...string) *yard {
+	y := &yard{cfg: cfg, by: map[string]*machine{}, founded: map[string]bool{}, lose: func(parcel) bool { return false }, late: func() time.Duration { return 0 }}
+	y.cfg.Losses, y.cfg.First = losses, true
+	for c, word := range cells {
+		for i, kind := range word {
+			m := &machine{m: form.Member{Addr: fmt.Sprintf("10.%d.0.%d:1", c+1, i+1), Cell: fmt.Sprint("c", c), Disk: kind == 'd' || kind == 'D'}}
+			if kind == 'D' || kind == '+' {
+				y.seeds = append(y.seeds, m.m.Addr)
+			}
+			y.list = append(y.list, m)
+			y.by[m.m.Addr] = m
+		}
+	}
+	for _, m := range y.list {
+		y.start(m)
+	}
+	return y
+}
+
+// start gives a machine a new life; its disk stays.
+func (y *yard) start(m *machine) {
+	c := y.cfg
+	c.First = m.lives == 0 || y.always
+	m.lives++
+	m.m.Epoch++
+	m.m.Ident = fmt.Sprintf("%s-%d", m.m.Addr, m.lives)
+	if m.m.Disk {
+		m.m.Ident = m.m.Addr
+	}
+	m.m.Empty = m.m.Disk && m.group == nil
+	m.r, m.down = New(c, m.m, y.seeds), false
+}
+
+func (y *yard) carry(m *machine, o Out) {
+	for _, s := range o.Sends {
+		s.Note.From, s.Note.Addr, s.Note.Epoch = m.m.Ident, m.m.Addr, m.m.Epoch
+		if p := (parcel{y.now + y.late(), m.m.Addr, s.Addr, s.Note}); !y.lose(p) {
+			y.mail = append(y.mail, p)
+		}
+	}
+	if o.Found != nil {
+		y.take(m, o.Found)
+	}
+}
+
+func (y *yard) take(m *machine, seats []form.Seat) {
+	if m.group == nil && (form.Group{Seats: seats}).Has(m.m.Ident) {
+		m.group = seats
+		y.founded[fmt.Sprint(seats)] = true
+	}
+}
+
+func (y *yard) run(d time.Duration) {
+	for end := y.now + d; y.now < end; y.now += 100 * time.Millisecond {
+		for _, m := range y.list {
+			if m.down {
+				continue
+			}
+			m.m.Empty = m.m.Disk && m.group == nil
+			var owns []form.Own
+			if m.group != nil && y.owner() == m {
+				owns = append(owns, form.Own{Num: 1, Seat: form.Seat{Ident: m.m.Ident, Addr: m.m.Addr}})
+			}
+			y.carry(m, m.r.Tick(y.now, m.m, owns))
+			for _, s := range m.group { // a seat tells the others of its group, as control/notary does
+				if to := y.by[s.Addr]; !to.down && !y.lose(parcel{y.now, m.m.Addr, s.Addr, form.Note{Kind: form.Ask}}) {
+					y.take(to, m.group)
+				}
+			}
+		}
+		for round := 0; round < 4; round++ {
+			var rest []parcel
+			now := y.mail
+			y.mail = nil
+			for _, p := range now {
+				to := y.by[p.to]
+				switch {
+				case p.at > y.now:
+					rest = append(rest, p)
+				case to != nil && !to.down && (p.note.To == "" || p.note.To == to.m.Ident):
+					y.carry(to, to.r.Hear(y.now, p.note))
+				}
+			}
+			y.mail = append(y.mail, rest...)
+		}
+	}
+}
+
+// owner is the first seat of a group that a majority has on its disks.
+func (y *yard) owner() *machine {
+	for _, m := range y.list {
+		if m.group == nil || m.down {
+			continue
+		}
+		g := form.Group{Num: 1, Seats: m.group}
+		if g.Quorum(func(id string) bool {
+			at := y.by[id] // a disk's identity is its address here
+			return at != nil && !at.down && slices.Equal(at.group, m.group)
+		}) {
+			return m
+		}
+	}
+	return nil
+}
+
+// whole tells what is wrong with a fleet that should have formed.
+func (y *yard) whole(seats int) error {
+	if len(y.founded) != 1 {
+		return fmt.Errorf("%d groups: %v", len(y.founded), y.founded)
+	}
+	own := y.owner()
+	if own == nil || len(own.group) != seats {
+		return fmt.Errorf("no owner in a group of %d: %v", seats, y.founded)
+	}
+	for _, m := range y.list {
+		if v := m.r.View(); !m.down && (!v.Live || v.Owns[0].Num == 0 || len(v.Members) < len(y.list)) {
+			return fmt.Errorf("%s: live %v, owner %v, %d members of %d", m.m.Addr, v.Live, v.Owns[0], len(v.Members), len(y.list))
+		}
+	}
+	return nil
+}
+
+func TestAFleetForms(t *testing.T) {
+	for name, x := range map[string]struct {
+		losses int
+		cells  []string
+	}{
+		"three seeds with disks":     {1, []string{"D--", "D--", "D--"}},
+		"seeds of one cell":          {1, []string{"DDD"}},
+		"seeds without disks":        {1, []string{"+d-", "+d-", "+d-"}},
+		"seeds of both kinds":        {1, []string{"+d--", "Dd-", "d+-"}},
+		"one seed, without a disk":   {1, []string{"d--", "d-+", "d--"}},
+		"two losses, diskless seeds": {2, []string{"+dd-", "+dd-", "+dd-"}},
+		"two losses, disk seeds":     {2, []string{"Dd--", "Dd--", "Dd--", "dd--"}},
+	} {
+		y := newYard(x.losses, x.cells...)
+		y.run(8 * time.Second)
+		if err := y.whole(2*x.losses + 1); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if x.losses == 1 && name != "seeds of one cell" {
+			for _, s := range y.owner().group {
+				if name == "three seeds with disks" && !slices.Contains(y.seeds, s.Addr) {
+					t.Errorf("%s: %v is no seed", name, s)
+				}
+			}
+		}
+	}
+}
+
+func TestNoFoundingWithoutEverySeed(t *testing.T) {
+	y := newYard(1, "+d-", "+d-", "+d-")
+	silent := y.by[y.seeds[2]]
+	silent.down = true
+	y.run(20 * time.Second)
+	if len(y.founded) > 0 {
+		t.Fatalf("founded without %s: %v", silent.m.Addr, y.founded)
+	}
+	silent.down = false
+	y.run(8 * time.Second)
+	if err := y.whole(3); err != nil {
+		t.Error(err)
+	}
+}
+
+// A member that has a group, or a seed that knows of one, stops any founding;
+// too few disks do, too.
+func TestNoFoundingBesideAnother(t *testing.T) {
+	y := newYard(1, "+d-", "+d-", "+dd")
+	old := y.list[len(y.list)-1]
+	old.group = []form.Seat{{Ident: "x", Addr: "10.7.0.1:1"}, {Ident: old.m.Ident, Addr: old.m.Addr}, {Ident: "y", Addr: "10.7.0.2:1"}}
+	y.by["10.7.0.1:1"], y.by["10.7.0.2:1"] = &machine{down: true}, &machine{down: true}
+	y.run(20 * time.Second)
+	if len(y.founded) > 0 {
+		t.Errorf("founded beside %s: %v", old.m.Addr, y.founded)
+	}
+	y = newYard(1, "+d-", "+d-", "+--")
+	y.run(20 * time.Second)
+	if len(y.founded) > 0 {
+		t.Errorf("founded with two disks: %v", y.founded)
+	}
+}
+
+// The founder is restarted at every moment of the formation, and what it sends
+// to the seats is lost to some of them, or held up: there is one group at most,
+// and the other seeds go on with the same.
+func TestARestartedFounderMakesNoSecondGroup(t *testing.T) {
+	for _, cells := range [][]string{{"+d-", "+d-", "+dd", "d--"}, {"D--", "D--", "D-d", "d--"}} {
+		for at := time.Duration(0); at < 2500*time.Millisecond; at += 100 * time.Millisecond {
+			for _, lost := range []int{0, 3, 6, 7} {
+				y := newYard(1, cells...)
+				y.lose = func(p parcel) bool {
+					bit := 1 << (int(p.to[3]-'1') % 3)
+					return p.note.Kind == form.Found && p.from == y.seeds[0] && lost&bit != 0 && y.now < at+2*time.Second
+				}
+				y.run(at)
+				y.start(y.by[y.seeds[0]])
+				y.run(6 * time.Second)
+				if err := y.whole(3); err != nil {
+					t.Fatalf("%v restarted after %v, %03b lost: %v", cells, at, lost, err)
+				}
+			}
+		}
+	}
+}
+
+// Whatever is lost, held up or restarted: never two groups.
+func TestNeverTwoGroups(t *testing.T) {
+	formed := 0
+	for seed := int64(1); seed <= 150; seed++ {
+		rng := rand.New(rand.NewSource(seed))
+		cells := [][]string{{"+d-", "+d-", "+dd", "dd-"}, {"D-d", "+dd", "D-d"}, {"d+d", "d-d", "+dd", "+dd"}}[rng.Intn(3)]
+		y := newYard(1, cells...)
+		cut := map[string]bool{}
+		loss := rng.Float64() * 0.02
+		y.lose = func(p parcel) bool { return cut[p.from] != cut[p.to] || rng.Float64() < loss }
+		y.late = func() time.Duration {
+			if rng.Float64() < 0.01 {
+				return time.Duration(rng.Intn(6000)) * time.Millisecond
+			}
+			return 0
+		}
+		for i := 0; i < 40; i++ {
+			y.run(time.Duration(50+rng.Intn(300)) * time.Millisecond)
+			switch m := y.list[rng.Intn(len(y.list))]; rng.Intn(60) {
+			case 0:
+				m.down = true
+			case 1, 2:
+				y.start(m)
+			case 3:
+				cut[m.m.Addr] = !cut[m.m.Addr]
+			case 4:
+				cut = map[string]bool{}
+			case 5:
+				if m := y.by[y.seeds[0]]; i > 5 {
+					y.start(m)
+				}
+			}
+		}
+		if len(y.founded) > 1 {
+			t.Fatalf("seed %d: %v", seed, y.founded)
+		}
+		formed += len(y.founded)
+	}
+	if formed < 100 {
+		t.Errorf("only %d of 150 fleets formed: the runs prove little", formed)
+	}
+}
+
+func TestSpread(t *testing.T) {
+	make := func(cells ...int) (out []form.Member) {
+		for c, n := range cells {
+			for i := 0; i < n; i++ {
+				out = append(out, form.Member{Ident: fmt.Sprintf("%d.%d", c, i), Addr: fmt.Sprintf("10.%d.0.%d:1", c, i), Cell: fmt.Sprint(c), Disk: true})
+			}
+		}
+		rand.New(rand.NewSource(int64(len(out)))).Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		return out
+	}
+	for _, x := range []struct {
+		cells []int
+		n     int
+		most  int // seats in one cell
+	}{{[]int{2, 2, 2}, 5, 2}, {[]int{2, 2, 2, 2}, 5, 2}, {[]int{6, 1, 1}, 5, 3}, {[]int{4, 2, 2}, 5, 2}, {[]int{5, 1, 1}, 3, 1},
+		{[]int{3, 3}, 3, 2}, {[]int{6}, 5, 5}, {[]int{1, 1, 1}, 3, 1}, {[]int{1}, 1, 1}, {[]int{3, 2}, 1, 1}} {
+		list := make(x.cells...)
+		seats := Spread(list, nil, x.n)
+		in := map[byte]int{}
+		for _, s := range seats {
+			in[s.Ident[0]]++
+		}
+		if len(seats) != x.n || !sort.SliceIsSorted(seats, func(i, j int) bool { return seats[i].Addr < seats[j].Addr }) {
+			t.Errorf("%v: %d seats asked for, got %v", x.cells, x.n, seats)
+		}
+		for c, n := range in {
+			if n > x.most {
+				t.Errorf("%v: %d of %d seats in cell %c", x.cells, n, x.n, c)
+			}
+		}
+		if again := Spread(make(x.cells...), nil, x.n); !slices.Equal(seats, again) {
+			t.Errorf("%v: %v, then %v", x.cells, seats, again)
+		}
+	}
+	if s := Spread(make(3, 3, 3), []string{"10.0.0.2:1", "10.1.0.1:1", "10.2.0.2:1"}, 3); s[0].Addr != "10.0.0.2:1" || s[1].Addr != "10.1.0.1:1" || s[2].Addr != "10.2.0.2:1" {
+		t.Errorf("not the seeds: %v", s)
+	}
+}
+
+// A seat that is lost goes to the cell with the fewest seats.
+func TestAVacantSeatGoesWhereFewestAre(t *testing.T) {
+	y := newYard(2, "+dd-", "+ddd", "+dd-")
+	y.run(6 * time.Second)
+	if err := y.whole(5); err != nil {
+		t.Fatal(err)
+	}
+	seats := y.owner().group
+	in := func(list []form.Seat) map[string]int {
+		n := map[string]int{}
+		for _, s := range list {
+			n[y.by[s.Addr].m.Cell]++
+		}
+		return n
+	}
+	for i, s := range seats {
+		if n := in(seats); n[y.by[s.Addr].m.Cell] != 1 { // the one of the cell that has one
+			continue
+		}
+		y.by[s.Addr].down = true
+		y.run(4 * time.Second)
+		own := y.owner()
+		own.r.Vacant(y.now, seats, time.Second)
+		next, ok := own.r.Vacant(y.now+2*time.Second, seats, time.Second)
+		if n := in(next); !ok || next[i] == s || n["c0"] > 2 || n["c1"] > 2 || n["c2"] > 2 {
+			t.Errorf("%v became %v", seats, next)
+		}
+		return
+	}
+	t.Errorf("no cell has one seat: %v", seats)
+}
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -19,6 +19,9 @@
 	Session time.Duration
 	Beat    time.Duration
 	Small   int // cells with fewer members than this get no relay
+
+	Losses int  // machines that may be lost at once: a group has twice as many seats, and one
+	First  bool // the fleet starts for the first time, and so does this daemon
 }
 
 // View is a snapshot of the fleet; it is never changed once published.
@@ -124,9 +127,8 @@
 	backAt time.Duration
 	live   bool
 
-	round  uint64
-	counts map[string]form.Member
-	Formed bool // we have a group, or know that the fleet has one
+	founding founding
+	Formed   bool // we have a group, or know that the fleet has one
 }
 
 // New makes a roster for one daemon.
@@ -134,19 +136,25 @@
 // Example: r := roster.New(cfg, me, seeds)
 func New(cfg Config, me form.Member, seeds []string) *Roster {
 	return &Roster{cfg: cfg, me: me, seeds: seeds, mine: map[string]session{}, heard: map[string]rumour{}, owns: map[int]form.Own{},
-		goneAt: map[string]time.Duration{}, backAt: -cfg.Session}
+		goneAt: map[string]time.Duration{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
 }
 
 // Know adds addresses of control daemons that were learnt elsewhere: seeds may
 // all have been exchanged since the config was written.
 //
 // Example: r.Know("10.0.0.7:7000")
-func (r *Roster) Know(addrs ...string) { r.other = append(r.other, addrs...) }
+func (r *Roster) Know(addrs ...string) {
+	for _, a := range addrs {
+		if !slices.Contains(r.other, a) {
+			r.other = append(r.other, a)
+		}
+	}
+}
 
 // Out is what a step asks for.
 type Out struct {
 	Sends []form.Send
-	Found []form.Seat // every seed is empty: these make the first group
+	Found []form.Seat // these make the first group, and we are one of them
 }
 
 // Tick sends what is due. me is this daemon as of now, owns its duties.
@@ -157,6 +165,11 @@
 	for _, own := range owns {
 		r.claim(own)
 	}
+	for id, h := range r.heard {
+		if now-h.at > 2*r.cfg.Session {
+			delete(r.heard, id)
+		}
+	}
 	if me.Disk {
 		r.live = true
 		for id, s := range r.mine {
@@ -164,11 +177,6 @@
 				delete(r.mine, id)
 			}
 		}
-		for id, h := range r.heard {
-			if now-h.at > 2*r.cfg.Session {
-				delete(r.heard, id)
-			}
-		}
 		r.rebuild(now)
 	} else {
 		r.live = now-r.backAt <= r.cfg.Session
@@ -177,57 +185,34 @@
 		return o
 	}
 	r.askAt = now
-	if !me.Disk {
-		list := r.controls()
-		if len(list) == 0 {
-			return o
-		}
-		if now-r.backAt > r.cfg.Session/2 {
-			r.ctl++ // silent: try the next one
-		}
-		o.Sends = append(o.Sends, form.Send{Addr: list[r.ctl%len(list)], Note: form.Note{Kind: form.Hello, Self: me, Num: r.print()}})
-		return o
-	}
-	var list []form.Member
-	for _, id := range slices.Sorted(maps.Keys(r.mine)) {
-		list = append(list, r.mine[id].m)
-	}
-	for _, to := range r.controls() {
-		o.Sends = append(o.Sends, form.Send{Addr: to, Note: form.Note{Kind: form.Gossip, Self: me, Members: list, Owns: r.known()}})
-	}
-	if me.Empty && !r.Formed && len(r.owns) == 0 {
-		r.census(&o)
+	if me.Disk {
+		r.gossip(&o)
+	} else {
+		r.hello(now, &o)
 	}
+	r.found(now, &o)
 	return o
 }
 
-// census asks every seed whether its folder is empty too; the one with the
-// lowest address forms the fleet.
-func (r *Roster) census(o *Out) {
-	all := len(r.seeds) >= 3
-	var seats []form.Seat
-	for _, a := range r.seeds {
-		m, ok := r.counts[a]
-		if a == r.me.Addr {
-			m, ok = r.me, true
-		}
-		if !ok || !m.Empty {
-			all = false
-			continue
-		}
-		seats = append(seats, form.Seat{Ident: m.Ident, Addr: a})
-	}
-	sort.Slice(seats, func(i, j int) bool { return seats[i].Addr < seats[j].Addr })
-	if all && seats[0].Addr == r.me.Addr {
-		o.Found, r.Formed = seats, true
+func (r *Roster) hello(now time.Duration, o *Out) {
+	list := r.controls()
+	if len(list) == 0 {
 		return
 	}
-	r.round++
-	r.counts = map[string]form.Member{}
-	for _, a := range r.seeds {
-		if a != r.me.Addr {
-			o.Sends = append(o.Sends, form.Send{Addr: a, Note: form.Note{Kind: form.Census, No: r.round, Self: r.me}})
-		}
+	if now-r.backAt > r.cfg.Session/2 {
+		r.ctl++ // silent: try the next one
+	}
+	o.Sends = append(o.Sends, form.Send{Addr: list[r.ctl%len(list)], Note: form.Note{Kind: form.Hello, Self: r.me, Num: r.print()}})
+}
+
+func (r *Roster) gossip(o *Out) {
+	var list []form.Member
+	for _, id := range slices.Sorted(maps.Keys(r.mine)) {
+		list = append(list, r.mine[id].m)
+	}
+	kept := r.kept()
+	for _, to := range r.controls() {
+		o.Sends = append(o.Sends, form.Send{Addr: to, Note: form.Note{Kind: form.Gossip, Self: r.me, Members: list, Owns: r.known(), Num: kept}})
 	}
 }
 
@@ -245,6 +230,11 @@
 	for _, a := range r.other {
 		set[a] = true
 	}
+	for _, m := range r.view { // a seed may be one that holds no sessions
+		if !m.Disk {
+			delete(set, m.Addr)
+		}
+	}
 	delete(set, r.me.Addr)
 	out := make([]string, 0, len(set))
 	for a := range set {
@@ -291,16 +281,13 @@
 				rep.Members = r.view
 			}
 			o.Sends = append(o.Sends, form.Send{Addr: n.Self.Addr, Note: rep})
-		} else if n.Self.Ident != "" && r.live {
-			// A seed without a disk can't hold a session, but knows who can.
-			o.Sends = append(o.Sends, form.Send{Addr: n.Self.Addr, Note: form.Note{Kind: form.Welcome, Op: refer, Members: r.view}})
+		} else if n.Self.Ident != "" {
+			r.refer(n.Self, &o)
 		}
 	case form.Welcome:
 		if n.Op == refer {
 			for _, m := range n.Members {
-				if m.Disk && !slices.Contains(r.other, m.Addr) && len(r.other) < 16 {
-					r.Know(m.Addr)
-				}
+				r.meet(m)
 			}
 			return o
 		}
@@ -315,19 +302,28 @@
 		if r.me.Disk {
 			r.heard[n.Self.Ident] = rumour{append(n.Members, n.Self), now}
 			r.rebuild(now)
+		} else if n.Self.Ident != "" {
+			for id, h := range r.heard {
+				if h.list[0].Addr == n.Self.Addr {
+					delete(r.heard, id)
+				}
+			}
+			r.heard[n.Self.Ident] = rumour{[]form.Member{n.Self}, now}
+			r.meet(n.Self)
+		}
+		if n.Num != r.kept() && n.Self.Ident != "" { // one of us can't find the others yet
+			r.refer(n.Self, &o)
 		}
 		for _, own := range n.Owns {
 			r.claim(own)
 		}
 	case form.Census:
-		// One that has heard of an owner knows that the fleet exists, however
-		// empty its own folder is.
-		me := r.me
-		me.Empty = me.Empty && !r.Formed && len(r.owns) == 0
-		o.Sends = append(o.Sends, form.Send{Addr: n.Addr, Note: form.Note{Kind: form.Count, Ref: n.No, Self: me}})
+		r.counted(n, &o)
 	case form.Count:
-		if n.Ref == r.round && r.counts != nil {
-			r.counts[n.Self.Addr] = n.Self
+		r.count(n)
+	case form.Found:
+		if r.me.Disk && r.fresh() && len(n.Group.Seats) > 0 && n.Group.Has(r.me.Ident) && slices.Contains(r.seeds, n.Addr) {
+			o.Found, r.Formed = n.Group.Seats, true
 		}
 	}
 	return o
@@ -412,12 +408,7 @@
 		if m, ok := at[s.Addr]; ok && !held[m.Ident] {
 			next = m
 		} else if now-r.goneAt[s.Ident] >= wait {
-			for _, m := range r.view {
-				if m.Disk && !held[m.Ident] {
-					next = m
-					break
-				}
-			}
+			next = r.standby(held)
 		}
 		if next.Ident != "" {
 			out := append([]form.Seat(nil), seats...)
@@ -428,6 +419,22 @@
 	return seats, false
 }
 
+// standby is a control daemon without a seat, from the cell with the fewest seats.
+func (r *Roster) standby(held map[string]bool) (next form.Member) {
+	taken := map[string]int{}
+	for _, m := range r.view {
+		if held[m.Ident] {
+			taken[m.Cell]++
+		}
+	}
+	for _, m := range r.view {
+		if m.Disk && !held[m.Ident] && (next.Ident == "" || taken[m.Cell] < taken[next.Cell]) {
+			next = m
+		}
+	}
+	return next
+}
+
 // View publishes a snapshot.
 //
 // Example: v := r.View()
--- /dev/null
+++ b/control/tariff/route.go
@@ -0,0 +1,109 @@
+package tariff
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	v "github.com/go-ozzo/ozzo-validation/v4"
+)
+
+// MostRoutes bounds the routes of a plan.
+const MostRoutes = 100000
+
+// Kinds of a route: what may be done with a request whose end is not known.
+const (
+	Safe   = "safe"   // it may run more than once
+	Unsafe = "unsafe" // it runs at most once a try of its requester
+	Stream = "stream" // as unsafe, and the reply is a series of events
+)
+
+// Share is a service's part of a route.
+type Share struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"` // against the sum over the route
+}
+
+// Route says which service gets the requests for a host and a path.
+type Route struct {
+	Name     string          `json:"name"`
+	Host     string          `json:"host"`   // without a port, in any case
+	Prefix   string          `json:"prefix"` // begins the path; the longest counts
+	Kind     string          `json:"kind"`
+	GiveUp   int             `json:"give_up_ms"`          // longest that a request is held
+	Target   int             `json:"target_ms,omitempty"` // a reply within it earns its full worth
+	Gap      int             `json:"gap_ms,omitempty"`    // longest pause between a stream's events that is still in time
+	Urgency  int             `json:"urgency"`             // 0 is the most urgent
+	Tries    int             `json:"tries,omitempty"`     // most servers that one request may be sent to
+	Sticky   bool            `json:"sticky,omitempty"`    // requests that share a prompt should meet
+	Resume   bool            `json:"resume,omitempty"`    // a stream may be taken up in its middle
+	Services []Share         `json:"services"`
+	Homes    []string        `json:"homes,omitempty"` // regions that its requests may go to; none: all
+	Raw      json.RawMessage `json:"raw,omitempty"`   // the item as its operator sent it
+}
+
+// Limits bound what a requester may send and how long it may take; 0 is no bound.
+type Limits struct {
+	HeaderBytes int             `json:"header_bytes,omitempty"`
+	BodyBytes   int             `json:"body_bytes,omitempty"`
+	HeaderWait  int             `json:"header_wait_ms,omitempty"`
+	Idle        int             `json:"idle_ms,omitempty"`
+	Raw         json.RawMessage `json:"raw,omitempty"` // as the operator sent them
+}
+
+// Place is what no two routes share: the host as it is compared, and the prefix.
+//
+// Example: tariff.Route{Host: "A.example:80", Prefix: "/x/"}.Place() == [2]string{"a.example", "/x/"}
+func (r Route) Place() [2]string { return [2]string{Host(r.Host), r.Prefix} }
+
+// Host brings a host to the form in which hosts are compared: lower case and
+// without a port.
+//
+// Example: tariff.Host("A.example:8080") == "a.example"
+func Host(s string) string {
+	if i := strings.LastIndexByte(s, ':'); i >= 0 && strings.IndexByte(s[i:], ']') < 0 {
+		if strings.IndexByte(s, ':') == i || s[0] == '[' { // else a bare IPv6 address, which has no port
+			s = s[:i]
+		}
+	}
+	return strings.ToLower(s)
+}
+
+// checkRoutes lists every fault of the routes; known are the plan's services.
+func (p Plan) checkRoutes(known map[string]bool, f *Faults) {
+	if len(p.Routes) > MostRoutes {
+		f.Add("plan.routes: %d, at most %d are taken", len(p.Routes), MostRoutes)
+	}
+	names, places := make(map[string]int, len(p.Routes)), make(map[[2]string]int, len(p.Routes))
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		if r.Name == "" || r.Kind != Safe && r.Kind != Unsafe && r.Kind != Stream || r.GiveUp < 1 { // the owner waits meanwhile: slow words only for faults
+			f.take(fmt.Sprintf("routes[%d]", i), v.ValidateStruct(r,
+				v.Field(&r.Name, v.Required),
+				v.Field(&r.Kind, v.Required, v.In(Safe, Unsafe, Stream).Error("expected safe, unsafe or stream")),
+				v.Field(&r.GiveUp, v.Required, v.Min(1))))
+		}
+		if j, ok := names[r.Name]; ok {
+			f.Add("routes[%d].name: %q stands already in routes[%d]", i, r.Name, j)
+		}
+		names[r.Name] = i
+		place := r.Place()
+		if j, ok := places[place]; ok {
+			f.Add("routes[%d].prefix: host %q and prefix %q stand already in routes[%d]", i, r.Host, r.Prefix, j)
+		}
+		places[place] = i
+		sum := 0.0
+		for j, s := range r.Services {
+			if !known[s.Service] {
+				f.Add("routes[%d].services[%d]: no service %q in the plan", i, j, s.Service)
+			}
+			if s.Weight < 0 {
+				f.Add("routes[%d].services[%d].weight: %v: expected 0 or more", i, j, s.Weight)
+			}
+			sum += max(0, s.Weight)
+		}
+		if sum == 0 {
+			f.Add("routes[%d].services: the weights sum to 0", i)
+		}
+	}
+}
--- /dev/null
+++ b/control/tariff/route_test.go
@@ -0,0 +1,227 @@
+package tariff
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mulleinmast/wire/form"
+)
+
+func routed() Plan {
+	p := good()
+	p.Routes = []Route{
+		{Name: "r1", Host: "a.example", Prefix: "/x/", Kind: Safe, GiveUp: 100, Services: []Share{{"m", 1}}},
+		{Name: "r2", Host: "a.example", Prefix: "/y/", Kind: Stream, GiveUp: 100, Services: []Share{{"m", 0}, {"m", 9}}}}
+	return p
+}
+
+func TestEveryFaultOfARouteIsNamed(t *testing.T) {
+	if f := routed().Check(); f.Any() {
+		t.Fatal(f)
+	}
+	for where, change := range map[string]func(*Plan){
+		"routes[0].name":               func(p *Plan) { p.Routes[0].Name = "" },
+		"routes[1].name":               func(p *Plan) { p.Routes[1].Name = "r1" },
+		"routes[1].prefix":             func(p *Plan) { p.Routes[1].Host, p.Routes[1].Prefix = "A.Example:80", "/x/" },
+		"routes[0].kind":               func(p *Plan) { p.Routes[0].Kind = "save" },
+		"routes[0].give_up_ms":         func(p *Plan) { p.Routes[0].GiveUp = 0 },
+		"routes[1].give_up_ms":         func(p *Plan) { p.Routes[1].GiveUp = -1 },
+		"routes[0].services[0]: no":    func(p *Plan) { p.Routes[0].Services = []Share{{"n", 1}} },
+		"routes[1].services[0].weight": func(p *Plan) { p.Routes[1].Services[0].Weight = -1 },
+		"routes[1].services: the":      func(p *Plan) { p.Routes[1].Services[1].Weight = 0 },
+		"routes[0].services: the":      func(p *Plan) { p.Routes[0].Services = nil },
+		"services[0].name":             func(p *Plan) { p.Services = append([]Service{{Name: "a/b", Readers: 1, Makers: 1}}, p.Services...) },
+	} {
+		p := routed()
+		change(&p)
+		f := p.Check()
+		if len(f.List) != 1 || !strings.HasPrefix(f.List[0], where) {
+			t.Errorf("%s: got %v", where, f.List)
+		}
+	}
+	p := routed()
+	p.Routes[0].Services, p.Routes[1].GiveUp, p.Routes[1].Kind = []Share{{"n", 0}}, 0, ""
+	if f := p.Check(); len(f.List) != 4 {
+		t.Errorf("four faults at once: %v", f.List)
+	}
+	p = routed()
+	p.Services = append(p.Services, Service{Name: "Ünïcode: any name \"goes\"", Readers: 1, Makers: 1})
+	if f := p.Check(); f.Any() {
+		t.Errorf("a service's odd name: %v", f)
+	}
+}
+
+// An operator's own number becomes the version if it is above the one in
+// force; a plan without one counts on from there.
+func TestNumbers(t *testing.T) {
+	to := func(p Plan, number uint64) func(Plan) (Plan, Faults) {
+		p.Number = number
+		return func(Plan) (Plan, Faults) { return p, p.Check() }
+	}
+	cur := Plan{}
+	for i, x := range []struct {
+		id     string
+		base   uint64
+		number uint64
+		result string
+		ver    uint64
+	}{{"a", 0, 5, "taken", 5}, {"b", 5, 5, "broken", 5}, {"c", 5, 4, "broken", 5}, {"d", 4, 9, "beaten", 5}, {"e", 5, 12, "taken", 12},
+		{"f", 12, 0, "taken", 13}, {"a", 0, 5, "taken", 5}, {"e", 5, 12, "taken", 12}, {"g", 0, 14, "beaten", 13}} {
+		val, v := Judge(cur, x.id, x.base, to(routed(), x.number))
+		if v.Result != x.result || v.Version != x.ver || (v.Result == "broken") != (len(v.Faults) == 1) {
+			t.Errorf("%d: %+v, expected %s %d", i, v, x.result, x.ver)
+		}
+		if val != nil {
+			cur = Open(form.Rec{Val: val})
+			if cur.Version != x.ver || cur.Number != 0 {
+				t.Errorf("%d: version %d, number %d in force", i, cur.Version, cur.Number)
+			}
+		}
+	}
+	bad := routed()
+	bad.Routes[0].GiveUp = 0
+	if _, v := Judge(cur, "z", 13, to(bad, 13)); len(v.Faults) != 2 {
+		t.Errorf("a broken plan with an old number: %v", v.Faults)
+	}
+}
+
+func TestChangesOfRoutes(t *testing.T) {
+	p := routed()
+	r := p.Routes[0]
+	r.GiveUp = 7
+	added := r
+	added.Name, added.Prefix = "r3", "/z/"
+	next, f := p.With(Changes{ID: "x", Number: 8, Changes: []Change{{Op: "set-route", Route: &added}, {Op: "set-route", Route: &r}, {Op: "drop-route", Name: "r2"},
+		{Op: "drop-route", Name: "r9", Lenient: true}, {Op: "set-limits", Limits: &Limits{Idle: 3}}}})
+	if f.Any() || next.Number != 8 || next.Limits.Idle != 3 || !reflect.DeepEqual(next.Routes, []Route{r, added}) || !reflect.DeepEqual(p, routed()) {
+		t.Errorf("%+v %v", next, f)
+	}
+	for want, c := range map[string]Change{"no route": {Op: "drop-route", Name: "r9"}, "needs a route": {Op: "set-route"}, "needs limits": {Op: "set-limits"},
+		"no service": {Op: "drop-service", Name: "m"}} {
+		_, f := p.With(Changes{ID: "x", Changes: []Change{c}})
+		if !f.Any() || !strings.Contains(f.List[0], want) {
+			t.Errorf("%s: %v", want, f)
+		}
+	}
+}
+
+// Named changes, in any order and number, leave the lists as a plain list with
+// the same changes done one by one would be.
+func TestChangesAgainstAPlainList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := routed()
+		p.Routes = nil
+		var plain []Route
+		for range rapid.IntRange(1, 4).Draw(t, "sets") {
+			c := Changes{ID: "x"}
+			for i := range rapid.IntRange(1, 12).Draw(t, "changes") {
+				n := rapid.IntRange(0, 5).Draw(t, "name")
+				r := Route{Name: fmt.Sprint("r", n), Host: "h", Prefix: fmt.Sprintf("/%d/", n), Kind: Safe, GiveUp: i + 1, Services: []Share{{"m", 1}}}
+				at := -1
+				for j := range plain {
+					if plain[j].Name == r.Name {
+						at = j
+					}
+				}
+				switch {
+				case rapid.Bool().Draw(t, "drop"):
+					c.Changes = append(c.Changes, Change{Op: "drop-route", Name: r.Name, Lenient: true})
+					if at >= 0 {
+						plain = append(plain[:at:at], plain[at+1:]...)
+					}
+				case at >= 0:
+					c.Changes = append(c.Changes, Change{Op: "set-route", Route: &r})
+					plain[at] = r
+				default:
+					c.Changes = append(c.Changes, Change{Op: "set-route", Route: &r})
+					plain = append(plain, r)
+				}
+			}
+			next, f := p.With(c)
+			if f.Any() {
+				t.Fatal(f)
+			}
+			p = next
+		}
+		if len(p.Routes) != len(plain) || len(plain) > 0 && !reflect.DeepEqual(p.Routes, plain) {
+			t.Fatalf("%v, expected %v", p.Routes, plain)
+		}
+	})
+}
+
+// Records of either form open to the same plan; a packed one is shorter.
+func TestOpenTakesPlainAndPackedRecords(t *testing.T) {
+	p := routed()
+	p.Version = 3
+	p.Raw = json.RawMessage(`{"more":"<&>"}`)
+	for i := range 900 {
+		r := p.Routes[0]
+		r.Name, r.Prefix, r.Raw = fmt.Sprint("n", i), fmt.Sprintf("/n%d/", i), json.RawMessage(fmt.Sprintf(`{"n":%d}`, i))
+		p.Routes = append(p.Routes, r)
+	}
+	plain, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	packed, err := Pack(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(packed)*5 > len(plain) {
+		t.Errorf("%d bytes packed to %d", len(plain), len(packed))
+	}
+	a, b := Open(form.Rec{Val: plain}), Open(form.Rec{Val: packed})
+	p.Raw, a.Raw = nil, nil // escaped by Marshal in the plain record
+	if b.Raw = nil; !reflect.DeepEqual(a, p) || !reflect.DeepEqual(b, p) {
+		t.Error("not the same plan")
+	}
+	for _, bad := range [][]byte{packed[:len(packed)/2], append([]byte("zz"), packed...), []byte("z")} {
+		if out, err := Plain(bad); err == nil && len(out) > 0 {
+			t.Errorf("opened: %.20q", out)
+		}
+	}
+	if _, err := Pack(Plan{Raw: bytes.Repeat([]byte("1"), mostPlan)}); err == nil {
+		t.Error("a plan is packed that could not be opened")
+	}
+	if _, err := Pack(Plan{Raw: json.RawMessage("{")}); err == nil {
+		t.Error("a raw part that is no JSON is packed")
+	}
+}
+
+func TestHost(t *testing.T) {
+	for in, want := range map[string]string{"": "", "a": "a", "A.Example": "a.example", "a:80": "a", "[::1]:80": "[::1]", "[::1]": "[::1]", "::1": "::1", "a:": "a", ":80": ""} {
+		if got := Host(in); got != want {
+			t.Errorf("%q: %q, expected %q", in, got, want)
+		}
+	}
+}
+
+// BenchmarkJudge is the owner's share of a change to a plan of 3000 routes.
+func BenchmarkJudge(b *testing.B) {
+	p := routed()
+	for i := range 3000 {
+		r := p.Routes[0]
+		r.Name, r.Prefix = fmt.Sprint("n", i), fmt.Sprintf("/n%d/", i)
+		r.Raw, _ = json.Marshal(r)
+		p.Routes = append(p.Routes, r)
+	}
+	val, v := Judge(Plan{}, "a", 0, func(Plan) (Plan, Faults) { return p, p.Check() })
+	if v.Result != "taken" {
+		b.Fatal(v)
+	}
+	for b.Loop() {
+		cur := Open(form.Rec{Val: val})
+		if _, v := Judge(cur, "b", 1, func(p Plan) (Plan, Faults) {
+			return p.With(Changes{ID: "b", Changes: []Change{{Op: "set-route", Route: &p.Routes[7]}}})
+		}); v.Result != "taken" {
+			b.Fatal(v)
+		}
+	}
+	b.ReportMetric(float64(len(val)), "bytes")
+}
--- a/control/tariff/tariff.go
+++ b/control/tariff/tariff.go
@@ -13,6 +13,7 @@
 	"regexp"
 	"sort"
 	"strings"
+	"unicode/utf8"
 
 	v "github.com/go-ozzo/ozzo-validation/v4"
 
@@ -29,7 +30,7 @@
 // Most bounds a plan's size.
 const (
 	MostTenants  = 20000
-	MostServices = 500
+	MostServices = 5000
 	keepIDs      = 64
 )
 
@@ -50,6 +51,20 @@
 	Readers int      `json:"readers"` // never fewer
 	Makers  int      `json:"makers"`
 	Exclude []string `json:"exclude,omitempty"` // servers that get no work
+
+	Status     string          `json:"status,omitempty"`      // path at which a server tells how it is
+	Conns      int             `json:"conns,omitempty"`       // most connections a server takes from all daemons together
+	ColdFor    float64         `json:"cold_s,omitempty"`      // a server is cold for so long after its start, in seconds
+	ColdRate   float64         `json:"cold_rate,omitempty"`   // what a cold server bears, in requests a second
+	Slots      int             `json:"slots,omitempty"`       // requests a server works on at a time
+	Memory     int             `json:"memory,omitempty"`      // of a server, in tokens
+	TokenBytes int             `json:"token_bytes,omitempty"` // moved for each token of a hand-over
+	LinkMbps   float64         `json:"link_mbps,omitempty"`   // of a server, for hand-overs
+	Stride     int             `json:"stride,omitempty"`      // tokens in one event of a stream
+	Hold       float64         `json:"hold_s,omitempty"`      // life of a handle, in seconds
+	Switch     float64         `json:"switch_s,omitempty"`    // time that a change of part takes, in seconds
+	Models     []string        `json:"models,omitempty"`
+	Raw        json.RawMessage `json:"raw,omitempty"` // the item as its operator sent it
 }
 
 // Plan is a whole plan as it is in force.
@@ -59,7 +74,14 @@
 	Base     uint64    `json:"base"`
 	Tenants  []Tenant  `json:"tenants"`
 	Services []Service `json:"services"`
-	Past     []Past    `json:"past,omitempty"`
+	Routes   []Route   `json:"routes,omitempty"`
+	Limits   Limits    `json:"limits,omitzero"`
+	// Number is the operator's own for the next version; it must be above the
+	// version in force. 0: the next version is one more. None is kept.
+	Number uint64 `json:"number,omitempty"`
+	// Raw is what else the operator sent, an object of further fields.
+	Raw  json.RawMessage `json:"raw,omitempty"`
+	Past []Past          `json:"past,omitempty"`
 }
 
 // Past remembers an accepted id, so that a resent plan gets the same reply.
@@ -76,22 +98,6 @@
 		Services: []Service{{Name: "model", Readers: 1, Makers: 1}}}
 }
 
-// Change is one named change to the plan in force.
-type Change struct {
-	Op      string   `json:"op"`
-	Name    string   `json:"name,omitempty"`
-	Tenant  *Tenant  `json:"tenant,omitempty"`
-	Service *Service `json:"service,omitempty"`
-	Server  string   `json:"server,omitempty"`
-}
-
-// Changes is a set of named changes, taken all or none.
-type Changes struct {
-	ID      string   `json:"id"`
-	Base    uint64   `json:"base"`
-	Changes []Change `json:"changes"`
-}
-
 // Faults collects everything wrong with an input.
 type Faults struct {
 	List []string `json:"faults"`
@@ -174,17 +180,26 @@
 			}
 		}
 	}
+	p.checkRoutes(known, &f)
 	return f
 }
 
 func (s Service) check() error {
 	return v.ValidateStruct(&s,
-		v.Field(&s.Name, v.Required, v.Match(name).Error("expected 1 to 64 letters, digits, '.', '_' or '-'")),
+		v.Field(&s.Name, v.Required, v.By(service)),
 		v.Field(&s.Readers, v.Required, v.Min(1)),
 		v.Field(&s.Makers, v.Required, v.Min(1)),
 		v.Field(&s.Exclude, v.Each(v.By(address))))
 }
 
+// service is lenient: a name has only to fit into the records' keys.
+func service(x any) error {
+	if s, _ := x.(string); !GoodService(s) {
+		return fmt.Errorf("%.80q: expected 1 to 1024 bytes without a '/'", s)
+	}
+	return nil
+}
+
 func address(x any) error {
 	s, _ := x.(string)
 	if _, err := netip.ParseAddrPort(s); err != nil {
@@ -193,105 +208,6 @@
 	return nil
 }
 
-// With applies named changes to a copy of the plan; faults name the change.
-//
-// Example: next, f := plan.With(changes)
-func (p Plan) With(c Changes) (Plan, Faults) {
-	var f Faults
-	out := p
-	out.ID = c.ID
-	out.Tenants = append([]Tenant(nil), p.Tenants...)
-	out.Services = nil
-	for _, s := range p.Services {
-		s.Exclude = append([]string(nil), s.Exclude...)
-		out.Services = append(out.Services, s)
-	}
-	if len(c.Changes) == 0 {
-		f.Add("changes: none given")
-	}
-	for i, ch := range c.Changes {
-		if why := out.apply(ch); why != "" {
-			f.Add("changes[%d] %q: %s", i, ch.Op, why)
-		}
-	}
-	if f.Any() {
-		return p, f
-	}
-	return out, out.Check()
-}
-
-func (p *Plan) apply(c Change) string {
-	tenant := func(n string) int {
-		for i, t := range p.Tenants {
-			if t.Name == n {
-				return i
-			}
-		}
-		return -1
-	}
-	service := func(n string) int {
-		for i, s := range p.Services {
-			if s.Name == n {
-				return i
-			}
-		}
-		return -1
-	}
-	switch c.Op {
-	case "set-tenant":
-		if c.Tenant == nil {
-			return "needs a tenant"
-		}
-		if i := tenant(c.Tenant.Name); i >= 0 {
-			p.Tenants[i] = *c.Tenant
-		} else {
-			p.Tenants = append(p.Tenants, *c.Tenant)
-		}
-	case "drop-tenant":
-		i := tenant(c.Name)
-		if i < 0 {
-			return fmt.Sprintf("no tenant %q", c.Name)
-		}
-		p.Tenants = append(p.Tenants[:i], p.Tenants[i+1:]...)
-	case "set-service":
-		if c.Service == nil {
-			return "needs a service"
-		}
-		if i := service(c.Service.Name); i >= 0 {
-			p.Services[i] = *c.Service
-		} else {
-			p.Services = append(p.Services, *c.Service)
-		}
-	case "drop-service":
-		i := service(c.Name)
-		if i < 0 {
-			return fmt.Sprintf("no service %q", c.Name)
-		}
-		p.Services = append(p.Services[:i], p.Services[i+1:]...)
-	case "exclude-server", "include-server":
-		i := service(c.Name)
-		if i < 0 {
-			return fmt.Sprintf("no service %q", c.Name)
-		}
-		if err := address(c.Server); err != nil {
-			return "server " + err.Error()
-		}
-		var rest []string
-		for _, a := range p.Services[i].Exclude {
-			if a != c.Server {
-				rest = append(rest, a)
-			}
-		}
-		if c.Op == "exclude-server" {
-			rest = append(rest, c.Server)
-		}
-		p.Services[i].Exclude = rest
-	default:
-		return "expected set-tenant, drop-tenant, set-service, drop-service, exclude-server or include-server"
-	}
-	return ""
-}
-
 // Verdict is the reply to a plan or a change.
 type Verdict struct {
 	Result  string   `json:"result"` // taken, beaten or broken
@@ -313,15 +229,21 @@
 		return nil, Verdict{Result: "beaten", Version: cur.Version}
 	}
 	p, f := next(cur)
+	if p.Number > 0 && p.Number <= cur.Version {
+		f.Add("plan.number: %d: expected more than %d, the version in force", p.Number, cur.Version)
+	}
 	if f.Any() {
 		return nil, Verdict{Result: "broken", Version: cur.Version, Faults: f.List}
 	}
 	p.ID, p.Base, p.Version = id, base, cur.Version+1
+	if p.Number > 0 {
+		p.Version, p.Number = p.Number, 0
+	}
 	p.Past = append(append([]Past(nil), cur.Past...), Past{id, p.Version})
 	if len(p.Past) > keepIDs {
 		p.Past = p.Past[len(p.Past)-keepIDs:]
 	}
-	b, err := json.Marshal(p)
+	b, err := Pack(p)
 	if err != nil {
 		return nil, Verdict{Result: "broken", Version: cur.Version, Faults: []string{err.Error()}}
 	}
@@ -334,7 +256,11 @@
 func Open(r form.Rec) Plan {
 	var p Plan
 	if !r.Dead && len(r.Val) > 0 {
-		if err := json.Unmarshal(r.Val, &p); err != nil {
+		b, err := Plain(r.Val)
+		if err == nil {
+			err = json.Unmarshal(b, &p)
+		}
+		if err != nil {
 			panic(fmt.Sprintf("plan record %s can't be read: %v", r.Ver, err)) // we wrote it ourselves
 		}
 	}
@@ -372,10 +298,23 @@
 
 // Server is one entry of the platform's list.
 type Server struct {
+	ID       string `json:"id,omitempty"` // of this life of the server, where the platform gives one
 	Addr     string `json:"addr"`
 	Cell     string `json:"cell"`
 	Capacity int    `json:"capacity"`
 	Leaving  bool   `json:"leaving,omitempty"`
+	Part     string `json:"part,omitempty"` // that it plays by the platform's word; none: it is to be asked and ordered
+	Warming  bool   `json:"warming,omitempty"`
+}
+
+// Key names a server within its service: the id of this life, else its address.
+//
+// Example: tariff.Server{Addr: "10.0.0.1:9000"}.Key() == "10.0.0.1:9000"
+func (s Server) Key() string {
+	if s.ID != "" {
+		return s.ID
+	}
+	return s.Addr
 }
 
 // List is a service's servers as the platform names them.
@@ -407,10 +346,10 @@
 			v.Field(&s.Addr, v.Required, v.By(address)),
 			v.Field(&s.Cell, v.Required, v.Match(name)),
 			v.Field(&s.Capacity, v.Required, v.Min(1), v.Max(4096))))
-		if j, ok := seen[s.Addr]; ok {
-			f.Add("%s.addr: %q is listed already in servers[%d]", at, s.Addr, j)
+		if j, ok := seen[s.Key()]; ok {
+			f.Add("%s: %q is listed already in servers[%d]", at, s.Key(), j)
 		}
-		seen[s.Addr] = i
+		seen[s.Key()] = i
 	}
 	return f
 }
@@ -420,6 +359,13 @@
 // Example: tariff.GoodName("north") == true
 func GoodName(s string) bool { return name.MatchString(s) && !strings.Contains(s, "/") }
 
+// GoodService tells whether a service may have that name.
+//
+// Example: tariff.GoodService("time table") == true
+func GoodService(s string) bool {
+	return s != "" && len(s) <= 1024 && !strings.Contains(s, "/") && utf8.ValidString(s)
+}
+
 // PartOf is the part that holds a service's records, by a hash of its name;
 // part 0 is configuration.
 //
@@ -436,7 +382,7 @@
 // Example: key := tariff.ListKey("timetable")
 func ListKey(svc string) string { return "list/" + svc }
 
-// BerthKey is the key of a server's record.
+// BerthKey is the key of a server's record; see Server.Key.
 //
 // Example: key := tariff.BerthKey("timetable", "127.0.0.1:9000")
-func BerthKey(svc, addr string) string { return "berth/" + svc + "/" + addr }
+func BerthKey(svc, server string) string { return "berth/" + svc + "/" + server }
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -10,6 +10,9 @@
 type Options struct {
 	Seed     int64
 	Cells    []int // daemons in each cell; the first of each has a disk
+	Disks    int   // daemons with a disk in each cell, if more than one
+	Losses   int   // of them that may be lost at once, if more than one
+	Bare     bool  // the seeds have no disk, and the platform tells a first start from others
 	Parts    int   // beside the configuration part
 	Length   time.Duration
 	Calm     time.Duration      // at the end nothing fails any more
@@ -80,7 +83,13 @@
 	"servers": calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"crash": 4, "dark": 2, "lapse": 2, "cross": 3, "break": 4, "skip": 2, "twice": 2, "sluggish": 2, "link": 2, "roll": 2, "crowd": 1}),
 	"cells":   calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"cell": 1, "kill": 1, "freeze": 1, "crowd": 1, "swing": 1}),
 	"reboot":  calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"all": 1.5, "kill": 4, "ackkill": 3, "freeze": 3}),
-	"rot":     only(map[string]float64{"rot": 2, "slow": 1}),
+	// Five seats over three cells, and a founder without a disk.
+	"five": func(seed int64) Options {
+		o := Default(seed)
+		o.Cells, o.Disks, o.Losses, o.Bare = []int{4, 3, 3}, 2, 2, true
+		return o
+	},
+	"rot": only(map[string]float64{"rot": 2, "slow": 1}),
 	// All three core machines are exchanged, one after another, while the
 	// usual trouble goes on.
 	"swaps": func(seed int64) Options {
--- /dev/null
+++ b/traffic/forward/lane.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"time"
+
+	"mulleinmast/control/interlock"
+	"mulleinmast/control/tariff"
+	"mulleinmast/traffic/waybill"
+)
+
+// stat is what this daemon knows of a server by its own requests.
+type stat struct {
+	reading  int // under way from here
+	tokens   int // of these, to be read
+	writing  int
+	load     Load
+	loadAt   time.Duration
+	mine     int // under way from here when it told its load
+	shyUntil time.Duration
+	seenAt   time.Duration
+}
+
+// Lane is the state machine of one service on one daemon.
+type Lane struct {
+	cfg  Config
+	svc  string
+	part int
+	src  Source
+
+	gen   [2]uint64
+	until time.Duration
+	rows  map[string]Server
+	stats map[string]*stat
+	pace  float64 // tokens read in a ms, measured
+
+	bucket waybill.Bucket
+	trips  map[string]*trip
+	n      Counts
+}
+
+// New makes a lane for a service whose records stand in the given part.
+//
+// Example: l := forward.New(cfg, "timetable", 3, cabin)
+func New(cfg Config, svc string, part int, src Source) *Lane {
+	return &Lane{cfg: cfg, svc: svc, part: part, src: src, rows: map[string]Server{}, stats: map[string]*stat{}, pace: cfg.Pace,
+		bucket: waybill.Bucket{Rate: cfg.Retry, Window: cfg.Window, Slack: cfg.Slack}, trips: map[string]*trip{}}
+}
+
+// Counts are the lane's numbers so far.
+//
+// Example: n := l.Counts().Served
+func (l *Lane) Counts() Counts { return l.n }
+
+// Fleet tells how many daemons there are: the slack of second sends is
+// divided among them.
+//
+// Example: l.Fleet(len(view.Members))
+func (l *Lane) Fleet(n int) { l.bucket.Slack = l.cfg.Slack / max(1, n) }
+
+// Open is the number of requests under way.
+//
+// Example: for l.Open() > 0 { wait() }
+func (l *Lane) Open() int { return len(l.trips) }
+
+// Keys lists the records that the lane reads, for its user to keep wanted.
+//
+// Example: for _, k := range l.Keys() { cabin.Pin(part, k) }
+func (l *Lane) Keys() []string {
+	keys := []string{tariff.ListKey(l.svc)}
+	if rec, ok := l.src.Read(l.part, keys[0]); ok {
+		for _, s := range tariff.OpenList(rec).Servers {
+			keys = append(keys, tariff.BerthKey(l.svc, s.Key()))
+		}
+	}
+	return keys
+}
+
+// look makes the table of servers anew if a record changed or a lease lapsed;
+// it tells whether all that it needs stands under valid leases now.
+func (l *Lane) look(now time.Duration) bool {
+	gen := [2]uint64{l.src.Gen(0), l.src.Gen(l.part)}
+	if gen == l.gen && now < l.until {
+		return true
+	}
+	l.until = min(l.src.Until(0), l.src.Until(l.part))
+	if gen == l.gen && now < l.until {
+		return true
+	}
+	l.gen = gen
+	clear(l.rows)
+	list, okList := l.src.Read(l.part, tariff.ListKey(l.svc))
+	cells, okCells := l.src.Read(0, tariff.CellKey)
+	if !okList || !okCells || now >= l.until {
+		l.until = 0
+		return false
+	}
+	out := tariff.Cells(cells)
+	for _, s := range tariff.OpenList(list).Servers {
+		if s.Leaving || out[s.Cell] {
+			continue
+		}
+		rec, ok := l.src.Read(l.part, tariff.BerthKey(l.svc, s.Key()))
+		if !ok {
+			continue
+		}
+		b, ok := interlock.OpenBerth(rec)
+		if !ok || b.To != "" || b.Status != interlock.Up && b.Status != interlock.Warming {
+			continue
+		}
+		l.rows[s.Key()] = Server{Key: s.Key(), Addr: s.Addr, Zone: s.Cell, Part: b.Part, Slots: s.Capacity, Warming: b.Status == interlock.Warming}
+	}
+	for key, st := range l.stats {
+		if _, ok := l.rows[key]; !ok && st.reading+st.writing == 0 && now-st.seenAt > 10*l.cfg.Window {
+			delete(l.stats, key)
+		}
+	}
+	return true
+}
+
+func (l *Lane) stat(key string) *stat {
+	st := l.stats[key]
+	if st == nil {
+		st = &stat{}
+		l.stats[key] = st
+	}
+	return st
+}
+
+// Standing is the last look before a call's first byte goes out.
+//
+// Example: if !l.Standing(now, id, move) { return forward.Barred }
+func (l *Lane) Standing(now time.Duration, id string, m Move) bool {
+	t := l.trips[id]
+	if t == nil || t.no != m.No || now >= t.Due || !l.look(now) {
+		return false
+	}
+	row, ok := l.rows[m.To.Key]
+	return ok && row.Part == m.To.Part && row.Addr == m.To.Addr
+}
+
+// Told takes the load that a server told with an answer.
+//
+// Example: l.Told(now, server.Key, forward.Load{Running: 3, Slots: 8})
+func (l *Lane) Told(now time.Duration, key string, load Load) {
+	st := l.stat(key)
+	st.load, st.loadAt, st.seenAt = load, now, now
+	st.mine = st.reading + st.writing
+}
--- /dev/null
+++ b/traffic/forward/trip.go
@@ -0,0 +1,286 @@
+package forward
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"mulleinmast/traffic/waybill"
+)
+
+// trip is one request on its way.
+type trip struct {
+	Call
+	at     time.Duration
+	led    waybill.Ledger
+	dice   uint64
+	no     int
+	phase  waybill.Phase
+	to     Server
+	sentAt time.Duration
+	handle *Handle
+	arrive int  // sends that count against Tries
+	begun  bool // events have gone out to the client
+	again  bool // the send under way is a second one
+	choice []string
+}
+
+// Begin takes a request in and makes its first move.
+//
+// Example: move := l.Begin(now, call)
+func (l *Lane) Begin(now time.Duration, c Call) Move {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.ID))
+	t := &trip{Call: c, at: now, led: waybill.Ledger{Once: !c.Repeat, Most: max(1, c.Tries)}, dice: h.Sum64()}
+	l.trips[c.ID] = t
+	return l.next(now, t)
+}
+
+// Again asks for the move after a Wait.
+//
+// Example: move := l.Again(now, id)
+func (l *Lane) Again(now time.Duration, id string) Move { return l.next(now, l.trips[id]) }
+
+// next derives the next move from the ledger.
+func (l *Lane) next(now time.Duration, t *trip) Move {
+	if now >= t.Due {
+		return l.end(now, t, "its time is up")
+	}
+	again := false
+	if n := len(t.led.Attempts); n > 0 {
+		last := t.led.Attempts[n-1]
+		switch {
+		case last.Known == waybill.Ended:
+			return l.finish(now, t, Done, "")
+		case last.Known == waybill.First && !(t.Resume && t.Repeat):
+			return l.finish(now, t, Break, last.Why)
+		case last.Known == waybill.Lost && last.Phase == waybill.Decode && !t.Repeat:
+			return l.finish(now, t, Unknown, last.Why)
+		case last.Known == waybill.NotSent:
+			if n > 2*max(2, t.Tries) {
+				return l.end(now, t, last.Why)
+			}
+		case last.Known != waybill.Handle:
+			again = true
+		}
+	}
+	if again && (t.arrive >= max(2, t.Tries) || !l.bucket.Has(now)) {
+		return l.end(now, t, "no further try to spare after: "+t.led.Attempts[len(t.led.Attempts)-1].Why)
+	}
+	if !l.look(now) || len(l.rows) == 0 {
+		return l.wait(now, t, "no valid leases here")
+	}
+	m, ok := l.pick(now, t, again)
+	if !ok {
+		return l.wait(now, t, "no server to go to")
+	}
+	if again && !l.bucket.Take(now) {
+		return l.end(now, t, "no further try to spare")
+	}
+	t.again = again
+	return l.send(now, t, m)
+}
+
+// wait holds a request for a short while, for leases or a server.
+func (l *Lane) wait(now time.Duration, t *trip, why string) Move {
+	until := t.at + time.Duration(l.cfg.Patience*float64(t.Aim))
+	if len(t.led.Attempts) > 0 || t.begun {
+		until = max(until, t.sentAt+time.Duration(l.cfg.Patience*float64(t.Aim)))
+	}
+	until = min(until, t.Due)
+	if now >= until {
+		return l.end(now, t, why)
+	}
+	return Move{Kind: Wait, Until: until, Why: why}
+}
+
+// pick chooses between reading apart and a server that does both, and where.
+func (l *Lane) pick(now time.Duration, t *trip, again bool) (m Move, ok bool) {
+	if t.handle != nil {
+		to, _ := l.maker(now, t, t.handle.Server.Zone)
+		return Move{Kind: Write, To: to, Handle: t.handle}, to.Key != ""
+	}
+	split := !l.direct(t) && !t.begun && !t.After && t.led.Tries(waybill.Prefill) < max(2, t.Tries)
+	if split {
+		if to, _ := l.reader(now, t); to.Key != "" {
+			return Move{Kind: Read, To: to}, true
+		}
+	}
+	to, _ := l.maker(now, t, l.cfg.Zone)
+	return Move{Kind: Write, To: to}, to.Key != ""
+}
+
+func (l *Lane) send(now time.Duration, t *trip, m Move) Move {
+	t.no++
+	t.to, t.sentAt = m.To, now
+	m.No, m.Until = t.no, t.Due
+	st := l.stat(m.To.Key)
+	if m.Kind == Read {
+		t.phase = waybill.Prefill
+		st.reading++
+		st.tokens += t.In
+		// A reader that is silent leaves time for a server that does both.
+		m.Until = min(t.Due, now+max(t.Aim, (t.Due-now)/4))
+	} else {
+		t.phase = waybill.Decode
+		st.writing++
+	}
+	if t.again {
+		l.n.Again++
+	} else if len(t.led.Attempts) == 0 {
+		l.n.First++
+		l.bucket.Earn(now)
+		if m.Kind == Read {
+			l.n.Split++
+		} else {
+			l.n.Direct++
+		}
+	}
+	t.led.Add(t.phase, m.To.Key)
+	t.choice = append(t.choice, fmt.Sprintf("%s at %s (%s, %.0f%% full) after %d ms", m.Kind, m.To.Addr, m.To.Zone, 100*l.busy(now, m.To), (now-t.at).Milliseconds()))
+	return m
+}
+
+// came notes the end of the call under way.
+func (l *Lane) came(now time.Duration, t *trip, out Outcome) {
+	st := l.stat(t.to.Key)
+	if t.phase == waybill.Prefill {
+		st.reading--
+		st.tokens -= t.In
+	} else {
+		st.writing--
+	}
+	st.seenAt = now
+	switch out {
+	case NotSent, Lost:
+		st.shyUntil = now + l.cfg.Shy
+	case Full, Moved:
+		st.shyUntil = now + l.cfg.Turned
+	case OK:
+		st.shyUntil = 0
+	}
+}
+
+// barred takes back an attempt that the last look stopped: nothing went out.
+func (l *Lane) barred(now time.Duration, t *trip) Move {
+	t.led.Undo()
+	t.choice = t.choice[:len(t.choice)-1]
+	if t.again {
+		l.n.Again--
+		l.bucket.Give(now)
+	}
+	return l.next(now, t)
+}
+
+var known = map[Outcome]waybill.Known{NotSent: waybill.NotSent, Full: waybill.Shed, Moved: waybill.Shed, Gone: waybill.Lapsed, Lost: waybill.Lost}
+
+// ReadDone takes the end of a reading call.
+//
+// Example: move := l.ReadDone(now, id, forward.OK, forward.Handle{ID: "3fa0", ...}, "")
+func (l *Lane) ReadDone(now time.Duration, id string, out Outcome, h Handle, why string) Move {
+	t := l.trips[id]
+	l.came(now, t, out)
+	if out == Barred {
+		return l.barred(now, t)
+	}
+	if out == OK && (h.Call != t.ID || h.No != t.no || h.Server.Key != t.to.Key || h.ID == "") {
+		out, why = Lost, "a handle that is not this request's"
+	}
+	if out == OK {
+		t.handle = &h
+		t.led.Learn(waybill.Handle, "")
+		return l.next(now, t)
+	}
+	if out == Full || out == Moved || out == Lost && t.led.Tries(waybill.Prefill) > 1 {
+		t.arrive++
+	}
+	t.led.Learn(known[out], why)
+	return l.next(now, t)
+}
+
+// Began tells that the first event of a stream, or the head of another answer,
+// has gone out to the client.
+//
+// Example: l.Began(now, id)
+func (l *Lane) Began(now time.Duration, id string) {
+	t := l.trips[id]
+	if t.led.Attempts[len(t.led.Attempts)-1].Known == waybill.Open {
+		t.led.Learn(waybill.First, "")
+	}
+	t.begun = true
+}
+
+// WriteDone takes the end of a writing call: OK means that all of it went out.
+//
+// Example: move := l.WriteDone(now, id, forward.Lost, "reset")
+func (l *Lane) WriteDone(now time.Duration, id string, out Outcome, why string) Move {
+	t := l.trips[id]
+	l.came(now, t, out)
+	if out == Barred {
+		return l.barred(now, t)
+	}
+	if out != NotSent {
+		t.arrive++
+		t.handle = nil // taken up, or not to be had
+	}
+	last := &t.led.Attempts[len(t.led.Attempts)-1]
+	switch {
+	case out == OK:
+		t.led.Learn(waybill.Ended, "")
+	case last.Known == waybill.First:
+		t.led.Learn(waybill.First, why)
+		if t.Resume && t.Repeat {
+			l.n.Resumed++
+		}
+	default:
+		t.led.Learn(known[out], why)
+	}
+	return l.next(now, t)
+}
+
+// Left tells that the client went away; whatever is under way is cut by the
+// caller.
+//
+// Example: l.Left(now, id, forward.Lost)
+func (l *Lane) Left(now time.Duration, id string, calling bool) Move {
+	t := l.trips[id]
+	if calling {
+		l.came(now, t, Barred)
+	}
+	l.n.Left++
+	return l.over(now, t, Move{Kind: Break, Why: "the client went away"})
+}
+
+// end is the last move where nothing more is to be tried.
+func (l *Lane) end(now time.Duration, t *trip, why string) Move {
+	switch {
+	case t.begun:
+		return l.finish(now, t, Break, why)
+	case t.led.Ran():
+		return l.finish(now, t, Unknown, why)
+	}
+	return l.finish(now, t, Refuse, why)
+}
+
+func (l *Lane) finish(now time.Duration, t *trip, k Kind, why string) Move {
+	switch k {
+	case Done:
+		l.n.Served++
+	case Refuse:
+		l.n.Refused++
+	case Unknown:
+		l.n.Unknown++
+	case Break:
+		l.n.Broken++
+	}
+	return l.over(now, t, Move{Kind: k, Why: why, Back: l.cfg.Back})
+}
+
+func (l *Lane) over(now time.Duration, t *trip, m Move) Move {
+	delete(l.trips, t.ID)
+	if t.handle != nil {
+		m.Free = append(m.Free, *t.handle)
+		t.handle = nil
+	}
+	return m
+}
--- /dev/null
+++ b/traffic/gateway/gateway.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinmast/control/cabin"
+	"mulleinmast/control/tariff"
+	"mulleinmast/traffic/forward"
+	"mulleinmast/traffic/route"
+	"mulleinmast/wire/form"
+)
+
+// lane is one service's shard: the machine under its lock.
+type lane struct {
+	mu sync.Mutex
+	*forward.Lane
+	part   int
+	pinned map[string]bool
+}
+
+// sheet is the plan in force, made ready for look-ups.
+type sheet struct {
+	gen   uint64
+	until time.Duration
+	ver   form.Ver
+	table *route.Table
+	plan  tariff.Plan
+	split map[string]bool // services whose servers have two halves
+}
+
+// Gateway serves clients.
+type Gateway struct {
+	c    *cabin.Cabin
+	eng  Engines
+	cfg  forward.Config
+	mu   sync.Mutex
+	list map[string]*lane
+	plan atomic.Pointer[sheet]
+	open atomic.Int64
+	book storyBook
+}
+
+// New makes a gateway on a daemon.
+//
+// Example: g := gateway.New(c, engines)
+func New(c *cabin.Cabin, eng Engines) *Gateway {
+	g := &Gateway{c: c, eng: eng, cfg: Config(c.Cfg), list: map[string]*lane{}}
+	eng.Told(g.told)
+	return g
+}
+
+// Config is a lane's bounds, as ratios to those in the daemon's config.
+//
+// Example: l := forward.New(gateway.Config(cfg), svc, part, source)
+func Config(c cabin.Config) forward.Config {
+	return forward.Config{Zone: c.Cell, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: 0.5,
+		Shy: c.Bounds.Plan, Turned: c.Bounds.Plan / 8, Back: c.Bounds.Plan / 16, Direct: 0.125, Far: 0.02, Miss: 0.3, Shared: 512, Pace: 50}
+}
+
+// Open is the number of requests under way.
+//
+// Example: for g.Open() > 0 { wait() }
+func (g *Gateway) Open() int64 { return g.open.Load() }
+
+// Run keeps the records wanted that the lanes read, until the context ends.
+//
+// Example: supervisor.Add(g.Run)
+func (g *Gateway) Run(ctx context.Context) error {
+	t := time.NewTicker(g.c.Cfg.Bounds.Plan / 4)
+	defer t.Stop()
+	for {
+		news := g.c.News()
+		if s, ok := g.sheet(); ok {
+			for _, svc := range s.plan.Services {
+				g.keep(g.lane(svc.Name))
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-news:
+		case <-t.C:
+		}
+	}
+}
+
+func (g *Gateway) keep(l *lane) {
+	l.mu.Lock()
+	l.Fleet(len(g.c.View().Members))
+	var fresh []string
+	for _, k := range l.Keys() {
+		if !l.pinned[k] {
+			l.pinned[k] = true
+			fresh = append(fresh, k)
+		}
+	}
+	l.mu.Unlock()
+	for _, k := range fresh {
+		g.c.Pin(l.part, k)
+	}
+}
+
+func (g *Gateway) lane(svc string) *lane {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.list[svc]
+	if l == nil {
+		p := g.c.Part(svc)
+		l = &lane{part: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, g.c)}
+		g.list[svc] = l
+	}
+	return l
+}
+
+func (g *Gateway) told(svc, key string, load forward.Load) {
+	l := g.lane(svc)
+	l.mu.Lock()
+	l.Told(g.c.Now(), key, load)
+	l.mu.Unlock()
+}
+
+// sheet is the plan if it stands under valid leases now.
+func (g *Gateway) sheet() (*sheet, bool) {
+	s, gen := g.plan.Load(), g.c.Gen(0)
+	if s != nil && s.gen == gen && g.c.Now() < s.until {
+		return s, true
+	}
+	until := g.c.Until(0)
+	rec, ok := g.c.Read(0, tariff.PlanKey)
+	if !ok || rec.Dead {
+		return nil, false
+	}
+	if s != nil && s.ver == rec.Ver {
+		n := *s
+		n.gen, n.until = gen, until
+		g.plan.Store(&n)
+		return &n, true
+	}
+	p := tariff.Open(rec)
+	n := &sheet{gen: gen, until: until, ver: rec.Ver, plan: p, table: route.New(p), split: map[string]bool{}}
+	for _, v := range p.Services {
+		n.split[v.Name] = v.TokenBytes > 0
+	}
+	g.plan.Store(n)
+	return n, true
+}
+
+// BodyBytes is the longest body that a client may send by the plan last seen
+// here, 0 if none says.
+//
+// Example: most := g.BodyBytes()
+func (g *Gateway) BodyBytes() int64 {
+	if s := g.plan.Load(); s != nil {
+		return int64(s.plan.Limits.BodyBytes)
+	}
+	return 0
+}
+
+// await waits a short while for a plan under valid leases.
+func (g *Gateway) await(ctx context.Context, most time.Duration) (*sheet, bool) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	beat := time.NewTicker(max(time.Millisecond, most/16))
+	defer beat.Stop()
+	for {
+		news := g.c.News()
+		if s, ok := g.sheet(); ok {
+			return s, true
+		}
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-t.C:
+			return nil, false
+		case <-news:
+		case <-beat.C:
+		}
+	}
+}
+
+// Serve sees a request through to its end.
+//
+// Example: g.Serve(r.Context(), request, client)
+func (g *Gateway) Serve(ctx context.Context, q *Request, w Client) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	at := g.c.Now()
+	s, ok := g.await(ctx, g.c.Cfg.Bounds.Plan/10)
+	if !ok {
+		w.Refuse(http.StatusServiceUnavailable, g.cfg.Back, "no valid lease on the configuration here")
+		return
+	}
+	r, ok := s.table.Match(q.Host, q.Path)
+	if !ok {
+		w.Fail(http.StatusNotFound, "no route")
+		return
+	}
+	c := forward.Call{ID: q.ID, Repeat: r.Kind == "safe" || r.Kind == "stream" && r.Resume, Resume: r.Kind == "stream" && r.Resume, After: q.Last != "",
+		Urgency: r.Urgency, Tries: r.Tries, Aim: time.Duration(r.Target) * time.Millisecond, Gap: time.Duration(r.Gap) * time.Millisecond,
+		Parts: q.Parts, In: q.In, Out: q.Out}
+	c.Service = route.Pick(r, dice(q.ID))
+	c.Split = r.Kind == "stream" && s.split[c.Service]
+	c.Due = at + time.Duration(r.GiveUp)*time.Millisecond
+	if q.Left > 0 {
+		c.Due = min(c.Due, at+q.Left)
+	}
+	if c.Aim == 0 {
+		c.Aim = (c.Due - at) / 4
+	}
+	g.run(ctx, q, c, w)
+}
--- /dev/null
+++ b/traffic/gateway/port.go
@@ -0,0 +1,66 @@
+// Package gateway serves clients by the routes of the plan in force. It is the
+// product's side of the drivers: one driver brings requests in, another one
+// speaks to the model servers; what becomes of a request is decided by
+// traffic/forward.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mulleinmast/traffic/forward"
+)
+
+// Request is one try of a client as its driver read it, whole.
+type Request struct {
+	ID     string // the client's own, echoed by servers
+	Method string
+	Host   string
+	Path   string // decides the route
+	Target string // path and query as they came, passed on unchanged
+	Header http.Header
+	Body   []byte
+	Left   time.Duration // that the client will wait; 0: it doesn't say
+	Parts  []forward.Part
+	In     int    // tokens of the prompt
+	Out    int    // most tokens out
+	Last   string // the client goes on with a stream after this event
+}
+
+// Answer is a server's answer under way.
+type Answer interface {
+	Status() int
+	Header() http.Header
+	// Next gives the next event of a stream, or bytes of another body, with the
+	// id of the event if it has one. It ends with io.EOF if, and only if, the
+	// whole body came.
+	Next() (b []byte, id string, err error)
+	// Close ends the call; what was not read is dropped with its connection.
+	Close()
+}
+
+// Engines speaks to the model servers. A context that ends cuts the call. may
+// is asked just before the first byte goes out; if it says no, the outcome is
+// forward.Barred.
+type Engines interface {
+	Read(ctx context.Context, q *Request, c forward.Call, m forward.Move, may func() bool) (forward.Handle, forward.Outcome, string)
+	Write(ctx context.Context, q *Request, c forward.Call, m forward.Move, last string, may func() bool) (Answer, forward.Outcome, string)
+	Free(h forward.Handle)
+	// Told has f called with what servers tell of their load.
+	Told(f func(service, server string, load forward.Load))
+}
+
+// Client takes the answer of one request.
+type Client interface {
+	// Begin sends a server's head.
+	Begin(status int, h http.Header)
+	// Pass sends bytes on at once; false: the client can't be reached.
+	Pass(b []byte) bool
+	// Refuse ends a request that has not run and never will.
+	Refuse(status int, back time.Duration, why string)
+	// Fail ends one of which nothing may be promised.
+	Fail(status int, why string)
+	// Break ends an answer that has begun so that it can't look whole.
+	Break()
+}
--- /dev/null
+++ b/traffic/gateway/run.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"time"
+
+	"mulleinmast/traffic/forward"
+)
+
+func dice(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum64()
+}
+
+// run carries the moves of one request out.
+func (g *Gateway) run(ctx context.Context, q *Request, c forward.Call, w Client) {
+	l := g.lane(c.Service)
+	step := func(f func(now time.Duration) forward.Move) forward.Move {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return f(g.c.Now())
+	}
+	last, begun := q.Last, false
+	m := step(func(now time.Duration) forward.Move { return l.Begin(now, c) })
+	for !m.Kind.Final() {
+		if ctx.Err() != nil {
+			m = step(func(now time.Duration) forward.Move { return l.Left(now, c.ID, m.Kind != forward.Wait) })
+			break
+		}
+		switch m.Kind {
+		case forward.Wait:
+			g.pause(ctx, m.Until)
+			if ctx.Err() == nil {
+				m = step(func(now time.Duration) forward.Move { return l.Again(now, c.ID) })
+			}
+		case forward.Read:
+			cut, done := context.WithTimeout(ctx, m.Until-g.c.Now())
+			h, out, why := g.eng.Read(cut, q, c, m, g.may(l, c, m))
+			done()
+			if ctx.Err() != nil && out != forward.OK {
+				continue
+			}
+			m = step(func(now time.Duration) forward.Move { return l.ReadDone(now, c.ID, out, h, why) })
+		case forward.Write:
+			cut, done := context.WithTimeout(ctx, m.Until-g.c.Now())
+			out, why := g.write(cut, l, q, c, m, w, &last, &begun)
+			done()
+			if ctx.Err() != nil && out != forward.OK {
+				continue
+			}
+			m = step(func(now time.Duration) forward.Move { return l.WriteDone(now, c.ID, out, why) })
+		}
+	}
+	for _, h := range m.Free {
+		go g.eng.Free(h)
+	}
+	switch m.Kind {
+	case forward.Refuse:
+		w.Refuse(http.StatusServiceUnavailable, m.Back, m.Why)
+	case forward.Unknown:
+		w.Fail(http.StatusBadGateway, m.Why)
+	case forward.Break:
+		w.Break()
+	}
+}
+
+// may is the last look before the first byte.
+func (g *Gateway) may(l *lane, c forward.Call, m forward.Move) func() bool {
+	return func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.Standing(g.c.Now(), c.ID, m)
+	}
+}
+
+// pause waits for news of records, or until a time.
+func (g *Gateway) pause(ctx context.Context, until time.Duration) {
+	d := min(until-g.c.Now(), g.c.Cfg.Vol()/16) // volume leases come without news
+	t := time.NewTimer(max(d, time.Millisecond))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-g.c.News():
+	}
+}
+
+// write makes one writing call and passes on what comes. last is the last
+// event that the client has; begun tells whether it has a head.
+func (g *Gateway) write(ctx context.Context, l *lane, q *Request, c forward.Call, m forward.Move, w Client, last *string, begun *bool) (forward.Outcome, string) {
+	a, out, why := g.eng.Write(ctx, q, c, m, *last, g.may(l, c, m))
+	if out != forward.OK {
+		return out, why
+	}
+	defer a.Close()
+	if *begun && a.Status() != http.StatusOK {
+		return forward.Lost, "a stream can't go on with a " + http.StatusText(a.Status())
+	}
+	if !*begun && c.Repeat && a.Status() >= 500 {
+		return forward.Lost, http.StatusText(a.Status())
+	}
+	for {
+		b, id, err := a.Next()
+		if err == io.EOF {
+			if !*begun {
+				w.Begin(a.Status(), a.Header())
+				*begun = true
+			}
+			return forward.OK, ""
+		}
+		if err != nil {
+			return forward.Lost, err.Error()
+		}
+		if !*begun {
+			w.Begin(a.Status(), a.Header())
+			*begun = true
+			l.mu.Lock()
+			l.Began(g.c.Now(), c.ID)
+			l.mu.Unlock()
+		}
+		if !w.Pass(b) {
+			return forward.Lost, "the client takes nothing"
+		}
+		if id != "" {
+			*last = id
+		}
+	}
+}
--- /dev/null
+++ b/traffic/gateway/story.go
@@ -0,0 +1,4 @@
+package gateway
+
+// storyBook keeps the last requests for the query shell.
+type storyBook struct{}
--- a/traffic/waybill/waybill.go
+++ b/traffic/waybill/waybill.go
@@ -194,6 +194,7 @@
 type Bucket struct {
 	Rate   float64
 	Window time.Duration
+	Slack  int // retries in a window beyond those earned
 	ring   [steps + 2]struct {
 		no           int64
 		first, again int
@@ -232,7 +233,7 @@
 			again += s.again
 		}
 	}
-	return float64(again+1) <= b.Rate*float64(first)
+	return float64(again+1) <= b.Rate*float64(first)+float64(b.Slack)
 }
 
 // Take spends a retry if one may be made.
--- a/wire/form/form.go
+++ b/wire/form/form.go
@@ -47,12 +47,14 @@
 	// calls
 	Call
 	Back
+	// formation
+	Found // these seats make the first group
 	kindEnd
 )
 
 var kindNames = [...]string{"none", "renew", "grant", "reconnect", "listing", "synced", "connect", "purge", "purged", "deny", "steer",
 	"ask", "promise", "refuse", "fill", "filled", "unfit", "accept", "accepted", "support", "void", "supported",
-	"hello", "welcome", "gossip", "census", "count", "call", "back"}
+	"hello", "welcome", "gossip", "census", "count", "call", "back", "found"}
 
 // String names a kind.
 //
