A board of load and kept prompts; each request goes where it costs least

Change: traffic/board, hints told over the head of each zone a quarter of a second apart: tokens sent to be read and answers under way at each server, and which server keeps which shared prompt (an LRU by clock of tokens). forward weighs time to the first event, bytes to other zones, memory moved, tokens read again, and the pauses that a maker's own reading makes in its streams.

--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -49,6 +49,8 @@
 	Hands *yard.Hands
 	Mux   *http.ServeMux
 	More  func() map[string]any // what traffic adds to the state dump
+	// Hint takes what other daemons tell of the servers' load.
+	Hint func(form.Note)
 	// Source tells which servers there are; none: the platform PUTs the lists.
 	Source Source
 
--- a/control/cabin/shard.go
+++ b/control/cabin/shard.go
@@ -98,6 +98,10 @@
 		if o.Found != nil {
 			c.found(o.Found)
 		}
+	case n.Kind == form.Board:
+		if c.Hint != nil {
+			c.Hint(n)
+		}
 	case n.Kind == form.Back:
 		c.cmu.Lock()
 		o := c.runs.Hear(c.Now(), n)
@@ -110,6 +114,15 @@
 	}
 }
 
+// Tell puts notes on the line to other daemons.
+//
+// Example: c.Tell(board.Tick(now, me, members))
+func (c *Cabin) Tell(list []form.Send) {
+	for _, m := range list {
+		c.Line.Send(m)
+	}
+}
+
 // Read serves a record from this daemon's cache if both leases are valid now.
 //
 // Example: rec, ok := c.Read(0, tariff.PlanKey)
--- /dev/null
+++ b/traffic/board/board.go
@@ -0,0 +1,340 @@
+// Package board is what the daemons tell each other of the servers' load and
+// of the prompts that servers keep. It is a hint, never a ground for safety:
+// a telling that is lost or late makes a choice worse, not wrong. Each daemon
+// tells the head of its zone, heads tell each other their zone's sum, and each
+// head tells its zone the whole: so a daemon hears one telling a beat, however
+// large the fleet is. A plain state machine; its user holds a lock.
+package board
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+// Config holds the bounds of the board.
+type Config struct {
+	Beat time.Duration // between two tellings
+	Old  time.Duration // a telling counts for so long
+	Most int           // notes of kept prompts in one telling
+	Keep float64       // part of a server's memory that is taken to be kept
+	Size int           // prompts remembered
+}
+
+// The kinds of sheets.
+const (
+	leaf  byte = iota + 1 // a daemon's own
+	zonal                 // a zone's sum, from its head to another
+	whole                 // the fleet's sum, from a head to its zone
+)
+
+type heard struct {
+	at   time.Duration
+	uses map[uint64]Use
+}
+
+// note is a Kept with the daemon that told it, which need not be told again.
+type note struct {
+	Kept
+	from string
+}
+
+type place struct {
+	clock float64 // of the server when it last had the prompt
+}
+
+// Board is the state machine of one daemon.
+type Board struct {
+	cfg    Config
+	own    map[uint64]Use   // under way from here, now
+	told   map[uint64]Use   // and when last told
+	leaves map[string]heard // of the daemons of this zone, if this is its head
+	zones  map[string]heard // of the other zones
+	whole  heard            // the fleet's sum, from our head
+	head   bool
+	next   time.Duration
+
+	news  []Kept // of our own, not yet told to our head
+	pass  []Kept // for the other heads: of this zone
+	spill []note // for the daemons of this zone
+
+	clocks map[uint64]float64           // tokens that each server had to keep, so far
+	memory map[uint64]float64           // tokens that it can keep
+	at     map[uint64]map[uint64]*place // prompt -> server
+	order  []uint64
+}
+
+// New makes an empty board.
+//
+// Example: b := board.New(board.Config{Beat: 250 * time.Millisecond, Old: time.Second, Most: 128, Keep: 0.7, Size: 1 << 15})
+func New(cfg Config) *Board {
+	return &Board{cfg: cfg, own: map[uint64]Use{}, told: map[uint64]Use{}, leaves: map[string]heard{}, zones: map[string]heard{},
+		clocks: map[uint64]float64{}, memory: map[uint64]float64{}, at: map[uint64]map[uint64]*place{}}
+}
+
+// Name is the short name of a server of a service on the board.
+//
+// Example: id := board.Name("timetable", "10.0.0.1:9000")
+func Name(service, server string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(service))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(server))
+	return h.Sum64()
+}
+
+// Begin notes work sent to a server from here; End takes it off with the signs
+// turned round.
+//
+// Example: b.Begin(id, 1460, 0)
+func (b *Board) Begin(server uint64, tokens, writing int) {
+	u := b.own[server]
+	u.Server, u.Tokens, u.Writing = server, u.Tokens+tokens, u.Writing+writing
+	if u.Tokens == 0 && u.Writing == 0 {
+		delete(b.own, server)
+		return
+	}
+	b.own[server] = u
+}
+
+// Load is what is under way at a server, from all daemons as far as heard and
+// from here as of now.
+//
+// Example: tokens, writing := b.Load(now, id)
+func (b *Board) Load(now time.Duration, server uint64) (tokens, writing int) {
+	own := b.own[server]
+	tokens, writing = own.Tokens, own.Writing
+	add := func(u Use) { tokens, writing = tokens+u.Tokens, writing+u.Writing }
+	if b.head {
+		for _, h := range b.leaves {
+			if now-h.at < b.cfg.Old {
+				add(h.uses[server])
+			}
+		}
+		for _, h := range b.zones {
+			if now-h.at < b.cfg.Old {
+				add(h.uses[server])
+			}
+		}
+		return tokens, writing
+	}
+	if now-b.whole.at < b.cfg.Old && b.whole.uses != nil {
+		u, old := b.whole.uses[server], b.told[server]
+		add(Use{Tokens: max(0, u.Tokens-old.Tokens), Writing: max(0, u.Writing-old.Writing)})
+	}
+	return tokens, writing
+}
+
+// Keeps notes from here that a server read or took up a prompt; tokens are
+// those that it had to keep anew.
+//
+// Example: b.Keeps(prefix, id, 1460)
+func (b *Board) Keeps(prefix, server uint64, tokens int) {
+	k := Kept{Prefix: prefix, Server: server, Tokens: tokens}
+	b.learn(k)
+	b.news = append(b.news, k)
+}
+
+func (b *Board) learn(k Kept) {
+	b.clocks[k.Server] += float64(k.Tokens)
+	list := b.at[k.Prefix]
+	if list == nil {
+		if len(b.order) >= b.cfg.Size {
+			delete(b.at, b.order[0])
+			b.order = b.order[1:]
+		}
+		list = map[uint64]*place{}
+		b.at[k.Prefix] = list
+		b.order = append(b.order, k.Prefix)
+	}
+	p := list[k.Server]
+	if p == nil {
+		p = &place{}
+		list[k.Server] = p
+	}
+	p.clock = b.clocks[k.Server]
+}
+
+// Memory tells how many tokens a server can keep.
+//
+// Example: b.Memory(id, 295740)
+func (b *Board) Memory(server uint64, tokens int) { b.memory[server] = float64(tokens) }
+
+// Has tells whether a server most likely keeps a prompt's shared parts still.
+//
+// Example: if b.Has(prefix, id) { prefer(server) }
+func (b *Board) Has(prefix, server uint64) bool {
+	p := b.at[prefix][server]
+	if p == nil {
+		return false
+	}
+	room := b.memory[server]
+	return room == 0 || b.clocks[server]-p.clock < room*b.cfg.Keep
+}
+
+// Anywhere tells whether any server of the list keeps a prompt's shared parts.
+//
+// Example: if !b.Anywhere(prefix, ids) { chooseHome() }
+func (b *Board) Anywhere(prefix uint64, servers []uint64) bool {
+	return slices.ContainsFunc(servers, func(s uint64) bool { return b.Has(prefix, s) })
+}
+
+// Forget drops a server that is gone.
+//
+// Example: b.Forget(id)
+func (b *Board) Forget(server uint64) {
+	delete(b.clocks, server)
+	delete(b.memory, server)
+	for _, list := range b.at {
+		delete(list, server)
+	}
+}
+
+// Head is the daemon of a zone that sums for it: alike by all who see the same
+// members.
+//
+// Example: seat := board.Head(view.Members, "north")
+func Head(members []form.Member, zone string) (best form.Member) {
+	top := uint64(0)
+	for _, m := range members {
+		if m.Cell != zone {
+			continue
+		}
+		if w := Name("head", m.Addr); best.Ident == "" || w > top {
+			best, top = m, w
+		}
+	}
+	return best
+}
+
+// Tick tells what is due.
+//
+// Example: for _, s := range b.Tick(now, view.Me, view.Members) { send(s) }
+func (b *Board) Tick(now time.Duration, me form.Member, members []form.Member) (out []form.Send) {
+	if now < b.next {
+		return nil
+	}
+	b.next = now + b.cfg.Beat
+	head := Head(members, me.Cell)
+	b.head = head.Ident == me.Ident || head.Ident == ""
+	b.told = maps.Clone(b.own)
+	if !b.head {
+		out = append(out, b.sheet(head, Sheet{From: me.Ident, Zone: me.Cell, Kind: leaf, Uses: flat(b.own), Kept: b.most(&b.news)}))
+		b.pass, b.spill = nil, nil
+		return out
+	}
+	for id, h := range b.leaves {
+		if now-h.at >= b.cfg.Old {
+			delete(b.leaves, id)
+		}
+	}
+	sum := maps.Clone(b.own)
+	for _, h := range b.leaves {
+		merge(sum, h.uses)
+	}
+	news := b.most(&b.news)
+	pass := append(b.most(&b.pass), news...)
+	for _, k := range news {
+		b.spill = append(b.spill, note{k, me.Ident})
+	}
+	spill := b.spill[:min(len(b.spill), b.cfg.Most)]
+	b.spill = nil
+	all := maps.Clone(sum)
+	for zone, h := range b.zones {
+		if now-h.at >= b.cfg.Old {
+			delete(b.zones, zone)
+			continue
+		}
+		merge(all, h.uses)
+	}
+	zones := map[string]bool{me.Cell: true}
+	for _, m := range members {
+		switch {
+		case m.Ident == me.Ident:
+		case m.Cell == me.Cell:
+			out = append(out, b.sheet(m, Sheet{From: me.Ident, Zone: me.Cell, Kind: whole, Uses: flat(all), Kept: but(spill, m.Ident)}))
+		case !zones[m.Cell]:
+			zones[m.Cell] = true
+			out = append(out, b.sheet(Head(members, m.Cell), Sheet{From: me.Ident, Zone: me.Cell, Kind: zonal, Uses: flat(sum), Kept: pass}))
+		}
+	}
+	return out
+}
+
+// most takes so many notes as one telling holds; what is over is let go, since
+// it says only where something may be found.
+func (b *Board) most(list *[]Kept) []Kept {
+	out := *list
+	*list = nil
+	return out[:min(len(out), b.cfg.Most)]
+}
+
+func (b *Board) sheet(to form.Member, s Sheet) form.Send {
+	body, err := s.MarshalMsg(nil)
+	if err != nil {
+		panic(err) // our own types always pack
+	}
+	return form.Send{Addr: to.Addr, Note: form.Note{Kind: form.Board, To: to.Ident, Body: body}}
+}
+
+func flat(m map[uint64]Use) []Use {
+	out := make([]Use, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[k])
+	}
+	return out
+}
+
+func merge(to, from map[uint64]Use) {
+	for k, u := range from {
+		t := to[k]
+		to[k] = Use{Server: k, Tokens: t.Tokens + u.Tokens, Writing: t.Writing + u.Writing}
+	}
+}
+
+// Hear takes another daemon's telling; one that can't be read is passed over.
+//
+// Example: b.Hear(now, note)
+func (b *Board) Hear(now time.Duration, n form.Note) {
+	var s Sheet
+	if rest, err := s.UnmarshalMsg(n.Body); err != nil || len(rest) > 0 {
+		return
+	}
+	h := heard{at: now, uses: make(map[uint64]Use, len(s.Uses))}
+	for _, u := range s.Uses {
+		h.uses[u.Server] = u
+	}
+	for _, k := range s.Kept {
+		b.learn(k)
+	}
+	switch s.Kind {
+	case leaf:
+		b.leaves[s.From] = h
+		b.pass = append(b.pass, s.Kept...)
+		b.spread(s)
+	case zonal:
+		b.zones[s.Zone] = h
+		b.spread(s)
+	case whole:
+		b.whole = h
+	}
+}
+
+// spread has what was told told on to the daemons of this zone.
+func (b *Board) spread(s Sheet) {
+	for _, k := range s.Kept {
+		b.spill = append(b.spill, note{k, s.From})
+	}
+}
+
+func but(list []note, ident string) (out []Kept) {
+	for _, n := range list {
+		if n.from != ident {
+			out = append(out, n.Kept)
+		}
+	}
+	return out
+}
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,12 +10,37 @@
 	"mulleinmast/traffic/waybill"
 )
 
+// Board tells what all daemons together have under way at servers and which
+// prompts servers keep. What it says may be old or lacking: it makes a choice
+// better, never safe.
+type Board interface {
+	// Begin notes work sent from here; with the signs turned round, its end.
+	Begin(server string, tokens, writing int)
+	// Load is what is under way at a server from all daemons.
+	Load(now time.Duration, server string) (tokens, writing int)
+	// Keeps notes that a server read or took up a prompt, and how many tokens
+	// it had to keep anew.
+	Keeps(prefix uint64, server string, tokens int)
+	// Has tells whether a server most likely keeps a prompt's shared parts.
+	Has(prefix uint64, server string) bool
+}
+
+// Weights say what a choice costs beside time, in parts of a request's worth.
+type Weights struct {
+	Far   float64 // a KB of the request's body sent to another zone
+	Again float64 // 1,000 tokens read that another server keeps
+	Moved float64 // 1,000 tokens of prompt memory moved within a zone
+	Apart float64 // and to another zone, times that
+	Miss  float64 // a server that is not first in a prompt's order
+	Stall float64 // an answer under way whose pause gets too long
+}
+
 // shared is the length in tokens of the parts that others may have in common
 // with this prompt (the last part is its own), and a key for them.
-func (t *trip) shared() (tokens int, key uint64) {
+func shared(parts []Part) (tokens int, key uint64) {
 	h := fnv.New64a()
-	for i, p := range t.Parts {
-		if i == len(t.Parts)-1 {
+	for i, p := range parts {
+		if i == len(parts)-1 {
 			break
 		}
 		tokens += p.Tokens
@@ -35,21 +61,8 @@
 	return x ^ x>>29
 }
 
-// busy is how full a server is, in parts of its slots, as far as known here.
-func (l *Lane) busy(now time.Duration, s Server) float64 {
-	st := l.stats[s.Key]
-	if st == nil {
-		return 0
-	}
-	n := st.reading + st.writing
-	if now-st.loadAt < l.cfg.Window/5 {
-		n = max(n, st.load.Running+st.load.Waiting+n-st.mine)
-	}
-	return float64(n) / float64(max(1, s.Slots))
-}
-
-// candidates are the servers of a part that may get the request now: not
-// tried before, not shy; failing that, shy ones.
+// candidates are the servers of a part that may get the request now: not tried
+// before, not shy; failing that, shy ones, and last those that warm up.
 func (l *Lane) candidates(now time.Duration, t *trip, part string, phase waybill.Phase) []Server {
 	var good, shy, warm []Server
 	for _, s := range l.rows {
@@ -72,56 +85,144 @@
 	return warm
 }
 
-// best is the candidate that weighs least: its load, its distance, and whether
-// another one is more likely to hold the shared parts.
-func (l *Lane) best(now time.Duration, t *trip, list []Server, zone string) (best Server, weighs float64) {
-	tokens, key := t.shared()
-	var home map[string]int
-	if tokens >= l.cfg.Shared {
-		home = l.ranks(list, key)
+// option is one way to go: a server, and what it costs in parts of the
+// request's worth.
+type option struct {
+	Server
+	wait   time.Duration // until it could begin
+	took   time.Duration // to read the prompt
+	costs  float64       // beside time
+	unread int           // tokens that it has to read
+}
+
+// late is what an answer loses whose first event comes after d: nothing while
+// that is well inside the aim, half of its worth by the aim, more beyond.
+func late(d, aim time.Duration) float64 {
+	x := float64(d) / float64(max(aim, time.Millisecond))
+	switch {
+	case x <= 0.4:
+		return 0.05 * x
+	case x <= 1:
+		return 0.02 + 0.4*(x-0.4)
 	}
-	for _, s := range list {
-		w := l.busy(now, s) + float64(home[s.Key])*l.cfg.Miss
-		if s.Zone != zone {
-			w += l.cfg.Far
+	return 0.5 + 0.2*(x-1)
+}
+
+func ms(tokens int, pace float64) time.Duration {
+	return time.Duration(float64(tokens) / pace * float64(time.Millisecond))
+}
+
+// options weighs the servers of a part for reading the prompt at a pace.
+func (l *Lane) options(now time.Duration, t *trip, part string, phase waybill.Phase, pace float64) []option {
+	list := l.candidates(now, t, part, phase)
+	tokens, key := shared(t.Parts)
+	tokens = min(tokens, t.In)
+	kept := false
+	has := make([]bool, len(list))
+	for i, s := range list {
+		has[i] = tokens > 0 && l.board.Has(key, s.Key)
+		kept = kept || has[i]
+	}
+	w := l.cfg.Weights
+	out := make([]option, 0, len(list))
+	for i, s := range list {
+		o := option{Server: s, unread: t.In}
+		if has[i] {
+			o.unread -= tokens
+		} else if kept || l.known(key) {
+			o.costs += w.Again * float64(tokens) / 1000
+		}
+		load, writing := l.board.Load(now, s.Key)
+		o.wait = ms(load, pace)
+		if over := writing - s.Slots; over >= 0 && part == interlock.Maker {
+			o.wait += time.Duration(over+1) * t.Aim / time.Duration(max(1, s.Slots))
+		}
+		o.took = ms(o.unread, pace)
+		if s.Zone != l.cfg.Zone {
+			o.costs += w.Far * float64(t.Bytes) / 1024
 		}
 		// A hair of chance from the request itself keeps daemons from herding.
-		w += float64(weight(t.dice, s.Key)%1024) / 1024 / float64(max(1, s.Slots))
-		if best.Key == "" || w < weighs {
-			best, weighs = s, w
+		o.costs += float64(weight(t.dice, s.Key)%1024) / 1024 * w.Miss / 8
+		out = append(out, o)
+	}
+	if !kept && tokens > 0 { // nobody is known to keep it: an order that all daemons share
+		slices.SortFunc(out, func(a, b option) int {
+			if weight(key, a.Key) > weight(key, b.Key) {
+				return -1
+			}
+			return 1
+		})
+		for i := range out {
+			out[i].costs += w.Miss * float64(min(i, 4)) * min(1, float64(tokens)/1000)
 		}
 	}
-	return best, weighs
+	return out
 }
 
-// ranks orders the servers for a key, alike on all daemons of all zones; the
-// first few have rank 0, 1, 2, all others 3.
-func (l *Lane) ranks(list []Server, key uint64) map[string]int {
-	out := map[string]int{}
-	for _, s := range list {
-		n, mine := 0, weight(key, s.Key)
-		for _, o := range list {
-			if weight(key, o.Key) > mine {
-				n++
-			}
+// known tells whether any server at all is known to keep the shared parts.
+func (l *Lane) known(key uint64) bool {
+	for k := range l.rows {
+		if l.board.Has(key, k) {
+			return true
 		}
-		out[s.Key] = min(n, 3)
 	}
-	return out
+	return false
 }
 
-// direct tells whether a writing server reads the prompt soon enough itself,
-// were none of it known there.
-func (l *Lane) direct(t *trip) bool {
-	took := time.Duration(float64(t.In)/(l.pace/2)) * time.Millisecond
-	return !t.Split || t.In == 0 || took <= time.Duration(l.cfg.Direct*float64(t.Aim))
+// choose weighs reading apart against a server that reads and writes, and
+// where; a handle that is there already leaves only the second half to choose.
+func (l *Lane) choose(now time.Duration, t *trip, apart bool) (m Move, ok bool) {
+	makers := l.options(now, t, interlock.Maker, waybill.Decode, l.pace/2)
+	if t.handle != nil {
+		best, _ := l.second(t, makers, t.handle.Server, 0, 0)
+		return Move{Kind: Write, To: best.Server, Handle: t.handle}, best.Key != ""
+	}
+	lowest := 0.0
+	for _, o := range makers {
+		if c := late(o.wait+o.took, t.Aim) + o.costs + l.stall(now, t, o); !ok || c < lowest {
+			m, ok, lowest, t.unread = Move{Kind: Write, To: o.Server}, true, c, o.unread
+		}
+	}
+	if !apart {
+		return m, ok
+	}
+	for _, o := range l.options(now, t, interlock.Reader, waybill.Prefill, l.pace) {
+		best, c := l.second(t, makers, o.Server, o.wait+o.took, o.costs)
+		if best.Key != "" && (!ok || c < lowest) {
+			m, ok, lowest, t.unread = Move{Kind: Read, To: o.Server}, true, c, o.unread
+		}
+	}
+	return m, ok
 }
 
-// reader and maker pick the servers for the two halves.
-func (l *Lane) reader(now time.Duration, t *trip) (Server, float64) {
-	return l.best(now, t, l.candidates(now, t, interlock.Reader, waybill.Prefill), l.cfg.Zone)
+// stall is what the answers under way at a server lose while it reads a prompt
+// between their tokens: nothing while the pause that this makes is well below
+// the longest that is in time, all their timeliness beyond.
+func (l *Lane) stall(now time.Duration, t *trip, o option) float64 {
+	_, writing := l.board.Load(now, o.Key)
+	if l.gap == 0 || writing == 0 {
+		return 0
+	}
+	x := float64(o.wait+o.took)/float64(l.gap) - 0.5
+	return l.cfg.Weights.Stall * float64(writing) * min(1, max(0, x/0.3))
 }
 
-func (l *Lane) maker(now time.Duration, t *trip, near string) (Server, float64) {
-	return l.best(now, t, l.candidates(now, t, interlock.Maker, waybill.Decode), near)
+// second picks the writing server for a prompt that was read at a server after
+// some time and at some cost.
+func (l *Lane) second(t *trip, makers []option, from Server, after time.Duration, costs float64) (best option, lowest float64) {
+	w := l.cfg.Weights
+	for _, o := range makers {
+		c := costs + w.Moved*float64(t.In)/1000
+		if o.Zone != from.Zone {
+			c = costs + w.Moved*w.Apart*float64(t.In)/1000
+		}
+		if o.Zone != l.cfg.Zone {
+			c += w.Far * float64(t.Bytes) / 1024
+		}
+		c += late(after+o.wait/2, t.Aim)
+		if best.Key == "" || c < lowest {
+			best, lowest = o, c
+		}
+	}
+	return best, lowest
 }
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -10,12 +10,9 @@
 
 // stat is what this daemon knows of a server by its own requests.
 type stat struct {
-	reading  int // under way from here
-	tokens   int // of these, to be read
-	writing  int
+	open     int // calls under way from here
 	load     Load
 	loadAt   time.Duration
-	mine     int // under way from here when it told its load
 	shyUntil time.Duration
 	seenAt   time.Duration
 }
@@ -27,11 +24,14 @@
 	part int
 	src  Source
 
+	board Board
+
 	gen   [2]uint64
 	until time.Duration
 	rows  map[string]Server
 	stats map[string]*stat
-	pace  float64 // tokens read in a ms, measured
+	pace  float64       // tokens read in a ms, measured
+	gap   time.Duration // the shortest pause that any request allows between events
 
 	bucket waybill.Bucket
 	trips  map[string]*trip
@@ -40,9 +40,9 @@
 
 // New makes a lane for a service whose records stand in the given part.
 //
-// Example: l := forward.New(cfg, "timetable", 3, cabin)
-func New(cfg Config, svc string, part int, src Source) *Lane {
-	return &Lane{cfg: cfg, svc: svc, part: part, src: src, rows: map[string]Server{}, stats: map[string]*stat{}, pace: cfg.Pace,
+// Example: l := forward.New(cfg, "timetable", 3, cabin, board)
+func New(cfg Config, svc string, part int, src Source, board Board) *Lane {
+	return &Lane{cfg: cfg, svc: svc, part: part, src: src, board: board, rows: map[string]Server{}, stats: map[string]*stat{}, pace: cfg.Pace,
 		bucket: waybill.Bucket{Rate: cfg.Retry, Window: cfg.Window, Slack: cfg.Slack}, trips: map[string]*trip{}}
 }
 
@@ -57,6 +57,17 @@
 // Example: l.Fleet(len(view.Members))
 func (l *Lane) Fleet(n int) { l.bucket.Slack = l.cfg.Slack / max(1, n) }
 
+// Servers lists the servers in use, as the last look had them.
+//
+// Example: for _, s := range l.Servers() { show(s) }
+func (l *Lane) Servers() []Server {
+	out := make([]Server, 0, len(l.rows))
+	for _, s := range l.rows {
+		out = append(out, s)
+	}
+	return out
+}
+
 // Open is the number of requests under way.
 //
 // Example: for l.Open() > 0 { wait() }
@@ -110,7 +121,7 @@
 		l.rows[s.Key()] = Server{Key: s.Key(), Addr: s.Addr, Zone: s.Cell, Part: b.Part, Slots: s.Capacity, Warming: b.Status == interlock.Warming}
 	}
 	for key, st := range l.stats {
-		if _, ok := l.rows[key]; !ok && st.reading+st.writing == 0 && now-st.seenAt > 10*l.cfg.Window {
+		if _, ok := l.rows[key]; !ok && st.open == 0 && now-st.seenAt > 10*l.cfg.Window {
 			delete(l.stats, key)
 		}
 	}
@@ -144,5 +155,4 @@
 func (l *Lane) Told(now time.Duration, key string, load Load) {
 	st := l.stat(key)
 	st.load, st.loadAt, st.seenAt = load, now, now
-	st.mine = st.reading + st.writing
 }
--- a/traffic/forward/shape.go
+++ b/traffic/forward/shape.go
@@ -33,6 +33,7 @@
 	Due     time.Duration // on the daemon's clock
 	Parts   []Part
 	In, Out int // tokens of the prompt, and the most out
+	Bytes   int // of the body
 }
 
 // Config holds the bounds a lane works by.
@@ -45,11 +46,8 @@
 	Shy      time.Duration // a server that failed is passed by this long
 	Turned   time.Duration // and one that turned a request away
 	Back     time.Duration // when to come back, where nothing better is known
-	Direct   float64       // part of the aim that a server may read a prompt by itself
-	Far      float64       // what another zone weighs, in parts of a server's slots
-	Miss     float64       // what a server without the shared parts weighs
-	Shared   int           // fewest shared tokens that are worth a server of their own
 	Pace     float64       // tokens read in a ms, before any was measured
+	Weights  Weights
 }
 
 // Source reads records under valid leases.
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -22,6 +22,7 @@
 	arrive int  // sends that count against Tries
 	begun  bool // events have gone out to the client
 	again  bool // the send under way is a second one
+	unread int  // tokens that the server under way has to read, as far as known
 	choice []string
 }
 
@@ -33,6 +34,9 @@
 	_, _ = h.Write([]byte(c.ID))
 	t := &trip{Call: c, at: now, led: waybill.Ledger{Once: !c.Repeat, Most: max(1, c.Tries)}, dice: h.Sum64()}
 	l.trips[c.ID] = t
+	if c.Gap > 0 && (l.gap == 0 || c.Gap < l.gap) {
+		l.gap = c.Gap
+	}
 	return l.next(now, t)
 }
 
@@ -70,7 +74,7 @@
 	if !l.look(now) || len(l.rows) == 0 {
 		return l.wait(now, t, "no valid leases here")
 	}
-	m, ok := l.pick(now, t, again)
+	m, ok := l.pick(now, t)
 	if !ok {
 		return l.wait(now, t, "no server to go to")
 	}
@@ -95,35 +99,26 @@
 }
 
 // pick chooses between reading apart and a server that does both, and where.
-func (l *Lane) pick(now time.Duration, t *trip, again bool) (m Move, ok bool) {
-	if t.handle != nil {
-		to, _ := l.maker(now, t, t.handle.Server.Zone)
-		return Move{Kind: Write, To: to, Handle: t.handle}, to.Key != ""
-	}
-	split := !l.direct(t) && !t.begun && !t.After && t.led.Tries(waybill.Prefill) < max(2, t.Tries)
-	if split {
-		if to, _ := l.reader(now, t); to.Key != "" {
-			return Move{Kind: Read, To: to}, true
-		}
-	}
-	to, _ := l.maker(now, t, l.cfg.Zone)
-	return Move{Kind: Write, To: to}, to.Key != ""
+func (l *Lane) pick(now time.Duration, t *trip) (Move, bool) {
+	apart := t.Split && t.In > 0 && !t.begun && !t.After && t.led.Tries(waybill.Prefill) < max(2, t.Tries)
+	return l.choose(now, t, apart)
 }
 
 func (l *Lane) send(now time.Duration, t *trip, m Move) Move {
 	t.no++
 	t.to, t.sentAt = m.To, now
 	m.No, m.Until = t.no, t.Due
-	st := l.stat(m.To.Key)
-	if m.Kind == Read {
+	l.stat(m.To.Key).open++
+	switch {
+	case m.Kind == Read:
 		t.phase = waybill.Prefill
-		st.reading++
-		st.tokens += t.In
-		// A reader that is silent leaves time for a server that does both.
-		m.Until = min(t.Due, now+max(t.Aim, (t.Due-now)/4))
-	} else {
+		l.board.Begin(m.To.Key, t.unread, 0)
+	case m.Handle != nil:
+		t.phase, t.unread = waybill.Decode, 0
+		l.board.Begin(m.To.Key, 0, 1)
+	default:
 		t.phase = waybill.Decode
-		st.writing++
+		l.board.Begin(m.To.Key, t.unread, 1)
 	}
 	if t.again {
 		l.n.Again++
@@ -137,20 +132,19 @@
 		}
 	}
 	t.led.Add(t.phase, m.To.Key)
-	t.choice = append(t.choice, fmt.Sprintf("%s at %s (%s, %.0f%% full) after %d ms", m.Kind, m.To.Addr, m.To.Zone, 100*l.busy(now, m.To), (now-t.at).Milliseconds()))
+	t.choice = append(t.choice, fmt.Sprintf("%s at %s (%s), %d tokens to read, after %d ms", m.Kind, m.To.Addr, m.To.Zone, t.unread, (now-t.at).Milliseconds()))
 	return m
 }
 
 // came notes the end of the call under way.
 func (l *Lane) came(now time.Duration, t *trip, out Outcome) {
 	st := l.stat(t.to.Key)
-	if t.phase == waybill.Prefill {
-		st.reading--
-		st.tokens -= t.In
-	} else {
-		st.writing--
-	}
+	st.open--
 	st.seenAt = now
+	l.was(t)
+	if t.phase == waybill.Decode {
+		l.board.Begin(t.to.Key, 0, -1)
+	}
 	switch out {
 	case NotSent, Lost:
 		st.shyUntil = now + l.cfg.Shy
@@ -161,6 +155,21 @@
 	}
 }
 
+// was takes the prompt under way off the board once it has been read.
+func (l *Lane) was(t *trip) {
+	if t.unread > 0 {
+		l.board.Begin(t.to.Key, -t.unread, 0)
+		t.unread = 0
+	}
+}
+
+// keeps notes that the server under way has the prompt now.
+func (l *Lane) keeps(t *trip, tokens int) {
+	if n, key := shared(t.Parts); n > 0 {
+		l.board.Keeps(key, t.to.Key, tokens)
+	}
+}
+
 // barred takes back an attempt that the last look stopped: nothing went out.
 func (l *Lane) barred(now time.Duration, t *trip) Move {
 	t.led.Undo()
@@ -179,6 +188,7 @@
 // Example: move := l.ReadDone(now, id, forward.OK, forward.Handle{ID: "3fa0", ...}, "")
 func (l *Lane) ReadDone(now time.Duration, id string, out Outcome, h Handle, why string) Move {
 	t := l.trips[id]
+	unread := t.unread
 	l.came(now, t, out)
 	if out == Barred {
 		return l.barred(now, t)
@@ -188,6 +198,7 @@
 	}
 	if out == OK {
 		t.handle = &h
+		l.keeps(t, unread)
 		t.led.Learn(waybill.Handle, "")
 		return l.next(now, t)
 	}
@@ -206,7 +217,13 @@
 	t := l.trips[id]
 	if t.led.Attempts[len(t.led.Attempts)-1].Known == waybill.Open {
 		t.led.Learn(waybill.First, "")
+		fresh := t.unread
+		if t.handle != nil {
+			fresh = t.In
+		}
+		l.keeps(t, fresh)
 	}
+	l.was(t)
 	t.begun = true
 }
 
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"mulleinmast/control/cabin"
 	"mulleinmast/control/tariff"
+	"mulleinmast/traffic/board"
 	"mulleinmast/traffic/forward"
 	"mulleinmast/traffic/route"
 	"mulleinmast/wire/form"
@@ -42,14 +43,18 @@
 	plan atomic.Pointer[sheet]
 	open atomic.Int64
 	book storyBook
+
+	bmu   sync.Mutex
+	board *board.Board
 }
 
 // New makes a gateway on a daemon.
 //
 // Example: g := gateway.New(c, engines)
 func New(c *cabin.Cabin, eng Engines) *Gateway {
-	g := &Gateway{c: c, eng: eng, cfg: Config(c.Cfg), list: map[string]*lane{}}
+	g := &Gateway{c: c, eng: eng, cfg: Config(c.Cfg), list: map[string]*lane{}, board: board.New(BoardConfig(c.Cfg))}
 	eng.Told(g.told)
+	c.Hint = g.hint
 	return g
 }
 
@@ -58,7 +63,74 @@
 // Example: l := forward.New(gateway.Config(cfg), svc, part, source)
 func Config(c cabin.Config) forward.Config {
 	return forward.Config{Zone: c.Cell, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: 0.5,
-		Shy: c.Bounds.Plan, Turned: c.Bounds.Plan / 8, Back: c.Bounds.Plan / 16, Direct: 0.125, Far: 0.02, Miss: 0.3, Shared: 512, Pace: 50}
+		Shy: c.Bounds.Plan, Turned: c.Bounds.Plan / 8, Back: c.Bounds.Plan / 16, Pace: 50,
+		Weights: forward.Weights{Far: 0.0023, Again: 0.05, Moved: 0.0022, Apart: 3, Miss: 0.05, Stall: 0.3}}
+}
+
+// BoardConfig is the board's bounds, as ratios to those in the daemon's config.
+//
+// Example: b := board.New(gateway.BoardConfig(cfg))
+func BoardConfig(c cabin.Config) board.Config {
+	beat := c.Bounds.Plan / 8
+	return board.Config{Beat: beat, Old: 5 * beat, Most: 128, Keep: 0.7, Size: 1 << 14}
+}
+
+// notes is the board as one service's lane sees it.
+type notes struct {
+	g   *Gateway
+	svc string
+}
+
+// Begin notes work sent from here.
+//
+// Example: n.Begin(server, 1460, 0)
+func (n notes) Begin(server string, tokens, writing int) {
+	n.g.bmu.Lock()
+	defer n.g.bmu.Unlock()
+	n.g.board.Begin(board.Name(n.svc, server), tokens, writing)
+}
+
+// Load is what is under way at a server.
+//
+// Example: tokens, writing := n.Load(now, server)
+func (n notes) Load(now time.Duration, server string) (tokens, writing int) {
+	n.g.bmu.Lock()
+	defer n.g.bmu.Unlock()
+	return n.g.board.Load(now, board.Name(n.svc, server))
+}
+
+// Keeps notes that a server has a prompt.
+//
+// Example: n.Keeps(prefix, server, 1460)
+func (n notes) Keeps(prefix uint64, server string, tokens int) {
+	n.g.bmu.Lock()
+	defer n.g.bmu.Unlock()
+	n.g.board.Keeps(prefix, board.Name(n.svc, server), tokens)
+}
+
+// Has tells whether a server most likely keeps a prompt.
+//
+// Example: if n.Has(prefix, server) { prefer(server) }
+func (n notes) Has(prefix uint64, server string) bool {
+	n.g.bmu.Lock()
+	defer n.g.bmu.Unlock()
+	return n.g.board.Has(prefix, board.Name(n.svc, server))
+}
+
+// hint takes another daemon's telling.
+func (g *Gateway) hint(n form.Note) {
+	g.bmu.Lock()
+	defer g.bmu.Unlock()
+	g.board.Hear(g.c.Now(), n)
+}
+
+// tell tells the other daemons what is due.
+func (g *Gateway) tell() {
+	v := g.c.View()
+	g.bmu.Lock()
+	out := g.board.Tick(g.c.Now(), v.Me, v.Members)
+	g.bmu.Unlock()
+	g.c.Tell(out)
 }
 
 // Open is the number of requests under way.
@@ -70,13 +142,14 @@
 //
 // Example: supervisor.Add(g.Run)
 func (g *Gateway) Run(ctx context.Context) error {
-	t := time.NewTicker(g.c.Cfg.Bounds.Plan / 4)
+	t := time.NewTicker(BoardConfig(g.c.Cfg).Beat)
 	defer t.Stop()
 	for {
+		g.tell()
 		news := g.c.News()
 		if s, ok := g.sheet(); ok {
 			for _, svc := range s.plan.Services {
-				g.keep(g.lane(svc.Name))
+				g.keep(g.lane(svc.Name), svc)
 			}
 		}
 		select {
@@ -88,7 +161,7 @@
 	}
 }
 
-func (g *Gateway) keep(l *lane) {
+func (g *Gateway) keep(l *lane, svc tariff.Service) {
 	l.mu.Lock()
 	l.Fleet(len(g.c.View().Members))
 	var fresh []string
@@ -98,7 +171,13 @@
 			fresh = append(fresh, k)
 		}
 	}
+	servers := l.Servers()
 	l.mu.Unlock()
+	g.bmu.Lock()
+	for _, s := range servers {
+		g.board.Memory(board.Name(svc.Name, s.Key), svc.Memory)
+	}
+	g.bmu.Unlock()
 	for _, k := range fresh {
 		g.c.Pin(l.part, k)
 	}
@@ -110,7 +189,7 @@
 	l := g.list[svc]
 	if l == nil {
 		p := g.c.Part(svc)
-		l = &lane{part: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, g.c)}
+		l = &lane{part: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, g.c, notes{g, svc})}
 		g.list[svc] = l
 	}
 	return l
@@ -201,7 +280,7 @@
 	}
 	c := forward.Call{ID: q.ID, Repeat: r.Kind == "safe" || r.Kind == "stream" && r.Resume, Resume: r.Kind == "stream" && r.Resume, After: q.Last != "",
 		Urgency: r.Urgency, Tries: r.Tries, Aim: time.Duration(r.Target) * time.Millisecond, Gap: time.Duration(r.Gap) * time.Millisecond,
-		Parts: q.Parts, In: q.In, Out: q.Out}
+		Parts: q.Parts, In: q.In, Out: q.Out, Bytes: len(q.Body)}
 	c.Service = route.Pick(r, dice(q.ID))
 	c.Split = r.Kind == "stream" && s.split[c.Service]
 	c.Due = at + time.Duration(r.GiveUp)*time.Millisecond
--- a/traffic/gateway/run.go
+++ b/traffic/gateway/run.go
@@ -58,6 +58,9 @@
 	for _, h := range m.Free {
 		go g.eng.Free(h)
 	}
+	if m.Kind != forward.Done {
+		g.c.Book.Note("request", "%s: %s: %s", c.ID, m.Kind, m.Why)
+	}
 	switch m.Kind {
 	case forward.Refuse:
 		w.Refuse(http.StatusServiceUnavailable, m.Back, m.Why)
--- a/wire/form/form.go
+++ b/wire/form/form.go
@@ -49,12 +49,14 @@
 	Back
 	// formation
 	Found // these seats make the first group
+	// hints
+	Board // what is under way at servers, and what they keep
 	kindEnd
 )
 
 var kindNames = [...]string{"none", "renew", "grant", "reconnect", "listing", "synced", "connect", "purge", "purged", "deny", "steer",
 	"ask", "promise", "refuse", "fill", "filled", "unfit", "accept", "accepted", "support", "void", "supported",
-	"hello", "welcome", "gossip", "census", "count", "call", "back", "found"}
+	"hello", "welcome", "gossip", "census", "count", "call", "back", "found", "board"}
 
 // String names a kind.
 //
