Requests are routed by the last records while an owner can't be reached

Change, the smallest exception to the paper's leases: a daemon that asked for a renewal in vain goes on routing requests by the records it last held, never one that was withdrawn, at most recovery-s after the lapse; nothing is ordered, written or acknowledged on that ground. The time-bound rules hold for machines in touch, and one in touch gets its leases back within a beat. A member leaves a control daemon that hears of half or fewer of the others, which would keep it from learning the new owner. Requests wait for leases up to 1.25 volume leases instead of being refused after half their aim.

--- a/control/cabin/config.go
+++ b/control/cabin/config.go
@@ -291,6 +291,12 @@
 
 func (c Config) margin() time.Duration { return part(c.Bounds.Plan, 0.01) }
 
+// Overrun is how long after its leases lapsed a daemon that can't reach an owner
+// goes on routing requests by the records that it last held.
+//
+// Example: c.Overrun() == 12*time.Second for a recovery bound of 12 s
+func (c Config) Overrun() time.Duration { return c.Bounds.Recover }
+
 // Leases is the config of the lease tree.
 //
 // Example: node := purge.New(c.Leases(), 0, me, epoch)
--- a/control/cabin/fleet.go
+++ b/control/cabin/fleet.go
@@ -98,11 +98,11 @@
 }
 
 func (c *Cabin) isReady() bool {
-	if c.stop.Load() || !c.View().Live {
+	if c.stop.Load() {
 		return false
 	}
-	_, a := c.Read(0, tariff.PlanKey)
-	_, b := c.Read(0, tariff.CellKey)
+	_, a := c.Last(0, tariff.PlanKey)
+	_, b := c.Last(0, tariff.CellKey)
 	return a && b
 }
 
--- a/control/cabin/shard.go
+++ b/control/cabin/shard.go
@@ -133,6 +133,38 @@
 	return s.Section().Node.Get(c.Now(), key)
 }
 
+// Last serves a record under valid leases or, while its owner can't be reached,
+// as it was when they lapsed: not longer than Overrun after that, and never once
+// it was withdrawn. Requests are routed by it and readiness goes by it; nothing
+// is ordered, written or told to others on its ground.
+//
+// Example: rec, ok := c.Last(0, tariff.PlanKey)
+func (c *Cabin) Last(part int, key string) (form.Rec, bool) {
+	s := c.shards[part]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := c.Now()
+	if rec, ok := s.Section().Node.Get(now, key); ok {
+		return rec, true
+	}
+	rec, lapsed, ok := s.Section().Node.Last(now, key)
+	return rec, ok && now < lapsed+c.Cfg.Overrun()
+}
+
+// LastUntil is when what Last serves of a part ends, unless leases are renewed.
+//
+// Example: if c.Now() < c.LastUntil(p) { route() }
+func (c *Cabin) LastUntil(part int) time.Duration {
+	s := c.shards[part]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until := s.Section().Node.Until(); c.Now() < until {
+		return until
+	}
+	_, lapsed, _ := s.Section().Node.Last(0, "")
+	return lapsed + c.Cfg.Overrun()
+}
+
 // Gen counts the changes of what a part serves here: what was read stands as
 // long as Gen is the same and Until has not passed.
 //
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -88,6 +88,8 @@
 	want   map[string]time.Duration // asked of the parent, and when first
 	pins   map[string]bool
 	gen    uint64
+	reign  time.Duration // when our own duty lease ended, if we were the root
+	vain   time.Duration // since when we know that the lease lapsed; 0: it didn't
 
 	kids   map[string]*kid
 	needs  map[string]map[string]bool // key -> children waiting for it
@@ -129,6 +131,14 @@
 func (n *Node) Uncrown() {
 	n.clear()
 	n.gen++
+	if n.root { // what it read from its own book is the last that it knows
+		n.reign = n.lease()
+		for key := range n.pins {
+			if n.held[key] == 0 {
+				n.objs[key] = cached{rec: n.src(key), till: n.reign + n.cfg.Obj}
+			}
+		}
+	}
 	n.root, n.src, n.lease, n.term = false, nil, nil, 0
 	n.held = map[string]int{}
 }
@@ -158,6 +168,18 @@
 	return n.till
 }
 
+// Last is a record whose volume lease lapsed, and when, if it was not withdrawn
+// since: the last that this node knows. It is no lease: only what may go by
+// old records while the owner can't be reached may use it, and for how long is
+// its user's to bound. It serves only once a renewal was asked for in vain, so
+// that a daemon that was frozen asks before it goes by what it holds.
+//
+// Example: if rec, at, ok := n.Last(now, "plan/now"); ok && now-at < bound { route(rec) }
+func (n *Node) Last(now time.Duration, key string) (rec form.Rec, lapsed time.Duration, ok bool) {
+	c, ok := n.objs[key]
+	return c.rec, max(n.till, n.reign), ok && !n.root && n.sweeps[key] == nil && n.vain > 0 && now-n.vain >= n.cfg.Beat/2
+}
+
 // Gen counts the changes of what this node serves: what was read stands as long
 // as Gen is the same and Until has not passed. At the root a held record is not
 // served either, so holding and freeing count.
@@ -245,6 +267,11 @@
 //
 // Example: out := n.Tick(now)
 func (n *Node) Tick(now time.Duration) (o Out) {
+	if n.Live(now) {
+		n.vain = 0
+	} else if n.vain == 0 {
+		n.vain = now
+	}
 	for _, key := range sorted(n.sweeps) {
 		s := n.sweeps[key]
 		if s == nil {
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -126,6 +126,7 @@
 	askAt  time.Duration
 	backAt time.Duration
 	live   bool
+	alone  bool // our control daemon hears of few others: it may not know the owners
 
 	founding founding
 	Formed   bool // we have a group, or know that the fleet has one
@@ -199,8 +200,9 @@
 	if len(list) == 0 {
 		return
 	}
-	if now-r.backAt > r.cfg.Session/2 {
-		r.ctl++ // silent: try the next one
+	if r.alone || now-r.backAt > r.cfg.Session/2 {
+		r.ctl++ // silent, or cut off from most others: try the next one
+		r.alone = false
 	}
 	o.Sends = append(o.Sends, form.Send{Addr: list[r.ctl%len(list)], Note: form.Note{Kind: form.Hello, Self: r.me, Num: r.print()}})
 }
@@ -216,6 +218,18 @@
 	}
 }
 
+// near is the number of control daemons that this one heard of just now, and
+// itself.
+func (r *Roster) near(now time.Duration) int64 {
+	n := int64(1)
+	for _, h := range r.heard {
+		if now-h.at <= r.cfg.Session {
+			n++
+		}
+	}
+	return n
+}
+
 // controls lists the wire addresses of control daemons: known ones and seeds.
 func (r *Roster) controls() []string {
 	set := map[string]bool{}
@@ -276,7 +290,7 @@
 			}
 			r.mine[n.Self.Ident] = session{n.Self, now}
 			r.rebuild(now)
-			rep := form.Note{Kind: form.Welcome, Owns: r.known(), Num: r.print()}
+			rep := form.Note{Kind: form.Welcome, Owns: r.known(), Num: r.print(), Len: r.near(now)}
 			if rep.Num != n.Num {
 				rep.Members = r.view
 			}
@@ -292,6 +306,7 @@
 			return o
 		}
 		r.backAt, r.live = now, true
+		r.alone = n.Len > 0 && int(n.Len)*2 <= len(r.controls())
 		if len(n.Members) > 0 {
 			r.view = n.Members
 		}
--- a/traffic/forward/shape.go
+++ b/traffic/forward/shape.go
@@ -42,7 +42,7 @@
 	Retry    float64       // second sends over first ones in every Window
 	Window   time.Duration // see waybill.Bucket
 	Slack    int           // second sends beyond that, of all daemons
-	Patience float64       // part of the aim that a request waits for leases and servers
+	Patience time.Duration // that a request waits for leases and servers
 	Shy      time.Duration // a server that failed is passed by this long
 	Turned   time.Duration // and one that turned a request away
 	Back     time.Duration // when to come back, where nothing better is known
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -87,11 +87,7 @@
 
 // wait holds a request for a short while, for leases or a server.
 func (l *Lane) wait(now time.Duration, t *trip, why string) Move {
-	until := t.at + time.Duration(l.cfg.Patience*float64(t.Aim))
-	if len(t.led.Attempts) > 0 || t.begun {
-		until = max(until, t.sentAt+time.Duration(l.cfg.Patience*float64(t.Aim)))
-	}
-	until = min(until, t.Due)
+	until := min(max(t.at, t.sentAt)+l.cfg.Patience, t.Due)
 	if now >= until {
 		return l.end(now, t, why)
 	}
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -62,8 +62,8 @@
 //
 // Example: l := forward.New(gateway.Config(cfg), svc, part, source)
 func Config(c cabin.Config) forward.Config {
-	return forward.Config{Zone: c.Cell, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: 0.5,
-		Shy: c.Bounds.Plan, Turned: c.Bounds.Plan / 8, Back: c.Bounds.Plan / 16, Pace: 50,
+	return forward.Config{Zone: c.Cell, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: c.Vol() * 5 / 4,
+		Shy: c.Bounds.Plan, Turned: c.Bounds.Plan / 8, Back: c.Vol() / 4, Pace: 50,
 		Weights: forward.Weights{Far: 0.0023, Again: 0.05, Moved: 0.0022, Apart: 3, Miss: 0.05, Stall: 0.3}}
 }
 
@@ -75,6 +75,19 @@
 	return board.Config{Beat: beat, Old: 5 * beat, Most: 128, Keep: 0.7, Size: 1 << 14}
 }
 
+// source reads the records that requests are routed by.
+type source struct{ *cabin.Cabin }
+
+// Read serves a record under valid leases, or for a while after they lapsed.
+//
+// Example: rec, ok := source.Read(0, tariff.PlanKey)
+func (s source) Read(part int, key string) (form.Rec, bool) { return s.Last(part, key) }
+
+// Until is when that ends.
+//
+// Example: if now < source.Until(p) { route() }
+func (s source) Until(part int) time.Duration { return s.LastUntil(part) }
+
 // notes is the board as one service's lane sees it.
 type notes struct {
 	g   *Gateway
@@ -189,7 +202,7 @@
 	l := g.list[svc]
 	if l == nil {
 		p := g.c.Part(svc)
-		l = &lane{part: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, g.c, notes{g, svc})}
+		l = &lane{part: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, source{g.c}, notes{g, svc})}
 		g.list[svc] = l
 	}
 	return l
@@ -208,8 +221,8 @@
 	if s != nil && s.gen == gen && g.c.Now() < s.until {
 		return s, true
 	}
-	until := g.c.Until(0)
-	rec, ok := g.c.Read(0, tariff.PlanKey)
+	until := g.c.LastUntil(0)
+	rec, ok := g.c.Last(0, tariff.PlanKey)
 	if !ok || rec.Dead {
 		return nil, false
 	}
@@ -239,6 +252,14 @@
 	return 0
 }
 
+// patience is how long a request waits for a plan.
+func (g *Gateway) patience(q *Request) time.Duration {
+	if q.Left > 0 {
+		return min(g.cfg.Patience, q.Left/2)
+	}
+	return g.cfg.Patience
+}
+
 // await waits a short while for a plan under valid leases.
 func (g *Gateway) await(ctx context.Context, most time.Duration) (*sheet, bool) {
 	t := time.NewTimer(most)
@@ -268,7 +289,7 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	at := g.c.Now()
-	s, ok := g.await(ctx, g.c.Cfg.Bounds.Plan/10)
+	s, ok := g.await(ctx, g.patience(q))
 	if !ok {
 		w.Refuse(http.StatusServiceUnavailable, g.cfg.Back, "no valid lease on the configuration here")
 		return
