Pauses between events are seen, told and weighed

Change: each daemon notes the time between events by server, the board tells it, a choice weighs it.

--- a/traffic/board/board.go
+++ b/traffic/board/board.go
@@ -49,11 +49,12 @@
 // Board is the state machine of one daemon.
 type Board struct {
 	cfg    Config
-	own    map[uint64]Use   // under way from here, now
-	told   map[uint64]Use   // and when last told
-	leaves map[string]heard // of the daemons of this zone, if this is its head
-	zones  map[string]heard // of the other zones
-	whole  heard            // the fleet's sum, from our head
+	own    map[uint64]Use           // under way from here, now
+	told   map[uint64]Use           // and when last told
+	leaves map[string]heard         // of the daemons of this zone, if this is its head
+	zones  map[string]heard         // of the other zones
+	whole  heard                    // the fleet's sum, from our head
+	pauses map[uint64]time.Duration // between events of late, as seen here
 	head   bool
 	next   time.Duration
 
@@ -71,7 +72,7 @@
 //
 // Example: b := board.New(board.Config{Beat: 250 * time.Millisecond, Old: time.Second, Most: 128, Keep: 0.7, Size: 1 << 15})
 func New(cfg Config) *Board {
-	return &Board{cfg: cfg, own: map[uint64]Use{}, told: map[uint64]Use{}, leaves: map[string]heard{}, zones: map[string]heard{},
+	return &Board{cfg: cfg, own: map[uint64]Use{}, told: map[uint64]Use{}, leaves: map[string]heard{}, zones: map[string]heard{}, pauses: map[uint64]time.Duration{},
 		clocks: map[uint64]float64{}, memory: map[uint64]float64{}, at: map[uint64]map[uint64]*place{}}
 }
 
@@ -97,17 +98,34 @@
 		delete(b.own, server)
 		return
 	}
+	u.Pause = int(b.pauses[server]/time.Millisecond) * u.Writing
 	b.own[server] = u
 }
 
+// Paused notes the time between two events of an answer.
+//
+// Example: b.Paused(id, 42*time.Millisecond)
+func (b *Board) Paused(server uint64, d time.Duration) {
+	old, ok := b.pauses[server]
+	if !ok {
+		old = d
+	}
+	b.pauses[server] = old + (d-old)/8
+	if u, ok := b.own[server]; ok {
+		u.Pause = int(b.pauses[server]/time.Millisecond) * u.Writing
+		b.own[server] = u
+	}
+}
+
 // Load is what is under way at a server, from all daemons as far as heard and
 // from here as of now.
 //
-// Example: tokens, writing := b.Load(now, id)
-func (b *Board) Load(now time.Duration, server uint64) (tokens, writing int) {
-	own := b.own[server]
-	tokens, writing = own.Tokens, own.Writing
-	add := func(u Use) { tokens, writing = tokens+u.Tokens, writing+u.Writing }
+// Example: u := b.Load(now, id); wait := u.Tokens / pace
+func (b *Board) Load(now time.Duration, server uint64) (sum Use) {
+	sum = b.own[server]
+	add := func(u Use) {
+		sum.Tokens, sum.Writing, sum.Pause = sum.Tokens+u.Tokens, sum.Writing+u.Writing, sum.Pause+u.Pause
+	}
 	if b.head {
 		for _, h := range b.leaves {
 			if now-h.at < b.cfg.Old {
@@ -119,13 +137,13 @@
 				add(h.uses[server])
 			}
 		}
-		return tokens, writing
+		return sum
 	}
 	if now-b.whole.at < b.cfg.Old && b.whole.uses != nil {
 		u, old := b.whole.uses[server], b.told[server]
-		add(Use{Tokens: max(0, u.Tokens-old.Tokens), Writing: max(0, u.Writing-old.Writing)})
+		add(Use{Tokens: max(0, u.Tokens-old.Tokens), Writing: max(0, u.Writing-old.Writing), Pause: max(0, u.Pause-old.Pause)})
 	}
-	return tokens, writing
+	return sum
 }
 
 // Keeps notes from here that a server read or took up a prompt; tokens are
@@ -188,6 +206,7 @@
 func (b *Board) Forget(server uint64) {
 	delete(b.clocks, server)
 	delete(b.memory, server)
+	delete(b.pauses, server)
 	for _, list := range b.at {
 		delete(list, server)
 	}
@@ -291,7 +310,7 @@
 func merge(to, from map[uint64]Use) {
 	for k, u := range from {
 		t := to[k]
-		to[k] = Use{Server: k, Tokens: t.Tokens + u.Tokens, Writing: t.Writing + u.Writing}
+		to[k] = Use{Server: k, Tokens: t.Tokens + u.Tokens, Writing: t.Writing + u.Writing, Pause: t.Pause + u.Pause}
 	}
 }
 
--- a/traffic/board/sheet.go
+++ b/traffic/board/sheet.go
@@ -7,6 +7,7 @@
 	Server  uint64 `msg:"s"`
 	Tokens  int    `msg:"t"` // of prompts sent to be read and not yet read
 	Writing int    `msg:"w"` // answers
+	Pause   int    `msg:"g"` // ms between their events of late, times Writing so that sums can be told
 }
 
 // Kept says that a server has just read or taken up a prompt.
--- a/traffic/board/sheet_gen.go
+++ b/traffic/board/sheet_gen.go
@@ -208,68 +208,33 @@
 				z.Uses = make([]Use, zb0002)
 			}
 			for za0001 := range z.Uses {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+				err = z.Uses[za0001].DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Uses", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Uses", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Uses[za0001].Server, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001, "Server")
-							return
-						}
-					case "t":
-						z.Uses[za0001].Tokens, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001, "Tokens")
-							return
-						}
-					case "w":
-						z.Uses[za0001].Writing, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001, "Writing")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "m":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Kept")
 				return
 			}
-			if cap(z.Kept) >= int(zb0004) {
-				z.Kept = (z.Kept)[:zb0004]
+			if cap(z.Kept) >= int(zb0003) {
+				z.Kept = (z.Kept)[:zb0003]
 			} else {
-				z.Kept = make([]Kept, zb0004)
+				z.Kept = make([]Kept, zb0003)
 			}
 			for za0002 := range z.Kept {
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
+				var zb0004 uint32
+				zb0004, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0004 > 0 {
+					zb0004--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "Kept", za0002)
@@ -358,35 +323,9 @@
 		return
 	}
 	for za0001 := range z.Uses {
-		// map header, size 3
-		// write "s"
-		err = en.Append(0x83, 0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Uses[za0001].Server)
-		if err != nil {
-			err = msgp.WrapError(err, "Uses", za0001, "Server")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
+		err = z.Uses[za0001].EncodeMsg(en)
 		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Uses[za0001].Tokens)
-		if err != nil {
-			err = msgp.WrapError(err, "Uses", za0001, "Tokens")
-			return
-		}
-		// write "w"
-		err = en.Append(0xa1, 0x77)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Uses[za0001].Writing)
-		if err != nil {
-			err = msgp.WrapError(err, "Uses", za0001, "Writing")
+			err = msgp.WrapError(err, "Uses", za0001)
 			return
 		}
 	}
@@ -453,16 +392,11 @@
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Uses)))
 	for za0001 := range z.Uses {
-		// map header, size 3
-		// string "s"
-		o = append(o, 0x83, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Uses[za0001].Server)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt(o, z.Uses[za0001].Tokens)
-		// string "w"
-		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendInt(o, z.Uses[za0001].Writing)
+		o, err = z.Uses[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Uses", za0001)
+			return
+		}
 	}
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
@@ -531,68 +465,33 @@
 				z.Uses = make([]Use, zb0002)
 			}
 			for za0001 := range z.Uses {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Uses[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Uses", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Uses", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "s":
-						z.Uses[za0001].Server, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001, "Server")
-							return
-						}
-					case "t":
-						z.Uses[za0001].Tokens, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001, "Tokens")
-							return
-						}
-					case "w":
-						z.Uses[za0001].Writing, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001, "Writing")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Uses", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "m":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Kept")
 				return
 			}
-			if cap(z.Kept) >= int(zb0004) {
-				z.Kept = (z.Kept)[:zb0004]
+			if cap(z.Kept) >= int(zb0003) {
+				z.Kept = (z.Kept)[:zb0003]
 			} else {
-				z.Kept = make([]Kept, zb0004)
+				z.Kept = make([]Kept, zb0003)
 			}
 			for za0002 := range z.Kept {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Kept", za0002)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0004 > 0 {
+					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Kept", za0002)
@@ -640,7 +539,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Sheet) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.ByteSize + 2 + msgp.ArrayHeaderSize + (len(z.Uses) * (7 + msgp.Uint64Size + msgp.IntSize + msgp.IntSize)) + 2 + msgp.ArrayHeaderSize + (len(z.Kept) * (7 + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize))
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.ByteSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Uses {
+		s += z.Uses[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Kept) * (7 + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize))
 	return
 }
 
@@ -680,6 +583,12 @@
 				err = msgp.WrapError(err, "Writing")
 				return
 			}
+		case "g":
+			z.Pause, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Pause")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -692,10 +601,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Use) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *Use) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
+	err = en.Append(0x84, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -724,15 +633,25 @@
 		err = msgp.WrapError(err, "Writing")
 		return
 	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Pause)
+	if err != nil {
+		err = msgp.WrapError(err, "Pause")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Use) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Use) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "s"
-	o = append(o, 0x83, 0xa1, 0x73)
+	o = append(o, 0x84, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Server)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -740,6 +659,9 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendInt(o, z.Writing)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendInt(o, z.Pause)
 	return
 }
 
@@ -779,6 +701,12 @@
 				err = msgp.WrapError(err, "Writing")
 				return
 			}
+		case "g":
+			z.Pause, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pause")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -792,7 +720,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Use) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.IntSize
+func (z *Use) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -16,8 +16,11 @@
 type Board interface {
 	// Begin notes work sent from here; with the signs turned round, its end.
 	Begin(server string, tokens, writing int)
-	// Load is what is under way at a server from all daemons.
-	Load(now time.Duration, server string) (tokens, writing int)
+	// Load is what is under way at a server from all daemons: prompt tokens to
+	// be read, answers being written, and the pause between their events of late.
+	Load(now time.Duration, server string) (tokens, writing int, pause time.Duration)
+	// Paused notes the time between two events of an answer.
+	Paused(server string, d time.Duration)
 	// Keeps notes that a server read or took up a prompt, and how many tokens
 	// it had to keep anew.
 	Keeps(prefix uint64, server string, tokens int)
@@ -93,6 +96,8 @@
 	took   time.Duration // to read the prompt
 	costs  float64       // beside time
 	unread int           // tokens that it has to read
+	busy   int           // answers that it writes
+	pause  time.Duration // between their events of late
 }
 
 // late is what an answer loses whose first event comes after d: nothing while
@@ -132,8 +137,8 @@
 		} else if kept || l.known(key) {
 			o.costs += w.Again * float64(tokens) / 1000
 		}
-		load, writing := l.board.Load(now, s.Key)
-		o.wait = ms(load, pace)
+		load, writing, pause := l.board.Load(now, s.Key)
+		o.wait, o.busy, o.pause = ms(load, pace), writing, pause
 		if over := writing - s.Slots; over >= 0 && part == interlock.Maker {
 			o.wait += time.Duration(over+1) * t.Aim / time.Duration(max(1, s.Slots))
 		}
@@ -179,7 +184,7 @@
 	}
 	lowest := 0.0
 	for _, o := range makers {
-		if c := late(o.wait+o.took, t.Aim) + o.costs + l.stall(now, t, o); !ok || c < lowest {
+		if c := late(o.wait+o.took, t.Aim) + o.costs + l.stall(o) + l.slow(o); !ok || c < lowest {
 			m, ok, lowest, t.unread = Move{Kind: Write, To: o.Server}, true, c, o.unread
 		}
 	}
@@ -198,13 +203,20 @@
 // stall is what the answers under way at a server lose while it reads a prompt
 // between their tokens: nothing while the pause that this makes is well below
 // the longest that is in time, all their timeliness beyond.
-func (l *Lane) stall(now time.Duration, t *trip, o option) float64 {
-	_, writing := l.board.Load(now, o.Key)
-	if l.gap == 0 || writing == 0 {
+func (l *Lane) stall(o option) float64 {
+	if l.gap == 0 || o.busy == 0 {
 		return 0
 	}
-	x := float64(o.wait+o.took)/float64(l.gap) - 0.5
-	return l.cfg.Weights.Stall * float64(writing) * min(1, max(0, x/0.3))
+	x := float64(o.pause+o.wait+o.took)/float64(l.gap) - 0.5
+	return l.cfg.Weights.Stall * float64(o.busy) * min(1, max(0, x/0.3))
+}
+
+// slow is what an answer loses at a server whose events come too far apart.
+func (l *Lane) slow(o option) float64 {
+	if l.gap == 0 {
+		return 0
+	}
+	return min(1, max(0, float64(o.pause)/float64(l.gap)-0.3))
 }
 
 // second picks the writing server for a prompt that was read at a server after
@@ -219,7 +231,7 @@
 		if o.Zone != l.cfg.Zone {
 			c += w.Far * float64(t.Bytes) / 1024
 		}
-		c += late(after+o.wait/2, t.Aim)
+		c += late(after+o.wait/2, t.Aim) + l.slow(o)
 		if best.Key == "" || c < lowest {
 			best, lowest = o, c
 		}
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -223,6 +223,15 @@
 	t.begun = true
 }
 
+// Event tells that one more event has gone out, d after the one before.
+//
+// Example: l.Event(id, 42*time.Millisecond)
+func (l *Lane) Event(id string, d time.Duration) {
+	if t := l.trips[id]; t != nil {
+		l.board.Paused(t.to.Key, d)
+	}
+}
+
 // WriteDone takes the end of a writing call: OK means that all of it went out.
 //
 // Example: move := l.WriteDone(now, id, forward.Lost, "reset")
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -105,11 +105,24 @@
 
 // Load is what is under way at a server.
 //
-// Example: tokens, writing := n.Load(now, server)
-func (n notes) Load(now time.Duration, server string) (tokens, writing int) {
+// Example: tokens, writing, pause := n.Load(now, server)
+func (n notes) Load(now time.Duration, server string) (tokens, writing int, pause time.Duration) {
 	n.g.bmu.Lock()
 	defer n.g.bmu.Unlock()
-	return n.g.board.Load(now, board.Name(n.svc, server))
+	u := n.g.board.Load(now, board.Name(n.svc, server))
+	if u.Writing > 0 {
+		pause = time.Duration(u.Pause/u.Writing) * time.Millisecond
+	}
+	return u.Tokens, u.Writing, pause
+}
+
+// Paused notes the time between two events.
+//
+// Example: n.Paused(server, 42*time.Millisecond)
+func (n notes) Paused(server string, d time.Duration) {
+	n.g.bmu.Lock()
+	defer n.g.bmu.Unlock()
+	n.g.board.Paused(board.Name(n.svc, server), d)
 }
 
 // Keeps notes that a server has a prompt.
--- a/traffic/gateway/run.go
+++ b/traffic/gateway/run.go
@@ -106,6 +106,7 @@
 	if !*begun && c.Repeat && a.Status() >= 500 {
 		return forward.Lost, http.StatusText(a.Status())
 	}
+	first, at := true, time.Duration(0)
 	for {
 		b, id, err := a.Next()
 		if err == io.EOF {
@@ -121,10 +122,16 @@
 		if !*begun {
 			w.Begin(a.Status(), a.Header())
 			*begun = true
-			l.mu.Lock()
-			l.Began(g.c.Now(), c.ID)
-			l.mu.Unlock()
 		}
+		now := g.c.Now()
+		l.mu.Lock()
+		if first {
+			l.Began(now, c.ID)
+		} else {
+			l.Event(c.ID, now-at)
+		}
+		l.mu.Unlock()
+		first, at = false, now
 		if !w.Pass(b) {
 			return forward.Lost, "the client takes nothing"
 		}
