Sides of a listed service are balanced by strain; orders go to the platform's servers

Cause: what comes back after a release plays other parts than what left (5 readers and a maker replaced by 3 and 3), and nothing shifted: orders went to the product's own interface (status 400). Change: the board's load gives the holder each server's strain (wait for reading over the aim, pause over the longest in time); a side pressed for 3/8 of a second gets a server from one at ease; a new server takes the part that keeps the proportion while it is cold. Orders carry the server's id.

--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -17,6 +17,7 @@
 	"mulleinmast/control/archive"
 	"mulleinmast/control/daybook"
 	"mulleinmast/control/errand"
+	"mulleinmast/control/interlock"
 	"mulleinmast/control/master"
 	"mulleinmast/control/notary"
 	"mulleinmast/control/purge"
@@ -49,6 +50,10 @@
 	Hands *yard.Hands
 	Mux   *http.ServeMux
 	More  func() map[string]any // what traffic adds to the state dump
+	// Orders gives servers their orders; Hands unless a driver says otherwise.
+	Orders Orders
+	// Strain tells how hard a server is pressed; none: nobody knows.
+	Strain func(service, server string) interlock.Strain
 	// Hint takes what other daemons tell of the servers' load.
 	Hint func(form.Note)
 	// Source tells which servers there are; none: the platform PUTs the lists.
@@ -84,12 +89,19 @@
 	extra []suture.Service
 }
 
+// Orders gives a server an order; may is asked just before the first byte goes
+// out. An error means that the server may or may not have taken it.
+type Orders interface {
+	Order(ctx context.Context, o interlock.Order, holder string, may func() bool) error
+}
+
 // Open readies a daemon: data folder, addresses, machines. Nothing runs yet.
 //
 // Example: c, err := cabin.Open(cfg, book)
 func Open(cfg Config, book *daybook.Book) (*Cabin, error) {
 	c := &Cabin{Cfg: cfg, Book: book, Mux: http.NewServeMux(), Hands: yard.NewHands(part(cfg.Bounds.Plan, 0.25)), clock: regulator.New(), epoch: 1,
 		dwake: make(chan struct{}, 1), calls: map[uint64]chan errand.Done{}, news: make(chan struct{})}
+	c.Orders = c.Hands
 	c.me = form.Seat{Ident: archive.NewIdent(), Addr: cfg.Wire}
 	if cfg.Data != "" {
 		a, err := archive.Open(cfg.Data, cfg.Fleet)
--- a/control/cabin/config.go
+++ b/control/cabin/config.go
@@ -331,5 +331,6 @@
 func (c Config) Works() interlock.Config {
 	b := c.Bounds
 	return interlock.Config{Swap: b.Swap, Poll: part(b.Leave, 0.08), Warm: b.Swap, Share: part(b.Leave, 0.25), Drift: c.Drift, Margin: c.margin(),
-		Dwell: 2 * b.Evacuate, Window: part(b.Leave, 0.8), Drain: 2 * b.Recover, Slow: part(b.Plan, 0.05), Dark: 3, High: 0.9, Low: 0.6}
+		Dwell: 2 * b.Evacuate, Window: part(b.Leave, 0.8), Drain: 2 * b.Recover, Slow: part(b.Plan, 0.05), Dark: 3, High: 0.9, Low: 0.6,
+		Settle: b.Swap, Press: b.Swap / 8}
 }
--- a/control/cabin/shard.go
+++ b/control/cabin/shard.go
@@ -37,7 +37,11 @@
 		c.Book.Note(l.Kind, "%s", l.Text)
 	}
 	if o.Lost {
-		c.Book.Trouble("duty", "part %d: duty lost", s.part)
+		tell := c.Book.Trouble
+		if c.stop.Load() { // it was let go
+			tell = c.Book.Note
+		}
+		tell("duty", "part %d: duty lost", s.part)
 	}
 	if o.Orphan {
 		s.guide.Orphaned(c.Now())
--- a/control/cabin/works.go
+++ b/control/cabin/works.go
@@ -18,6 +18,7 @@
 	if c.arch != nil {
 		sight.Seats, sight.OkSeats = c.Read(0, tariff.SeatKey)
 	}
+	sight.Strain = c.Strain
 	sight.Vacant = func(seats []form.Seat) ([]form.Seat, bool) {
 		c.rmu.Lock()
 		defer c.rmu.Unlock()
@@ -50,7 +51,7 @@
 func (c *Cabin) order(ctx context.Context, s *shard, o interlock.Order) {
 	ctx, done := context.WithTimeout(ctx, part(c.Cfg.Bounds.Swap, 0.2))
 	defer done()
-	err := c.Hands.Order(ctx, o, c.me.Ident, func() bool {
+	err := c.Orders.Order(ctx, o, c.me.Ident, func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return s.MayOrder(c.Now(), o.Term)
--- /dev/null
+++ b/control/interlock/balance.go
@@ -0,0 +1,157 @@
+package interlock
+
+import (
+	"fmt"
+	"time"
+)
+
+// listed tells whether the platform lists the parts of these servers.
+func (h *Holder) listed(keys []string) bool {
+	for _, k := range keys {
+		if h.servers[k].told != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// enter gives a server that the platform lists with a part its first record. A
+// new one takes the part that keeps the share of readers: it isn't used while
+// it warms up, so a change costs least now.
+func (h *Holder) enter(now time.Duration, key string, s *server, count map[string]int, o *Out) {
+	part := s.told
+	if s.ordered != "" {
+		part = s.ordered
+	}
+	if want, ok := h.share[s.svc]; ok && s.cold && part == s.told {
+		read, all := float64(count[Reader]), float64(count[Reader]+count[Maker]+1)
+		switch {
+		case part == Reader && count[Maker] > 0 && read+1 > want*all+0.5 && count[Reader] > 0:
+			part = Maker
+		case part == Maker && count[Reader] > 0 && read < want*all-0.5 && count[Maker] > 0:
+			part = Reader
+		}
+	}
+	if part != s.ordered {
+		count[part]++
+		h.order(now, key, s, part, "keeps the sides in proportion", o)
+		return
+	}
+	count[part]++
+	b := Berth{Addr: s.Addr, Cell: s.Cell, Cap: s.Cap, Part: part, Status: s.fresh()}
+	if part != s.told {
+		b.Status = Warming
+	}
+	h.write(o, key, s, b, "listed")
+}
+
+// odd orders again what the platform's list goes on denying.
+func (h *Holder) odd(now time.Duration, key string, s *server, o *Out) {
+	if s.told == s.Part || s.leaving() {
+		s.oddAt = 0
+		return
+	}
+	if s.oddAt == 0 {
+		s.oddAt = now
+	}
+	if now-s.oddAt > h.cfg.Swap {
+		s.oddAt = now
+		h.order(now, key, s, s.Part, "again", o)
+	}
+}
+
+// balance shifts a server of a listed service from the side that is at ease to
+// the one that has been pressed; never the last, never below the plan.
+func (h *Holder) balance(now time.Duration, svc string, keys []string, o *Out) {
+	if h.Strain == nil || !h.listed(keys) {
+		return
+	}
+	var side = map[string][]string{}
+	moving, all := false, 0
+	for _, k := range keys {
+		s := h.servers[k]
+		if !s.listed || s.leaving() || s.Part == "" {
+			continue
+		}
+		all++
+		moving = moving || s.To != "" || s.ordering || s.told != s.Part
+		now := h.Strain(svc, s.key())
+		s.strain.Read += (now.Read - s.strain.Read) / 8
+		s.strain.Write += (now.Write - s.strain.Write) / 8
+		if s.Status == Up && s.To == "" {
+			side[s.Part] = append(side[s.Part], k)
+		}
+	}
+	readers, makers := len(side[Reader]), len(side[Maker])
+	if _, ok := h.share[svc]; !ok && all > 0 && readers+makers == all {
+		h.share[svc] = float64(readers) / float64(all)
+	}
+	if moving || readers == 0 || makers == 0 || now-h.moved[svc] < h.cfg.Settle || !h.mayOrder(now) {
+		return
+	}
+	read, write := 0.0, 0.0
+	for _, k := range side[Reader] {
+		read += h.servers[k].strain.Read
+	}
+	for _, k := range side[Maker] {
+		write += h.servers[k].strain.Write
+	}
+	least := h.plan[svc]
+	for _, x := range []struct {
+		to, from      string
+		press, relief float64 // mean strain of the side that gains, of the other with one less
+		spare         bool
+	}{
+		{Maker, Reader, write / float64(makers), read / float64(max(1, readers-1)), readers > max(1, least.Readers)},
+		{Reader, Maker, read / float64(readers), write / float64(max(1, makers-1)), makers > max(1, least.Makers)},
+	} {
+		key := svc + "/" + x.to
+		if !x.spare || x.press < 0.5 || x.relief > 0.4 || x.relief > x.press*0.8 {
+			delete(h.short, key)
+			continue
+		}
+		if _, ok := h.short[key]; !ok {
+			h.short[key] = now
+		}
+		if now-h.short[key] < h.cfg.Press {
+			continue
+		}
+		delete(h.short, key)
+		at := h.easiest(side[x.from])
+		pick := h.servers[at]
+		h.moved[svc], pick.leftAt = now, now
+		if x.to == Reader {
+			readers++
+		} else {
+			readers--
+		}
+		h.share[svc] = float64(readers) / float64(all)
+		b := pick.Berth
+		b.To, b.Status, b.Pairs = x.to, Leaving, nil
+		h.write(o, at, pick, b, fmt.Sprintf("%s side is pressed %.2f, %s side would be %.2f with one less", x.to, x.press, x.from, x.relief))
+		return
+	}
+}
+
+// easiest is the server with the least to do, of the cell that has most of them.
+func (h *Holder) easiest(keys []string) (best string) {
+	cells := map[string]int{}
+	for _, k := range keys {
+		cells[h.servers[k].Cell]++
+	}
+	for _, k := range keys {
+		s, b := h.servers[k], h.servers[best]
+		if b == nil || cells[s.Cell] > cells[b.Cell] || cells[s.Cell] == cells[b.Cell] && s.strain.Read+s.strain.Write < b.strain.Read+b.strain.Write {
+			best = k
+		}
+	}
+	return best
+}
+
+// key names the server within its service.
+func (s *server) key() string {
+	if s.id != "" {
+		return s.id
+	}
+	return s.Addr
+}
--- a/control/interlock/interlock.go
+++ b/control/interlock/interlock.go
@@ -29,6 +29,8 @@
 	Drain  time.Duration // in-flight work of a leaving part is waited for this long
 	Slow   time.Duration // a link slower than this loses its pair
 	Dark   int           // failed polls that make a server dark
+	Settle time.Duration // least time between shifts where the platform lists the parts
+	Press  time.Duration // a side is pressed this long before a server is shifted to it
 	High   float64       // usage above which a side is short
 	Low    float64       // usage below which a side can spare a server
 }
@@ -45,6 +47,7 @@
 	Berth
 	svc      string
 	listed   bool
+	id       string // of this life, where the platform gives one
 	told     string // the part it plays by the platform's word; it isn't polled then
 	cold     bool   // warming up by the platform's word
 	out      bool   // leaves by the list, the plan or an evacuation
@@ -59,6 +62,8 @@
 	busy     float64 // smoothed usage
 	warmAt   time.Duration
 	leftAt   time.Duration
+	oddAt    time.Duration // since when the platform's word differs from the record
+	strain   Strain        // smoothed
 	ordered  string
 	ordering bool
 	writing  bool
@@ -79,7 +84,10 @@
 	short   map[string]time.Duration // since when a side of a service is short
 	no      uint64
 	plan    map[string]tariff.Service
-	out     map[string]bool // evacuated cells
+	share   map[string]float64 // of a service's listed servers that are to read
+	// Strain tells how hard a server is pressed; none: nobody knows.
+	Strain func(service, server string) Strain
+	out    map[string]bool // evacuated cells
 }
 
 // New makes the holder of a new term; since is when no older one could act.
@@ -87,7 +95,7 @@
 // Example: h := interlock.New(cfg, seat.Num(), seat.Since())
 func New(cfg Config, term uint64, since time.Duration) *Holder {
 	return &Holder{cfg: cfg, term: term, since: since, servers: map[string]*server{}, daemons: map[string]*daemon{},
-		moved: map[string]time.Duration{}, short: map[string]time.Duration{}, plan: map[string]tariff.Service{}, out: map[string]bool{}}
+		share: map[string]float64{}, moved: map[string]time.Duration{}, short: map[string]time.Duration{}, plan: map[string]tariff.Service{}, out: map[string]bool{}}
 }
 
 // Plan tells the holder of the plan and the evacuated cells in force.
@@ -177,6 +185,7 @@
 		h.status(now, keys, &o)
 		keys = slices.DeleteFunc(keys, func(k string) bool { return h.servers[k] == nil }) // gone for good
 		h.parts(now, svc, keys, &o)
+		h.balance(now, svc, keys, &o)
 		h.pairs(keys, &o)
 	}
 	for id, d := range h.daemons {
--- a/control/interlock/interlock_test.go
+++ b/control/interlock/interlock_test.go
@@ -34,7 +34,7 @@
 		}
 		for _, x := range o.Orders {
 			orders, at = append(orders, x), append(at, now)
-			h.Ordered(now, h.OrderKey(x.Addr), x, true)
+			h.Ordered(now, x.Key, x, true)
 		}
 		for _, w := range o.Writes {
 			b, _ := OpenBerth(form.Rec{Key: w.Key, Val: w.Val, Dead: w.Gone})
@@ -285,7 +285,7 @@
 			}
 			for _, x := range o.Orders {
 				said++
-				h.Ordered(now, h.OrderKey(x.Addr), x, true)
+				h.Ordered(now, x.Key, x, true)
 			}
 			for _, w := range o.Writes {
 				b, _ := OpenBerth(form.Rec{Key: w.Key, Val: w.Val})
--- a/control/interlock/parts.go
+++ b/control/interlock/parts.go
@@ -14,22 +14,10 @@
 	}
 	h.no++
 	s.ordering, s.orderAt = true, now
-	o.Orders = append(o.Orders, Order{Addr: s.Addr, Part: part, Term: h.term, No: h.no, Why: why})
+	o.Orders = append(o.Orders, Order{Key: key, ID: s.id, Addr: s.Addr, Part: part, Term: h.term, No: h.no, Why: why})
 	o.Notes = append(o.Notes, fmt.Sprintf("%s %s: ordered to be %s (%s)", s.svc, s.Addr, part, why))
 }
 
-// OrderKey finds the berth key an order is for.
-//
-// Example: key := h.OrderKey(order)
-func (h *Holder) OrderKey(a string) string {
-	for k, s := range h.servers {
-		if s.Addr == a {
-			return k
-		}
-	}
-	return ""
-}
-
 // Ordered takes a server's reply to an order.
 //
 // Example: h.Ordered(now, key, order, true)
@@ -70,7 +58,7 @@
 		switch {
 		case s.Part == "" && s.told != "": // new, and it plays a part already
 			if !s.leaving() {
-				h.write(o, key, s, Berth{Addr: s.Addr, Cell: s.Cell, Cap: s.Cap, Part: s.told, Status: s.fresh()}, "listed")
+				h.enter(now, key, s, count, o)
 			}
 		case s.Part == "": // new: order first, then write
 			if !s.seen || s.leaving() {
@@ -96,6 +84,8 @@
 			} else if s.usage.Active == 0 && h.held(svc, s.Addr) == 0 || now-s.leftAt > h.cfg.Drain {
 				h.order(now, key, s, s.To, "shift", o)
 			}
+		case s.told != "":
+			h.odd(now, key, s, o)
 		case s.ordered != s.Part && s.fails == 0 && s.seen && !s.anew:
 			// A holder that is new, or a server that is: say it again.
 			h.order(now, key, s, s.Part, "again", o)
@@ -130,7 +120,7 @@
 // shift moves one server from the side that can spare it to the one that has
 // been short for a whole window; never the last, never below the plan.
 func (h *Holder) shift(now time.Duration, svc string, keys []string, count map[string]int, busy map[string]float64, moving bool, o *Out) {
-	if moving || now-h.moved[svc] < h.cfg.Dwell || now-h.since < h.cfg.Swap {
+	if moving || h.listed(keys) || now-h.moved[svc] < h.cfg.Dwell || now-h.since < h.cfg.Swap {
 		return
 	}
 	caps := map[string]int{}
--- a/control/interlock/shape.go
+++ b/control/interlock/shape.go
@@ -75,6 +75,8 @@
 
 // Order tells a server which part to play.
 type Order struct {
+	Key  string `json:"-"` // of the server's record
+	ID   string `json:"-"` // of this life of the server, where the platform gives one
 	Addr string `json:"-"`
 	Part string `json:"part"`
 	Term uint64 `json:"term"`
@@ -88,3 +90,8 @@
 	Val  []byte
 	Gone bool
 }
+
+// Strain is how hard a server is pressed, in parts of what its requests bear:
+// the wait before a prompt is read against the aim of a first event, and the
+// pause between events against the longest that is in time.
+type Strain struct{ Read, Write float64 }
--- a/control/interlock/status.go
+++ b/control/interlock/status.go
@@ -96,7 +96,7 @@
 			s.warmAt = now
 			b.Status = Warming
 			h.write(o, key, s, b, "stays")
-		case s.Status == Warming && (s.told != "" || now-s.warmAt >= h.cfg.Warm) && s.fails == 0 && s.seen && !h.young(s):
+		case s.Status == Warming && (s.told != "" || now-s.warmAt >= h.cfg.Warm) && s.fails == 0 && s.seen && !h.young(s) && (s.told == "" || s.told == s.Part):
 			b.Status = Up
 			h.write(o, key, s, b, "warm")
 		}
@@ -118,8 +118,8 @@
 	if e.Part == "" {
 		return
 	}
-	if s.told != e.Part {
+	if s.told != e.Part && !s.ordering {
 		s.ordered = e.Part
 	}
-	s.told, s.cold, s.seen = e.Part, e.Warming, true
+	s.id, s.told, s.cold, s.seen = e.ID, e.Part, e.Warming, true
 }
--- a/control/master/master.go
+++ b/control/master/master.go
@@ -45,6 +45,8 @@
 type Sight struct {
 	Plan, Cells, Seats       form.Rec
 	OkPlan, OkCells, OkSeats bool
+	// Strain tells how hard a server is pressed, as far as this daemon heard.
+	Strain func(service, server string) interlock.Strain
 	// Vacant names a standby for a seat whose daemon is gone.
 	Vacant func([]form.Seat) ([]form.Seat, bool)
 }
@@ -244,6 +246,7 @@
 	}
 	m.floor(now, &o)
 	h := m.holder
+	h.Strain = s.Strain
 	if s.OkPlan && s.OkCells && (m.dirty || m.seen != [2]form.Ver{s.Plan.Ver, s.Cells.Ver}) {
 		h.Plan(tariff.Open(s.Plan), tariff.Cells(s.Cells))
 		m.seen = [2]form.Ver{s.Plan.Ver, s.Cells.Ver}
@@ -291,7 +294,7 @@
 // Example: m.Ordered(now, order, true)
 func (m *Master) Ordered(now time.Duration, ord interlock.Order, ok bool) {
 	if m.Term() == ord.Term && m.holder != nil {
-		m.holder.Ordered(now, m.holder.OrderKey(ord.Addr), ord, ok)
+		m.holder.Ordered(now, ord.Key, ord, ok)
 	}
 }
 
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -31,6 +31,7 @@
 	rows  map[string]Server
 	stats map[string]*stat
 	pace  float64       // tokens read in a ms, measured
+	aim   time.Duration // the shortest aim of any request
 	gap   time.Duration // the shortest pause that any request allows between events
 
 	bucket waybill.Bucket
@@ -137,6 +138,26 @@
 	return st
 }
 
+// Strain is how hard a server is pressed: the wait before it reads a prompt in
+// parts of the aim, the pause between its events in parts of the longest that is
+// in time.
+//
+// Example: read, write := l.Strain(now, server.Key)
+func (l *Lane) Strain(now time.Duration, key string) (read, write float64) {
+	tokens, _, pause := l.board.Load(now, key)
+	pace := l.pace
+	if l.rows[key].Part != interlock.Reader {
+		pace /= 2
+	}
+	if l.aim > 0 {
+		read = float64(ms(tokens, pace)) / float64(l.aim)
+	}
+	if l.gap > 0 {
+		write = float64(pause) / float64(l.gap)
+	}
+	return read, write
+}
+
 // Standing is the last look before a call's first byte goes out.
 //
 // Example: if !l.Standing(now, id, move) { return forward.Barred }
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -34,6 +34,9 @@
 	_, _ = h.Write([]byte(c.ID))
 	t := &trip{Call: c, at: now, led: waybill.Ledger{Once: !c.Repeat, Most: max(1, c.Tries)}, dice: h.Sum64()}
 	l.trips[c.ID] = t
+	if c.Aim > 0 && (l.aim == 0 || c.Aim < l.aim) {
+		l.aim = c.Aim
+	}
 	if c.Gap > 0 && (l.gap == 0 || c.Gap < l.gap) {
 		l.gap = c.Gap
 	}
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulleinmast/control/cabin"
+	"mulleinmast/control/interlock"
 	"mulleinmast/control/tariff"
 	"mulleinmast/traffic/board"
 	"mulleinmast/traffic/forward"
@@ -54,7 +55,7 @@
 func New(c *cabin.Cabin, eng Engines) *Gateway {
 	g := &Gateway{c: c, eng: eng, cfg: Config(c.Cfg), list: map[string]*lane{}, board: board.New(BoardConfig(c.Cfg))}
 	eng.Told(g.told)
-	c.Hint = g.hint
+	c.Hint, c.Strain = g.hint, g.strain
 	return g
 }
 
@@ -143,6 +144,15 @@
 	return n.g.board.Has(prefix, board.Name(n.svc, server))
 }
 
+// strain tells the servers' holder how hard one of them is pressed.
+func (g *Gateway) strain(svc, key string) interlock.Strain {
+	l := g.lane(svc)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	read, write := l.Strain(g.c.Now(), key)
+	return interlock.Strain{Read: read, Write: write}
+}
+
 // hint takes another daemon's telling.
 func (g *Gateway) hint(n form.Note) {
 	g.bmu.Lock()
