Late requests give way at servers; candidates for a duty follow closer

Cause: after a fleet-wide loss the requests that waited came first and made those behind them late; short prompts starved at readers behind urgent long ones (2 s). A second candidate stood 250 ms later. Change: urgency at a server falls behind all routes once the aim has passed, short reads go first; candidates are a twelfth of a duty lease apart (was a quarter), refusals are waited out exactly.

--- a/control/interlock/balance.go
+++ b/control/interlock/balance.go
@@ -54,7 +54,7 @@
 	if s.oddAt == 0 {
 		s.oddAt = now
 	}
-	if now-s.oddAt > h.cfg.Swap {
+	if now-s.oddAt > 4*h.cfg.Swap { // what was running there may go on for long
 		s.oddAt = now
 		h.order(now, key, s, s.Part, "again", o)
 	}
--- a/control/notary/ballot.go
+++ b/control/notary/ballot.go
@@ -108,7 +108,7 @@
 		}
 	}
 	if n.Num == s.num && (s.mode == asking || s.mode == probing) {
-		s.next = max(s.next, now+min(time.Duration(n.Len), s.cfg.Wait(s.cfg.Duty))+s.delay()/2+s.cfg.Beat/4)
+		s.next = max(s.next, now+min(time.Duration(n.Len), s.cfg.Wait(s.cfg.Duty))+s.delay()/2+s.cfg.Margin)
 	}
 	// One voter bound to another ballot does not end a duty that a majority
 	// supports; if it stays bound, Tick takes a higher ballot.
@@ -235,7 +235,7 @@
 			n++
 		}
 	}
-	return time.Duration(n) * s.cfg.Duty / 4
+	return time.Duration(n) * s.cfg.Duty / 12
 }
 
 func score(part int, addr string) uint64 {
--- a/control/roster/found.go
+++ b/control/roster/found.go
@@ -38,11 +38,13 @@
 	return !r.Formed && len(r.owns) == 0 && (!r.me.Disk || r.me.Empty)
 }
 
-// meet keeps the address of a control daemon.
-func (r *Roster) meet(m form.Member) {
-	if m.Disk && m.Addr != "" && len(r.other) < 64 {
-		r.Know(m.Addr)
+// meet keeps the address of a control daemon; it tells whether it is new here.
+func (r *Roster) meet(m form.Member) bool {
+	if !m.Disk || m.Addr == "" || m.Addr == r.me.Addr || len(r.other) >= 64 || slices.Contains(r.other, m.Addr) {
+		return false
 	}
+	r.Know(m.Addr)
+	return true
 }
 
 // refer names the control daemons known here to one that can't find any: a
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -123,6 +123,7 @@
 	goneAt map[string]time.Duration
 
 	ctl    int
+	home   string // the control daemon that has our session
 	askAt  time.Duration
 	backAt time.Duration
 	live   bool
@@ -195,16 +196,21 @@
 	return o
 }
 
+// hello renews the session at the control daemon that has it; when that is
+// silent, or there is none yet, it asks several at once.
 func (r *Roster) hello(now time.Duration, o *Out) {
 	list := r.controls()
-	if len(list) == 0 {
-		return
+	if now-r.backAt <= r.cfg.Session/2 && slices.Contains(list, r.home) {
+		list = []string{r.home}
 	}
-	if r.alone || now-r.backAt > r.cfg.Session/2 {
-		r.ctl++ // silent, or cut off from most others: try the next one
-		r.alone = false
+	for range min(wide, len(list)) {
+		r.ctl++
+		r.greet(list[r.ctl%len(list)], o)
 	}
-	o.Sends = append(o.Sends, form.Send{Addr: list[r.ctl%len(list)], Note: form.Note{Kind: form.Hello, Self: r.me, Num: r.print()}})
+}
+
+func (r *Roster) greet(addr string, o *Out) {
+	o.Sends = append(o.Sends, form.Send{Addr: addr, Note: form.Note{Kind: form.Hello, Self: r.me, Num: r.print()}})
 }
 
 func (r *Roster) gossip(o *Out) {
@@ -273,6 +279,9 @@
 	return out
 }
 
+// wide is how many control daemons are asked at once for a session.
+const wide = 3
+
 // refer marks a Welcome that opens no session and only names control daemons.
 const refer = "refer"
 
@@ -301,10 +310,15 @@
 	case form.Welcome:
 		if n.Op == refer {
 			for _, m := range n.Members {
-				r.meet(m)
+				if r.meet(m) && !r.live && len(o.Sends) < wide {
+					r.greet(m.Addr, &o)
+				}
 			}
 			return o
 		}
+		if now-r.backAt > r.cfg.Session/2 || !slices.Contains(r.controls(), r.home) {
+			r.home = n.Addr
+		}
 		r.backAt, r.live = now, true
 		r.alone = n.Len > 0 && int(n.Len)*2 <= len(r.controls())
 		if len(n.Members) > 0 {
--- a/traffic/forward/shape.go
+++ b/traffic/forward/shape.go
@@ -26,7 +26,8 @@
 	Resume  bool // a stream that broke off may go on at another server
 	Split   bool // its prompt may be read apart from the writing
 	After   bool // the client itself goes on with a stream
-	Urgency int  // 0 is first
+	Urgency int  // 0 is first, 9 last
+	Least   int  // the urgency of the least urgent route
 	Tries   int  // most servers that it may be sent to
 	Aim     time.Duration
 	Gap     time.Duration // longest pause between events that is in time
@@ -134,6 +135,7 @@
 	To     Server
 	Handle *Handle       // of a Write: the memory to take up; none: it reads the prompt itself
 	Until  time.Duration // of a Wait; of a call: it is given up then
+	Rank   int           // what the server is to be told of its urgency: 0 is first, 9 last
 	Free   []Handle      // memory that won't be taken up
 	Back   time.Duration // of a Refuse: when to come back
 	Why    string
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -130,11 +130,25 @@
 			l.n.Direct++
 		}
 	}
+	m.Rank = l.rank(now, t, m)
 	t.led.Add(t.phase, m.To.Key)
 	t.choice = append(t.choice, fmt.Sprintf("%s at %s (%s), %d tokens to read, after %d ms", m.Kind, m.To.Addr, m.To.Zone, t.unread, (now-t.at).Milliseconds()))
 	return m
 }
 
+// rank is a request's place among others at a server: its route's, but one that
+// can't meet its aim any more gives way to all that still can, and a prompt that
+// is read in no time need not wait behind long ones.
+func (l *Lane) rank(now time.Duration, t *trip, m Move) int {
+	switch {
+	case !t.begun && now-t.at > t.Aim:
+		return min(9, t.Least+1+t.Urgency)
+	case m.Kind == Read && ms(t.unread, l.pace) <= t.Aim/16:
+		return 0
+	}
+	return min(9, t.Urgency)
+}
+
 // came notes the end of the call under way.
 func (l *Lane) came(now time.Duration, t *trip, out Outcome) {
 	st := l.stat(t.to.Key)
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -31,6 +31,7 @@
 	ver   form.Ver
 	table *route.Table
 	plan  tariff.Plan
+	least int             // the urgency of the least urgent route
 	split map[string]bool // services whose servers have two halves
 }
 
@@ -260,6 +261,9 @@
 	for _, v := range p.Services {
 		n.split[v.Name] = v.TokenBytes > 0
 	}
+	for _, r := range p.Routes {
+		n.least = max(n.least, r.Urgency)
+	}
 	g.plan.Store(n)
 	return n, true
 }
@@ -323,7 +327,7 @@
 		return
 	}
 	c := forward.Call{ID: q.ID, Repeat: r.Kind == "safe" || r.Kind == "stream" && r.Resume, Resume: r.Kind == "stream" && r.Resume, After: q.Last != "",
-		Urgency: r.Urgency, Tries: r.Tries, Aim: time.Duration(r.Target) * time.Millisecond, Gap: time.Duration(r.Gap) * time.Millisecond,
+		Urgency: r.Urgency, Least: s.least, Tries: r.Tries, Aim: time.Duration(r.Target) * time.Millisecond, Gap: time.Duration(r.Gap) * time.Millisecond,
 		Parts: q.Parts, In: q.In, Out: q.Out, Bytes: len(q.Body)}
 	c.Service = route.Pick(r, dice(q.ID))
 	c.Split = r.Kind == "stream" && s.split[c.Service]
