A duty whose owner started anew is taken up at once; the next owner writes later

Change: a seat keeps the life of the owner that it promised; once it hears a later life of that daemon it is free. Leases granted under the dead owner may still stand, so each promise tells how long they may, and the new owner grants, renews and routes at once but writes nothing until then.

--- a/control/notary/ballot.go
+++ b/control/notary/ballot.go
@@ -24,14 +24,14 @@
 	}
 	again := n.Num == s.meta.Promised && n.From == s.meta.To
 	if n.Op == probe {
-		if (now >= s.till || s.support == n.From) && n.Num > s.meta.Promised {
+		if (s.free(now) || s.support == n.From) && n.Num > s.meta.Promised {
 			o.send(from, form.Note{Kind: form.Promise, Op: probe, Part: s.part, Num: n.Num, Group: form.Group{Num: own.Num}})
 		} else {
 			s.shed(now, from, n, o)
 		}
 		return
 	}
-	if now < s.till && s.support != n.From || n.Num <= s.meta.Promised && !again {
+	if !s.free(now) && s.support != n.From || n.Num <= s.meta.Promised && !again {
 		s.shed(now, from, n, o)
 		return
 	}
@@ -41,7 +41,10 @@
 	if n.From == s.me.Ident {
 		s.meta.Tried = n.Num
 	}
-	s.meta.Promised, s.meta.To = n.Num, n.From
+	if now < s.till && s.support != n.From || now < s.till && s.over() {
+		s.quiet = max(s.quiet, s.till)
+	}
+	s.meta.Promised, s.meta.To, s.meta.ToEpoch = n.Num, n.From, n.Epoch
 	s.support, s.till = n.From, now+s.cfg.Wait(s.cfg.Duty)
 	if n.From != s.me.Ident {
 		s.drop(o)
@@ -52,7 +55,7 @@
 			recs = append(recs, r)
 		}
 	}
-	rep := form.Note{Kind: form.Promise, Part: s.part, Num: n.Num, Set: s.meta.Set, Digs: s.book.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident}
+	rep := form.Note{Kind: form.Promise, Part: s.part, Num: n.Num, Set: s.meta.Set, Digs: s.book.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Len: int64(max(0, s.quiet-now))}
 	s.save(o, nil, nil, form.Send{Addr: from.Addr, Note: rep})
 }
 
@@ -95,7 +98,15 @@
 }
 
 func (s *Seat) shed(now time.Duration, from form.Seat, n form.Note, o *Out) {
-	o.send(from, form.Note{Kind: form.Refuse, Part: s.part, Num: n.Num, Set: s.meta.Promised, Group: s.meta.Group, Len: int64(max(0, s.till-now)), Hint: s.hint.Seat})
+	o.send(from, form.Note{Kind: form.Refuse, Part: s.part, Num: n.Num, Set: s.meta.Promised, Group: s.meta.Group, Len: int64(s.left(now)), Hint: s.hint.Seat})
+}
+
+// left is how long this seat is bound to another still.
+func (s *Seat) left(now time.Duration) time.Duration {
+	if s.free(now) {
+		return 0
+	}
+	return s.till - now
 }
 
 func (s *Seat) shedBy(now time.Duration, n form.Note, o *Out) {
@@ -134,6 +145,9 @@
 		return
 	}
 	s.votes[n.From] = vote{set: n.Set, digs: n.Digs, recs: n.Recs}
+	if n.Len > 0 {
+		s.calm = max(s.calm, now+s.cfg.Wait(min(time.Duration(n.Len), s.cfg.Wait(s.cfg.Duty))))
+	}
 	// Our own voice must be among them: the owner reads from its own book.
 	if _, own := s.votes[s.me.Ident]; !own || !s.meta.Group.Quorum(func(id string) bool { _, ok := s.votes[id]; return ok }) {
 		return
@@ -220,6 +234,7 @@
 		return
 	}
 	s.mode, s.askAt, s.stuck = asking, now, map[string]time.Duration{}
+	s.calm = 0
 	s.votes = map[string]vote{}
 	digs := s.book.Digs()
 	for _, seat := range s.meta.Group.All() {
--- a/control/notary/duty.go
+++ b/control/notary/duty.go
@@ -65,9 +65,9 @@
 	}
 	switch s.mode {
 	case idle:
-		if now >= s.till && now >= s.next {
+		if s.free(now) && now >= s.next {
 			s.probe(now, &o)
-		} else if now < s.till {
+		} else if !s.free(now) {
 			s.next = s.till + s.delay()
 		}
 	case probing, asking:
--- a/control/notary/fill.go
+++ b/control/notary/fill.go
@@ -43,7 +43,7 @@
 	}
 	if s.meta.Promised < n.Num {
 		// A seat that missed the ballot joins it: a majority has settled it.
-		s.meta.Promised, s.meta.To = n.Num, n.From
+		s.meta.Promised, s.meta.To, s.meta.ToEpoch = n.Num, n.From, n.Epoch
 		s.drop(o)
 	}
 	done := form.Send{Addr: from.Addr, Note: form.Note{Kind: form.Filled, Part: s.part, Num: n.Num, To: from.Ident}}
--- a/control/notary/notary.go
+++ b/control/notary/notary.go
@@ -53,6 +53,7 @@
 type Meta struct {
 	Promised uint64
 	To       string
+	ToEpoch  uint64 // the life of To that was promised
 	Tried    uint64 // highest ballot this seat ever stood with: none is used twice
 	Set      uint64
 	Group    form.Group
@@ -121,7 +122,10 @@
 
 	born    time.Duration
 	support string
-	till    time.Duration // until when we support nobody else
+	till    time.Duration     // until when we support nobody else
+	quiet   time.Duration     // until when leases under an earlier owner may stand
+	lives   map[string]uint64 // the latest life of each seat that was heard
+	calm    time.Duration     // as owner: nothing is written before this
 	hint    form.Own
 	before  Meta // what our vote was bound to before its last promise
 
@@ -156,16 +160,51 @@
 //
 // Example: s := notary.New(cfg, 0, me, meta, book, now, false)
 func New(cfg Config, part int, me form.Seat, meta Meta, book *survey.Book, now time.Duration, fresh bool) *Seat {
-	s := &Seat{cfg: cfg, part: part, me: me, meta: meta, book: book, born: now, after: map[uint64][]form.Send{},
+	s := &Seat{cfg: cfg, part: part, me: me, meta: meta, book: book, born: now, after: map[uint64][]form.Send{}, lives: map[string]uint64{},
 		rounds: map[uint64]time.Duration{}, yes: map[uint64]map[string]bool{}, writes: map[uint64]*write{}}
 	s.till = now + cfg.Wait(cfg.Duty)
 	if fresh {
 		s.till = now
 	}
+	s.quiet = s.till
 	s.next = now + s.delay()
+	if !fresh && meta.To == me.Ident && meta.ToEpoch > 0 {
+		s.lives[me.Ident] = meta.ToEpoch + 1 // that was an earlier life of ours
+	}
 	return s
 }
 
+// over tells whether the owner that this seat is bound to is known to be gone:
+// its daemon has started anew since, and a new life holds no duty.
+func (s *Seat) over() bool {
+	return s.meta.ToEpoch > 0 && s.lives[s.meta.To] > s.meta.ToEpoch
+}
+
+// free tells whether this seat may promise itself to another now: the lease of
+// the owner that it supported has lapsed, or that owner is gone. In the second
+// case leases that were granted under it may still stand, so the next owner is
+// told how long to write nothing.
+func (s *Seat) free(now time.Duration) bool { return now >= s.till || s.over() }
+
+// live notes the life of a daemon that a note came from.
+func (s *Seat) live(now time.Duration, n form.Note) {
+	if n.Epoch <= s.lives[n.From] {
+		return
+	}
+	was := s.over()
+	s.lives[n.From] = n.Epoch
+	if s.over() && !was && s.mode == idle {
+		s.quiet = max(s.quiet, s.till)
+		s.next = now + s.delay()
+	}
+}
+
+// Calm is when an owner may begin to write: leases that stood under an earlier
+// one whose daemon is gone have lapsed by then.
+//
+// Example: if now >= s.Calm() { write() }
+func (s *Seat) Calm() time.Duration { return s.calm }
+
 // Owner tells whether the duty is held and its lease valid now.
 //
 // Example: if s.Owner(now) { grant() }
@@ -214,6 +253,7 @@
 	if g := s.meta.Group; g.Num > 0 && !g.Has(n.From) && (n.Kind != form.Ask && n.Kind != form.Fill && n.Kind != form.Accept && n.Kind != form.Support) {
 		return o // only seats have a voice
 	}
+	s.live(now, n)
 	switch n.Kind {
 	case form.Ask:
 		s.asked(now, from, n, &o)
@@ -253,7 +293,7 @@
 		// Nobody can ever be owner under a ballot that its candidate gave up, so
 		// the vote need not stay bound to it.
 		if s.meta.Promised == n.Num && s.meta.To == n.From && s.before.Promised < n.Num {
-			s.meta.Promised, s.meta.To = s.before.Promised, s.before.To
+			s.meta.Promised, s.meta.To, s.meta.ToEpoch = s.before.Promised, s.before.To, s.before.ToEpoch
 			s.save(&o, nil, nil)
 		}
 	case form.Supported:
--- a/control/section/section.go
+++ b/control/section/section.go
@@ -157,7 +157,7 @@
 //
 // Example: out := s.Regroup(now, seats)
 func (s *Section) Regroup(now time.Duration, want []form.Seat) (o Out) {
-	if s.Owner(now) && len(s.runs) == 0 {
+	if s.Owner(now) && len(s.runs) == 0 && now >= s.Seat.Calm() {
 		out, _ := s.Seat.Regroup(now, 0, want)
 		s.fromSeat(now, out, &o)
 		s.turn(now, &o)
@@ -220,7 +220,7 @@
 }
 
 func (s *Section) start(now time.Duration, o *Out) {
-	if len(s.queue) == 0 || !s.Owner(now) {
+	if len(s.queue) == 0 || !s.Owner(now) || now < s.Seat.Calm() {
 		return
 	}
 	var rest []*job
