--- /dev/null
+++ b/control/purge/gen_test.go
@@ -0,0 +1,126 @@
+package purge
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"mulleinmast/wire/form"
+)
+
+// A snapshot that was read at the root stands only while Gen is the same, so
+// holding a record must change it, and so must freeing it: the owner's own
+// reads once went on from a list that was being written.
+func TestGenTellsOfARecordThatIsHeldAtTheRoot(t *testing.T) {
+	n := New(cfg, 0, form.Seat{Ident: "p", Addr: "p"}, 1)
+	n.Crown(1, func(key string) form.Rec { return form.Rec{Key: key} }, func() time.Duration { return time.Hour })
+	before := n.Gen()
+	if _, ok := n.Get(0, "k"); !ok {
+		t.Fatal("the root doesn't serve it")
+	}
+	n.Hold(0, "k", 7)
+	held := n.Gen()
+	if _, ok := n.Get(0, "k"); ok || held == before {
+		t.Errorf("held: served %v, Gen %d after %d", ok, held, before)
+	}
+	n.Free(0, "k")
+	if _, ok := n.Get(0, "k"); !ok || n.Gen() == held || n.Gen() == before {
+		t.Errorf("freed: served %v, Gen %d after %d", ok, n.Gen(), held)
+	}
+	n.Uncrown()
+	if n.Gen() == held {
+		t.Error("a root that is none any more has the same Gen")
+	}
+}
+
+// As long as Gen is the same and Until has not passed, what was read stands;
+// whatever a node goes through.
+func TestWhatWasReadStandsWhileGenIsTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string]uint64{"a": 1, "b": 1}
+		n := New(cfg, 0, form.Seat{Ident: "c", Addr: "c"}, 1)
+		now, no, held := time.Second, uint64(0), map[string]int{}
+		mark := form.Mark{Ident: "p", Epoch: 1}
+		lists := map[uint64]bool{}
+		take := func(o Out) {
+			for _, s := range o.Sends {
+				if s.Note.Kind == form.Listing {
+					lists[s.Note.No] = true
+				}
+			}
+		}
+		hear := func(m form.Note) {
+			no++
+			m.From, m.Addr, m.Mark, m.No, m.Num = "p", "p", mark, no, 1
+			take(n.Hear(now, m))
+		}
+		n.Pin(now, "a")
+		n.Pin(now, "b")
+		take(n.Adopt(now, form.Seat{Ident: "p", Addr: "p"}))
+		type seen struct {
+			ver uint64
+			ok  bool
+		}
+		read := func() (out [2]seen) {
+			for i, k := range []string{"a", "b"} {
+				r, ok := n.Get(now, k)
+				out[i] = seen{r.Ver.Seq, ok}
+			}
+			return out
+		}
+		gen, until, was := n.Gen(), n.Until(), read()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				now += rapid.SampledFrom([]time.Duration{1, time.Millisecond, 300 * time.Millisecond, time.Second}).Draw(t, "passes")
+				take(n.Tick(now))
+			case 1:
+				hear(form.Note{Kind: form.Reconnect})
+			case 2:
+				for ref := range lists {
+					delete(lists, ref)
+					hear(form.Note{Kind: form.Synced, Ref: ref, Len: int64(cfg.Vol), Long: int64(cfg.Obj)})
+					break
+				}
+			case 3:
+				if n.Root() {
+					continue // there a record changes only while it is held
+				}
+				store[key]++
+				hear(form.Note{Kind: form.Grant, Recs: []form.Rec{{Key: key, Ver: form.Ver{Term: 1, Seq: store[key]}}}, Long: int64(cfg.Obj)})
+			case 4:
+				hear(form.Note{Kind: form.Purge, Key: key, Ref: 3})
+			case 5:
+				if !n.Root() {
+					held = map[string]int{}
+					n.Crown(2, func(k string) form.Rec { return form.Rec{Key: k, Ver: form.Ver{Seq: store[k]}} }, func() time.Duration { return 10 * time.Second })
+				}
+			case 6:
+				if n.Root() {
+					held[key]++
+					take(n.Hold(now, key, 1))
+				}
+			case 7:
+				if held[key] > 0 { // a write is done: what is held may change
+					store[key]++
+					held[key]--
+					take(n.Free(now, key))
+				}
+			case 8:
+				if n.Root() {
+					held = map[string]int{}
+					n.Uncrown()
+				}
+			case 9:
+				mark.Epoch++
+				hear(form.Note{Kind: form.Reconnect})
+			}
+			if got := read(); n.Gen() == gen && now < until && got != was {
+				t.Fatalf("read %v, then %v, Gen %d all the while", was, got, gen)
+			}
+			gen, until, was = n.Gen(), n.Until(), read()
+		}
+	})
+}
