A whole answer at its deadline is whole; a barred first send is counted once

Cause: the next move looked at the deadline before it looked whether all had gone out, so an answer that ended just past its deadline was broken off, or followed by a 502 where it had no bytes. And a first send that the last look stopped was counted, and earned the budget, again at each further start.

What changed: an attempt that ended is done whatever the time; a request's first send is counted once.

--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -22,6 +22,7 @@
 	arrive int  // sends that count against Tries
 	begun  bool // events have gone out to the client
 	again  bool // the send under way is a second one
+	first  bool // its first send was counted
 	unread int  // tokens that the server under way has to read, as far as known
 	choice []string
 }
@@ -50,6 +51,9 @@
 
 // next derives the next move from the ledger.
 func (l *Lane) next(now time.Duration, t *trip) Move {
+	if n := len(t.led.Attempts); n > 0 && t.led.Attempts[n-1].Known == waybill.Ended {
+		return l.finish(now, t, Done, "") // even if its time is up by now
+	}
 	if now >= t.Due {
 		return l.end(now, t, "its time is up")
 	}
@@ -57,8 +61,6 @@
 	if n := len(t.led.Attempts); n > 0 {
 		last := t.led.Attempts[n-1]
 		switch {
-		case last.Known == waybill.Ended:
-			return l.finish(now, t, Done, "")
 		case last.Known == waybill.First && !(t.Resume && t.Repeat):
 			return l.finish(now, t, Break, last.Why)
 		case last.Known == waybill.Lost && last.Phase == waybill.Decode && !t.Repeat:
@@ -121,7 +123,8 @@
 	}
 	if t.again {
 		l.n.Again++
-	} else if len(t.led.Attempts) == 0 {
+	} else if !t.first { // the last look may bar it and have it come here again
+		t.first = true
 		l.n.First++
 		l.bucket.Earn(now)
 		if m.Kind == Read {
