A second hand-over is charged whole; memory that was turned away is used or freed

The handle that was turned away stayed at its reader until it lapsed. A token given back later than it was taken was taken off another's.

What changed: a send is a further one by what arrived before it, not by how the last attempt ended; the first reading that a server takes up does not count (its token goes back), all others do. Who turns a request away leaves its handle to the next server; one that could not be fetched is freed at the end. Reading anew is done only where the writing after it may be done too. A token goes back to where it was taken from.

--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -127,11 +129,11 @@
 func newModel(t *rapid.T, cfg Config) *model {
 	m := &model{t: t, board: tally{}, now: time.Minute, trips: map[string]*journey{}}
 	m.r = &records{now: &m.now, until: m.now + rapid.SampledFrom([]time.Duration{100 * time.Millisecond, time.Hour}).Draw(t, "lease"), gen: 1, out: map[string]bool{}, part: map[string]string{}}
-	n := rapid.IntRange(1, 7).Draw(t, "servers")
+	n := rapid.IntRange(1, 8).Draw(t, "servers")
 	for i := range n {
 		id := fmt.Sprint("i-", i)
 		m.r.list = append(m.r.list, tariff.Server{ID: id, Addr: fmt.Sprint("10.0.0.", i, ":1"), Cell: fmt.Sprint("zone-", i%2), Capacity: 4})
-		m.r.part[id] = rapid.SampledFrom([]string{interlock.Reader, interlock.Maker, interlock.Maker}).Draw(t, "part")
+		m.r.part[id] = []string{interlock.Maker, interlock.Reader}[i%2]
 	}
 	m.l = New(cfg, "s", 3, m.r, m.board)
 	return m
@@ -141,7 +143,7 @@
 	t := m.t
 	m.no++
 	c := Call{ID: fmt.Sprint("r", m.no), Service: "s", Repeat: rapid.Bool().Draw(t, "repeat"), Split: rapid.IntRange(0, 3).Draw(t, "split") > 0, Tries: rapid.IntRange(1, 4).Draw(t, "tries"),
-		Aim: 400 * time.Millisecond, Due: m.now + rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, 3 * time.Second, 20 * time.Second}).Draw(t, "left"), In: rapid.SampledFrom([]int{0, 1000, 9000, 9000}).Draw(t, "in"), Out: 50,
+		Aim: 400 * time.Millisecond, Due: m.now + rapid.SampledFrom([]time.Duration{20 * time.Second, 3 * time.Second, 3 * time.Second, 100 * time.Millisecond, 0}).Draw(t, "left"), In: rapid.SampledFrom([]int{9000, 9000, 9000, 1000, 0}).Draw(t, "in"), Out: 50,
 		After: rapid.IntRange(0, 9).Draw(t, "after") == 0, Parts: []Part{{Key: 7, Tokens: 900}, {Key: uint64(m.no), Tokens: 100}}}
 	c.Resume = c.Repeat && rapid.Bool().Draw(t, "resume")
 	j := &journey{Call: c, tried: map[string]bool{}, handles: map[string]string{}}
@@ -351,7 +353,9 @@
 		case 0, 1, 2:
 			m.begin()
 		case 3:
-			m.turn()
+			if rapid.IntRange(0, 3).Draw(t, "rarely") == 0 {
+				m.turn()
+			}
 		case 4:
 			m.now += rapid.SampledFrom([]time.Duration{time.Millisecond, 100 * time.Millisecond, 4 * time.Second}).Draw(t, "passes")
 		default:
@@ -386,8 +390,17 @@
 	}
 }
 
+// The model is quick: where nobody says otherwise it is run many times.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("3000")
+	}
+	os.Exit(m.Run())
+}
+
 var bounds = Config{Zone: "zone-0", Retry: 0.2, Window: 10 * time.Second, Slack: 3, Patience: 200 * time.Millisecond, Shy: 2 * time.Second, Turned: 250 * time.Millisecond,
-	Back: 125 * time.Millisecond, Pace: 50, Weights: Weights{Far: 0.001, Again: 0.01, Moved: 0.01, Apart: 2, Miss: 0.1, Stall: 1}}
+	Back: 125 * time.Millisecond, Pace: 15, Weights: Weights{Far: 0.001, Again: 0.01, Moved: 0.01, Apart: 2, Miss: 0.1, Stall: 1}}
 
 // Whatever happens to servers, records and calls: a request that may have run
 // is not sent again unless it may be repeated, it is refused only if it can't
@@ -412,7 +425,7 @@
 		cfg := bounds
 		cfg.Slack = rapid.IntRange(0, 3).Draw(t, "slack")
 		m := newModel(t, cfg)
-		m.run(rapid.IntRange(1, 120).Draw(t, "steps"))
+		m.run(rapid.IntRange(1, 300).Draw(t, "steps"))
 		slices.Sort(m.extra)
 		for i, at := range m.extra {
 			n, last := 0, [3]int{}
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -19,14 +19,19 @@
 	to     Server
 	sentAt time.Duration
 	handle *Handle
-	arrive int  // sends that count against Tries
-	begun  bool // events have gone out to the client
-	again  bool // the send under way is a second one
-	first  bool // its first send was counted
-	unread int  // tokens that the server under way has to read, as far as known
+	arrive int      // sends that count against Tries: all but the first reading that a server took up
+	taken  bool     // a server took a reading up
+	gone   []Handle // memory that a server could not get: it may be there still
+	begun  bool     // events have gone out to the client
+	again  bool     // the send under way is a second one
+	first  bool     // its first send was counted
+	unread int      // tokens that the server under way has to read, as far as known
 	choice []string
 }
 
+// most is the number of sends that count.
+func (t *trip) most() int { return max(2, t.Tries) }
+
 // Begin takes a request in and makes its first move.
 //
 // Example: move := l.Begin(now, call)
@@ -57,7 +62,6 @@
 	if now >= t.Due {
 		return l.end(now, t, "its time is up")
 	}
-	again := false
 	if n := len(t.led.Attempts); n > 0 {
 		last := t.led.Attempts[n-1]
 		switch {
@@ -65,15 +69,11 @@
 			return l.finish(now, t, Break, last.Why)
 		case last.Known == waybill.Lost && last.Phase == waybill.Decode && !t.Repeat:
 			return l.finish(now, t, Unknown, last.Why)
-		case last.Known == waybill.NotSent:
-			if n > 2*max(2, t.Tries) {
-				return l.end(now, t, last.Why)
-			}
-		case last.Known != waybill.Handle:
-			again = true
+		case last.Known == waybill.NotSent && n > 2*t.most():
+			return l.end(now, t, last.Why)
 		}
 	}
-	if again && (t.arrive >= max(2, t.Tries) || !l.bucket.Has(now)) {
+	if t.arrive > 0 && (t.arrive >= t.most() || !l.bucket.Has(now)) {
 		return l.end(now, t, "no further try to spare after: "+t.led.Attempts[len(t.led.Attempts)-1].Why)
 	}
 	if !l.look(now) || len(l.rows) == 0 {
@@ -83,6 +83,7 @@
 	if !ok {
 		return l.wait(now, t, "no server to go to")
 	}
+	again := t.arrive > 0 || m.Kind == Read && t.taken
 	if again && !l.bucket.Take(now) {
 		return l.end(now, t, "no further try to spare")
 	}
@@ -101,7 +102,10 @@
 
 // pick chooses between reading apart and a server that does both, and where.
 func (l *Lane) pick(now time.Duration, t *trip) (Move, bool) {
-	apart := t.Split && t.In > 0 && !t.begun && !t.After && t.led.Tries(waybill.Prefill) < max(2, t.Tries)
+	apart := t.Split && t.In > 0 && !t.begun && !t.After && t.led.Tries(waybill.Prefill) < t.most()
+	if t.taken { // another reading counts, and so does the writing after it
+		apart = apart && t.arrive+1 < t.most() && l.bucket.Has(now)
+	}
 	return l.choose(now, t, apart)
 }
 
@@ -161,6 +165,9 @@
 	if t.phase == waybill.Decode {
 		l.board.Begin(t.to.Key, 0, -1)
 	}
+	if out == NotSent && t.again { // nothing arrived
+		l.bucket.Give(t.sentAt)
+	}
 	switch out {
 	case NotSent, Lost:
 		st.shyUntil = now + l.cfg.Shy
@@ -192,7 +199,7 @@
 	t.choice = t.choice[:len(t.choice)-1]
 	if t.again {
 		l.n.Again--
-		l.bucket.Give(now)
+		l.bucket.Give(t.sentAt)
 	}
 	return l.next(now, t)
 }
@@ -209,6 +216,14 @@
 	if out == Barred {
 		return l.barred(now, t)
 	}
+	switch {
+	case out == Full || out == Moved || (out == OK || out == Lost) && t.taken:
+		t.arrive++
+	case out == OK || out == Lost:
+		if t.taken = true; t.again { // it did not count
+			l.bucket.Give(t.sentAt)
+		}
+	}
 	if out == OK && (h.Call != t.ID || h.No != t.no || h.Server.Key != t.to.Key || h.ID == "") {
 		out, why = Lost, "a handle that is not this request's"
 	}
@@ -218,9 +233,6 @@
 		t.led.Learn(waybill.Handle, "")
 		return l.next(now, t)
 	}
-	if out == Full || out == Moved || out == Lost && t.led.Tries(waybill.Prefill) > 1 {
-		t.arrive++
-	}
 	t.led.Learn(known[out], why)
 	return l.next(now, t)
 }
@@ -263,7 +275,13 @@
 	}
 	if out != NotSent {
 		t.arrive++
-		t.handle = nil // taken up, or not to be had
+	}
+	switch {
+	case t.handle == nil:
+	case out == Gone:
+		t.gone, t.handle = append(t.gone, *t.handle), nil
+	case out == OK || out == Lost: // taken up; who turned it away did not take it
+		t.handle = nil
 	}
 	last := &t.led.Attempts[len(t.led.Attempts)-1]
 	switch {
@@ -320,6 +338,7 @@
 
 func (l *Lane) over(now time.Duration, t *trip, m Move) Move {
 	delete(l.trips, t.ID)
+	m.Free = append(m.Free, t.gone...)
 	if t.handle != nil {
 		m.Free = append(m.Free, *t.handle)
 		t.handle = nil
--- a/traffic/waybill/waybill.go
+++ b/traffic/waybill/waybill.go
@@ -247,11 +247,12 @@
 	return true
 }
 
-// Give returns a retry that was taken and not made.
+// Give returns a retry that was taken at that time and not made.
 //
-// Example: b.Give(now)
-func (b *Bucket) Give(now time.Duration) {
-	if s := b.at(now); s.again > 0 {
+// Example: b.Give(takenAt)
+func (b *Bucket) Give(at time.Duration) {
+	no := int64(at / (b.Window / steps))
+	if s := &b.ring[no%int64(len(b.ring))]; s.no == no && s.again > 0 {
 		s.again--
 	}
 }
