--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -420,7 +420,7 @@
 
 // What one daemon sends beyond the first call of each request stays within its
 // part of the budget in every window, whatever fails.
-func TestFurtherSendsStayInTheBudget(t *testing.T) {
+func TestFurtherSendsStayInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := bounds
 		cfg.Slack = rapid.IntRange(0, 3).Draw(t, "slack")
