A server's strain is told without the lane's lock

Since the owner of a service's part could stand still for good; the gateway's tests hung in each run.

What changed: the strains are what the gateway's own beat saw last (an eighth of the plan's bound old at most), kept beside the lane.

--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -22,6 +22,7 @@
 	*forward.Lane
 	part   int
 	pinned map[string]bool
+	strain atomic.Pointer[map[string]interlock.Strain] // by server, as keep saw it
 }
 
 // sheet is the plan in force, made ready for look-ups.
@@ -145,13 +146,14 @@
 	return n.g.board.Has(prefix, board.Name(n.svc, server))
 }
 
-// strain tells the servers' holder how hard one of them is pressed.
+// strain tells the servers' holder how hard one of them is pressed. The holder
+// asks under its part's lock, and a lane reads that part under its own: what
+// keep last saw is told, without the lane's lock.
 func (g *Gateway) strain(svc, key string) interlock.Strain {
-	l := g.lane(svc)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	read, write := l.Strain(g.c.Now(), key)
-	return interlock.Strain{Read: read, Write: write}
+	if all := g.lane(svc).strain.Load(); all != nil {
+		return (*all)[key]
+	}
+	return interlock.Strain{}
 }
 
 // hint takes another daemon's telling.
@@ -209,7 +211,13 @@
 		}
 	}
 	servers := l.Servers()
+	strain := make(map[string]interlock.Strain, len(servers))
+	for _, s := range servers {
+		read, write := l.Strain(g.c.Now(), s.Key)
+		strain[s.Key] = interlock.Strain{Read: read, Write: write}
+	}
 	l.mu.Unlock()
+	l.strain.Store(&strain)
 	g.bmu.Lock()
 	for _, s := range servers {
 		g.board.Memory(board.Name(svc.Name, s.Key), svc.Memory)
