A stream goes on elsewhere only where its last event is known

Cause: see the tests: whatever had begun on a resumable route was joined with the next server's stream, without an id to go on from, after a fault's body, or at an event that the client had already (ORDER, MIXED).

What changed: once bytes without an id, or of another status than 200, have gone out, a break is final; a stream that is gone on with at an event that doesn't follow is not passed on and counts as lost.

--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -255,6 +255,16 @@
 	t.begun = true
 }
 
+// Fixed tells that what has gone out can't be gone on with elsewhere: it was no
+// stream, or had no ids to go on from.
+//
+// Example: l.Fixed(id)
+func (l *Lane) Fixed(id string) {
+	if t := l.trips[id]; t != nil {
+		t.Resume = false
+	}
+}
+
 // Event tells that one more event has gone out, d after the one before.
 //
 // Example: l.Event(id, 42*time.Millisecond)
--- a/traffic/gateway/run.go
+++ b/traffic/gateway/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"mulleinmast/traffic/forward"
@@ -92,6 +94,17 @@
 	}
 }
 
+// follows tells whether a stream that broke off after one event may go on with
+// another: their ids rise.
+func follows(last, id string) bool {
+	a, errA := strconv.ParseInt(last, 10, 64)
+	b, errB := strconv.ParseInt(id, 10, 64)
+	if errA == nil && errB == nil {
+		return b > a
+	}
+	return id != "" && id != last
+}
+
 // write makes one writing call and passes on what comes. last is the last
 // event that the client has; begun tells whether it has a head.
 func (g *Gateway) write(ctx context.Context, l *lane, q *Request, c forward.Call, m forward.Move, w Client, last *string, begun *bool) (forward.Outcome, string) {
@@ -106,6 +119,7 @@
 	if !*begun && c.Repeat && a.Status() >= 500 {
 		return forward.Lost, http.StatusText(a.Status())
 	}
+	resumed := *begun
 	first, at := true, time.Duration(0)
 	for {
 		b, id, err := a.Next()
@@ -119,6 +133,9 @@
 		if err != nil {
 			return forward.Lost, err.Error()
 		}
+		if resumed && first && !follows(*last, id) {
+			return forward.Lost, fmt.Sprintf("it goes on with event %q after %q", id, *last)
+		}
 		if !*begun {
 			w.Begin(a.Status(), a.Header())
 			*begun = true
@@ -130,6 +147,9 @@
 		} else {
 			l.Event(c.ID, now-at)
 		}
+		if id == "" || a.Status() != http.StatusOK {
+			l.Fixed(c.ID)
+		}
 		l.mu.Unlock()
 		first, at = false, now
 		if !w.Pass(b) {
