--- /dev/null
+++ b/proof/standin/rules/answers.go
@@ -0,0 +1,143 @@
+package rules
+
+import (
+	"slices"
+
+	"mulleinmast/proof/standin/record"
+)
+
+// mixed: a success is the server's whole success to that request, sealed.
+func mixed(v *view, bad say) {
+	for _, t := range v.Tries {
+		a := v.seals[t.Seal]
+		switch {
+		case t.Fault != "":
+			bad("%s got %s", t.ID, t.Fault)
+		case t.Seal != "" && a == nil:
+			bad("%s got the seal %q, which no server gave", t.ID, t.Seal)
+		case t.Seal != "" && a.Attempt != t.ID:
+			bad("%s got the answer to %s", t.ID, a.Attempt)
+		case t.Echo != "" && t.Echo != t.ID:
+			bad("%s got an answer that names %s", t.ID, t.Echo)
+		case t.Status/100 != 2:
+		case t.Coded:
+			bad("%s got a body in an encoding that it didn't ask for", t.ID)
+		case !t.Complete:
+		case t.Seal == "":
+			bad("%s got a success without a seal", t.ID)
+		case a.Status/100 != 2:
+			bad("%s got a success where its server said %d", t.ID, a.Status)
+		case t.Pieces == nil && (!a.Whole || t.Length != a.Length || t.Digest != a.Digest):
+			bad("%s got %d bytes that are not its server's whole body (%d bytes, whole %v)", t.ID, t.Length, a.Length, a.Whole)
+		}
+	}
+}
+
+// handles: no request is carried on from another's handle.
+func handles(v *view, bad say) {
+	for _, a := range v.Arrivals {
+		if a.Out == record.Ran && a.Owner != "" && a.Owner != a.Attempt {
+			bad("%s was carried on at %s from the handle of %s", a.Attempt, a.Server, a.Owner)
+		}
+	}
+}
+
+// order: a stream has every piece once, of one run or of one that goes on where
+// the last ended, and looks complete only with its last piece.
+func order(v *view, bad say) {
+	for _, t := range v.Tries {
+		if len(t.Pieces) == 0 {
+			continue
+		}
+		last := record.Piece{ID: t.Resume}
+		for i, p := range t.Pieces {
+			switch {
+			case p.ID != last.ID+1:
+				bad("%s got event %d after %d", t.ID, p.ID, last.ID)
+			case i == 0 && v.seals[t.Seal] != nil && v.seals[t.Seal].Run != p.Run:
+				bad("%s begins with run %s under the seal of %s", t.ID, p.Run, v.seals[t.Seal].Run)
+			case i > 0 && p.Run != last.Run && !v.continues(t, last, p.Run):
+				bad("%s goes on with run %s after event %d of %s", t.ID, p.Run, last.ID, last.Run)
+			}
+			last = p
+		}
+		if t.Complete && !t.Last {
+			bad("%s looks complete after event %d, which is not the last", t.ID, last.ID)
+		}
+	}
+}
+
+// continues tells whether a run was asked to go on after a piece.
+func (v *view) continues(t *record.Try, after record.Piece, run string) bool {
+	return v.routes[t.Route].Resume && slices.ContainsFunc(v.arrivals[t.ID], func(a *record.Arrival) bool { return a.Run == run && a.After == after.ID })
+}
+
+// unasked: servers work at what clients sent, as they sent it.
+func unasked(v *view, bad say) {
+	for _, a := range v.Arrivals {
+		if a.Out != record.Ran && a.Out != record.Read {
+			continue
+		}
+		switch t := v.tries[a.Attempt]; {
+		case t == nil:
+			bad("%s ran %q, which no client sent", a.Server, a.Attempt)
+		case t.Method != a.Method || t.Target != a.Target || t.Body != a.Body:
+			bad("%s ran %s as %s %s (body %x), sent as %s %s (body %x)", a.Server, a.Attempt, a.Method, a.Target, a.Body, t.Method, t.Target, t.Body)
+		}
+	}
+}
+
+// runs lists where a try was run.
+func (v *view) runs(id string) (out []*record.Arrival) {
+	for _, a := range v.arrivals[id] {
+		if a.Out == record.Ran {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// twice: what may not be repeated runs once at most.
+func twice(v *view, bad say) {
+	for _, t := range v.Tries {
+		if runs := v.runs(t.ID); len(runs) > 1 && !v.repeatable(t) {
+			bad("%s ran at %s and at %s", t.ID, runs[0].Server, runs[1].Server)
+		}
+	}
+}
+
+// refused: a promise is kept.
+func refused(v *view, bad say) {
+	for _, t := range v.Tries {
+		if runs := v.runs(t.ID); t.Promised() && len(runs) > 0 && !v.repeatable(t) {
+			bad("%s was told %d, and ran at %s", t.ID, t.Status, runs[0].Server)
+		}
+	}
+}
+
+// denied: proper requests are not turned away with a word of the daemons' own.
+func denied(v *view, bad say) {
+	all, n := 0, 0
+	for _, t := range v.Tries {
+		if t.ID == "" || t.Probe {
+			continue
+		}
+		all++
+		if own := t.Seal == "" && t.Status/100 >= 3 && t.Status/100 <= 4; !own || t.Promised() || !v.through(t.Daemon, t.Sent, t.End) {
+			continue
+		}
+		proper, some := true, false
+		for _, x := range v.versions {
+			if x.may() && x.Sent <= t.End {
+				_, ok := x.cfg.Match(t.Host, path(t.Target))
+				proper, some = proper && ok, true
+			}
+		}
+		if proper && some {
+			n++
+		}
+	}
+	if most := 5 + all/500; n > most {
+		bad("%d of %d proper requests were turned away with a 3xx or 4xx, at most %d may be", n, all, most)
+	}
+}
--- /dev/null
+++ b/proof/standin/rules/rules_test.go
@@ -0,0 +1,332 @@
+package rules
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinmast/proof/standin/record"
+	"mulleinmast/proof/standin/wire"
+)
+
+const s = time.Second
+
+var bounds = Bounds{InTouch: 3 * s, Drain: 3 * s, Grace: 8 * s, LostSlack: 200 * time.Millisecond, Apply: 2 * s, GoBack: 250 * time.Millisecond, Evacuate: 5 * s, Recovery: 12 * s,
+	Lease: 3 * s, RetryRatio: 0.2, RetryWindow: 10 * s, RetrySlack: 2, ColdOverrun: 1.5, ColdSlack: 1}
+
+var routes = []wire.Route{
+	{Name: "safe", Host: "h", Start: "/safe/", Kind: wire.Safe, GiveUpMs: 3000, Service: "one"},
+	{Name: "unsafe", Host: "h", Start: "/unsafe/", Kind: wire.Unsafe, GiveUpMs: 3000, Service: "one"},
+	{Name: "stream", Host: "h", Start: "/stream/", Kind: wire.Streaming, GiveUpMs: 3000, Service: "two"},
+	{Name: "resume", Host: "h", Start: "/resume/", Kind: wire.Streaming, Resume: true, GiveUpMs: 3000, Service: "two"},
+}
+
+func packed(c wire.Config) []byte {
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// day is a healthy day of a minute: two versions of the configuration, two
+// daemons, four servers, a request of each route every second.
+func day() *record.All {
+	a := &record.All{End: 60 * s}
+	first := wire.Config{Version: 5, Routes: routes}
+	next := wire.Config{Version: 9, Routes: append(append([]wire.Route{}, routes...), wire.Route{Name: "new", Host: "h", Start: "/new/", Kind: wire.Safe, GiveUpMs: 3000, Service: "one"})}
+	a.Changes = []*record.Change{{Version: 5, Sent: 1, Done: s / 2, Status: 200, Valid: true, Config: packed(first)}, {Version: 9, Base: 5, Sent: 30 * s, Done: 30*s + s/2, Status: 200, Valid: true, Config: packed(next)}}
+	a.Readbacks = []*record.Readback{{At: 59 * s, Status: 200, Body: packed(next)}}
+	for i, svc := range []string{"one", "one", "two", "two"} {
+		a.Lives = append(a.Lives, &record.Life{ID: fmt.Sprint("i-", i), Service: svc, Zone: []string{"north", "south"}[i%2], Born: 1})
+	}
+	n := 0
+	for sec := 3; sec < 55; sec++ {
+		for i, r := range next.Routes {
+			if r.Name == "new" && sec < 34 {
+				continue
+			}
+			n++
+			add(a, r, n, time.Duration(sec)*s+time.Duration(i)*100*time.Millisecond)
+		}
+	}
+	for i := range 4 {
+		a.Orders = append(a.Orders, &record.Order{At: time.Duration(10+i*5) * s, Server: "i-2", Holder: "a", Fence: 7, Status: 200})
+	}
+	return a
+}
+
+// add has one request served.
+func add(a *record.All, r wire.Route, n int, at time.Duration) (*record.Try, *record.Arrival) {
+	id := fmt.Sprint("t", n)
+	t := &record.Try{ID: id, Daemon: fmt.Sprint("d", n%2), Host: "h", Target: r.Start + "x?q=1", Method: "POST", Body: 7, Route: r.Name, Sent: at, Whole: at + 1, End: at + s/10, Deadline: at + 3*s,
+		Status: 200, Seal: "s." + id, Echo: id, Complete: true, Length: 4, Digest: 9}
+	arr := &record.Arrival{At: at + s/50, Server: map[string]string{"one": "i-0", "two": "i-2"}[r.Service], Service: r.Service, Zone: "north", Attempt: id, Host: "h", Target: t.Target, Method: "POST", Body: 7,
+		Out: record.Ran, Run: id, Seal: t.Seal, Status: 200, End: t.End, Whole: true, Length: 4, Digest: 9}
+	if r.Kind == wire.Streaming {
+		for k := 1; k <= 3; k++ {
+			t.Pieces = append(t.Pieces, record.Piece{ID: k, Run: id})
+		}
+		t.Last, t.Length, arr.Last, arr.Pieces = true, 0, true, t.Pieces
+	}
+	a.Tries, a.Arrivals = append(a.Tries, t), append(a.Arrivals, arr)
+	return t, arr
+}
+
+// of finds a request of a route, its first one or one from a moment on.
+func of(a *record.All, route string, from time.Duration) (*record.Try, *record.Arrival) {
+	for i, t := range a.Tries {
+		if t.Route == route && t.Sent >= from {
+			return t, a.Arrivals[i]
+		}
+	}
+	panic("no such request")
+}
+
+func again(a *record.All, arr *record.Arrival, edit func(x *record.Arrival)) {
+	x := *arr
+	x.At += time.Millisecond
+	edit(&x)
+	a.Arrivals = append(a.Arrivals, &x)
+}
+
+// mutants are days on which one thing is wrong, and the rule that says so.
+var mutants = []struct {
+	rule, what string
+	edit       func(a *record.All)
+}{
+	{"MIXED", "a garbled answer", func(a *record.All) { t, _ := of(a, "safe", 0); t.Fault = "no answer" }},
+	{"MIXED", "no seal", func(a *record.All) { t, _ := of(a, "safe", 0); t.Seal = "" }},
+	{"MIXED", "a seal nobody gave", func(a *record.All) { t, _ := of(a, "safe", 0); t.Seal = "extra" }},
+	{"MIXED", "another's answer", func(a *record.All) { t, _ := of(a, "safe", 0); o, _ := of(a, "safe", 9*s); t.Seal, t.Echo = o.Seal, "" }},
+	{"MIXED", "another's name", func(a *record.All) { t, _ := of(a, "unsafe", 0); t.Echo = "t99" }},
+	{"MIXED", "another body", func(a *record.All) { t, _ := of(a, "unsafe", 0); t.Digest++ }},
+	{"MIXED", "half a body that looks whole", func(a *record.All) { _, x := of(a, "unsafe", 0); x.Whole = false }},
+	{"MIXED", "an encoded body", func(a *record.All) { t, _ := of(a, "unsafe", 0); t.Coded = true }},
+	{"MIXED", "a fault made a success", func(a *record.All) { _, x := of(a, "unsafe", 0); x.Status = 500 }},
+	{"MIXED", "bytes on an idle connection", func(a *record.All) {
+		a.Tries = append(a.Tries, &record.Try{Daemon: "d0", Fault: "bytes on an idle connection"})
+	}},
+	{"MIXED", "another's handle", func(a *record.All) { _, x := of(a, "stream", 0); x.Owner = "t99" }},
+	{"ORDER", "a gap", func(a *record.All) { t, _ := of(a, "stream", 0); t.Pieces = t.Pieces[1:] }},
+	{"ORDER", "a piece twice", func(a *record.All) { t, _ := of(a, "stream", 0); t.Pieces = append(t.Pieces, t.Pieces[2]) }},
+	{"ORDER", "an end before the last piece", func(a *record.All) { t, _ := of(a, "stream", 0); t.Pieces, t.Last = t.Pieces[:2], false }},
+	{"ORDER", "another run", func(a *record.All) {
+		t, _ := of(a, "stream", 0)
+		t.Pieces = append(append([]record.Piece{}, t.Pieces[:2]...), record.Piece{ID: 3, Run: "r2"})
+	}},
+	{"ORDER", "another run that wasn't asked to go on there", func(a *record.All) {
+		t, x := of(a, "resume", 0)
+		t.Pieces = append(append([]record.Piece{}, t.Pieces[:2]...), record.Piece{ID: 3, Run: "r2"})
+		again(a, x, func(x *record.Arrival) { x.Run, x.Seal, x.After = "r2", "s2", 1 })
+	}},
+	{"UNASKED", "an id nobody sent", func(a *record.All) {
+		_, x := of(a, "safe", 0)
+		again(a, x, func(x *record.Arrival) { x.Attempt = "t0" })
+	}},
+	{"UNASKED", "another path", func(a *record.All) { _, x := of(a, "safe", 0); x.Target = "/safe/y?q=1" }},
+	{"UNASKED", "another body", func(a *record.All) { _, x := of(a, "safe", 0); x.Body++ }},
+	{"UNASKED", "another method", func(a *record.All) { _, x := of(a, "safe", 0); x.Method = "GET" }},
+	{"TWICE", "run again", func(a *record.All) {
+		_, x := of(a, "unsafe", 0)
+		again(a, x, func(x *record.Arrival) { x.Seal = "s2" })
+	}},
+	{"TWICE", "a stream run again", func(a *record.All) {
+		_, x := of(a, "stream", 0)
+		again(a, x, func(x *record.Arrival) { x.Seal = "s2" })
+	}},
+	{"REFUSED", "a promise broken", func(a *record.All) { t, _ := of(a, "unsafe", 0); t.Status, t.Seal = 503, "" }},
+	{"DENIED", "proper requests told 403", func(a *record.All) {
+		for _, t := range a.Tries[:20] {
+			t.Status, t.Seal, t.Pieces = 403, "", nil
+		}
+	}},
+	{"ROUTE", "a service that never was allowed", func(a *record.All) {
+		_, x := of(a, "safe", 0)
+		again(a, x, func(x *record.Arrival) { x.Service = "two" })
+	}},
+	{"DRAIN", "a server that leaves", func(a *record.All) { a.Lives[0].DrainShown = 20 * s }},
+	{"DRAIN", "a server that is gone", func(a *record.All) { a.Lives[2].GoneShown = 20 * s }},
+	{"EVAC", "a zone that was evacuated", func(a *record.All) {
+		a.Evacuations = []*record.Evacuation{{Zone: "north", Sent: 20 * s, Acked: 21 * s}}
+	}},
+	{"LOST", "cut under a SIGTERM", func(a *record.All) {
+		t, _ := of(a, "safe", 20*s)
+		t.Status, t.Seal, t.Complete, t.Length = 0, "", false, 0
+		a.Troubles = []*record.Trouble{{Daemon: t.Daemon, What: "SIGTERM", From: t.Sent - s, To: t.Sent + 5*s, Planned: true}}
+	}},
+	{"LOST", "cut under a SIGHUP", func(a *record.All) {
+		t, _ := of(a, "safe", 20*s)
+		t.Status, t.Seal, t.Complete, t.Length = 0, "", false, 0
+		a.Troubles = []*record.Trouble{{Daemon: t.Daemon, From: t.Sent - s, Hup: true}}
+	}},
+	{"LOST", "an evacuation after the closing fault", func(a *record.All) {
+		a.Fault, a.Back = 20*s, 21*s
+		a.Evacuations = []*record.Evacuation{{Zone: "north", Sent: 18 * s, Acked: 19 * s}}
+		a.Troubles = []*record.Trouble{{Daemon: "d0", From: 20 * s}, {Daemon: "d1", From: 20 * s}} // EVAC itself binds no more
+	}},
+	{"CONFIG", "an older version", func(a *record.All) { t, _ := of(a, "new", 40*s); t.Status, t.Seal = 404, "" }},
+	{"CONFIG", "a daemon that goes back", func(a *record.All) {
+		a.Changes[1].Done, a.Changes[1].Status = 0, 0 // nobody knows whether it is in force: no bound but this one
+		a.Readbacks = nil
+		t, x := of(a, "new", 34*s)
+		x.At = t.Sent
+		t, _ = of(a, "new", 36*s)
+		t.Status, t.Seal = 404, ""
+		a.Arrivals = without(a.Arrivals, t.ID)
+	}},
+	{"CONFIG", "a refused version in force", func(a *record.All) {
+		c := wire.Config{Version: 7, Routes: append([]wire.Route{{Name: "safe", Host: "h", Start: "/safe/x", Kind: wire.Safe, GiveUpMs: 3000, Service: "two"}}, routes...)}
+		a.Changes = append(a.Changes, &record.Change{Version: 7, Base: 4, Sent: 10 * s, Done: 11 * s, Status: 412, Valid: true, Config: packed(c)})
+		_, x := of(a, "safe", 20*s)
+		x.Service = "two"
+	}},
+	{"CONFIG", "an invalid one acknowledged", func(a *record.All) { a.Changes[1].Valid = false; a.Readbacks = nil; a.Tries = a.Tries[:40] }},
+	{"CONFIG", "two on the same version", func(a *record.All) {
+		c := *a.Changes[1]
+		c.Version, c.Config = 8, packed(wire.Config{Version: 8, Routes: routes})
+		a.Changes = append(a.Changes, &c)
+	}},
+	{"CONFIG", "an older one read back", func(a *record.All) { a.Readbacks[0].Body = a.Changes[0].Config }},
+	{"CONFIG", "nothing read back", func(a *record.All) { a.Readbacks[0].Status = 503 }},
+	{"CONFIG", "later routes that aren't served", func(a *record.All) {
+		for _, t := range a.Tries {
+			if t.Route == "new" {
+				t.Status, t.Seal = 502, ""
+			}
+		}
+	}},
+	{"BUDGET", "three further arrivals in a window", func(a *record.All) {
+		for i := range 11 {
+			_, x := of(a, "safe", time.Duration(20+i/4)*s)
+			again(a, x, func(x *record.Arrival) { x.Out, x.Seal, x.At = record.Away, "", x.At+time.Duration(i) })
+		}
+	}},
+	{"BUDGET", "readings beyond the first", func(a *record.All) {
+		for i := range 11 {
+			_, x := of(a, "resume", time.Duration(20+i/4)*s)
+			again(a, x, func(x *record.Arrival) { x.Out, x.Seal, x.Reading = record.Read, "", true })
+			again(a, x, func(x *record.Arrival) { x.Out, x.Seal, x.Reading = record.Read, "", true })
+		}
+	}},
+	{"FAILBACK", "a cold server pressed", func(a *record.All) { a.Lives[0].ColdUntil, a.Lives[0].ColdRate = 60*s, 0.5 }},
+	{"ONE", "two holders with one fence", func(a *record.All) { a.Orders[3].Holder = "b"; a.Orders[3].At = 40 * s }},
+	{"ONE", "a lower fence", func(a *record.All) { a.Orders[3].Fence = 6 }},
+	{"ONE", "holders that take turns", func(a *record.All) {
+		a.Orders[3].Holder, a.Orders[3].Fence, a.Orders[3].At = "b", 8, a.Orders[2].At+2*s
+	}},
+	{"RECOVER", "no service after the closing fault", func(a *record.All) {
+		a.Fault, a.Back = 20*s, 21*s
+		for _, t := range a.Tries {
+			if t.Sent >= 33*s {
+				t.Status, t.Seal, t.Pieces, t.Complete = 502, "", nil, true
+			}
+		}
+	}},
+}
+
+func without(list []*record.Arrival, id string) (out []*record.Arrival) {
+	for _, x := range list {
+		if x.Attempt != id {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func TestAHealthyDayBreaksNoRule(t *testing.T) {
+	for _, b := range Check(*day(), bounds) {
+		t.Error(b)
+	}
+}
+
+// Each rule says so when it is broken, and on the same day no other one does
+// that has nothing to do with it.
+func TestEachRuleTellsItsFault(t *testing.T) {
+	told := map[string]bool{}
+	for _, m := range mutants {
+		a := day()
+		m.edit(a)
+		found := map[string]string{}
+		for _, b := range Check(*a, bounds) {
+			found[b.Rule] = b.What
+		}
+		if found[m.rule] == "" {
+			t.Errorf("%s, %s: not told, only %v", m.rule, m.what, found)
+		}
+		told[m.rule] = true
+		if len(found) > 2 {
+			t.Errorf("%s, %s: told as %v", m.rule, m.what, found)
+		}
+	}
+	for _, r := range Rules {
+		if !told[r.Name] {
+			t.Errorf("%s has no mutant", r.Name)
+		}
+	}
+}
+
+// What the rules allow is not told.
+func TestWhatTheRulesAllow(t *testing.T) {
+	for what, edit := range map[string]func(a *record.All){
+		"a safe request run twice": func(a *record.All) { _, x := of(a, "safe", 0); again(a, x, func(x *record.Arrival) { x.Seal = "s2" }) },
+		"a stream that goes on elsewhere": func(a *record.All) {
+			t, x := of(a, "resume", 0)
+			t.Pieces = append(append([]record.Piece{}, t.Pieces[:2]...), record.Piece{ID: 3, Run: "r2"})
+			again(a, x, func(x *record.Arrival) { x.Run, x.Seal, x.After = "r2", "s2", 2 })
+		},
+		"the first reading": func(a *record.All) {
+			for i := range 11 {
+				_, x := of(a, "resume", time.Duration(20+i)*s)
+				again(a, x, func(x *record.Arrival) {
+					x.Out, x.Seal, x.Reading, x.At = record.Read, "", true, x.At-2*time.Millisecond
+				})
+			}
+		},
+		"an arrival by an older version within the bound": func(a *record.All) { t, _ := of(a, "new", 34*s); t.Sent, t.Status, t.Seal = 31*s, 404, "" },
+		"an older version on a machine out of touch": func(a *record.All) {
+			t, _ := of(a, "new", 40*s)
+			t.Status, t.Seal = 404, ""
+			a.Arrivals = without(a.Arrivals, t.ID)
+			a.Troubles = []*record.Trouble{{Daemon: t.Daemon, From: 32 * s, To: 39 * s}}
+			for _, x := range a.Tries { // or it would have gone back
+				if x.Daemon == t.Daemon && x.Sent > 39*s {
+					x.Life = 1
+				}
+			}
+		},
+		"a draining server within the bound": func(a *record.All) { a.Lives[0].DrainShown = 53 * s },
+		"a draining server and a machine that was cut off": func(a *record.All) {
+			a.Lives[1].DrainShown = 20 * s
+			t, x := of(a, "safe", 30*s)
+			x.Server = "i-1"
+			a.Troubles = []*record.Trouble{{Daemon: t.Daemon, From: 10 * s, To: 29 * s}}
+		},
+		"a redirect to another server": func(a *record.All) {
+			a.Lives[1].DrainShown = 20 * s
+			_, x := of(a, "safe", 30*s)
+			again(a, x, func(x *record.Arrival) { x.Server, x.Out, x.Seal = "i-1", record.Other, "" })
+		},
+		"a change without an answer": func(a *record.All) { a.Changes[1].Status, a.Changes[1].Done = 0, 0 },
+		"a cut where the server broke off": func(a *record.All) {
+			t, x := of(a, "safe", 20*s)
+			t.Status, t.Seal, t.Complete, x.Broke = 0, "", false, true
+			a.Troubles = []*record.Trouble{{Daemon: t.Daemon, From: t.Sent - s, To: t.Sent + 5*s, Planned: true}}
+		},
+		"a new holder in time": func(a *record.All) { o := a.Orders[3]; o.Holder, o.Fence, o.At = "b", 8, a.Orders[2].At+4*s },
+		"a refusal": func(a *record.All) {
+			t, x := of(a, "unsafe", 0)
+			t.Status, t.Seal, x.Out, x.Seal = 503, "", record.Away, ""
+		},
+	} {
+		a := day()
+		edit(a)
+		for _, b := range Check(*a, bounds) {
+			if !strings.HasPrefix(b.What, "nothing") {
+				t.Errorf("%s: %s", what, b)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/proof/standin/wire/wire.go
@@ -0,0 +1,270 @@
+// Package wire holds the platform's names and shapes for its stand-in, written
+// from the platform's pages on their own: it shares nothing with platform/, so
+// that a name misread there is not misread here as well.
+package wire
+
+// Headers of requests and answers.
+const (
+	Attempt   = "X-Mulleinmast-Attempt-Id"
+	TimeLeft  = "X-Mulleinmast-Time-Left-Ms"
+	Expect    = "X-Mulleinmast-Expect-Server"
+	Seal      = "X-Mulleinmast-Server-Seal"
+	Load      = "X-Mulleinmast-Server-Load"
+	NotRun    = "X-Mulleinmast-Not-Run"
+	Urgency   = "X-Mulleinmast-Urgency"
+	Stage     = "X-Mulleinmast-Stage"
+	Memory    = "X-Mulleinmast-Prompt-Memory-From"
+	Model     = "X-Mulleinmast-Model"
+	Tokens    = "X-Mulleinmast-Token-Count"
+	Prefix    = "X-Mulleinmast-Prompt-Prefix"
+	ServedBy  = "X-Mulleinmast-Served-By"
+	ColdMs    = "X-Mulleinmast-Cold-Ms"
+	LastEvent = "Last-Event-Id"
+	RetryIn   = "Retry-After"
+	Encoding  = "Content-Encoding"
+
+	Events = "text/event-stream"
+)
+
+// Paths of calls to servers, the list and daemons.
+const (
+	OrderPath  = "/v1/order"
+	ReportPath = "/v1/report"
+	HandlePath = "/v1/kv-handle/"
+	ListPath   = "/servers"
+	ReadyPath  = "/v1/ready"
+	ConfigPath = "/v1/config"
+	EvacPath   = "/v1/evacuation/"
+)
+
+// The parts that a server plays, and its states on the list.
+const (
+	Reading  = "reading"
+	Writing  = "writing"
+	Ready    = "ready"
+	Draining = "draining"
+)
+
+// Kinds of routes.
+const (
+	Safe      = "safe"
+	Unsafe    = "unsafe"
+	Streaming = "streaming"
+)
+
+// Weights are a model that a server has.
+type Weights struct {
+	Name     string   `json:"name"`
+	Version  int      `json:"config-version"`
+	Adapters []string `json:"adapter-list"`
+}
+
+// Entry is a server on the list.
+type Entry struct {
+	Service string    `json:"service-name"`
+	Address string    `json:"address"`
+	Zone    string    `json:"zone"`
+	Version string    `json:"config-version"`
+	Slots   int       `json:"slot-count"`
+	State   string    `json:"server-state"`
+	ColdMs  int64     `json:"cold-left-ms"`
+	Phase   string    `json:"phase,omitempty"`
+	Models  []Weights `json:"model-list,omitempty"`
+	ID      string    `json:"id"`
+}
+
+// Page is one page of the list.
+type Page struct {
+	Servers []Entry `json:"servers"`
+	Next    *string `json:"next-token"`
+}
+
+// Handle is what a reading server answers.
+type Handle struct {
+	ID      string `json:"prompt-handle"`
+	Tokens  int    `json:"token-count"`
+	Version int    `json:"config-version"`
+}
+
+// Order is what a server is told to do.
+type Order struct {
+	Operation string `json:"operation"`
+	Phase     string `json:"phase"`
+	Holder    string `json:"holder"`
+	Fence     *int64 `json:"fence-number"`
+	Expected  *int   `json:"expected"`
+}
+
+// Report is what a server tells of itself.
+type Report struct {
+	Phase   string    `json:"phase"`
+	Models  []Weights `json:"model-list"`
+	Busy    bool      `json:"is-busy"`
+	Calls   int       `json:"call-count"`
+	Queued  int       `json:"queued"`
+	Running int       `json:"in-progress"`
+	Used    int       `json:"memory-used"`
+	Total   int       `json:"memory-total"`
+	Handles int       `json:"prompt-handles"`
+}
+
+// Weighted is a part of a route's traffic.
+type Weighted struct {
+	Service string  `json:"service-name"`
+	Share   float64 `json:"share"`
+}
+
+// Route is an item of a configuration.
+type Route struct {
+	Name     string     `json:"name"`
+	Host     string     `json:"host-name"`
+	Start    string     `json:"path-start"`
+	Kind     string     `json:"route-kind"`
+	GiveUpMs int        `json:"give-up-ms"`
+	TargetMs int        `json:"target-ms"`
+	Urgency  int        `json:"urgency"`
+	Service  string     `json:"service-name,omitempty"`
+	Weighted []Weighted `json:"weighted-services,omitempty"`
+	Tries    int        `json:"tries"`
+	Sticky   bool       `json:"stick-to-server"`
+	Resume   bool       `json:"can-resume"`
+	GapMs    int        `json:"gap-target-ms,omitempty"`
+}
+
+// Services lists where a route may send requests.
+//
+// Example: if slices.Contains(r.Services(), svc) { allowed() }
+func (r Route) Services() (out []string) {
+	if r.Service != "" {
+		return []string{r.Service}
+	}
+	for _, w := range r.Weighted {
+		if w.Share > 0 {
+			out = append(out, w.Service)
+		}
+	}
+	return out
+}
+
+// Repeatable tells whether requests of this route may run more than once.
+//
+// Example: if !r.Repeatable() && runs > 1 { broken() }
+func (r Route) Repeatable() bool { return r.Kind == Safe || r.Kind == Streaming && r.Resume }
+
+// Runtime is what a configuration says of model servers.
+type Runtime struct {
+	Slots      int       `json:"slot-count"`
+	Memory     int       `json:"memory-tokens"`
+	TokenBytes int       `json:"token-bytes"`
+	Mbps       float64   `json:"network-mbps"`
+	Interval   int       `json:"interval"`
+	HoldS      float64   `json:"hold-s"`
+	SwitchS    float64   `json:"switch-time-s"`
+	Models     []Weights `json:"model-list"`
+}
+
+// Service is an item of a configuration.
+type Service struct {
+	Name     string   `json:"name"`
+	Health   string   `json:"health-path"`
+	Conns    int      `json:"max-conns"`
+	Protocol string   `json:"protocol"`
+	TLS      bool     `json:"use-tls"`
+	ColdS    float64  `json:"cold-s"`
+	ColdRate float64  `json:"cold-per-s"`
+	Runtime  *Runtime `json:"runtime,omitempty"`
+}
+
+// Limits bound what clients send.
+type Limits struct {
+	HeaderBytes  int `json:"max-header-bytes"`
+	BodyBytes    int `json:"max-body-bytes"`
+	HeaderWaitMs int `json:"header-wait-ms"`
+	IdleMs       int `json:"idle-limit-ms"`
+}
+
+// Config is a whole configuration.
+type Config struct {
+	Version  int       `json:"config-version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Change is a change of named items.
+type Change struct {
+	Version int `json:"config-version"`
+	Replace struct {
+		Routes   []Route   `json:"routes,omitempty"`
+		Services []Service `json:"services,omitempty"`
+	} `json:"replace"`
+	Remove struct {
+		Routes   []string `json:"routes,omitempty"`
+		Services []string `json:"services,omitempty"`
+	} `json:"remove"`
+}
+
+// With is a configuration after a change: items keep their places, new ones
+// come last.
+//
+// Example: next := config.With(change)
+func (c Config) With(ch Change) Config {
+	out := Config{Version: ch.Version, Limits: c.Limits}
+	routes := map[string]Route{}
+	for _, r := range ch.Replace.Routes {
+		routes[r.Name] = r
+	}
+	services := map[string]Service{}
+	for _, s := range ch.Replace.Services {
+		services[s.Name] = s
+	}
+	gone := map[string]bool{}
+	for _, n := range ch.Remove.Routes {
+		gone["r/"+n] = true
+	}
+	for _, n := range ch.Remove.Services {
+		gone["s/"+n] = true
+	}
+	for _, r := range c.Routes {
+		if n, ok := routes[r.Name]; ok {
+			r = n
+			delete(routes, r.Name)
+		}
+		if !gone["r/"+r.Name] {
+			out.Routes = append(out.Routes, r)
+		}
+	}
+	for _, r := range ch.Replace.Routes {
+		if _, ok := routes[r.Name]; ok {
+			out.Routes = append(out.Routes, r)
+		}
+	}
+	for _, s := range c.Services {
+		if n, ok := services[s.Name]; ok {
+			s = n
+			delete(services, s.Name)
+		}
+		if !gone["s/"+s.Name] {
+			out.Services = append(out.Services, s)
+		}
+	}
+	for _, s := range ch.Replace.Services {
+		if _, ok := services[s.Name]; ok {
+			out.Services = append(out.Services, s)
+		}
+	}
+	return out
+}
+
+// Match finds the route of a host and path: of those for that host the one with
+// the longest start.
+//
+// Example: r, ok := config.Match("nony24.example", "/lohu930/2f")
+func (c Config) Match(host, path string) (best Route, ok bool) {
+	for _, r := range c.Routes {
+		if r.Host == host && len(path) >= len(r.Start) && path[:len(r.Start)] == r.Start && (!ok || len(r.Start) > len(best.Start)) {
+			best, ok = r, true
+		}
+	}
+	return best, ok
+}
