--- /dev/null
+++ b/proof/standin/fleet/fleet.go
@@ -0,0 +1,363 @@
+// Package fleet runs daemons as real processes that are booted as the platform
+// boots them: a settings file each, an address of its own in loopback and ports
+// that are alike on all.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"mulleinmast/control/cabin"
+	"mulleinmast/proof/standin/entry"
+	"mulleinmast/proof/standin/record"
+	"mulleinmast/proof/standin/rules"
+	"mulleinmast/proof/track"
+)
+
+// Error is the class of faults in running a fleet.
+var Error = errs.Class("stand-in fleet")
+
+// The ports, alike on all machines.
+const (
+	controlPort   = 8262
+	publicPort    = 8263
+	readinessPort = 8268
+	firstPort     = 7300
+	lastPort      = 7315
+)
+
+// Config is a fleet.
+type Config struct {
+	Dir     string
+	Program string
+	Net     string // the first three numbers of its addresses
+	Zones   []string
+	PerZone int // machines in each zone; the first of each has a disk
+	Bounds  rules.Bounds
+	Ack     time.Duration
+	Cloud   string // address of the list
+	Lag     time.Duration
+	Rate    float64
+}
+
+// Machine is one machine with its daemon.
+type Machine struct {
+	track.Proc
+	IP, Zone string
+	Core     bool
+	life     int
+	trouble  *record.Trouble // that goes on
+	seeds    []string
+	gone     bool // removed for good
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Config
+	log *record.Log
+	web *http.Client
+
+	mu   sync.Mutex
+	list []*Machine
+}
+
+// Net finds three numbers of addresses in loopback that nobody uses.
+//
+// Example: cfg.Net, err = fleet.Net()
+func Net() (string, error) {
+	for range 200 {
+		n := fmt.Sprintf("127.%d.%d", 16+rand.Intn(100), 1+rand.Intn(250))
+		free := true
+		for _, at := range []string{fmt.Sprintf("%s.1:%d", n, controlPort), fmt.Sprintf("%s.1:%d", n, firstPort)} {
+			ln, err := net.Listen("tcp4", at)
+			if free = free && err == nil; err == nil {
+				_ = ln.Close()
+			}
+		}
+		if free {
+			return n, nil
+		}
+	}
+	return "", Error.New("no free addresses in loopback")
+}
+
+// New lays a fleet out; nothing runs yet.
+//
+// Example: f := fleet.New(cfg, log); err := f.Start()
+func New(c Config, log *record.Log) *Fleet {
+	f := &Fleet{Config: c, log: log, web: &http.Client{Timeout: 2 * time.Second}}
+	for range c.PerZone {
+		for _, z := range c.Zones {
+			f.add(z, len(f.list) < len(c.Zones))
+		}
+	}
+	return f
+}
+
+func (f *Fleet) add(zone string, core bool) *Machine {
+	n := len(f.list) + 1
+	m := &Machine{IP: fmt.Sprintf("%s.%d", f.Net, n), Zone: zone, Core: core}
+	m.Name = fmt.Sprint("front-", n)
+	f.list = append(f.list, m)
+	return m
+}
+
+// Start starts all machines for the first time.
+//
+// Example: err := f.Start()
+func (f *Fleet) Start() error {
+	var seeds []string
+	for _, m := range f.list {
+		if m.Core {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", m.IP, controlPort))
+		}
+	}
+	for _, m := range f.list {
+		if err := f.write(m, true, seeds); err != nil {
+			return err
+		}
+		if err := f.run(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop kills everything.
+//
+// Example: defer f.Stop()
+func (f *Fleet) Stop() {
+	for _, m := range f.Machines() {
+		m.Signal(syscall.SIGKILL)
+	}
+	for _, m := range f.Machines() {
+		m.Kill()
+	}
+}
+
+// Machines lists the machines that were not removed.
+//
+// Example: for _, m := range f.Machines() { f.Kill(m) }
+func (f *Fleet) Machines() (out []*Machine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.list {
+		if !m.gone {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Core lists those with a disk.
+//
+// Example: m := f.Core()[0]
+func (f *Fleet) Core() (out []*Machine) {
+	for _, m := range f.Machines() {
+		if m.Core {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Daemons lists the daemons as the platform knows them.
+//
+// Example: door := entry.New(f.Daemons)
+func (f *Fleet) Daemons() (out []entry.Daemon) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.list {
+		if !m.gone {
+			out = append(out, entry.Daemon{Name: m.Name, Zone: m.Zone, Public: fmt.Sprintf("%s:%d", m.IP, publicPort), Readiness: fmt.Sprintf("%s:%d", m.IP, readinessPort),
+				Steer: fmt.Sprintf("%s:%d", m.IP, controlPort), Life: m.life})
+		}
+	}
+	return out
+}
+
+func (f *Fleet) settings(m *Machine) string { return filepath.Join(f.Dir, m.Name+".toml") }
+func (f *Fleet) folder(m *Machine) string   { return filepath.Join(f.Dir, m.Name+"-data") }
+
+// write writes a machine's settings file.
+func (f *Fleet) write(m *Machine, first bool, seeds []string) error {
+	m.seeds = seeds
+	return Error.Wrap(os.WriteFile(f.settings(m), []byte(f.text(m, first)), 0o600))
+}
+
+func (f *Fleet) run(m *Machine) error {
+	f.mu.Lock()
+	m.life++
+	f.mu.Unlock()
+	return Error.Wrap(m.Run(f.Program, []string{"-say"}, []string{variable + "=" + f.settings(m)}, filepath.Join(f.Dir, m.Name+".log")))
+}
+
+// begin notes that trouble begins.
+func (f *Fleet) begin(m *Machine, what string, planned bool) {
+	t := &record.Trouble{Daemon: m.Name, Core: m.Core, What: what, From: f.log.Now(), Planned: planned}
+	f.log.Do(func(a *record.All) { a.Troubles = append(a.Troubles, t) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.trouble = t
+}
+
+func (f *Fleet) end(m *Machine) {
+	f.mu.Lock()
+	t := m.trouble
+	m.trouble = nil
+	f.mu.Unlock()
+	f.log.Do(func(*record.All) {
+		if t != nil {
+			t.To = f.log.Now()
+		}
+	})
+}
+
+// Kill kills a daemon at once.
+//
+// Example: f.Kill(m); f.Up(m)
+func (f *Fleet) Kill(m *Machine) {
+	f.begin(m, "killed", false)
+	m.Kill()
+}
+
+// KillAll kills daemons at the same moment.
+//
+// Example: f.KillAll(f.Machines())
+func (f *Fleet) KillAll(list []*Machine) {
+	for _, m := range list {
+		f.begin(m, "killed", false)
+	}
+	for _, m := range list {
+		m.Signal(syscall.SIGKILL)
+	}
+	for _, m := range list {
+		m.Kill()
+	}
+}
+
+// Term asks a daemon to end.
+//
+// Example: f.Term(m); track.Until(ctx, grace, func() bool { return !m.Up() })
+func (f *Fleet) Term(m *Machine) {
+	f.begin(m, "SIGTERM", true)
+	m.Signal(syscall.SIGTERM)
+}
+
+// Freeze stops a daemon where it stands; Thaw lets it go on.
+//
+// Example: f.Freeze(m); wait(); f.Thaw(m)
+func (f *Fleet) Freeze(m *Machine) {
+	f.begin(m, "frozen", false)
+	m.Signal(syscall.SIGSTOP)
+}
+
+// Thaw lets a frozen daemon go on.
+//
+// Example: f.Thaw(m)
+func (f *Fleet) Thaw(m *Machine) {
+	m.Signal(syscall.SIGCONT)
+	f.end(m)
+}
+
+// Up starts a daemon again, which is no first start.
+//
+// Example: err := f.Up(m)
+func (f *Fleet) Up(m *Machine) error {
+	if err := f.write(m, false, m.seeds); err != nil {
+		return err
+	}
+	err := f.run(m)
+	f.end(m)
+	return err
+}
+
+// Wipe removes a daemon's disk.
+//
+// Example: f.Kill(m); err := f.Wipe(m); err = f.Up(m)
+func (f *Fleet) Wipe(m *Machine) error { return Error.Wrap(os.RemoveAll(f.folder(m))) }
+
+// Add adds a machine that starts empty.
+//
+// Example: m, err := f.Add("north", true)
+func (f *Fleet) Add(zone string, core bool) (*Machine, error) {
+	f.mu.Lock()
+	m := f.add(zone, core)
+	m.seeds = f.list[0].seeds
+	f.mu.Unlock()
+	f.begin(m, "added", false)
+	if err := f.write(m, false, m.seeds); err != nil {
+		return m, err
+	}
+	err := f.run(m)
+	f.end(m)
+	return m, err
+}
+
+// Remove takes a machine away for good.
+//
+// Example: f.Remove(m)
+func (f *Fleet) Remove(m *Machine) {
+	f.begin(m, "removed", false)
+	m.Kill()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.gone = true
+}
+
+// Seed tells all daemons of other seeds, by SIGHUP.
+//
+// Example: err := f.Seed(f.Machines()[3:6])
+func (f *Fleet) Seed(by []*Machine) error {
+	var seeds []string
+	for _, m := range by {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", m.IP, controlPort))
+	}
+	for _, m := range f.Machines() {
+		if err := f.write(m, false, seeds); err != nil {
+			return err
+		}
+		if m.Up() {
+			t := &record.Trouble{Daemon: m.Name, What: "SIGHUP", From: f.log.Now(), Hup: true}
+			f.log.Do(func(a *record.All) { a.Troubles = append(a.Troubles, t) })
+			m.Signal(syscall.SIGHUP)
+		}
+	}
+	return nil
+}
+
+// State asks a daemon by the product's own interface.
+//
+// Example: st, ok := f.State(m)
+func (f *Fleet) State(m *Machine) (st cabin.State, ok bool) {
+	res, err := f.web.Get(fmt.Sprintf("http://%s:%d/v1/state", m.IP, firstPort+1))
+	if err != nil {
+		return st, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return st, err == nil && res.StatusCode == http.StatusOK && json.Unmarshal(b, &st) == nil
+}
+
+// Owner finds the daemon that holds a part.
+//
+// Example: m := f.Owner(0)
+func (f *Fleet) Owner(part int) *Machine {
+	for _, m := range f.Core() {
+		if st, ok := f.State(m); ok && part < len(st.Parts) && st.Parts[part].Mine {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/proof/standin/scene/orders.go
@@ -0,0 +1,142 @@
+package scene
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mulleinmast/proof/standin/operator"
+	"mulleinmast/proof/standin/record"
+	"mulleinmast/proof/standin/wire"
+)
+
+// pass lets time pass on the log's clock.
+func (w *World) pass(ctx context.Context, d time.Duration) {
+	end := w.Log.Now() + d
+	w.Until(ctx, d+5*time.Second, "time passes", func() bool { return w.Log.Now() > end })
+}
+
+// probe asks every daemon for a place that should be there, or should not.
+func (w *World) probe(ctx context.Context, start string, there bool) {
+	w.pass(ctx, w.Bounds.Apply)
+	for _, d := range w.Fleet.Daemons() {
+		t := w.Load.Probe(ctx, d, w.Routes[0].Host, start, w.Routes[0])
+		if t == nil {
+			w.Fail("%s takes no connection", d.Name)
+			continue
+		}
+		if t.Served() != there || !there && t.Status != 404 {
+			w.Fail("%s answers %d for %s, which is there: %v", d.Name, t.Status, start, there)
+		}
+	}
+}
+
+// evacuate: a zone is taken out of service and back.
+func evacuate(ctx context.Context, w *World) {
+	zone := zones[1]
+	e := w.Op.Evacuate(ctx, zone)
+	if e.Acked == 0 {
+		w.Fail("the evacuation was not acknowledged")
+		return
+	}
+	w.Say("%s was evacuated, acknowledged after %.2fs", zone, (e.Acked - e.Sent).Seconds())
+	w.pass(ctx, w.Bounds.Evacuate)
+	w.Served(ctx, int(2*w.Rate))
+	if !w.Op.Return(ctx, e) {
+		w.Fail("the return was not acknowledged")
+		return
+	}
+	back := w.Log.Now()
+	w.Until(ctx, w.Bounds.Evacuate+10*time.Second, "the zone is used again", func() bool {
+		return w.Log.Count(func(a *record.All) int {
+			n := 0
+			for _, x := range a.Arrivals {
+				if x.Zone == zone && x.At > back && x.Out == record.Ran {
+					n++
+				}
+			}
+			return n
+		}) > 0
+	})
+}
+
+// config: routes move to other services, are added and removed, time-outs
+// change, while clients come; whole configurations and changes take turns.
+func config(ctx context.Context, w *World) {
+	now := func() wire.Config { return w.Op.Now() }
+	steps := []func() *record.Change{
+		func() *record.Change { // a route moves
+			ch := wire.Change{Version: now().Version + 2}
+			r := w.Routes[0]
+			r.Service = "other"
+			ch.Replace.Routes = []wire.Route{r}
+			return w.Op.Patch(ctx, ch, now())
+		},
+		func() *record.Change { return w.another(ctx, "later") },
+		func() *record.Change { // whole: a route is split, another one has a shorter time
+			c := now()
+			c.Routes = append([]wire.Route(nil), c.Routes...)
+			c.Version += 7
+			c.Routes[1].Service, c.Routes[1].Weighted = "", []wire.Weighted{{Service: "plain", Share: 30}, {Service: "other", Share: 70}}
+			c.Routes[2].GiveUpMs = 4000
+			return w.Op.Put(ctx, c, now().Version)
+		},
+		func() *record.Change { // and back
+			ch := wire.Change{Version: now().Version + 1}
+			ch.Replace.Routes = []wire.Route{w.Routes[0], w.Routes[1]}
+			ch.Remove.Routes = []string{"r-later"}
+			return w.Op.Patch(ctx, ch, now())
+		},
+	}
+	for i, step := range steps {
+		c := step()
+		if c.Status != 200 {
+			w.Fail("change %d: %d", i, c.Status)
+			return
+		}
+		w.Say("version %d acknowledged after %.2fs", c.Version, (c.Done - c.Sent).Seconds())
+		w.Load.Menu(w.menu(now().Routes))
+		w.Served(ctx, int(w.Rate/2))
+		w.probe(ctx, "/later/", i == 1 || i == 2)
+	}
+	w.probe(ctx, "/never/", false)
+}
+
+// race: two operators send on top of the same version, and invalid ones come
+// between.
+func race(ctx context.Context, w *World) {
+	won, beaten := 0, 0
+	for i := range 6 {
+		on := w.Op.Now()
+		var wait sync.WaitGroup
+		var got [2]*record.Change
+		for k := range got {
+			wait.Go(func() {
+				ch := wire.Change{Version: on.Version + 1 + k*(i%2)}
+				r := w.Routes[0]
+				r.GiveUpMs = 4000 + 10*i + k
+				ch.Replace.Routes = []wire.Route{r}
+				got[k] = w.Op.Patch(ctx, ch, on)
+			})
+		}
+		wait.Wait()
+		for _, c := range got {
+			switch c.Status {
+			case 200:
+				won++
+			case 412:
+				beaten++
+			default:
+				w.Fail("a change in a race: %d", c.Status)
+			}
+		}
+		if c := w.Op.Bad(ctx, i%operator.Kinds); c.Status/100 != 4 {
+			w.Fail("an invalid configuration (kind %d): %d", i%operator.Kinds, c.Status)
+		}
+	}
+	w.Say("%d changes won, %d were beaten", won, beaten)
+	if won != 6 || beaten != 6 {
+		w.Fail("of two racing changes one wins: %d won, %d beaten", won, beaten)
+	}
+	w.Served(ctx, int(w.Rate))
+}
--- /dev/null
+++ b/proof/standin/scene/scenes.go
@@ -0,0 +1,299 @@
+package scene
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"mulleinmast/proof/standin/fleet"
+	"mulleinmast/proof/standin/record"
+	"mulleinmast/proof/standin/server"
+	"mulleinmast/proof/standin/wire"
+	"mulleinmast/proof/track"
+)
+
+// Scene makes things happen while clients come.
+type Scene func(ctx context.Context, w *World)
+
+// Scenes are what can be brought about.
+var Scenes = map[string]Scene{
+	"calm": calm, "roll": roll, "kill-owner": killOwner, "freeze-owner": freezeOwner, "lost-disk": lostDisk, "seeds": seeds, "end": closing,
+	"release": release, "crash": crash, "dark": dark, "garble": garble, "lapse": lapse, "stale-list": staleList,
+	"evacuate": evacuate, "config": config, "race": race,
+}
+
+// Names lists the scenes.
+//
+// Example: for _, n := range scene.Names() { fmt.Println(n) }
+func Names() []string { return slices.Sorted(maps.Keys(Scenes)) }
+
+// calm: nothing happens; nearly all are served, no memory is left behind, and
+// the list is asked within its rate.
+func calm(ctx context.Context, w *World) {
+	w.Served(ctx, int(4*w.Rate))
+	all, served, ends := w.tally()
+	if served*100 < all*98 {
+		w.Fail("%d of %d served on a calm day: %v", served, all, ends)
+	}
+	if calls, denied := w.Cloud.Calls(); denied > 0 {
+		w.Fail("%d of %d calls to the list were over its rate", denied, calls)
+	}
+	w.Until(ctx, 10*time.Second, "no handle kept for nobody", func() bool {
+		for _, s := range w.Servers("gen") {
+			if s.Handles() > s.Busy()+2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// ready waits until all machines that run are in.
+func (w *World) ready(ctx context.Context, what string) bool {
+	return w.Until(ctx, w.Bounds.Recovery+10*time.Second, what, func() bool { return w.Door.In() == len(w.Fleet.Machines()) })
+}
+
+// roll: daemons are stopped by SIGTERM and started again, one after another.
+func roll(ctx context.Context, w *World) {
+	list := w.Fleet.Machines()
+	if w.Pace < 1 { // the owner of the configuration and two others
+		list = slices.Compact([]*fleet.Machine{w.Fleet.Owner(0), list[len(list)-1], list[0]})
+	}
+	for _, m := range list {
+		if m == nil {
+			w.Fail("the configuration has no owner")
+			return
+		}
+		from := time.Now()
+		w.Fleet.Term(m)
+		if !track.Until(ctx, w.Bounds.Grace, func() bool { return !m.Up() }) {
+			w.Fail("%s still runs %v after the SIGTERM", m.Name, w.Bounds.Grace)
+			m.Kill()
+		}
+		w.Say("%s ended %.1fs after the SIGTERM", m.Name, time.Since(from).Seconds())
+		if err := w.Fleet.Up(m); err != nil {
+			w.Fail("%v", err)
+			return
+		}
+		w.ready(ctx, m.Name+" is back")
+	}
+}
+
+// killOwner: the owners of the configuration and of a service are killed.
+func killOwner(ctx context.Context, w *World) {
+	for part := range 3 {
+		m := w.Fleet.Owner(part)
+		if m == nil {
+			w.Fail("part %d has no owner", part)
+			return
+		}
+		from := time.Now()
+		w.Fleet.Kill(m)
+		w.Until(ctx, w.Bounds.Recovery, "another owner", func() bool { return w.Fleet.Owner(part) != nil })
+		w.Say("part %d: another owner %.1fs after the kill of %s", part, time.Since(from).Seconds(), m.Name)
+		w.Served(ctx, int(w.Rate/2))
+		if err := w.Fleet.Up(m); err != nil {
+			w.Fail("%v", err)
+			return
+		}
+		w.ready(ctx, m.Name+" is back")
+		if w.Pace < 1 {
+			return
+		}
+	}
+}
+
+// freezeOwner: the owner of the configuration stands still for a while.
+func freezeOwner(ctx context.Context, w *World) {
+	m := w.Fleet.Owner(0)
+	if m == nil {
+		w.Fail("the configuration has no owner")
+		return
+	}
+	w.Fleet.Freeze(m)
+	w.Until(ctx, w.Bounds.Recovery, "another owner", func() bool {
+		for _, o := range w.Fleet.Core() {
+			if o == m {
+				continue
+			}
+			if st, ok := w.Fleet.State(o); ok && st.Parts[0].Mine {
+				return true
+			}
+		}
+		return false
+	})
+	w.Served(ctx, int(w.Rate))
+	w.Fleet.Thaw(m)
+	w.ready(ctx, m.Name+" is back")
+}
+
+// another adds a route, which is in force everywhere in time.
+func (w *World) another(ctx context.Context, name string) *record.Change {
+	ch := wire.Change{Version: w.Op.Now().Version + 3}
+	r := w.Routes[0]
+	r.Name, r.Start = "r-"+name, "/"+name+"/"
+	ch.Replace.Routes = []wire.Route{r}
+	return w.Op.Patch(ctx, ch, w.Op.Now())
+}
+
+// lostDisk: the owner is killed right after an acknowledgement, and its disk is
+// lost.
+func lostDisk(ctx context.Context, w *World) {
+	m := w.Fleet.Owner(0)
+	if m == nil {
+		w.Fail("the configuration has no owner")
+		return
+	}
+	c := w.another(ctx, "before-loss")
+	w.Fleet.Kill(m)
+	if c.Status != 200 {
+		w.Fail("a change was not taken: %d", c.Status)
+	}
+	if err := w.Fleet.Wipe(m); err != nil {
+		w.Fail("%v", err)
+	}
+	w.Served(ctx, int(w.Rate))
+	if err := w.Fleet.Up(m); err != nil {
+		w.Fail("%v", err)
+		return
+	}
+	w.ready(ctx, m.Name+" is back with an empty disk")
+	w.probe(ctx, "/before-loss/", true)
+}
+
+// seeds: other machines that serve control become the seeds, the settings
+// change under the daemons, and the first seeds go for good.
+func seeds(ctx context.Context, w *World) {
+	m, err := w.Fleet.Add(zones[0], true)
+	if err != nil {
+		w.Fail("%v", err)
+		return
+	}
+	w.ready(ctx, "a new machine is in")
+	all := w.Fleet.Machines()
+	if err := w.Fleet.Seed([]*fleet.Machine{all[len(all)-1], all[len(all)-2], all[len(all)-3]}); err != nil {
+		w.Fail("%v", err)
+	}
+	w.Served(ctx, int(w.Rate))
+	last := all[3]
+	w.Fleet.Kill(last) // it finds the fleet by the new seeds
+	w.Fleet.Remove(w.Fleet.Core()[0])
+	if err := w.Fleet.Up(last); err != nil {
+		w.Fail("%v", err)
+		return
+	}
+	w.ready(ctx, "all are back by other seeds")
+	w.Say("%s joined, %s came back by other seeds", m.Name, last.Name)
+	w.another(ctx, "after-seeds")
+}
+
+// closing: all processes are killed right after an acknowledgement.
+func closing(ctx context.Context, w *World) {
+	e := w.Op.Evacuate(ctx, zones[2])
+	c := w.another(ctx, "before-end")
+	if e.Acked == 0 || c.Status != 200 {
+		w.Fail("an order was not taken: evacuation %v, change %d", e.Acked, c.Status)
+	}
+	w.Log.Do(func(a *record.All) { a.Fault = w.Log.Now() })
+	w.Fleet.KillAll(w.Fleet.Machines())
+	for _, m := range w.Fleet.Machines() {
+		if err := w.Fleet.Up(m); err != nil {
+			w.Fail("%v", err)
+		}
+	}
+	w.Log.Do(func(a *record.All) { a.Back = w.Log.Now() })
+	from := time.Now()
+	w.ready(ctx, "all are back")
+	w.Served(ctx, int(w.Rate/2))
+	w.Say("served again %.1fs after all were killed", time.Since(from).Seconds())
+	end := w.Log.Now() + w.Bounds.Recovery + w.Bounds.Evacuate
+	w.Until(ctx, w.Bounds.Recovery+w.Bounds.Evacuate+5*time.Second, "time passes", func() bool { return w.Log.Now() > end })
+	w.probe(ctx, "/before-end/", true)
+}
+
+// release: servers are replaced one after the other.
+func release(ctx context.Context, w *World) {
+	list := w.Servers("gen")
+	if w.Pace < 1 {
+		list = []*server.Server{list[0], list[3]}
+	}
+	list = append(list, w.Servers("plain")[0])
+	var wait sync.WaitGroup
+	for _, s := range list {
+		if _, err := w.Serve(s.Service, s.Zone, s.Phase, 2*time.Second); err != nil {
+			w.Fail("%v", err)
+		}
+		wait.Go(func() { w.Release(ctx, s) })
+		w.Served(ctx, int(w.Rate/4))
+	}
+	wait.Wait()
+}
+
+// crash: servers crash; new ones come at their addresses, of another service.
+func crash(ctx context.Context, w *World) {
+	for i, svc := range []string{"gen", "plain", "gen"} {
+		s := w.Servers(svc)[i]
+		w.Crash(ctx, s)
+		w.Served(ctx, int(w.Rate/2))
+		if _, err := w.Serve(svc, s.Zone, s.Phase, time.Second); err != nil {
+			w.Fail("%v", err)
+		}
+		if _, err := w.serveAt(s.Address, "other", s.Zone, "", 0); err != nil {
+			w.Fail("%v", err)
+		}
+		w.Served(ctx, int(w.Rate))
+	}
+}
+
+// dark: servers go silent and stay on the list for a while.
+func dark(ctx context.Context, w *World) {
+	a, b, c := w.Servers("gen")[0], w.Servers("gen")[4], w.Servers("plain")[1]
+	for _, s := range []*server.Server{a, b, c} {
+		s.Dark()
+	}
+	w.Served(ctx, int(3*w.Rate))
+	for _, s := range []*server.Server{a, b, c} {
+		w.Crash(ctx, s)
+		if _, err := w.Serve(s.Service, s.Zone, s.Phase, time.Second); err != nil {
+			w.Fail("%v", err)
+		}
+	}
+	w.Served(ctx, int(w.Rate))
+}
+
+// garble: servers misbehave in all ways, one after another.
+func garble(ctx context.Context, w *World) {
+	for _, f := range []server.Fault{server.Break, server.Garble, server.Extra, server.Late, server.NoSeal, server.Encoded, server.Close, server.Forget, server.Unwarned, server.Full} {
+		for i, s := range w.Servers("") {
+			if i%2 == int(f)%2 {
+				s.Misbehave(f, 2)
+			}
+		}
+		w.Served(ctx, int(w.Rate/2))
+	}
+	w.Servers("gen")[3].Misbehave(server.Slow, 2)
+	w.Servers("plain")[0].Misbehave(server.Silent, 1)
+	w.Served(ctx, int(w.Rate))
+}
+
+// lapse: handles lapse at once.
+func lapse(ctx context.Context, w *World) {
+	for _, s := range w.Servers("gen") {
+		s.Misbehave(server.Lapse, -1)
+	}
+	w.Served(ctx, int(2*w.Rate))
+	for _, s := range w.Servers("gen") {
+		s.Misbehave(server.Lapse, 0)
+	}
+	w.Served(ctx, int(w.Rate))
+}
+
+// staleList: the list can't be asked for a while.
+func staleList(ctx context.Context, w *World) {
+	w.Cloud.Down(true)
+	w.Served(ctx, int(2*w.Rate))
+	w.Cloud.Down(false)
+	w.Served(ctx, int(w.Rate))
+}
--- /dev/null
+++ b/proof/standin/scene/world.go
@@ -0,0 +1,404 @@
+// Package scene plays what befalls a deployment on the platform: a fleet of
+// real daemons between stand-in servers, clients and an operator. The judge
+// has the last word.
+package scene
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"mulleinmast/proof/standin/client"
+	"mulleinmast/proof/standin/cloud"
+	"mulleinmast/proof/standin/entry"
+	"mulleinmast/proof/standin/fleet"
+	"mulleinmast/proof/standin/operator"
+	"mulleinmast/proof/standin/record"
+	"mulleinmast/proof/standin/rules"
+	"mulleinmast/proof/standin/server"
+	"mulleinmast/proof/standin/wire"
+	"mulleinmast/proof/track"
+)
+
+// Error is the class of faults in bringing a deployment up.
+var Error = errs.Class("scene")
+
+// Config is a deployment.
+type Config struct {
+	Dir     string
+	Program string  // the daemon
+	Pace    float64 // of the bounds: 1 as the platform's pages show them, less is quicker
+	PerZone int     // machines in each of the three zones
+	Rate    float64 // requests a second
+	Seed    int64
+}
+
+var zones = []string{"north", "south", "west"}
+
+// Bounds are the rules' figures at a pace.
+//
+// Example: b := scene.Bounds(1); b.Drain == 3*time.Second
+func Bounds(pace float64) rules.Bounds {
+	d := func(ms float64) time.Duration { return time.Duration(ms * pace * float64(time.Millisecond)) }
+	return rules.Bounds{InTouch: d(3000), Drain: d(3000), Grace: max(d(8000), 4500*time.Millisecond), LostSlack: 200 * time.Millisecond, Apply: d(2000), GoBack: 250 * time.Millisecond,
+		Evacuate: d(5000), Recovery: d(12000), Lease: d(3000), RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdOverrun: 1.5, ColdSlack: 5}
+}
+
+// World is a deployment that runs.
+type World struct {
+	Config
+	Bounds rules.Bounds
+	Log    *record.Log
+	Fleet  *fleet.Fleet
+	Cloud  *cloud.Cloud
+	Door   *entry.Entry
+	Op     *operator.Operator
+	Load   *client.Load
+	Routes []wire.Route // those of the first configuration
+	notes  []string
+	failed bool
+
+	peers   server.Peers
+	mu      sync.Mutex
+	servers []*server.Server
+	born    int
+	ports   int
+	stop    []func()
+}
+
+// Say notes something seen.
+//
+// Example: w.Say("a new owner after %v", took)
+func (w *World) Say(how string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notes = append(w.notes, fmt.Sprintf("%6.2fs ", w.Log.Now().Seconds())+fmt.Sprintf(how, args...))
+}
+
+// Fail notes something that should not have been.
+//
+// Example: w.Fail("no owner after %v", limit)
+func (w *World) Fail(how string, args ...any) {
+	w.Say("FAILED "+how, args...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failed = true
+}
+
+// Until waits for a condition; one that doesn't come is a failure.
+//
+// Example: w.Until(ctx, 12*time.Second, "ready", func() bool { return w.Door.In() == 6 })
+func (w *World) Until(ctx context.Context, limit time.Duration, what string, so func() bool) bool {
+	ok := track.Until(ctx, limit, so)
+	if !ok {
+		w.Fail("%s: not within %v", what, limit)
+	}
+	return ok
+}
+
+// New lays a deployment out and starts its servers and its list.
+//
+// Example: w, err := scene.New(cfg); defer w.End()
+func New(c Config) (*World, error) {
+	w := &World{Config: c, Bounds: Bounds(c.Pace), Log: record.New(), ports: 8080}
+	if err := os.MkdirAll(c.Dir, 0o755); err != nil {
+		return w, Error.Wrap(err)
+	}
+	at, err := fleet.Net()
+	if err != nil {
+		return w, err
+	}
+	lag := time.Duration(800 * c.Pace * float64(time.Millisecond))
+	cc := cloud.Config{Address: at + ".250:8266", Lag: lag, Rate: 42, PageSize: 4}
+	if w.Cloud, err = cloud.Start(cc, w.Log); err != nil {
+		return w, err
+	}
+	w.stop = append(w.stop, w.Cloud.End)
+	w.Fleet = fleet.New(fleet.Config{Dir: c.Dir, Program: c.Program, Net: at, Zones: zones, PerZone: c.PerZone, Bounds: w.Bounds, Ack: time.Duration(4000 * max(c.Pace, 0.7) * float64(time.Millisecond)),
+		Cloud: cc.Address, Lag: lag, Rate: cc.Rate}, w.Log)
+	w.Door = entry.New(w.Fleet.Daemons)
+	w.Op = operator.New(w.Log, w.Fleet.Daemons, 20*time.Second)
+	w.Load = client.New(client.Config{Rate: c.Rate, Further: 2, Actors: 12, Zones: zones, Seed: c.Seed, Name: fmt.Sprintf("%04x", c.Seed&0xffff)}, w.Log, w.Door)
+	for i := range 6 {
+		if _, err := w.Serve("gen", zones[i%3], []string{wire.Reading, wire.Writing}[i/3], 0); err != nil {
+			return w, err
+		}
+	}
+	for _, svc := range []string{"plain", "other"} {
+		for i := range 3 {
+			if _, err := w.Serve(svc, zones[i], "", 0); err != nil {
+				return w, err
+			}
+		}
+	}
+	return w, nil
+}
+
+// Serve starts one more server and puts it on the list.
+//
+// Example: s, err := w.Serve("gen", "north", wire.Writing, 2*time.Second)
+func (w *World) Serve(svc, zone, phase string, cold time.Duration) (*server.Server, error) {
+	w.mu.Lock()
+	w.born++
+	n := w.born
+	w.mu.Unlock()
+	return w.serveAt(fmt.Sprintf("%s.%d:8080", w.Fleet.Net, 100+n), svc, zone, phase, cold)
+}
+
+func (w *World) serveAt(addr, svc, zone, phase string, cold time.Duration) (*server.Server, error) {
+	c := server.Config{ID: fmt.Sprintf("i-%s-%x", svc, time.Now().UnixNano()&0xffffffff), Service: svc, Zone: zone, Address: addr, Phase: phase, Slots: 16, Queue: 24, Health: "/health",
+		Work: 10 * time.Millisecond, KeepAlive: 4 * time.Second, TellsLoad: true, ColdFor: cold, ColdRate: 12}
+	if phase != "" {
+		c.Pace, c.Step, c.Memory, c.TokenBytes, c.Mbps, c.Hold, c.Switch = 20, 15*time.Millisecond, 60000, 18432, 550000, 2*time.Second, 300*time.Millisecond
+	}
+	s, err := server.Start(c, w.Log, &w.peers)
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	w.servers = append(w.servers, s)
+	w.mu.Unlock()
+	w.Cloud.Put(s.ID, s)
+	return s, nil
+}
+
+// Servers lists the servers of a service that live.
+//
+// Example: for _, s := range w.Servers("gen") { s.Misbehave(server.Break, 2) }
+func (w *World) Servers(svc string) (out []*server.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		if s.Service == svc || svc == "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (w *World) forget(s *server.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, x := range w.servers {
+		if x == s {
+			w.servers = append(w.servers[:i:i], w.servers[i+1:]...)
+			return
+		}
+	}
+}
+
+// Release has a server drain and end, as the platform does.
+//
+// Example: w.Release(ctx, s)
+func (w *World) Release(ctx context.Context, s *server.Server) {
+	s.Drain()
+	w.Cloud.Put(s.ID, s)
+	t := time.NewTimer(w.Cloud.Lag + w.Bounds.Drain + 300*time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	w.forget(s)
+	s.End()
+	w.Cloud.Drop(s.ID)
+}
+
+// Crash ends a server at once; it stays on the list for a while.
+//
+// Example: w.Crash(ctx, s)
+func (w *World) Crash(ctx context.Context, s *server.Server) {
+	w.forget(s)
+	s.Crash()
+	t := time.NewTimer(time.Second)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	w.Cloud.Drop(s.ID)
+}
+
+// End ends everything.
+//
+// Example: defer w.End()
+func (w *World) End() {
+	for _, f := range w.stop {
+		f()
+	}
+	w.stop = nil
+	if w.Fleet != nil {
+		w.Fleet.Stop()
+	}
+	for _, s := range w.Servers("") {
+		s.End()
+		w.forget(s)
+	}
+}
+
+// first is the configuration that a day begins with.
+func (w *World) first() wire.Config {
+	run := &wire.Runtime{Slots: 16, Memory: 60000, TokenBytes: 18432, Mbps: 550000, Interval: 1, HoldS: 2, SwitchS: 0.3, Models: []wire.Weights{{Name: "m", Version: 1, Adapters: []string{}}}}
+	c := wire.Config{Version: 5, Limits: wire.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderWaitMs: 3000, IdleMs: 15000}}
+	for _, svc := range []string{"gen", "plain", "other"} {
+		s := wire.Service{Name: svc, Health: "/health", Conns: 300, Protocol: "h1", ColdS: 2, ColdRate: 12}
+		if svc == "gen" {
+			s.Runtime = run
+		}
+		c.Services = append(c.Services, s)
+	}
+	for _, r := range []wire.Route{
+		{Name: "r-safe", Host: "nony24.example", Start: "/safe/", Kind: wire.Safe, Service: "plain"},
+		{Name: "r-unsafe", Host: "nony24.example", Start: "/safe/but/", Kind: wire.Unsafe, Service: "plain"},
+		{Name: "r-stream", Host: "ficu95.example", Start: "/lohu930/", Kind: wire.Streaming, Service: "gen"},
+		{Name: "r-resume", Host: "ficu95.example", Start: "/pufi791/", Kind: wire.Streaming, Resume: true, Weighted: []wire.Weighted{{Service: "gen", Share: 90}, {Service: "gen", Share: 10}}},
+	} {
+		r.GiveUpMs, r.TargetMs, r.GapMs, r.Tries, r.Urgency = 5000, 800, 250, 3, len(c.Routes)
+		c.Routes = append(c.Routes, r)
+	}
+	w.Routes = c.Routes
+	return c
+}
+
+// menu is what clients ask for by a configuration's routes.
+func (w *World) menu(routes []wire.Route) (out []client.Ask) {
+	for _, r := range routes {
+		a := client.Ask{Route: r, Weight: 2, Path: "x"}
+		if r.Kind == wire.Streaming {
+			a.In, a.Out, a.Shared = 3000, 8, []int{1600, 800}
+			if r.Resume {
+				a.In, a.Out, a.Shared = 900, 16, []int{400}
+			}
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// tally counts tries of clients: all, those that were served, and the rest by
+// their ends.
+func (w *World) tally() (all, served int, ends map[string]int) {
+	ends = map[string]int{}
+	w.Log.Count(func(a *record.All) int {
+		for _, t := range a.Tries {
+			if t.ID == "" || t.Probe || t.End == 0 {
+				continue
+			}
+			all++
+			switch {
+			case t.Served():
+				served++
+				ends["served"]++
+			case t.Status == 0 && len(t.Pieces) == 0:
+				ends["no answer"]++
+			case !t.Complete:
+				ends["broken off"]++
+			default:
+				ends[fmt.Sprint(t.Status)]++
+			}
+		}
+		return 0
+	})
+	return all, served, ends
+}
+
+// Served waits until so many more tries were served.
+//
+// Example: w.Served(ctx, 100)
+func (w *World) Served(ctx context.Context, n int) bool {
+	_, before, _ := w.tally()
+	return w.Until(ctx, 30*time.Second+time.Duration(float64(n)/w.Rate*4)*time.Second, fmt.Sprint(n, " more served"), func() bool {
+		_, now, _ := w.tally()
+		return now >= before+n
+	})
+}
+
+// Begin starts the daemons, sends the first configuration and lets clients in.
+//
+// Example: err := w.Begin(ctx)
+func (w *World) Begin(ctx context.Context) error {
+	if err := w.Fleet.Start(); err != nil {
+		return err
+	}
+	with, cut := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	wait.Go(func() { w.Door.Serve(with) })
+	w.stop = append([]func(){func() { cut(); wait.Wait() }}, w.stop...)
+	n := len(w.Fleet.Machines())
+	if !track.Until(ctx, 30*time.Second, func() bool { return w.Door.In() == n }) {
+		return Error.New("only %d of %d daemons are ready; logs in %s", w.Door.In(), n, w.Dir)
+	}
+	w.Say("%d daemons are ready", n)
+	if c := w.Op.Put(ctx, w.first(), 0); c.Status != 200 {
+		return Error.New("the first configuration: %d", c.Status)
+	}
+	if !track.Until(ctx, 20*time.Second, func() bool { return w.everywhere(ctx) }) {
+		return Error.New("not served by all daemons; logs in %s", w.Dir)
+	}
+	w.Say("the first configuration is in force")
+	w.Load.Menu(w.menu(w.Routes))
+	wait.Go(func() { w.Load.Run(with) })
+	return nil
+}
+
+// everywhere tells whether each daemon serves a plain route.
+func (w *World) everywhere(ctx context.Context) bool {
+	for _, d := range w.Fleet.Daemons() {
+		if t := w.Load.Probe(ctx, d, w.Routes[0].Host, w.Routes[0].Start, w.Routes[0]); t == nil || !t.Served() {
+			return false
+		}
+	}
+	return true
+}
+
+// Report is what a scene came to.
+type Report struct {
+	Notes  []string
+	Broken []rules.Broken
+	All    int
+	Served int
+	Ends   map[string]int
+	Calls  int // to the list
+	Denied int // of these
+	Failed bool
+}
+
+// String tells it in lines.
+//
+// Example: fmt.Print(rep)
+func (r Report) String() string {
+	out := strings.Join(r.Notes, "\n") + fmt.Sprintf("\n%d tries, %d served: %v; %d calls to the list, %d of them over its rate\n", r.All, r.Served, r.Ends, r.Calls, r.Denied)
+	for _, b := range r.Broken {
+		out += "BROKEN " + b.String() + "\n"
+	}
+	return out
+}
+
+// Play runs a scene from its beginning to the judge's word.
+//
+// Example: rep, err := scene.Play(ctx, cfg, scene.Scenes["calm"])
+func Play(ctx context.Context, c Config, s Scene) (Report, error) {
+	w, err := New(c)
+	defer w.End()
+	if err == nil {
+		err = w.Begin(ctx)
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	w.Served(ctx, int(c.Rate))
+	s(ctx, w)
+	w.Served(ctx, int(c.Rate))
+	w.Op.ReadBack(ctx)
+	calls, denied := w.Cloud.Calls()
+	w.End()
+	rep := Report{Calls: calls, Denied: denied, Notes: w.notes, Failed: w.failed}
+	rep.All, rep.Served, rep.Ends = w.tally()
+	rep.Broken = rules.Check(w.Log.Copy(), w.Bounds)
+	return rep, nil
+}
