A member leaves a control daemon that is cut off from the others, again

The check that they leave it was lost when the way of saying hello was rewritten beside it. Change: hello asks several when its control daemon is alone; a Welcome of one that isn't takes the session over.

--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -197,10 +197,11 @@
 }
 
 // hello renews the session at the control daemon that has it; when that is
-// silent, or there is none yet, it asks several at once.
+// silent or cut off from most others, or there is none yet, it asks several at
+// once.
 func (r *Roster) hello(now time.Duration, o *Out) {
 	list := r.controls()
-	if now-r.backAt <= r.cfg.Session/2 && slices.Contains(list, r.home) {
+	if now-r.backAt <= r.cfg.Session/2 && slices.Contains(list, r.home) && !r.alone {
 		list = []string{r.home}
 	}
 	for range min(wide, len(list)) {
@@ -316,11 +317,14 @@
 			}
 			return o
 		}
-		if now-r.backAt > r.cfg.Session/2 || !slices.Contains(r.controls(), r.home) {
+		alone := n.Len > 0 && int(n.Len)*2 <= len(r.controls())
+		if now-r.backAt > r.cfg.Session/2 || !slices.Contains(r.controls(), r.home) || r.alone && !alone {
 			r.home = n.Addr
 		}
+		if n.Addr == r.home {
+			r.alone = alone
+		}
 		r.backAt, r.live = now, true
-		r.alone = n.Len > 0 && int(n.Len)*2 <= len(r.controls())
 		if len(n.Members) > 0 {
 			r.view = n.Members
 		}
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -91,3 +91,58 @@
 		t.Errorf("steered to %v, which is no relay", other)
 	}
 }
+
+// A control daemon that hears of half or fewer of the others may not know the
+// owners: its members leave it for one that does.
+func TestAMemberLeavesAControlDaemonThatIsCutOff(t *testing.T) {
+	cfg := Config{Session: time.Second, Beat: 100 * time.Millisecond, Small: 3}
+	seeds := []string{"10.0.0.1:1", "10.0.1.1:1", "10.0.2.1:1"}
+	var all []*Roster
+	for i, a := range append(seeds, "10.0.0.2:1") {
+		me := form.Member{Ident: a, Addr: a, Cell: "c", Epoch: 1, Disk: i < 3}
+		all = append(all, New(cfg, me, seeds))
+	}
+	member, home, cut := all[3], "", ""
+	at := map[string]*Roster{}
+	for i, r := range all {
+		at[append(seeds, "10.0.0.2:1")[i]] = r
+	}
+	run := func(from, to time.Duration) {
+		for now := from; now < to; now += 10 * time.Millisecond {
+			for i, r := range all {
+				me := r.me
+				me.Disk = i < 3
+				var owns []form.Own
+				if me.Addr != cut && cut != "" && i < 3 { // the others have a new owner
+					owns = []form.Own{{Part: 0, Num: 2, Seat: form.Seat{Ident: me.Addr, Addr: me.Addr}}}
+				}
+				queue := r.Tick(now, me, owns).Sends
+				for len(queue) > 0 {
+					m := queue[0]
+					queue = queue[1:]
+					to, from := at[m.Addr], me.Addr
+					if m.Note.From != "" {
+						from = m.Note.From
+					}
+					if to == nil || m.Addr == from || to.me.Disk && at[from].me.Disk && (m.Addr == cut || from == cut) {
+						continue
+					}
+					m.Note.From, m.Note.Addr = from, from
+					for _, back := range to.Hear(now, m.Note).Sends {
+						back.Note.From = m.Addr
+						queue = append(queue, back)
+					}
+				}
+			}
+		}
+	}
+	run(0, 2*time.Second)
+	if home = member.home; home == "" {
+		t.Fatal("no session")
+	}
+	cut = home
+	run(2*time.Second, 6*time.Second)
+	if member.home == cut || member.owns[0].Num != 2 {
+		t.Errorf("still with %s, knows owner %+v", member.home, member.owns[0])
+	}
+}
