Hollow fleets: real daemons by the hundred, counted by kind and role

What: proof/hollow starts real cabins with gateways on loopback addresses, in this process and others; wire/telegraph counts messages, bytes and handling time by kind; testtrack -hollow measures by role.

--- /dev/null
+++ b/cmd/testtrack/hollow.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"mulleinmast/proof/hollow"
+)
+
+// hollowFlags are the sizes of hollow fleets.
+type hollowFlags struct {
+	run, worker                       *bool
+	daemons, servers, tenants, routes *string
+	window, apply, far                *time.Duration
+	out, profile                      *string
+	steps                             *string
+	rates                             *string
+}
+
+func newHollowFlags() hollowFlags {
+	return hollowFlags{
+		run:     flag.Bool("hollow", false, "instead: measure hollow fleets, many daemons in a process, and write tables and plots"),
+		worker:  flag.Bool("hollow-worker", false, "be a process of a hollow fleet (started by -hollow)"),
+		daemons: flag.String("daemons", "10,40,88,130", "with -hollow: fleets of these `sizes`"),
+		servers: flag.String("servers", "12", "with -hollow: model servers, each `number` with each fleet"),
+		tenants: flag.String("tenants", "60", "with -hollow: tenants in the plan, each `number`"),
+		routes:  flag.String("routes", "60", "with -hollow: routes in the plan, a `number` for each of tenants"),
+		window:  flag.Duration("window", 10*time.Second, "with -hollow: length of each measurement"),
+		apply:   flag.Duration("apply", 2*time.Second, "with -hollow: a change is in force everywhere within this"),
+		far:     flag.Duration("far", 0, "with -hollow: delay between regions, one way"),
+		out:     flag.String("out", "", "with -hollow: write CSV to this `file`"),
+		profile: flag.String("profile", "", "with -hollow: write profiles of a front, an owner and the shared process to this `folder`"),
+		steps:   flag.String("steps", "idle", "with -hollow: `idle,change,restart,zone,link`"),
+		rates:   flag.String("rates", "1", "with -hollow: configuration changes a second, each `number`"),
+	}
+}
+
+func numbersOf(s string) (out []int, err error) {
+	for _, w := range strings.Split(s, ",") {
+		n, err := strconv.Atoi(strings.TrimSpace(w))
+		if err != nil || n < 0 {
+			return nil, fmt.Errorf("%q: expected whole numbers, such as 10,40", s)
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
+
+func (h hollowFlags) main() int {
+	if *h.worker {
+		if err := hollow.Serve(os.Stdin, os.Stdout); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+			return 1
+		}
+		return 0
+	}
+	var lists [4][]int
+	for i, s := range []string{*h.daemons, *h.servers, *h.tenants, *h.routes} {
+		var err error
+		if lists[i], err = numbersOf(s); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+			return 2
+		}
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+		return 1
+	}
+	var all []hollow.Row
+	for _, daemons := range lists[0] {
+		for _, servers := range lists[1] {
+			for i, tenants := range lists[2] {
+				o := hollow.Default(daemons, servers)
+				o.Tenants, o.Routes, o.Apply, o.Far, o.Program = tenants, lists[3][min(i, len(lists[3])-1)], *h.apply, *h.far, exe
+				rows, err := h.fleet(o)
+				all = append(all, rows...)
+				if err != nil {
+					_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+					return 1
+				}
+				if *h.out != "" {
+					if err := hollow.WriteCSV(*h.out, all); err != nil {
+						_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+						return 1
+					}
+				}
+			}
+		}
+	}
+	return 0
+}
+
+// fleet forms one fleet and takes it through the steps.
+func (h hollowFlags) fleet(o hollow.Options) ([]hollow.Row, error) {
+	dir, err := os.MkdirTemp("", "hollow-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	o.Dir = dir
+	o.Port = 20000 + os.Getpid()%10000
+	at := time.Now()
+	f, err := hollow.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	started := time.Since(at)
+	n, took := f.Await(hollow.Command{Wait: 2 * time.Minute})
+	fmt.Printf("%d daemons, %d servers, %d tenants, %d routes: started in %v, %d ready %v later", o.Daemons, o.Servers, o.Tenants, o.Routes, started.Round(time.Millisecond), n, took.Round(time.Millisecond))
+	if n < o.Daemons {
+		return nil, fmt.Errorf("%d of %d daemons are ready", n, o.Daemons)
+	}
+	acked, err := f.Configure()
+	if err != nil {
+		return nil, err
+	}
+	n, took = f.Await(hollow.Command{Version: f.Version(), Wait: time.Minute})
+	fmt.Printf("; configuration acknowledged after %v, in force at %d daemons %v later", acked.Round(time.Millisecond), n, took.Round(time.Millisecond))
+	if strings.Contains(*h.steps, "forming") {
+		fmt.Println()
+		more, err := h.step(f, "forming")
+		if err != nil {
+			return nil, err
+		}
+		fmt.Print(hollow.Table(more))
+	}
+	n, took = f.Await(hollow.Command{Servers: o.Servers, Wait: 4 * time.Minute})
+	fmt.Printf("; every server's record at %d daemons %v later", n, took.Round(time.Millisecond))
+	took, ok := f.Steady(2 * time.Minute)
+	fmt.Printf("; calm after %v (%v)\n", took.Round(time.Millisecond), ok)
+	var rows []hollow.Row
+	for _, step := range strings.Split(*h.steps, ",") {
+		more, err := h.step(f, step)
+		if err != nil {
+			return rows, err
+		}
+		fmt.Print(hollow.Table(more))
+		rows = append(rows, more...)
+	}
+	return rows, nil
+}
+
+func (h hollowFlags) step(f *hollow.Fleet, step string) ([]hollow.Row, error) {
+	switch step {
+	case "idle", "forming":
+		if *h.profile != "" {
+			if err := os.MkdirAll(*h.profile, 0o755); err != nil {
+				return nil, err
+			}
+			if err := f.Profile(filepath.Join(*h.profile, fmt.Sprintf("%d-%d", f.Daemons, f.Servers)), *h.window); err != nil {
+				return nil, err
+			}
+		}
+		return f.Measure(step, *h.window, nil), nil
+	}
+	return nil, fmt.Errorf("no step %q", step)
+}
--- a/cmd/testtrack/main.go
+++ b/cmd/testtrack/main.go
@@ -32,7 +32,11 @@
 	count := flag.Int64("seeds", 1000, "seeds of a sweep, for each scenario")
 	old := flag.String("old", "", "`folder` with another build's signalbox, for the scenario versions")
 	grow := flag.Bool("scale", false, "instead: simulate healthy fleets of growing size, flat and with relays")
+	many := newHollowFlags()
 	flag.Parse()
+	if *many.run || *many.worker {
+		return many.main()
+	}
 	if *base < 1024 || *base > 65000 || *rate <= 0 || *length < time.Second || *count < 1 {
 		_, _ = fmt.Fprintln(os.Stderr, "testtrack: expected -port 1024 to 65000, -rate above 0, -for at least 1s, -seeds at least 1")
 		return 2
--- /dev/null
+++ b/proof/hollow/daemon.go
@@ -0,0 +1,193 @@
+package hollow
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"mulleinmast/control/cabin"
+	"mulleinmast/control/daybook"
+	"mulleinmast/control/interlock"
+	"mulleinmast/control/tariff"
+	"mulleinmast/platform"
+	"mulleinmast/traffic/forward"
+	"mulleinmast/traffic/gateway"
+	"mulleinmast/wire/telegraph"
+)
+
+// Snap is one daemon's counters and place at a moment.
+type Snap struct {
+	Index   int                        `json:"index"`
+	Zone    int                        `json:"zone"`
+	Core    bool                       `json:"core"`
+	Owns    []int                      `json:"owns,omitempty"`   // parts
+	Relays  []int                      `json:"relays,omitempty"` // parts that it relays in its zone
+	Members int                        `json:"members"`
+	Ready   bool                       `json:"ready"`
+	Lost    int64                      `json:"lost"`
+	Counts  map[string]telegraph.Count `json:"counts"`
+	At      time.Duration              `json:"at"`
+}
+
+// daemon is a running one.
+type daemon struct {
+	Spec
+	c    *cabin.Cabin
+	g    *gateway.Gateway
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// service has the supervisor run a function.
+type service func(context.Context) error
+
+// Serve runs it.
+//
+// Example: c.Add(service(g.Run))
+func (s service) Serve(ctx context.Context) error { return s(ctx) }
+
+// start brings a daemon up.
+func start(s Spec) (*daemon, error) {
+	c, err := cabin.Open(s.Config, daybook.New(s.Config.Ring, io.Discard))
+	if err != nil {
+		return nil, err
+	}
+	if s.List != "" {
+		c.Source = platform.NewCloud(s.List, s.Config.Bounds.Leave/3)
+	}
+	g := gateway.New(c, engines{})
+	c.Add(service(g.Run))
+	ctx, stop := context.WithCancel(context.Background())
+	d := &daemon{Spec: s, c: c, g: g, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(d.done)
+		_ = c.Run(ctx) // it ends when it is stopped
+	}()
+	return d, nil
+}
+
+// snap reads the daemon's counters.
+func (d *daemon) snap() Snap {
+	v := d.c.View()
+	s := Snap{Index: d.Index, Zone: d.Zone, Core: d.Core, Members: len(v.Members), Ready: d.c.Ready(), Lost: d.c.Line.Lost.Load(), Counts: d.c.Line.Counts(), At: d.c.Now()}
+	for p := range d.Config.Parts + 1 {
+		if v.Owns[p].Seat.Ident == d.c.Ident() {
+			s.Owns = append(s.Owns, p)
+		}
+		if v.Relay(p, d.Config.Cell).Ident == d.c.Ident() {
+			s.Relays = append(s.Relays, p)
+		}
+	}
+	return s
+}
+
+// servers counts the records of servers that are up and may be read here now.
+func (d *daemon) servers() (n int) {
+	plan, ok := d.c.Read(0, tariff.PlanKey)
+	if !ok {
+		return 0
+	}
+	for _, m := range tariff.Open(plan).Services {
+		part := d.c.Part(m.Name)
+		list, ok := d.c.Read(part, tariff.ListKey(m.Name))
+		if !ok {
+			continue
+		}
+		for _, s := range tariff.OpenList(list).Servers {
+			rec, ok := d.c.Read(part, tariff.BerthKey(m.Name, s.Key()))
+			if !ok {
+				continue
+			}
+			if b, ok := interlock.OpenBerth(rec); ok && b.Status == interlock.Up {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// engines answer for servers that aren't there.
+type engines struct{}
+
+// Read says that a prompt was read.
+//
+// Example: h, out, why := engines{}.Read(ctx, q, c, m, may)
+func (engines) Read(_ context.Context, _ *gateway.Request, c forward.Call, m forward.Move, may func() bool) (forward.Handle, forward.Outcome, string) {
+	if !may() {
+		return forward.Handle{}, forward.Barred, "barred"
+	}
+	return forward.Handle{ID: "h", Call: c.ID, No: m.No, Server: m.To, Tokens: c.In}, forward.OK, ""
+}
+
+// Write says that an answer came whole, with nothing in it.
+//
+// Example: a, out, why := engines{}.Write(ctx, q, c, m, "", may)
+func (engines) Write(_ context.Context, _ *gateway.Request, _ forward.Call, _ forward.Move, _ string, may func() bool) (gateway.Answer, forward.Outcome, string) {
+	if !may() {
+		return nil, forward.Barred, "barred"
+	}
+	return empty{}, forward.OK, ""
+}
+
+// Free does nothing.
+//
+// Example: engines{}.Free(handle)
+func (engines) Free(forward.Handle) {}
+
+// Told does nothing: no server tells its load.
+//
+// Example: engines{}.Told(f)
+func (engines) Told(func(service, server string, load forward.Load)) {}
+
+// empty is an answer without a body.
+type empty struct{}
+
+// Status is that of success.
+//
+// Example: empty{}.Status() == 200
+func (empty) Status() int { return http.StatusOK }
+
+// Header has nothing.
+//
+// Example: len(empty{}.Header()) == 0
+func (empty) Header() http.Header { return http.Header{} }
+
+// Next is at the end.
+//
+// Example: _, _, err := empty{}.Next(); err == io.EOF
+func (empty) Next() ([]byte, string, error) { return nil, "", io.EOF }
+
+// Close does nothing.
+//
+// Example: defer empty{}.Close()
+func (empty) Close() {}
+
+// client counts what became of requests.
+type client struct{ served, other *atomic.Int64 }
+
+// Begin counts an answer.
+//
+// Example: w.Begin(200, nil)
+func (w client) Begin(int, http.Header) { w.served.Add(1) }
+
+// Pass takes everything.
+//
+// Example: w.Pass(b) == true
+func (w client) Pass([]byte) bool { return true }
+
+// Refuse counts a request that was not served.
+//
+// Example: w.Refuse(503, time.Second, "why")
+func (w client) Refuse(int, time.Duration, string) { w.other.Add(1) }
+
+// Fail counts a request that was not served.
+//
+// Example: w.Fail(502, "why")
+func (w client) Fail(int, string) { w.other.Add(1) }
+
+// Break counts a request that was not served.
+//
+// Example: w.Break()
+func (w client) Break() { w.other.Add(1) }
--- /dev/null
+++ b/proof/hollow/source.go
@@ -0,0 +1,121 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"mulleinmast/control/tariff"
+)
+
+const perPage = 500
+
+// row is a server as the platform's list names it.
+type row struct {
+	ID    string `json:"id"`
+	Model string `json:"service-name"`
+	Addr  string `json:"address"`
+	Zone  string `json:"zone"`
+	Slots int    `json:"slot-count"`
+	State string `json:"server-state"`
+	Phase string `json:"phase"`
+}
+
+// source is the hollow list of servers, served over HTTP in pages.
+type source struct {
+	mu    sync.Mutex
+	rows  []row
+	life  int
+	ln    net.Listener
+	srv   *http.Server
+	calls atomic.Int64
+	bytes atomic.Int64
+}
+
+func model(i int) string { return fmt.Sprintf("model-%d", i) }
+
+// newSource names the servers of a fleet: dealt over models, then zones.
+func newSource(o Options) (*source, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &source{ln: ln}
+	for i := range o.Servers {
+		phase := "writing"
+		if float64(i/o.Models%10) < o.Reading*10 {
+			phase = "reading"
+		}
+		s.rows = append(s.rows, row{ID: fmt.Sprintf("srv-%05d-0", i), Model: model(i % o.Models), Addr: fmt.Sprintf("10.%d.%d.%d:9000", 1+i/60000, i/250%240, 1+i%250),
+			Zone: fmt.Sprintf("zone-%d", i/o.Models%o.Zones), Slots: 16, State: "running", Phase: phase})
+	}
+	s.srv = &http.Server{Handler: http.HandlerFunc(s.page)}
+	go func() { _ = s.srv.Serve(ln) }() // ends with close
+	return s, nil
+}
+
+func (s *source) addr() string { return s.ln.Addr().String() }
+
+func (s *source) close() { _ = s.srv.Close() }
+
+func (s *source) page(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("page-token")) // none is the first
+	s.mu.Lock()
+	end := min(len(s.rows), from+perPage)
+	p := struct {
+		Servers []row   `json:"servers"`
+		Next    *string `json:"next-token"`
+	}{Servers: append([]row{}, s.rows[min(from, end):end]...)}
+	if end < len(s.rows) {
+		next := strconv.Itoa(end)
+		p.Next = &next
+	}
+	s.mu.Unlock()
+	b, err := json.Marshal(p)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	s.calls.Add(1)
+	s.bytes.Add(int64(len(b)))
+	_, _ = w.Write(b)
+}
+
+// replace gives servers a new life, as after a restart, and names the new ids
+// by model.
+func (s *source) replace(indexes ...int) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]string{}
+	for _, i := range indexes {
+		s.life++
+		s.rows[i].ID = fmt.Sprintf("srv-%05d-%d", i, s.life)
+		out[s.rows[i].Model] = s.rows[i].ID
+	}
+	return out
+}
+
+// configuration is a plan of the sizes asked for.
+func configuration(o Options) tariff.Plan {
+	p := tariff.Plan{ID: "first"}
+	for i := range o.Models {
+		p.Services = append(p.Services, tariff.Service{Name: model(i), Readers: 1, Makers: 1, Slots: 16, TokenBytes: 131072, LinkMbps: 100000, Hold: 20, Switch: 2})
+	}
+	for i := range o.Tenants {
+		p.Tenants = append(p.Tenants, tariff.Tenant{Name: fmt.Sprintf("tenant-%d", i), Priority: i % 10, Budget: 30000, Queue: 0.5, Services: []string{model(i % o.Models)}})
+	}
+	for i := range o.Routes {
+		p.Routes = append(p.Routes, change(o, i, 0))
+	}
+	return p
+}
+
+// change is route i as change no makes it.
+func change(o Options, i, no int) tariff.Route {
+	return tariff.Route{Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("tenant-%d.example", i%max(1, o.Tenants)), Prefix: fmt.Sprintf("/v1/%d/", i), Kind: "stream",
+		GiveUp: 30000 + no%1000, Target: 680, Gap: 26, Urgency: i % 4, Tries: 3, Sticky: true, Services: []tariff.Share{{Service: model(i % o.Models), Weight: 1}}}
+}
--- /dev/null
+++ b/proof/hollow/worker.go
@@ -0,0 +1,329 @@
+package hollow
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/pprof"
+	"sync"
+	"syscall"
+	"time"
+
+	"mulleinmast/control/tariff"
+)
+
+// Command is what a process of the fleet is told.
+type Command struct {
+	Op      string
+	Specs   []Spec           // of start
+	Indexes []int            // of stop
+	Cut     map[int][]string // of cut: by daemon, the addresses it can't reach
+	Version uint64           // of await: a configuration
+	Servers int              // of await: so many servers' records
+	Model   string           // of await: a list of servers ...
+	Mark    string           // ... that has this in it
+	Wait    time.Duration
+	Path    string // of profile and heap
+	Call    string // of ask
+	Body    []byte
+}
+
+// Usage is what a process has used.
+type Usage struct {
+	CPU     time.Duration `json:"cpu"`
+	Memory  int64         `json:"memory"` // resident, bytes
+	Heap    int64         `json:"heap"`   // in use after a collection, bytes
+	Threads int           `json:"goroutines"`
+	Written int64         `json:"written"` // to disk, bytes
+	Allocs  uint64        `json:"allocs"`
+	Bytes   uint64        `json:"alloc_bytes"`
+}
+
+// Result is what came of a command.
+type Result struct {
+	Err   string
+	Snaps []Snap
+	Usage Usage
+	Count int // daemons that did what was awaited
+	Code  int
+	Body  []byte
+	Took  time.Duration
+}
+
+// host is a process that holds daemons: this one or another.
+type host interface {
+	do(Command) Result
+	close()
+}
+
+// worker holds daemons in this process.
+type worker struct {
+	mu   sync.Mutex
+	list []*daemon
+}
+
+func (w *worker) daemons() []*daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*daemon(nil), w.list...)
+}
+
+func (w *worker) close() {
+	list := w.daemons()
+	for _, d := range list {
+		d.stop()
+	}
+	for _, d := range list {
+		<-d.done
+	}
+}
+
+func (w *worker) do(c Command) (r Result) {
+	at := time.Now()
+	defer func() { r.Took = time.Since(at) }()
+	switch c.Op {
+	case "start":
+		for _, s := range c.Specs {
+			d, err := start(s)
+			if err != nil {
+				return Result{Err: fmt.Sprintf("daemon %d: %v", s.Index, err)}
+			}
+			w.mu.Lock()
+			w.list = append(w.list, d)
+			w.mu.Unlock()
+		}
+	case "snap":
+		for _, d := range w.daemons() {
+			r.Snaps = append(r.Snaps, d.snap())
+		}
+		r.Usage = used()
+	case "heap":
+		runtime.GC()
+		r.Usage = used()
+		if c.Path != "" {
+			r.Err = keep(c.Path, func(f io.Writer) error { return pprof.Lookup("allocs").WriteTo(f, 0) })
+		}
+	case "profile":
+		r.Err = keep(c.Path, func(f io.Writer) error {
+			if err := pprof.StartCPUProfile(f); err != nil {
+				return err
+			}
+			<-time.After(c.Wait)
+			pprof.StopCPUProfile()
+			return nil
+		})
+	case "cut":
+		for _, d := range w.daemons() {
+			cut := map[string]bool{}
+			for _, a := range c.Cut[d.Index] {
+				cut[a] = true
+			}
+			d.c.Line.Cut.Store(&cut)
+		}
+	case "stop":
+		w.drop(c.Indexes)
+	case "await":
+		r.Count = w.await(c)
+	case "ask":
+		list := w.daemons()
+		ctx, done := context.WithTimeout(context.Background(), c.Wait)
+		defer done()
+		r.Code, r.Body = list[0].c.Ask(ctx, 0, c.Call, c.Body, c.Wait)
+	default:
+		r.Err = "no command " + c.Op
+	}
+	return r
+}
+
+// drop stops daemons at once, as a kill does.
+func (w *worker) drop(indexes []int) {
+	gone := map[int]bool{}
+	for _, i := range indexes {
+		gone[i] = true
+	}
+	w.mu.Lock()
+	var left, off []*daemon
+	for _, d := range w.list {
+		if gone[d.Index] {
+			off = append(off, d)
+		} else {
+			left = append(left, d)
+		}
+	}
+	w.list = left
+	w.mu.Unlock()
+	for _, d := range off {
+		d.stop()
+	}
+	for _, d := range off {
+		<-d.done
+	}
+}
+
+// await waits until every daemon here has what is asked for under valid
+// leases, and counts those that have it.
+func (w *worker) await(c Command) int {
+	list := w.daemons()
+	has := func(d *daemon) bool {
+		switch {
+		case c.Servers > 0:
+			return d.servers() >= c.Servers
+		case c.Model != "":
+			rec, ok := d.c.Read(d.c.Part(c.Model), tariff.ListKey(c.Model))
+			return ok && contains(rec.Val, c.Mark)
+		case c.Version > 0:
+			_, v, ok := d.c.Plan()
+			return ok && v >= c.Version
+		}
+		return d.c.Ready()
+	}
+	end := time.Now().Add(c.Wait)
+	every := 5 * time.Millisecond
+	if c.Servers > 0 { // a look is long
+		every = 250 * time.Millisecond
+	}
+	t := time.NewTicker(every)
+	defer t.Stop()
+	n := 0
+	for {
+		left := list[:0]
+		for _, d := range list {
+			if has(d) {
+				n++
+			} else {
+				left = append(left, d)
+			}
+		}
+		if list = left; len(list) == 0 || time.Now().After(end) {
+			return n
+		}
+		<-t.C
+	}
+}
+
+func contains(b []byte, mark string) bool {
+	var l tariff.List
+	if json.Unmarshal(b, &l) != nil {
+		return false
+	}
+	for _, s := range l.Servers {
+		if s.ID == mark {
+			return true
+		}
+	}
+	return false
+}
+
+func keep(path string, write func(io.Writer) error) string {
+	f, err := os.Create(path)
+	if err == nil {
+		err = write(f)
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+// used reads what this process has used so far.
+func used() (u Usage) {
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) == nil {
+		u.CPU = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	}
+	var pages, resident int64
+	if b, err := os.ReadFile("/proc/self/statm"); err == nil {
+		_, _ = fmt.Sscan(string(b), &pages, &resident) // stays 0 where there is none
+	}
+	u.Memory = resident * int64(os.Getpagesize())
+	if b, err := os.ReadFile("/proc/self/io"); err == nil {
+		var word string
+		for f := bufio.NewScanner(bytes.NewReader(b)); f.Scan(); {
+			if n, _ := fmt.Sscan(f.Text(), &word, &u.Written); n == 2 && word == "write_bytes:" {
+				break
+			}
+		}
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	u.Heap, u.Threads, u.Allocs, u.Bytes = int64(m.HeapAlloc), runtime.NumGoroutine(), m.Mallocs, m.TotalAlloc
+	return u
+}
+
+// Serve makes this process hold daemons for the one that started it.
+//
+// Example: err := hollow.Serve(os.Stdin, os.Stdout)
+func Serve(in io.Reader, out io.Writer) error {
+	w := &worker{}
+	defer w.close()
+	d, e := json.NewDecoder(in), json.NewEncoder(out)
+	for {
+		var c Command
+		if err := d.Decode(&c); err != nil {
+			if err == io.EOF {
+				return nil
+			}
+			return err
+		}
+		if err := e.Encode(w.do(c)); err != nil {
+			return err
+		}
+	}
+}
+
+// remote is another process that holds daemons.
+type remote struct {
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	in  io.WriteCloser
+	out *json.Decoder
+}
+
+func spawn(program string, procs int) (*remote, error) {
+	cmd := exec.Command(program, "-hollow-worker")
+	cmd.Stderr = os.Stderr
+	cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", procs))
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	return &remote{cmd: cmd, in: in, out: json.NewDecoder(out)}, cmd.Start()
+}
+
+func (r *remote) do(c Command) (out Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := json.NewEncoder(r.in).Encode(c); err != nil {
+		return Result{Err: err.Error()}
+	}
+	if err := r.out.Decode(&out); err != nil {
+		return Result{Err: err.Error()}
+	}
+	return out
+}
+
+func (r *remote) close() {
+	_ = r.in.Close()
+	done := make(chan struct{})
+	go func() { _ = r.cmd.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		_ = r.cmd.Process.Kill()
+		<-done
+	}
+}
--- a/style_test.go
+++ b/style_test.go
@@ -20,7 +20,7 @@
 // The users have since asked for the field's own terms wherever the house's
 // words hide them. New folders speak these alone, and a folder that is renamed
 // joins the list: a tree that mixes both would be read by nobody.
-var standard = []string{"platform/", "traffic/forward/", "traffic/gateway/", "traffic/route/"}
+var standard = []string{"platform/", "proof/hollow/", "traffic/forward/", "traffic/gateway/", "traffic/route/"}
 
 // What the house's words hide, for those folders.
 var plain = map[string]string{"budget": "deadline", "wakeup": "timer", "requester": "client", "partner": "peer", "shed": "refuse", "cell": "zone",
--- a/wire/telegraph/telegraph.go
+++ b/wire/telegraph/telegraph.go
@@ -51,35 +51,41 @@
 //
 // Example: note, err := telegraph.Read(conn)
 func Read(r io.Reader) (n form.Note, err error) {
+	n, _, err = read(r)
+	return n, err
+}
+
+// read gives the length of the frame, too.
+func read(r io.Reader) (n form.Note, whole int, err error) {
 	var h [head]byte
 	if _, err = io.ReadFull(r, h[:]); err != nil {
-		return n, err
+		return n, 0, err
 	}
 	if h[0] != form.Version {
-		return n, Error.New("frame of wire version %d, expected %d", h[0], form.Version)
+		return n, 0, Error.New("frame of wire version %d, expected %d", h[0], form.Version)
 	}
 	size := binary.BigEndian.Uint32(h[1:])
 	if size > Most {
-		return n, Error.New("frame of %d bytes, at most %d are taken", size, Most)
+		return n, 0, Error.New("frame of %d bytes, at most %d are taken", size, Most)
 	}
 	b, err := io.ReadAll(io.LimitReader(r, int64(size)))
 	if err != nil {
-		return n, err
+		return n, 0, err
 	}
 	if len(b) < int(size) {
-		return n, Error.New("frame cut short: %d of %d bytes", len(b), size)
+		return n, 0, Error.New("frame cut short: %d of %d bytes", len(b), size)
 	}
 	rest, err := n.UnmarshalMsg(b)
 	if err != nil {
-		return n, Error.New("frame can't be read: %v", err)
+		return n, 0, Error.New("frame can't be read: %v", err)
 	}
 	if len(rest) > 0 {
-		return n, Error.New("%d bytes left over in a frame", len(rest))
+		return n, 0, Error.New("%d bytes left over in a frame", len(rest))
 	}
 	if !n.Kind.Known() {
-		return n, Error.New("note of unknown kind %d", n.Kind)
+		return n, 0, Error.New("note of unknown kind %d", n.Kind)
 	}
-	return n, nil
+	return n, head + int(size), nil
 }
 
 // Line is this daemon's end of the wire.
@@ -93,6 +99,7 @@
 	Cut atomic.Pointer[map[string]bool]
 
 	Sent, Got, Lost atomic.Int64
+	Tally
 
 	ln   net.Listener
 	mu   sync.Mutex
@@ -139,7 +146,7 @@
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReaderSize(c, 64<<10)
 	for {
-		n, err := Read(r)
+		n, size, err := read(r)
 		if err != nil {
 			if err != io.EOF && ctx.Err() == nil && Error.Has(err) && l.Bad != nil {
 				l.Bad(c.RemoteAddr().String(), err)
@@ -156,7 +163,10 @@
 			continue
 		}
 		l.Got.Add(1)
+		l.in(n.Kind, size)
+		at := time.Now()
 		l.Hear(n)
+		l.heard(n.Kind, time.Since(at))
 	}
 }
 
@@ -242,6 +252,8 @@
 		if err != nil {
 			l.Lost.Add(1)
 			shut()
+			continue
 		}
+		l.out(n.Kind, len(b))
 	}
 }
