Lines: queues that grow, short frames, notes of one step in one write

Cause: each line's queue held 4,096 notes of 600 bytes, 2.46 MB an address, most of a control daemon's memory at 88 daemons; 110 of the 166 bytes of a renewal are alike in every frame; a renewal named all records wanted so far, so that asking for n sent n squared over two keys, and each tick sorted all children and records.

What: a queue is a list, bounded as before; buffers of 4 KB; a frame of version 2 leaves out what its connection said already, and goes only to those who said since the dialling that they read it (form.Note.Wire), so builds mix; notes of one step, and replies to what came in one read, go out in one write; a renewal names what was not asked for within half a beat, and several wants in a row share one; children and records are looked through four times a beat. proof/sim and control/purge pass.

--- a/control/purge/child.go
+++ b/control/purge/child.go
@@ -18,6 +18,7 @@
 	n.parent, n.pmark = p, form.Mark{}
 	n.reqs, n.listAt = map[uint64]ask{}, 0
 	n.backAt = now
+	n.unask()
 	if p.Ident != "" {
 		n.renew(now, &o)
 	}
@@ -26,19 +27,34 @@
 
 func (n *Node) fetch(now time.Duration, key string) {
 	if _, ok := n.want[key]; !ok {
-		n.want[key] = now
+		n.want[key] = wanted{first: now}
 	}
 }
 
-// renew asks the parent for the volume lease and for everything wanted.
+// hurry asks for what is wanted at once, but for what comes in a row only
+// once, a little later: each renewal is a note up and a note down.
+func (n *Node) hurry(now time.Duration, o *Out) {
+	if now-n.sentAt < n.cfg.Beat/16 {
+		n.late = true
+		return
+	}
+	n.renew(now, o)
+}
+
+// renew asks the parent for the volume lease, and for what is wanted and was
+// not asked for just now.
 func (n *Node) renew(now time.Duration, o *Out) {
+	n.late = false
 	if n.root || n.parent.Ident == "" {
 		return
 	}
 	n.no++
-	keys := make([]string, 0, len(n.want))
-	for k := range n.want {
-		keys = append(keys, k)
+	var keys []string
+	for k, w := range n.want {
+		if !w.asked || now-w.last >= n.cfg.Beat/2 {
+			keys = append(keys, k)
+			n.want[k] = wanted{first: w.first, last: now, asked: true}
+		}
 	}
 	sort.Strings(keys)
 	n.reqs[n.no] = ask{at: now}
@@ -53,6 +69,13 @@
 	o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: form.Note{Kind: form.Renew, Part: n.part, No: n.no, Mark: n.pmark, Keys: keys, To: n.parent.Ident, Cost: int64(n.cost)}})
 }
 
+// unask has everything wanted asked for again: whoever was asked won't say.
+func (n *Node) unask() {
+	for k, w := range n.want {
+		n.want[k] = wanted{first: w.first}
+	}
+}
+
 func (n *Node) fromParent(now time.Duration, m form.Note, o *Out) {
 	if m.Mark.Ident != m.From {
 		return
@@ -121,6 +144,7 @@
 				n.fetch(now, key)
 			}
 		}
+		n.unask()
 		if len(n.want) > 0 {
 			n.renew(now, o)
 		}
@@ -135,12 +159,12 @@
 			n.costed(now - req.at)
 		}
 		for _, r := range m.Recs {
-			at, ok := n.want[r.Key]
+			w, ok := n.want[r.Key]
 			if !ok || n.sweeps[r.Key] != nil {
 				continue
 			}
 			delete(n.want, r.Key)
-			n.objs[r.Key] = cached{rec: r, till: at + time.Duration(m.Long)}
+			n.objs[r.Key] = cached{rec: r, till: w.first + time.Duration(m.Long)}
 			n.gen++
 			o.Fresh = append(o.Fresh, r.Key)
 			n.serve(now, r.Key, o)
--- a/control/purge/parent.go
+++ b/control/purge/parent.go
@@ -157,7 +157,7 @@
 	if !n.root {
 		if _, asked := n.want[key]; !asked {
 			n.fetch(now, key)
-			n.renew(now, o)
+			n.hurry(now, o)
 		}
 	}
 }
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -60,6 +60,12 @@
 	at time.Duration
 }
 
+// wanted is a record asked of the parent: when first, and when last.
+type wanted struct {
+	first, last time.Duration
+	asked       bool
+}
+
 // Node is the state machine.
 type Node struct {
 	cfg   Config
@@ -85,7 +91,9 @@
 	listAt time.Duration // when our list last went out
 	backAt time.Duration // when the parent last replied
 	objs   map[string]cached
-	want   map[string]time.Duration // asked of the parent, and when first
+	want   map[string]wanted // of the parent
+	late   bool              // something wanted was not asked for yet
+	lookAt time.Duration     // when children and records were looked through last
 	pins   map[string]bool
 	gen    uint64
 
@@ -102,7 +110,7 @@
 func New(cfg Config, part int, me form.Seat, epoch uint64) *Node {
 	n := &Node{cfg: cfg, part: part, me: me, epoch: epoch, held: map[string]int{}, heard: map[form.Mark]uint64{}, pins: map[string]bool{}}
 	n.clear()
-	n.objs, n.want, n.reqs = map[string]cached{}, map[string]time.Duration{}, map[uint64]ask{}
+	n.objs, n.want, n.reqs = map[string]cached{}, map[string]wanted{}, map[uint64]ask{}
 	return n
 }
 
@@ -119,7 +127,7 @@
 	n.gen++
 	n.root, n.term, n.src, n.lease = true, term, src, lease
 	n.held = map[string]int{}
-	n.objs, n.want, n.reqs = map[string]cached{}, map[string]time.Duration{}, map[uint64]ask{}
+	n.objs, n.want, n.reqs = map[string]cached{}, map[string]wanted{}, map[uint64]ask{}
 	n.parent, n.pmark, n.till = form.Seat{}, form.Mark{}, 0
 }
 
@@ -213,7 +221,7 @@
 	n.pins[key] = true
 	if !n.root {
 		n.fetch(now, key)
-		n.renew(now, &o)
+		n.hurry(now, &o)
 	}
 	return o
 }
@@ -265,36 +273,60 @@
 		}
 		n.swept(now, s, &o)
 	}
+	look := now-n.lookAt >= n.cfg.Beat/4 // the tables are long, and nothing here is urgent
+	if look {
+		n.lookAt = now
+		n.lapse(now, &o)
+	}
+	n.reshape(now, &o)
+	if n.root || n.parent.Ident == "" {
+		return o
+	}
+	if look {
+		n.refresh(now, &o)
+	}
+	switch {
+	case now-n.sentAt >= n.cfg.Beat:
+		n.renew(now, &o)
+	case n.late:
+		n.hurry(now, &o)
+	}
+	if now-n.backAt > n.cfg.Vol {
+		o.Orphan = true
+		n.backAt = now
+	}
+	return o
+}
+
+// lapse looks through the children for those that wait in vain or are gone.
+func (n *Node) lapse(now time.Duration, o *Out) {
 	for _, id := range sorted(n.kids) {
 		k := n.kids[id]
 		if k.ask != nil && now-k.askAt > n.cfg.Vol {
 			k.ask = nil
-			n.tell(k, form.Note{Kind: form.Deny, Why: "lease lapsed"}, &o)
+			n.tell(k, form.Note{Kind: form.Deny, Why: "lease lapsed"}, o)
 		}
 		if now-k.seen > 8*n.cfg.Vol && now >= k.till && !n.owes(id) {
 			delete(n.kids, id)
 		}
 	}
-	n.reshape(now, &o)
-	if n.root || n.parent.Ident == "" {
-		return o
-	}
+}
+
+// refresh looks through the records for those that lapsed or soon will.
+func (n *Node) refresh(now time.Duration, o *Out) {
 	for key := range n.pins {
 		if c, ok := n.objs[key]; (!ok || now >= c.till-n.cfg.Obj/4) && n.sweeps[key] == nil {
 			n.fetch(now, key)
 		}
 	}
-	for _, key := range sorted(n.objs) {
-		if now >= n.objs[key].till {
-			n.sweep(now, key, nil, 0, &o)
+	var gone []string
+	for key, c := range n.objs {
+		if now >= c.till {
+			gone = append(gone, key)
 		}
 	}
-	if now-n.sentAt >= n.cfg.Beat {
-		n.renew(now, &o)
+	slices.Sort(gone)
+	for _, key := range gone {
+		n.sweep(now, key, nil, 0, o)
 	}
-	if now-n.backAt > n.cfg.Vol {
-		o.Orphan = true
-		n.backAt = now
-	}
-	return o
 }
--- a/control/purge/sweep.go
+++ b/control/purge/sweep.go
@@ -106,7 +106,7 @@
 	if !n.root && n.pins[s.key] {
 		if _, ok := n.Get(now, s.key); !ok {
 			n.fetch(now, s.key)
-			n.renew(now, o)
+			n.hurry(now, o)
 		}
 	}
 	n.serve(now, s.key, o)
--- a/wire/form/form.go
+++ b/wire/form/form.go
@@ -7,7 +7,12 @@
 //go:generate go run github.com/tinylib/msgp -tests=false
 
 // Version is the version of the wire format; a frame says it in its first byte.
-const Version = 1
+// A frame of version Short leaves out what the frames before it on its
+// connection said already; it goes only to those who said that they read it.
+const (
+	Version = 1
+	Short   = 2
+)
 
 // Kind says what a Note is.
 type Kind uint8
@@ -219,6 +224,8 @@
 	Code int    `msg:"cd,omitempty"`
 	Body []byte `msg:"bd,omitempty"`
 	Why  string `msg:"y,omitempty"`
+
+	Wire int `msg:"wv,omitempty"` // highest version of frames that the sender reads; none: 1
 }
 
 // Send is a note and the address it goes to.
--- a/wire/form/form_gen.go
+++ b/wire/form/form_gen.go
@@ -1312,6 +1312,12 @@
 				err = msgp.WrapError(err, "Why")
 				return
 			}
+		case "wv":
+			z.Wire, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Wire")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1326,8 +1332,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Note) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(30)
-	var zb0001Mask uint32 /* 30 bits */
+	zb0001Len := uint32(31)
+	var zb0001Mask uint32 /* 31 bits */
 	_ = zb0001Mask
 	if z.Fleet == "" {
 		zb0001Len--
@@ -1437,6 +1443,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20000000
 	}
+	if z.Wire == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40000000
+	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
 	if err != nil {
@@ -1899,6 +1909,18 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
+			// write "wv"
+			err = en.Append(0xa2, 0x77, 0x76)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Wire)
+			if err != nil {
+				err = msgp.WrapError(err, "Wire")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1907,8 +1929,8 @@
 func (z *Note) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(30)
-	var zb0001Mask uint32 /* 30 bits */
+	zb0001Len := uint32(31)
+	var zb0001Mask uint32 /* 31 bits */
 	_ = zb0001Mask
 	if z.Fleet == "" {
 		zb0001Len--
@@ -2018,6 +2040,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20000000
 	}
+	if z.Wire == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40000000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2226,6 +2252,11 @@
 			o = append(o, 0xa1, 0x79)
 			o = msgp.AppendString(o, z.Why)
 		}
+		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
+			// string "wv"
+			o = append(o, 0xa2, 0x77, 0x76)
+			o = msgp.AppendInt(o, z.Wire)
+		}
 	}
 	return
 }
@@ -2603,6 +2634,12 @@
 				err = msgp.WrapError(err, "Why")
 				return
 			}
+		case "wv":
+			z.Wire, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wire")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2633,7 +2670,7 @@
 	for za0006 := range z.Owns {
 		s += z.Owns[za0006].Msgsize()
 	}
-	s += 3 + msgp.StringPrefixSize + len(z.Op) + 3 + msgp.IntSize + 3 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Why)
+	s += 3 + msgp.StringPrefixSize + len(z.Op) + 3 + msgp.IntSize + 3 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Why) + 3 + msgp.IntSize
 	return
 }
 
--- /dev/null
+++ b/wire/telegraph/spoken.go
@@ -0,0 +1,80 @@
+package telegraph
+
+import (
+	"mulleinmast/wire/form"
+)
+
+// spoken is what one connection's frames said so far, as both ends know it: the
+// fields that are alike in all that a daemon says, and whom it spoke to last.
+// A short frame leaves them out.
+type spoken struct {
+	any  bool
+	base form.Note // Fleet, From, Epoch, Addr and To only
+}
+
+// Marks of a short frame, shorter than any identity: no addressee, and an
+// epoch that is the sender's or the addressee's.
+const (
+	nobody    = "-"
+	senders   = "f"
+	addressee = "t"
+)
+
+// pack makes the next frame of a connection, a short one if that is understood.
+func (s *spoken) pack(n form.Note, short bool) (b []byte, err error) {
+	was := n
+	defer func() {
+		if err == nil { // else nothing of it goes out
+			s.keep(was)
+		}
+	}()
+	if !short || !s.any || n.Fleet != s.base.Fleet || n.From != s.base.From || n.Epoch != s.base.Epoch || n.Addr != s.base.Addr ||
+		n.To == nobody || n.Mark.Ident == senders || n.Mark.Ident == addressee {
+		n.Wire = form.Short
+		return pack(n, form.Version)
+	}
+	to := n.To
+	switch to {
+	case s.base.To:
+		n.To = ""
+	case "":
+		n.To = nobody
+	}
+	if n.Mark.Ident != "" {
+		switch n.Mark.Ident {
+		case n.From:
+			n.Mark.Ident = senders
+		case to:
+			n.Mark.Ident = addressee
+		}
+	}
+	n.Fleet, n.From, n.Epoch, n.Addr, n.Wire = "", "", 0, "", 0
+	return pack(n, form.Short)
+}
+
+// lengthen gives a short frame's note what it left out.
+func (s *spoken) lengthen(n *form.Note) error {
+	if !s.any {
+		return Error.New("a short frame before any whole one")
+	}
+	n.Fleet, n.From, n.Epoch, n.Addr, n.Wire = s.base.Fleet, s.base.From, s.base.Epoch, s.base.Addr, form.Short
+	switch n.To {
+	case "":
+		n.To = s.base.To
+	case nobody:
+		n.To = ""
+	}
+	switch n.Mark.Ident {
+	case senders:
+		n.Mark.Ident = n.From
+	case addressee:
+		n.Mark.Ident = n.To
+	}
+	return nil
+}
+
+// keep remembers what a frame said.
+func (s *spoken) keep(n form.Note) {
+	s.any = true
+	s.base = form.Note{Fleet: n.Fleet, From: n.From, Epoch: n.Epoch, Addr: n.Addr, To: n.To}
+}
--- a/wire/telegraph/tally.go
+++ b/wire/telegraph/tally.go
@@ -35,7 +35,7 @@
 	t.gotBytes[k%kinds].Add(int64(bytes))
 }
 
-func (t *Tally) heard(k form.Kind, took time.Duration) { t.hearing[k%kinds].Add(int64(took)) }
+func (t *Tally) took(k form.Kind, d time.Duration) { t.hearing[k%kinds].Add(int64(d)) }
 
 // Counts gives the counts by the kinds' names, of those that came up.
 //
--- a/wire/telegraph/telegraph.go
+++ b/wire/telegraph/telegraph.go
@@ -26,14 +26,18 @@
 const Most = 32 << 20
 
 const (
-	head  = 5
-	depth = 4096
+	head   = 5
+	depth  = 4096     // notes that wait for one address, at most
+	buffer = 4 << 10  // of a connection, each way; longer frames go round it
+	trust  = 64 << 10 // bytes made room for at a frame's word
 )
 
 // Pack makes a frame of a note.
 //
 // Example: b, err := telegraph.Pack(note)
-func Pack(n form.Note) ([]byte, error) {
+func Pack(n form.Note) ([]byte, error) { return pack(n, form.Version) }
+
+func pack(n form.Note, version byte) ([]byte, error) {
 	b := make([]byte, head, head+256+n.Msgsize()/4)
 	b, err := n.MarshalMsg(b)
 	if err != nil {
@@ -42,7 +46,7 @@
 	if len(b)-head > Most {
 		return nil, Error.New("note of %d bytes, at most %d go in a frame", len(b)-head, Most)
 	}
-	b[0] = form.Version
+	b[0] = version
 	binary.BigEndian.PutUint32(b[1:], uint32(len(b)-head))
 	return b, nil
 }
@@ -50,30 +54,38 @@
 // Read takes one note off a stream.
 //
 // Example: note, err := telegraph.Read(conn)
-func Read(r io.Reader) (n form.Note, err error) {
-	n, _, err = read(r)
+func Read(r io.Reader) (form.Note, error) {
+	var s spoken
+	n, _, err := s.read(r)
 	return n, err
 }
 
-// read gives the length of the frame, too.
-func read(r io.Reader) (n form.Note, whole int, err error) {
+// read takes a note off this connection and gives the length of its frame.
+func (s *spoken) read(r io.Reader) (n form.Note, whole int, err error) {
 	var h [head]byte
 	if _, err = io.ReadFull(r, h[:]); err != nil {
 		return n, 0, err
 	}
-	if h[0] != form.Version {
-		return n, 0, Error.New("frame of wire version %d, expected %d", h[0], form.Version)
+	if h[0] != form.Version && h[0] != form.Short {
+		return n, 0, Error.New("frame of wire version %d, expected %d or %d", h[0], form.Version, form.Short)
 	}
-	size := binary.BigEndian.Uint32(h[1:])
+	size := int(binary.BigEndian.Uint32(h[1:]))
 	if size > Most {
 		return n, 0, Error.New("frame of %d bytes, at most %d are taken", size, Most)
 	}
-	b, err := io.ReadAll(io.LimitReader(r, int64(size)))
-	if err != nil {
+	b := make([]byte, min(size, trust))
+	got, err := io.ReadFull(r, b)
+	if err == nil && got < size {
+		var rest []byte
+		rest, err = io.ReadAll(io.LimitReader(r, int64(size-got)))
+		b = append(b, rest...)
+		got = len(b)
+	}
+	if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF {
 		return n, 0, err
 	}
-	if len(b) < int(size) {
-		return n, 0, Error.New("frame cut short: %d of %d bytes", len(b), size)
+	if got < size {
+		return n, 0, Error.New("frame cut short: %d of %d bytes", got, size)
 	}
 	rest, err := n.UnmarshalMsg(b)
 	if err != nil {
@@ -85,7 +97,13 @@
 	if !n.Kind.Known() {
 		return n, 0, Error.New("note of unknown kind %d", n.Kind)
 	}
-	return n, head + int(size), nil
+	if h[0] == form.Short {
+		if err := s.lengthen(&n); err != nil {
+			return n, 0, err
+		}
+	}
+	s.keep(n)
+	return n, head + size, nil
 }
 
 // Line is this daemon's end of the wire.
@@ -101,10 +119,49 @@
 	Sent, Got, Lost atomic.Int64
 	Tally
 
-	ln   net.Listener
+	ln    net.Listener
+	mu    sync.Mutex
+	outs  map[string]*queue
+	heard map[string]time.Time // when an address last showed that it reads short frames
+	held  int                  // steps under way whose notes go out together
+	ctx   context.Context
+}
+
+// queue is what waits for one address.
+type queue struct {
 	mu   sync.Mutex
-	outs map[string]chan form.Note
-	ctx  context.Context
+	list []form.Note
+	wake chan struct{}
+}
+
+func (q *queue) put(n form.Note) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.list) >= depth {
+		return false
+	}
+	q.list = append(q.list, n)
+	return true
+}
+
+// take empties the queue; spare is room from before, if it isn't much.
+func (q *queue) take(spare []form.Note) []form.Note {
+	clear(spare)
+	if cap(spare) > 32 {
+		spare = nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := q.list
+	q.list = spare[:0]
+	return list
+}
+
+func (q *queue) ring() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Listen opens the port.
@@ -124,7 +181,7 @@
 // Example: supervisor.Add(line)
 func (l *Line) Serve(ctx context.Context) error {
 	l.mu.Lock()
-	l.ctx, l.outs = ctx, map[string]chan form.Note{}
+	l.ctx, l.outs, l.heard = ctx, map[string]*queue{}, map[string]time.Time{}
 	l.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = l.ln.Close() })
 	defer stop()
@@ -144,9 +201,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	defer func() { _ = c.Close() }()
-	r := bufio.NewReaderSize(c, 64<<10)
+	r := bufio.NewReaderSize(c, buffer)
+	var s spoken
 	for {
-		n, size, err := read(r)
+		n, size, err := s.read(r)
 		if err != nil {
 			if err != io.EOF && ctx.Err() == nil && Error.Has(err) && l.Bad != nil {
 				l.Bad(c.RemoteAddr().String(), err)
@@ -159,17 +217,48 @@
 			}
 			return
 		}
-		if n.To != "" && n.To != l.Me.Ident || l.cut(n.Addr) {
-			continue
+		l.Together(func() {
+			l.take(n, size)
+			for err == nil && whole(r) { // what came together is replied to together
+				if n, size, err = s.read(r); err == nil && n.Fleet == l.Fleet {
+					l.take(n, size)
+				}
+			}
+		})
+		if err != nil {
+			if l.Bad != nil {
+				l.Bad(c.RemoteAddr().String(), err)
+			}
+			return
 		}
-		l.Got.Add(1)
-		l.in(n.Kind, size)
-		at := time.Now()
-		l.Hear(n)
-		l.heard(n.Kind, time.Since(at))
 	}
 }
 
+func (l *Line) take(n form.Note, size int) {
+	if n.Wire >= form.Short {
+		l.mu.Lock()
+		l.heard[n.Addr] = time.Now()
+		l.mu.Unlock()
+	}
+	if n.To != "" && n.To != l.Me.Ident || l.cut(n.Addr) {
+		return
+	}
+	l.Got.Add(1)
+	l.in(n.Kind, size)
+	at := time.Now()
+	l.Hear(n)
+	l.took(n.Kind, time.Since(at))
+}
+
+// whole tells whether a whole frame is in the buffer already.
+func whole(r *bufio.Reader) bool {
+	if r.Buffered() < head {
+		return false
+	}
+	h, err := r.Peek(head)
+	return err == nil && r.Buffered()-head >= int(binary.BigEndian.Uint32(h[1:]))
+}
+
 func (l *Line) cut(addr string) bool {
 	m := l.Cut.Load()
 	return m != nil && ((*m)[addr] || (*m)["*"])
@@ -190,22 +279,52 @@
 	}
 	q := l.outs[s.Addr]
 	if q == nil {
-		q = make(chan form.Note, depth)
+		q = &queue{wake: make(chan struct{}, 1)}
 		l.outs[s.Addr] = q
 		go l.write(l.ctx, s.Addr, q)
 	}
+	held := l.held > 0
 	l.mu.Unlock()
-	select {
-	case q <- s.Note:
-		l.Sent.Add(1)
-	default:
+	if !q.put(s.Note) {
 		l.Lost.Add(1)
+		return
+	}
+	l.Sent.Add(1)
+	if !held {
+		q.ring()
 	}
 }
 
-func (l *Line) write(ctx context.Context, addr string, q chan form.Note) {
+// Together runs a step whose notes to one address go out in one write.
+//
+// Example: line.Together(func() { tickAll() })
+func (l *Line) Together(step func()) {
+	l.mu.Lock()
+	l.held++
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.held--; l.held > 0 {
+			return
+		}
+		for _, q := range l.outs {
+			q.mu.Lock()
+			some := len(q.list) > 0
+			q.mu.Unlock()
+			if some {
+				q.ring()
+			}
+		}
+	}()
+	step()
+}
+
+func (l *Line) write(ctx context.Context, addr string, q *queue) {
 	var conn net.Conn
 	var w *bufio.Writer
+	var s spoken
+	var dialled time.Time
 	shut := func() {
 		if conn != nil {
 			_ = conn.Close()
@@ -215,45 +334,58 @@
 	defer shut()
 	dial := net.Dialer{Timeout: 300 * time.Millisecond}
 	var fail time.Time
+	var list []form.Note
 	for {
-		var n form.Note
 		select {
 		case <-ctx.Done():
 			return
-		case n = <-q:
+		case <-q.wake:
+		}
+		list = q.take(list)
+		if len(list) == 0 {
+			continue
 		}
 		if conn == nil {
 			if time.Since(fail) < 50*time.Millisecond {
-				l.Lost.Add(1)
+				l.Lost.Add(int64(len(list)))
 				continue
 			}
+			dialled = time.Now()
 			c, err := dial.DialContext(ctx, "tcp", addr)
 			if err != nil {
 				fail = time.Now()
-				l.Lost.Add(1)
+				l.Lost.Add(int64(len(list)))
 				continue
 			}
-			conn, w = c, bufio.NewWriterSize(c, 64<<10)
+			conn, w, s = c, bufio.NewWriterSize(c, buffer), spoken{}
 			// The far end never writes: a read that returns means it is gone.
 			go func() { _, _ = io.Copy(io.Discard, c); _ = c.Close() }()
 		}
-		b, err := Pack(n)
-		if err != nil {
-			if l.Bad != nil {
-				l.Bad(addr, err)
+		l.mu.Lock()
+		short := l.heard[addr].After(dialled)
+		l.mu.Unlock()
+		_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		var err error
+		for _, n := range list {
+			var b []byte
+			if b, err = s.pack(n, short); err != nil {
+				if l.Bad != nil {
+					l.Bad(addr, err)
+				}
+				err = nil
+				continue
 			}
-			continue
+			if _, err = w.Write(b); err != nil {
+				break
+			}
+			l.out(n.Kind, len(b))
 		}
-		_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
-		_, err = w.Write(b)
-		if err == nil && len(q) == 0 {
+		if err == nil {
 			err = w.Flush()
 		}
 		if err != nil {
-			l.Lost.Add(1)
+			l.Lost.Add(int64(len(list)))
 			shut()
-			continue
 		}
-		l.out(n.Kind, len(b))
 	}
 }
