One ticker a daemon; welcomes and gossip tell differences; lists read once

Cause: nine tickers a daemon woke 720 times a second; a welcome named all owners, a gossip all sessions, each time, and every change of configuration made each daemon unready for a moment, so that whole session tables went to all; every news had all server lists read as JSON; a reader's record named every maker though the platform tells the parts; records were fetched anew after 36 s.

What: one ticker runs all parts, what several say to one daemon goes in one write; a hello carries the digests of view and owners, a welcome holds differences to one of the last eight views; a gossip names its sessions when the other's digest of them differs; a short unready spell isn't told to the table; Lane.Keys is kept by version; pairs only for servers whose parts we order; object leases 600 volume leases long.

--- a/cmd/testtrack/hollow.go
+++ b/cmd/testtrack/hollow.go
@@ -159,6 +159,93 @@
 			}
 		}
 		return f.Measure(step, *h.window, nil), nil
+	case "change":
+		return h.change(f)
+	case "restart":
+		return f.Measure(step, *h.window, func(stop <-chan time.Time) {
+			for n, most := 0, time.Duration(0); ; n++ {
+				select {
+				case <-stop:
+					fmt.Printf("%d servers replaced one after another; longest until every daemon had it %v\n", n, most.Round(time.Millisecond))
+					return
+				default:
+				}
+				took, _ := f.Replace(1)
+				most = max(most, took)
+			}
+		}), nil
+	case "zone":
+		return nil, h.blackout(f)
+	case "link":
+		return nil, h.link(f)
 	}
 	return nil, fmt.Errorf("no step %q", step)
 }
+
+// change measures single changes, then changes at each rate.
+func (h hollowFlags) change(f *hollow.Fleet) (rows []hollow.Row, err error) {
+	rates, err := numbersOf(*h.rates)
+	if err != nil {
+		return nil, err
+	}
+	var yes, all time.Duration
+	for range 5 {
+		a, b, n, err := f.Put()
+		if err != nil || n < f.Daemons {
+			return nil, fmt.Errorf("change: %v, in force at %d of %d daemons", err, n, f.Daemons)
+		}
+		yes, all = max(yes, a), max(all, b)
+	}
+	fmt.Printf("%v: of 5 changes the slowest had its yes after %v, was in force everywhere after %v\n", f, yes.Round(time.Millisecond), all.Round(time.Millisecond))
+	for _, rate := range rates {
+		rows = append(rows, f.Measure(fmt.Sprintf("change-%d", rate), *h.window, func(stop <-chan time.Time) {
+			n, longest := f.Changes(float64(rate), stop)
+			fmt.Printf("%d changes a second asked for: %d taken in %v, the slowest after %v\n", rate, n, *h.window, longest.Round(time.Millisecond))
+		})...)
+	}
+	return rows, nil
+}
+
+// blackout takes the zone of the configuration's owner away.
+func (h hollowFlags) blackout(f *hollow.Fleet) error {
+	owners := f.Owners()
+	zone := f.ZoneOf(owners[0])
+	lost := 0
+	for _, i := range owners {
+		if f.ZoneOf(i) == zone {
+			lost++
+		}
+	}
+	at := time.Now()
+	left := f.LoseZone(zone)
+	n, _ := f.AwaitOutside(zone, hollow.Command{Fresh: true, Zone: zone, Wait: time.Minute})
+	fmt.Printf("zone %d lost, with the owners of %d of %d parts: %d of %d daemons left are ready and know owners for all parts after %v", zone, lost, len(owners), n, left, time.Since(at).Round(time.Millisecond))
+	took, err := f.Change()
+	if err != nil {
+		return err
+	}
+	n, _ = f.AwaitOutside(zone, hollow.Command{Version: f.Version(), Wait: time.Minute})
+	fmt.Printf("; a change had its yes %v later, in force at %d; %v since the loss", took.Round(time.Millisecond), n, time.Since(at).Round(time.Millisecond))
+	at = time.Now()
+	f.Mend()
+	n, _ = f.Await(hollow.Command{Version: f.Version(), Wait: time.Minute})
+	fmt.Printf("; mended: all %d have it after %v\n", n, time.Since(at).Round(time.Millisecond))
+	return nil
+}
+
+// link cuts two regions off from each other.
+func (h hollowFlags) link(f *hollow.Fleet) error {
+	a := f.RegionOf(f.Owners()[0])
+	f.LoseLink(a, (a+1)%f.Regions)
+	took, err := f.Change()
+	if err != nil {
+		return err
+	}
+	n, _ := f.Await(hollow.Command{Version: f.Version(), Wait: 10 * time.Second})
+	fmt.Printf("link of regions %d and %d lost: a change had its yes after %v, in force at %d of %d daemons", a, (a+1)%f.Regions, took.Round(time.Millisecond), n, f.Daemons)
+	at := time.Now()
+	f.Mend()
+	n, _ = f.Await(hollow.Command{Version: f.Version(), Wait: time.Minute})
+	fmt.Printf("; mended: all %d have it after %v\n", n, time.Since(at).Round(time.Millisecond))
+	return nil
+}
--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -52,19 +52,20 @@
 	// Source tells which servers there are; none: the platform PUTs the lists.
 	Source Source
 
-	clock  *regulator.Clock
-	arch   *archive.Archive
-	me     form.Seat
-	epoch  uint64
-	shards []*shard
-	view   atomic.Pointer[roster.View]
-	rmu    sync.Mutex
-	rost   *roster.Roster
-	stop   atomic.Bool
-	stopAt atomic.Int64
-	plan   atomic.Pointer[planSeen]
-	ready  atomic.Bool
-	begun  atomic.Bool // it was ready once
+	clock   *regulator.Clock
+	arch    *archive.Archive
+	me      form.Seat
+	epoch   uint64
+	shards  []*shard
+	view    atomic.Pointer[roster.View]
+	rmu     sync.Mutex
+	rost    *roster.Roster
+	stop    atomic.Bool
+	stopAt  atomic.Int64
+	plan    atomic.Pointer[planSeen]
+	ready   atomic.Bool
+	begun   atomic.Bool  // it was ready once
+	readyAt atomic.Int64 // when it was last
 
 	dmu   sync.Mutex
 	dq    []notary.Save
@@ -195,10 +196,7 @@
 	sup.Add(c.Line)
 	sup.Add(service(c.serveWeb))
 	sup.Add(service(c.tickRoster))
-	for _, s := range c.shards {
-		s := s
-		sup.Add(service(func(ctx context.Context) error { return c.tickShard(ctx, s) }))
-	}
+	sup.Add(service(c.tickShards))
 	if c.arch != nil {
 		sup.Add(service(c.serveDisk))
 		if c.Source != nil {
--- a/control/cabin/config.go
+++ b/control/cabin/config.go
@@ -295,7 +295,7 @@
 //
 // Example: node := purge.New(c.Leases(), 0, me, epoch)
 func (c Config) Leases() purge.Config {
-	return purge.Config{Vol: c.Vol(), Obj: 60 * c.Vol(), Drift: c.Drift, Margin: c.margin(), Beat: c.Vol() / 3,
+	return purge.Config{Vol: c.Vol(), Obj: 600 * c.Vol(), Drift: c.Drift, Margin: c.margin(), Beat: c.Vol() / 3,
 		Gain: part(c.Bounds.Plan, 0.01), Span: 5 * c.Vol(), Most: 2000}
 }
 
--- a/control/cabin/fleet.go
+++ b/control/cabin/fleet.go
@@ -25,7 +25,18 @@
 			}
 		}
 	}
-	return form.Member{Ident: c.me.Ident, Epoch: c.epoch, Addr: c.me.Addr, Web: c.Cfg.Web, Cell: c.Cfg.Cell, Disk: c.arch != nil, Ready: c.ready.Load(), Empty: empty, Build: Build}
+	return form.Member{Ident: c.me.Ident, Epoch: c.epoch, Addr: c.me.Addr, Web: c.Cfg.Web, Cell: c.Cfg.Cell, Disk: c.arch != nil, Ready: c.shown(), Empty: empty, Build: Build}
+}
+
+// shown tells whether the session table is to show this daemon as ready: a dip
+// as short as a change of configuration makes is not worth telling the fleet.
+func (c *Cabin) shown() bool {
+	if c.ready.Load() {
+		c.readyAt.Store(int64(c.Now()))
+		return true
+	}
+	at := time.Duration(c.readyAt.Load())
+	return at > 0 && !c.stop.Load() && c.Now()-at < c.Cfg.Sessions().Session
 }
 
 func (c *Cabin) tickRoster(ctx context.Context) error {
--- a/control/cabin/shard.go
+++ b/control/cabin/shard.go
@@ -172,9 +172,10 @@
 // Example: term := c.Term(p)
 func (c *Cabin) Term(part int) uint64 { return c.View().Owns[part].Num }
 
-// tickShard lets time pass in one part: leases, duty, parent, servers.
-func (c *Cabin) tickShard(ctx context.Context, s *shard) error {
-	t := time.NewTicker(c.Cfg.Vol() / 64)
+// tickShards lets time pass in all parts, one after another: one wake-up, and
+// one write to each daemon that several of them speak to.
+func (c *Cabin) tickShards(ctx context.Context) error {
+	t := time.NewTicker(c.Cfg.Vol() / 32)
 	defer t.Stop()
 	slow := c.Now()
 	for {
@@ -183,25 +184,35 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		v := c.View()
-		now := c.Now()
-		s.mu.Lock()
-		c.carry(s, s.Tick(now))
-		if p := s.guide.Parent(now, v); p != s.Section().Node.Parent() && !s.Section().Node.Root() {
-			c.carry(s, s.Adopt(now, p))
-		}
-		for _, m := range s.guide.Hints(s.Section().Node.Live(now), s.Section().Node.Mark(), v) {
-			c.Line.Send(m)
-		}
-		s.mu.Unlock()
-		if s.part == 0 {
+		c.Line.Together(func() {
+			works := c.arch != nil && c.Now()-slow >= c.Cfg.Vol()/16 // only control daemons own anything
+			if works {
+				slow = c.Now()
+			}
+			v := c.View()
+			for _, s := range c.shards {
+				c.tickShard(ctx, s, v, works)
+			}
 			c.cmu.Lock()
 			c.errands(c.runs.Tick(c.Now(), c.ownerOf))
 			c.cmu.Unlock()
-		}
-		if now-slow >= c.Cfg.Vol()/16 {
-			slow = now
-			c.works(ctx, s)
-		}
+		})
+	}
+}
+
+// tickShard lets time pass in one part: leases, duty, parent, servers.
+func (c *Cabin) tickShard(ctx context.Context, s *shard, v *roster.View, works bool) {
+	now := c.Now()
+	s.mu.Lock()
+	c.carry(s, s.Tick(now))
+	if p := s.guide.Parent(now, v); p != s.Section().Node.Parent() && !s.Section().Node.Root() {
+		c.carry(s, s.Adopt(now, p))
+	}
+	for _, m := range s.guide.Hints(s.Section().Node.Live(now), s.Section().Node.Mark(), v) {
+		c.Line.Send(m)
+	}
+	s.mu.Unlock()
+	if works {
+		c.works(ctx, s)
 	}
 }
--- a/control/interlock/pairs.go
+++ b/control/interlock/pairs.go
@@ -7,7 +7,9 @@
 )
 
 // pairs keeps for each reader the makers that it may hand to: the same cell
-// first, fast links only, at least two where there are two.
+// first, fast links only, at least two where there are two. Servers whose parts
+// the platform tells are paired by the daemons, for each request: a record
+// that names all makers would be written anew for each that comes or goes.
 func (h *Holder) pairs(keys []string, o *Out) {
 	var makers []*server
 	for _, k := range keys {
@@ -17,7 +19,7 @@
 	}
 	for _, k := range keys {
 		s := h.servers[k]
-		if !s.listed || s.writing || s.Part != Reader || s.To != "" {
+		if !s.listed || s.writing || s.Part != Reader || s.To != "" || s.told != "" {
 			continue
 		}
 		rank := func(m *server) int {
--- /dev/null
+++ b/control/roster/gossip.go
@@ -0,0 +1,125 @@
+package roster
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"mulleinmast/wire/form"
+)
+
+// same marks a Gossip that leaves out what the other has already.
+const same = "same"
+
+func (r *Roster) gossip(o *Out) {
+	var list []form.Member
+	for _, id := range slices.Sorted(maps.Keys(r.mine)) {
+		list = append(list, r.mine[id].m)
+	}
+	owns := r.known()
+	sum, kept := digest(list, owns), r.kept()
+	theirs := map[string]uint64{}
+	for _, h := range r.heard {
+		theirs[h.list[len(h.list)-1].Addr] = h.sum
+	}
+	for _, to := range r.controls() {
+		n := form.Note{Kind: form.Gossip, Self: r.me, Members: list, Owns: owns, Num: kept, Set: sum, Ref: theirs[to]}
+		if r.acked[to] == sum {
+			n.Op, n.Members, n.Owns = same, nil, nil
+		}
+		o.Sends = append(o.Sends, form.Send{Addr: to, Note: n})
+	}
+}
+
+// digest is of what a gossip or a welcome tells.
+func digest(list []form.Member, owns []form.Own) uint64 {
+	h := fnv.New64a()
+	for _, m := range list {
+		_, _ = fmt.Fprint(h, m)
+	}
+	var b []byte
+	for _, o := range owns {
+		b = binary.AppendUvarint(binary.AppendUvarint(b[:0], uint64(o.Part)), o.Num)
+		_, _ = h.Write(append(append(b, o.Seat.Ident...), o.Seat.Addr...))
+	}
+	return h.Sum64() | 1 // 0 is none
+}
+
+// told takes another control daemon's gossip.
+func (r *Roster) told(now time.Duration, n form.Note) {
+	r.acked[n.Self.Addr] = n.Ref
+	old, ok := r.heard[n.Self.Ident]
+	next := rumour{append(n.Members, n.Self), now, n.Set}
+	if n.Op == same {
+		next.sum = 0 // it takes us to have what we don't, and will hear so
+		if ok && old.sum == n.Set {
+			if old.list[len(old.list)-1] == n.Self {
+				old.at = now
+				r.heard[n.Self.Ident] = old
+				return
+			}
+			next = rumour{append(slices.Clone(old.list[:len(old.list)-1]), n.Self), now, n.Set}
+		}
+	}
+	r.heard[n.Self.Ident] = next
+	r.rebuild(now)
+}
+
+// remembered is how many earlier views are kept to tell differences from.
+const remembered = 8
+
+// unlike is a digest that is taken for no view's.
+const unlike = 1
+
+// shown is a view and its digest.
+type shown struct {
+	sum  uint64
+	list []form.Member
+}
+
+// since has a Welcome hold only what is new since the view of that digest, if
+// that is known and the difference is the shorter.
+func (r *Roster) since(sum uint64, rep *form.Note) {
+	i := slices.IndexFunc(r.past, func(s shown) bool { return s.sum == sum })
+	if i < 0 {
+		return
+	}
+	was := map[string]form.Member{}
+	for _, m := range r.past[i].list {
+		was[m.Addr] = m
+	}
+	var fresh []form.Member
+	for _, m := range r.view {
+		if was[m.Addr] != m {
+			fresh = append(fresh, m)
+		}
+		delete(was, m.Addr)
+	}
+	if 2*(len(fresh)+len(was)) < len(r.view) {
+		rep.Op, rep.Members, rep.Keys = differ, fresh, slices.Sorted(maps.Keys(was))
+	}
+}
+
+// merge takes a Welcome's differences. If that doesn't give the view that was
+// meant, our next Hello says so by its digest and the whole comes.
+func (r *Roster) merge(n form.Note) {
+	at := map[string]form.Member{}
+	for _, m := range r.view {
+		at[m.Addr] = m
+	}
+	for _, m := range n.Members {
+		at[m.Addr] = m
+	}
+	for _, a := range n.Keys {
+		delete(at, a)
+	}
+	list := slices.SortedFunc(maps.Values(at), func(a, b form.Member) int { return strings.Compare(a.Addr, b.Addr) })
+	r.see(list)
+	if r.print() != n.Num {
+		r.sum = unlike // the whole is asked for
+	}
+}
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -105,8 +105,9 @@
 }
 
 type rumour struct {
-	list []form.Member
+	list []form.Member // its own entry is the last
 	at   time.Duration
+	sum  uint64 // digest of what it told, as it says
 }
 
 // Roster is the state machine.
@@ -119,7 +120,12 @@
 	heard  map[string]rumour  // what other control daemons told
 	view   []form.Member
 	owns   map[int]form.Own
-	other  []string // control addresses from elsewhere, such as our own groups
+	other  []string          // control addresses from elsewhere, such as our own groups
+	acked  map[string]uint64 // by address: digest of our gossip that a control daemon has
+	last   *View             // as published, while nothing changes
+	sum    uint64            // digest of view
+	past   []shown           // views before this one, oldest first
+	madeAt time.Duration     // when view was made
 	goneAt map[string]time.Duration
 
 	ctl    int
@@ -136,7 +142,7 @@
 // Example: r := roster.New(cfg, me, seeds)
 func New(cfg Config, me form.Member, seeds []string) *Roster {
 	return &Roster{cfg: cfg, me: me, seeds: seeds, mine: map[string]session{}, heard: map[string]rumour{}, owns: map[int]form.Own{},
-		goneAt: map[string]time.Duration{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
+		goneAt: map[string]time.Duration{}, acked: map[string]uint64{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
 }
 
 // Know adds addresses of control daemons that were learnt elsewhere: seeds may
@@ -172,12 +178,16 @@
 	}
 	if me.Disk {
 		r.live = true
+		gone := false
 		for id, s := range r.mine {
 			if now-s.at > r.cfg.Session {
 				delete(r.mine, id)
+				gone = true
 			}
 		}
-		r.rebuild(now)
+		if gone || now-r.madeAt >= r.cfg.Beat || r.view == nil {
+			r.rebuild(now)
+		}
 	} else {
 		r.live = now-r.backAt <= r.cfg.Session
 	}
@@ -202,18 +212,7 @@
 	if now-r.backAt > r.cfg.Session/2 {
 		r.ctl++ // silent: try the next one
 	}
-	o.Sends = append(o.Sends, form.Send{Addr: list[r.ctl%len(list)], Note: form.Note{Kind: form.Hello, Self: r.me, Num: r.print()}})
-}
-
-func (r *Roster) gossip(o *Out) {
-	var list []form.Member
-	for _, id := range slices.Sorted(maps.Keys(r.mine)) {
-		list = append(list, r.mine[id].m)
-	}
-	kept := r.kept()
-	for _, to := range r.controls() {
-		o.Sends = append(o.Sends, form.Send{Addr: to, Note: form.Note{Kind: form.Gossip, Self: r.me, Members: list, Owns: r.known(), Num: kept}})
-	}
+	o.Sends = append(o.Sends, form.Send{Addr: list[r.ctl%len(list)], Note: form.Note{Kind: form.Hello, Self: r.me, Num: r.print(), Set: digest(nil, r.known()), Op: differ}})
 }
 
 // controls lists the wire addresses of control daemons: known ones and seeds.
@@ -259,6 +258,10 @@
 	return out
 }
 
+// differ marks a Hello whose sender takes differences, and a Welcome that holds
+// them.
+const differ = "differ"
+
 // refer marks a Welcome that opens no session and only names control daemons.
 const refer = "refer"
 
@@ -269,16 +272,26 @@
 	switch n.Kind {
 	case form.Hello:
 		if r.me.Disk && n.Self.Ident != "" {
-			for id, s := range r.mine {
-				if s.m.Addr == n.Self.Addr { // its machine's earlier life is over
-					delete(r.mine, id)
+			if s, ok := r.mine[n.Self.Ident]; ok && s.m == n.Self {
+				r.mine[n.Self.Ident] = session{n.Self, now}
+			} else {
+				for id, s := range r.mine {
+					if s.m.Addr == n.Self.Addr { // its machine's earlier life is over
+						delete(r.mine, id)
+					}
 				}
+				r.mine[n.Self.Ident] = session{n.Self, now}
+				r.rebuild(now)
 			}
-			r.mine[n.Self.Ident] = session{n.Self, now}
-			r.rebuild(now)
 			rep := form.Note{Kind: form.Welcome, Owns: r.known(), Num: r.print()}
+			if n.Set == digest(nil, rep.Owns) {
+				rep.Owns = nil
+			}
 			if rep.Num != n.Num {
 				rep.Members = r.view
+				if n.Op == differ {
+					r.since(n.Num, &rep)
+				}
 			}
 			o.Sends = append(o.Sends, form.Send{Addr: n.Self.Addr, Note: rep})
 		} else if n.Self.Ident != "" {
@@ -292,23 +305,24 @@
 			return o
 		}
 		r.backAt, r.live = now, true
-		if len(n.Members) > 0 {
-			r.view = n.Members
+		if n.Op == differ {
+			r.merge(n)
+		} else if len(n.Members) > 0 {
+			r.see(n.Members)
 		}
 		for _, own := range n.Owns {
 			r.claim(own)
 		}
 	case form.Gossip:
 		if r.me.Disk {
-			r.heard[n.Self.Ident] = rumour{append(n.Members, n.Self), now}
-			r.rebuild(now)
+			r.told(now, n)
 		} else if n.Self.Ident != "" {
 			for id, h := range r.heard {
 				if h.list[0].Addr == n.Self.Addr {
 					delete(r.heard, id)
 				}
 			}
-			r.heard[n.Self.Ident] = rumour{[]form.Member{n.Self}, now}
+			r.heard[n.Self.Ident] = rumour{list: []form.Member{n.Self}, at: now}
 			r.meet(n.Self)
 		}
 		if n.Num != r.kept() && n.Self.Ident != "" { // one of us can't find the others yet
@@ -361,11 +375,25 @@
 	for id := range seen {
 		delete(r.goneAt, id)
 	}
-	r.view = list
+	r.madeAt = now
+	r.see(list)
+}
+
+// see takes a view, if it is another one than before.
+func (r *Roster) see(list []form.Member) {
+	if r.view == nil || r.sum == unlike || !slices.Equal(list, r.view) {
+		if r.me.Disk && r.view != nil { // for those who have it still
+			r.past = append(r.past[max(0, len(r.past)-remembered+1):], shown{r.print(), r.view})
+		}
+		r.view, r.sum = list, 0
+	}
 }
 
 // print is a digest of the view, so that an unchanged one isn't sent again.
 func (r *Roster) print() uint64 {
+	if r.sum != 0 {
+		return r.sum
+	}
 	h := fnv.New64a()
 	for _, m := range r.view {
 		for _, w := range []string{m.Ident, m.Addr, m.Web, m.Cell} {
@@ -377,7 +405,8 @@
 		}
 		_, _ = h.Write([]byte{f})
 	}
-	return h.Sum64()
+	r.sum = h.Sum64()
+	return r.sum
 }
 
 // Vacant names a standby control daemon for a seat whose daemon is gone: its
@@ -439,6 +468,9 @@
 //
 // Example: v := r.View()
 func (r *Roster) View() *View {
+	if v := r.last; v != nil && v.Me == r.me && v.Live == r.live && slices.Equal(v.Members, r.view) && maps.Equal(v.Owns, r.owns) {
+		return v
+	}
 	v := &View{Me: r.me, Members: append([]form.Member(nil), r.view...), Owns: map[int]form.Own{}, Live: r.live, small: r.cfg.Small, by: map[string]form.Member{}}
 	for _, m := range v.Members {
 		v.by[m.Ident] = m
@@ -446,5 +478,6 @@
 	for p, o := range r.owns {
 		v.Owns[p] = o
 	}
+	r.last = v
 	return v
 }
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -57,6 +57,14 @@
 	if s.List != "" {
 		c.Source = platform.NewCloud(s.List, s.Config.Bounds.Leave/3)
 	}
+	if s.Far > 0 {
+		c.Line.Far = func(addr string) time.Duration {
+			if region(zoneOf(addr), s.Regions) != s.Region {
+				return s.Far
+			}
+			return 0
+		}
+	}
 	g := gateway.New(c, engines{})
 	c.Add(service(g.Run))
 	ctx, stop := context.WithCancel(context.Background())
@@ -108,6 +116,18 @@
 	return n
 }
 
+// reached tells whether every part has an owner outside a zone and a valid
+// lease here.
+func (d *daemon) reached(lost int) bool {
+	v := d.c.View()
+	for p := range d.Config.Parts + 1 {
+		if zoneOf(v.Owns[p].Seat.Addr) == lost || d.c.Until(p) <= d.c.Now() {
+			return false
+		}
+	}
+	return true
+}
+
 // engines answer for servers that aren't there.
 type engines struct{}
 
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -18,6 +18,7 @@
 	where  [][]int // daemons by host
 	base   uint64  // configuration in force
 	no     int
+	lost   []int // daemons that are cut off
 }
 
 // Start lays a fleet out and starts its daemons; it waits for nothing.
@@ -117,9 +118,26 @@
 	return n, time.Since(at)
 }
 
+// AwaitOutside is Await for the daemons of all zones but one.
+//
+// Example: n, took := f.AwaitOutside(3, hollow.Command{Version: 7, Wait: time.Minute})
+func (f *Fleet) AwaitOutside(zone int, c Command) (n int, took time.Duration) {
+	for _, s := range f.specs {
+		if s.Zone == zone {
+			c.Indexes = append(c.Indexes, s.Index)
+		}
+	}
+	return f.Await(c)
+}
+
+// RegionOf is a daemon's region.
+//
+// Example: f.LoseLink(f.RegionOf(0), 1)
+func (f *Fleet) RegionOf(index int) int { return f.specs[index].Region }
+
 // ask has the first host's first daemon pass a call on.
 func (f *Fleet) ask(call string, body []byte) (tariff.Verdict, int) {
-	r := f.hosts[0].do(Command{Op: "ask", Call: call, Body: body, Wait: 2 * f.Apply})
+	r := f.hosts[0].do(Command{Op: "ask", Indexes: f.lost, Call: call, Body: body, Wait: 2 * f.Apply})
 	var v tariff.Verdict
 	if json.Unmarshal(r.Body, &v) != nil { // its code tells
 		v.Result = "unreadable"
--- a/proof/hollow/spec.go
+++ b/proof/hollow/spec.go
@@ -49,13 +49,14 @@
 
 // Spec is one daemon of a fleet.
 type Spec struct {
-	Index  int
-	Zone   int
-	Region int
-	Core   bool
-	Config cabin.Config
-	List   string // where the list of servers is asked for
-	Far    time.Duration
+	Index   int
+	Zone    int
+	Region  int
+	Core    bool
+	Config  cabin.Config
+	List    string        // where the list of servers is asked for
+	Far     time.Duration // to daemons of other regions, one way
+	Regions int
 }
 
 // region of a zone: zones are dealt out round the regions.
@@ -89,7 +90,7 @@
 		c.Wire, c.Web = address(zone, i/o.Zones, o.Port), address(zone, i/o.Zones, o.Port+1)
 		c.Fleet, c.Cell, c.Seeds, c.Ring, c.Losses = "hollow", fmt.Sprintf("zone-%d", zone), seeds, 64, o.Losses
 		c.Bounds.Plan = o.Apply
-		out[i] = Spec{Index: i, Zone: zone, Region: region(zone, o.Regions), Core: i < o.Core, List: list, Far: o.Far}
+		out[i] = Spec{Index: i, Zone: zone, Region: region(zone, o.Regions), Core: i < o.Core, List: list, Far: o.Far, Regions: o.Regions}
 		if i < o.Core {
 			c.Data = fmt.Sprintf("%s/core-%d", o.Dir, i)
 		}
--- a/proof/hollow/worker.go
+++ b/proof/hollow/worker.go
@@ -8,9 +8,9 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
 	"runtime"
 	"runtime/pprof"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,9 +20,12 @@
 
 // Command is what a process of the fleet is told.
 type Command struct {
+	No      uint64
 	Op      string
 	Specs   []Spec           // of start
-	Indexes []int            // of stop
+	Indexes []int            // of stop; of await and ask: daemons left out
+	Fresh   bool             // of await: readiness, and owners outside ...
+	Zone    int              // ... this zone
 	Cut     map[int][]string // of cut: by daemon, the addresses it can't reach
 	Version uint64           // of await: a configuration
 	Servers int              // of await: so many servers' records
@@ -47,6 +50,7 @@
 
 // Result is what came of a command.
 type Result struct {
+	No    uint64
 	Err   string
 	Snaps []Snap
 	Usage Usage
@@ -131,7 +135,7 @@
 	case "await":
 		r.Count = w.await(c)
 	case "ask":
-		list := w.daemons()
+		list := slices.DeleteFunc(w.daemons(), func(d *daemon) bool { return slices.Contains(c.Indexes, d.Index) })
 		ctx, done := context.WithTimeout(context.Background(), c.Wait)
 		defer done()
 		r.Code, r.Body = list[0].c.Ask(ctx, 0, c.Call, c.Body, c.Wait)
@@ -169,9 +173,11 @@
 // await waits until every daemon here has what is asked for under valid
 // leases, and counts those that have it.
 func (w *worker) await(c Command) int {
-	list := w.daemons()
+	list := slices.DeleteFunc(w.daemons(), func(d *daemon) bool { return slices.Contains(c.Indexes, d.Index) })
 	has := func(d *daemon) bool {
 		switch {
+		case c.Fresh:
+			return d.c.Ready() && d.reached(c.Zone)
 		case c.Servers > 0:
 			return d.servers() >= c.Servers
 		case c.Model != "":
@@ -258,72 +264,3 @@
 	u.Heap, u.Threads, u.Allocs, u.Bytes = int64(m.HeapAlloc), runtime.NumGoroutine(), m.Mallocs, m.TotalAlloc
 	return u
 }
-
-// Serve makes this process hold daemons for the one that started it.
-//
-// Example: err := hollow.Serve(os.Stdin, os.Stdout)
-func Serve(in io.Reader, out io.Writer) error {
-	w := &worker{}
-	defer w.close()
-	d, e := json.NewDecoder(in), json.NewEncoder(out)
-	for {
-		var c Command
-		if err := d.Decode(&c); err != nil {
-			if err == io.EOF {
-				return nil
-			}
-			return err
-		}
-		if err := e.Encode(w.do(c)); err != nil {
-			return err
-		}
-	}
-}
-
-// remote is another process that holds daemons.
-type remote struct {
-	mu  sync.Mutex
-	cmd *exec.Cmd
-	in  io.WriteCloser
-	out *json.Decoder
-}
-
-func spawn(program string, procs int) (*remote, error) {
-	cmd := exec.Command(program, "-hollow-worker")
-	cmd.Stderr = os.Stderr
-	cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", procs))
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	in, err := cmd.StdinPipe()
-	if err != nil {
-		return nil, err
-	}
-	out, err := cmd.StdoutPipe()
-	if err != nil {
-		return nil, err
-	}
-	return &remote{cmd: cmd, in: in, out: json.NewDecoder(out)}, cmd.Start()
-}
-
-func (r *remote) do(c Command) (out Result) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if err := json.NewEncoder(r.in).Encode(c); err != nil {
-		return Result{Err: err.Error()}
-	}
-	if err := r.out.Decode(&out); err != nil {
-		return Result{Err: err.Error()}
-	}
-	return out
-}
-
-func (r *remote) close() {
-	_ = r.in.Close()
-	done := make(chan struct{})
-	go func() { _ = r.cmd.Wait(); close(done) }()
-	select {
-	case <-done:
-	case <-time.After(10 * time.Second):
-		_ = r.cmd.Process.Kill()
-		<-done
-	}
-}
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -6,6 +6,7 @@
 	"mulleinmast/control/interlock"
 	"mulleinmast/control/tariff"
 	"mulleinmast/traffic/waybill"
+	"mulleinmast/wire/form"
 )
 
 // stat is what this daemon knows of a server by its own requests.
@@ -27,11 +28,13 @@
 	part int
 	src  Source
 
-	gen   [2]uint64
-	until time.Duration
-	rows  map[string]Server
-	stats map[string]*stat
-	pace  float64 // tokens read in a ms, measured
+	gen    [2]uint64
+	until  time.Duration
+	rows   map[string]Server
+	keys   []string // of the list of this version
+	listed form.Ver
+	stats  map[string]*stat
+	pace   float64 // tokens read in a ms, measured
 
 	bucket waybill.Bucket
 	trips  map[string]*trip
@@ -66,13 +69,18 @@
 //
 // Example: for _, k := range l.Keys() { cabin.Pin(part, k) }
 func (l *Lane) Keys() []string {
-	keys := []string{tariff.ListKey(l.svc)}
-	if rec, ok := l.src.Read(l.part, keys[0]); ok {
+	list := tariff.ListKey(l.svc)
+	rec, ok := l.src.Read(l.part, list)
+	if !ok {
+		return []string{list}
+	}
+	if l.keys == nil || l.listed != rec.Ver {
+		l.keys, l.listed = []string{list}, rec.Ver
 		for _, s := range tariff.OpenList(rec).Servers {
-			keys = append(keys, tariff.BerthKey(l.svc, s.Key()))
+			l.keys = append(l.keys, tariff.BerthKey(l.svc, s.Key()))
 		}
 	}
-	return keys
+	return l.keys
 }
 
 // look makes the table of servers anew if a record changed or a lease lapsed;
--- a/wire/telegraph/telegraph.go
+++ b/wire/telegraph/telegraph.go
@@ -115,6 +115,8 @@
 	Bad   func(from string, err error)
 	// Cut is a switch for tests: notes to and from these addresses are lost.
 	Cut atomic.Pointer[map[string]bool]
+	// Far is another: notes to an address are that long on their way.
+	Far func(addr string) time.Duration
 
 	Sent, Got, Lost atomic.Int64
 	Tally
@@ -285,6 +287,17 @@
 	}
 	held := l.held > 0
 	l.mu.Unlock()
+	if l.Far != nil {
+		if d := l.Far(s.Addr); d > 0 {
+			time.AfterFunc(d, func() {
+				if q.put(s.Note) {
+					l.Sent.Add(1)
+					q.ring()
+				}
+			})
+			return
+		}
+	}
 	if !q.put(s.Note) {
 		l.Lost.Add(1)
 		return
