The order of servers for a prompt costs a look at each, not at each pair

Cause: forward.ranks compared every server with every other for each request: 19.8 ms of a core with 422 servers of a model, 38 times a second at the size to design for (testtrack -hollow -steps request -servers 12,53,106,211,422).

What: the three highest weights are found in one pass; the ranks stay the same (TestRanksAreThoseOfTheOrder against the order itself).

--- a/cmd/testtrack/hollow.go
+++ b/cmd/testtrack/hollow.go
@@ -14,11 +14,14 @@
 
 // hollowFlags are the sizes of hollow fleets.
 type hollowFlags struct {
+	fit, over                         *string
+	at                                *float64
 	run, worker                       *bool
 	daemons, servers, tenants, routes *string
 	window, apply, far                *time.Duration
 	out, profile                      *string
 	steps                             *string
+	ramp                              *int
 	rates                             *string
 }
 
@@ -36,6 +39,10 @@
 		out:     flag.String("out", "", "with -hollow: write CSV to this `file`"),
 		profile: flag.String("profile", "", "with -hollow: write profiles of a front, an owner and the shared process to this `folder`"),
 		steps:   flag.String("steps", "idle", "with -hollow: `idle,change,restart,zone,link`"),
+		fit:     flag.String("fit", "", "with -hollow: measure nothing, lay lines through this CSV `file` and draw them beside it"),
+		over:    flag.String("over", "daemons", "with -fit: the `size` that grows: daemons, servers, tenants or routes"),
+		at:      flag.Float64("at", 520, "with -fit: the size that the line is read off at"),
+		ramp:    flag.Int("ramp", 0, "with -hollow: model servers come so many at a time; 0: all at once"),
 		rates:   flag.String("rates", "1", "with -hollow: configuration changes a second, each `number`"),
 	}
 }
@@ -72,12 +79,27 @@
 		_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
 		return 1
 	}
+	if *h.fit != "" {
+		return h.draw(*h.fit)
+	}
+	if *h.steps == "request" {
+		for _, n := range lists[1] {
+			took, err := hollow.Requests(n, 0.3, 400, 8)
+			if err != nil {
+				_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+				return 1
+			}
+			fmt.Printf("%d servers of a model: a request's decisions take %v of a core\n", n, took.Round(time.Microsecond))
+		}
+		return 0
+	}
 	var all []hollow.Row
 	for _, daemons := range lists[0] {
 		for _, servers := range lists[1] {
 			for i, tenants := range lists[2] {
 				o := hollow.Default(daemons, servers)
 				o.Tenants, o.Routes, o.Apply, o.Far, o.Program = tenants, lists[3][min(i, len(lists[3])-1)], *h.apply, *h.far, exe
+				o.Ramp = *h.ramp
 				rows, err := h.fleet(o)
 				all = append(all, rows...)
 				if err != nil {
@@ -121,8 +143,6 @@
 	if err != nil {
 		return nil, err
 	}
-	n, took = f.Await(hollow.Command{Version: f.Version(), Wait: time.Minute})
-	fmt.Printf("; configuration acknowledged after %v, in force at %d daemons %v later", acked.Round(time.Millisecond), n, took.Round(time.Millisecond))
 	if strings.Contains(*h.steps, "forming") {
 		fmt.Println()
 		more, err := h.step(f, "forming")
@@ -131,7 +151,9 @@
 		}
 		fmt.Print(hollow.Table(more))
 	}
-	n, took = f.Await(hollow.Command{Servers: o.Servers, Wait: 4 * time.Minute})
+	n, took = f.Await(hollow.Command{Version: f.Version(), Wait: time.Minute})
+	fmt.Printf("; configuration acknowledged after %v, in force at %d daemons %v later", acked.Round(time.Millisecond), n, took.Round(time.Millisecond))
+	n, took = f.Fill(2 * time.Minute)
 	fmt.Printf("; every server's record at %d daemons %v later", n, took.Round(time.Millisecond))
 	took, ok := f.Steady(2 * time.Minute)
 	fmt.Printf("; calm after %v (%v)\n", took.Round(time.Millisecond), ok)
@@ -249,3 +271,24 @@
 	fmt.Printf("; mended: all %d have it after %v\n", n, time.Since(at).Round(time.Millisecond))
 	return nil
 }
+
+// draw lays lines through rows that were measured before.
+func (h hollowFlags) draw(path string) int {
+	rows, err := hollow.ReadCSV(path)
+	if err == nil && hollow.Sizes[*h.over] == nil {
+		err = fmt.Errorf("-over %q: expected daemons, servers, tenants or routes", *h.over)
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+		return 2
+	}
+	fmt.Print(hollow.Fits(rows, *h.over, *h.at))
+	base := strings.TrimSuffix(path, ".csv")
+	for cost, name := range map[string]string{"bytes": "bytes", "core": "core", "resident MB": "memory"} {
+		if err := hollow.Plot(base+"-"+name+".png", rows, rows[0].Step, *h.over, cost); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+			return 1
+		}
+	}
+	return 0
+}
--- a/control/purge/child.go
+++ b/control/purge/child.go
@@ -17,7 +17,7 @@
 	}
 	n.parent, n.pmark = p, form.Mark{}
 	n.reqs, n.listAt = map[uint64]ask{}, 0
-	n.backAt = now
+	n.backAt, n.stale = now, true
 	n.unask()
 	if p.Ident != "" {
 		n.renew(now, &o)
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -93,7 +93,9 @@
 	objs   map[string]cached
 	want   map[string]wanted // of the parent
 	late   bool              // something wanted was not asked for yet
-	lookAt time.Duration     // when children and records were looked through last
+	lookAt time.Duration     // when children were looked through last
+	readAt time.Duration     // when records were
+	stale  bool              // records are to be looked through now
 	pins   map[string]bool
 	gen    uint64
 
@@ -128,7 +130,7 @@
 	n.root, n.term, n.src, n.lease = true, term, src, lease
 	n.held = map[string]int{}
 	n.objs, n.want, n.reqs = map[string]cached{}, map[string]wanted{}, map[uint64]ask{}
-	n.parent, n.pmark, n.till = form.Seat{}, form.Mark{}, 0
+	n.parent, n.pmark, n.till, n.stale = form.Seat{}, form.Mark{}, 0, true
 }
 
 // Uncrown ends the root's part; everything it granted lapsed with its lease.
@@ -137,7 +139,7 @@
 func (n *Node) Uncrown() {
 	n.clear()
 	n.gen++
-	n.root, n.src, n.lease, n.term = false, nil, nil, 0
+	n.root, n.src, n.lease, n.term, n.stale = false, nil, nil, 0, true
 	n.held = map[string]int{}
 }
 
@@ -273,8 +275,7 @@
 		}
 		n.swept(now, s, &o)
 	}
-	look := now-n.lookAt >= n.cfg.Beat/4 // the tables are long, and nothing here is urgent
-	if look {
+	if now-n.lookAt >= n.cfg.Beat/4 { // the tables are long, and nothing here is urgent
 		n.lookAt = now
 		n.lapse(now, &o)
 	}
@@ -282,7 +283,8 @@
 	if n.root || n.parent.Ident == "" {
 		return o
 	}
-	if look {
+	if n.stale || now-n.readAt >= n.cfg.Obj/64 || now-n.readAt >= 4*n.cfg.Beat {
+		n.stale, n.readAt = false, now
 		n.refresh(now, &o)
 	}
 	switch {
--- a/control/purge/shape.go
+++ b/control/purge/shape.go
@@ -74,6 +74,10 @@
 	g.till = now + n.cfg.Vol
 }
 
+// wide is the most children that a join may send to our parent: where there are
+// more, the relay is slow because all are, and the parent would be next.
+const wide = 24
+
 // reshape applies the paper's inequalities once a Span, with a dwell.
 func (n *Node) reshape(now time.Duration, o *Out) {
 	if n.cfg.Span == 0 || now-n.from < n.cfg.Span {
@@ -91,7 +95,7 @@
 	if !n.root && n.parent.Ident != "" && n.asked > 0 && near > 0 {
 		f := float64(n.local) / float64(n.asked)
 		through := near + time.Duration((1-f)*float64(n.cost))
-		if through > n.cost+n.cfg.Gain && n.asked < n.cfg.Most/2 {
+		if through > n.cost+n.cfg.Gain && n.asked < n.cfg.Most/2 && len(n.kids) <= wide {
 			n.moved = now
 			for _, id := range sorted(n.kids) {
 				n.tell(n.kids[id], form.Note{Kind: form.Steer, Hint: n.parent, Why: "join"}, o)
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"mulleinmast/wire/form"
@@ -32,6 +33,13 @@
 	Live    bool // our own session stands
 	small   int
 	by      map[string]form.Member
+	memo    sync.Map // relays found so far, by place
+}
+
+// place is a part in a cell.
+type place struct {
+	part int
+	cell string
 }
 
 // Find looks a member up by identity.
@@ -56,6 +64,15 @@
 //
 // Example: seat := v.Relay(3, "north")
 func (v *View) Relay(part int, cell string) form.Seat {
+	if r, ok := v.memo.Load(place{part, cell}); ok {
+		return r.(form.Seat)
+	}
+	r := v.relay(part, cell)
+	v.memo.Store(place{part, cell}, r)
+	return r
+}
+
+func (v *View) relay(part int, cell string) form.Seat {
 	own := v.Owns[part].Seat.Ident
 	var best form.Seat
 	top, n := uint64(0), 0
--- a/control/section/section.go
+++ b/control/section/section.go
@@ -219,6 +219,11 @@
 	}
 }
 
+// abreast is how many writes run beside one another: each is waited for by
+// every daemon below, and what comes in a crowd (all servers of a model) would
+// else be on its way to all of them at once.
+const abreast = 32
+
 func (s *Section) start(now time.Duration, o *Out) {
 	if len(s.queue) == 0 || !s.Owner(now) {
 		return
@@ -232,7 +237,7 @@
 				free = false
 			}
 		}
-		if !free {
+		if !free || len(s.runs) >= abreast {
 			for _, k := range j.Keys {
 				blocked[k] = true
 			}
--- /dev/null
+++ b/proof/hollow/client.go
@@ -0,0 +1,95 @@
+package hollow
+
+import (
+	"fmt"
+	"time"
+
+	"mulleinmast/control/cabin"
+	"mulleinmast/control/errand"
+	"mulleinmast/control/interlock"
+	"mulleinmast/control/tariff"
+	"mulleinmast/traffic/forward"
+	"mulleinmast/traffic/gateway"
+	"mulleinmast/wire/form"
+)
+
+// records are the records of one model, under leases that last.
+type records map[string]form.Rec
+
+// Read serves a record.
+//
+// Example: rec, ok := r.Read(1, key)
+func (r records) Read(_ int, key string) (form.Rec, bool) {
+	rec, ok := r[key]
+	if !ok {
+		return form.Rec{Key: key, Dead: true}, true
+	}
+	return rec, true
+}
+
+// Gen never changes.
+//
+// Example: r.Gen(1) == 1
+func (records) Gen(int) uint64 { return 1 }
+
+// Until is far off.
+//
+// Example: now < r.Until(1)
+func (records) Until(int) time.Duration { return 1 << 60 }
+
+// Requests takes a number of hollow requests through one model's decisions on
+// one daemon, with so many servers of the model, a number of them under way at
+// a time; it tells the processor time of one request.
+//
+// Example: took := hollow.Requests(422, 0.3, 200, 8)
+func Requests(servers int, reading float64, count, abreast int) (time.Duration, error) {
+	o := Default(1, servers)
+	o.Models, o.Reading = 1, reading
+	r := records{}
+	var list tariff.List
+	for i := range servers {
+		part := interlock.Maker
+		if float64(i%10) < reading*10 {
+			part = interlock.Reader
+		}
+		s := tariff.Server{ID: fmt.Sprintf("srv-%05d-0", i), Addr: fmt.Sprintf("10.1.%d.%d:9000", i/250, 1+i%250), Cell: fmt.Sprintf("zone-%d", i%o.Zones), Capacity: 16, Part: part}
+		list.Servers = append(list.Servers, s)
+		key := tariff.BerthKey(model(0), s.Key())
+		r[key] = form.Rec{Key: key, Ver: form.Ver{Term: 1, Seq: 1}, Val: errand.Pack(interlock.Berth{Addr: s.Addr, Cell: s.Cell, Cap: 16, Part: part, Status: interlock.Up})}
+	}
+	r[tariff.ListKey(model(0))] = form.Rec{Key: tariff.ListKey(model(0)), Ver: form.Ver{Term: 1, Seq: 1}, Val: errand.Pack(list)}
+	l := forward.New(gateway.Config(cabin.Default()), model(0), 1, r)
+	type trip struct {
+		id   string
+		move forward.Move
+	}
+	var open []trip
+	now := time.Second
+	begin := used().CPU
+	for i := range count {
+		now += time.Millisecond
+		id := fmt.Sprintf("r-%d", i)
+		c := forward.Call{ID: id, Service: model(0), Split: true, Tries: 3, Aim: 680 * time.Millisecond, Gap: 26 * time.Millisecond, Due: now + 30*time.Second,
+			Parts: []forward.Part{{Key: uint64(i % 50), Tokens: 20000}, {Key: uint64(1000 + i), Tokens: 400}}, In: 20400, Out: 275}
+		open = append(open, trip{id, l.Begin(now, c)})
+		if len(open) < abreast {
+			continue
+		}
+		t := open[0]
+		open = open[1:]
+		for !t.move.Kind.Final() {
+			switch t.move.Kind {
+			case forward.Read:
+				t.move = l.ReadDone(now, t.id, forward.OK, forward.Handle{ID: "h", Call: t.id, No: t.move.No, Server: t.move.To, Tokens: 20400}, "")
+			case forward.Write:
+				t.move = l.WriteDone(now, t.id, forward.OK, "")
+			default:
+				return 0, fmt.Errorf("hollow: request %s: %s, %s", t.id, t.move.Kind, t.move.Why)
+			}
+		}
+		if t.move.Kind != forward.Done {
+			return 0, fmt.Errorf("hollow: request %s ended as %s, %s", t.id, t.move.Kind, t.move.Why)
+		}
+	}
+	return (used().CPU - begin) / time.Duration(max(1, count-abreast+1)), nil
+}
--- a/proof/hollow/fleet.go
+++ b/proof/hollow/fleet.go
@@ -118,6 +118,28 @@
 	return n, time.Since(at)
 }
 
+// Fill has all servers come, as many at a time as the options say, and waits
+// each time until every daemon has their records; it tells how many daemons
+// had all in the end.
+//
+// Example: n, took := f.Fill(time.Minute)
+func (f *Fleet) Fill(most time.Duration) (n int, took time.Duration) {
+	at := time.Now()
+	for shown := 0; shown < f.Servers; {
+		if shown = f.Servers; f.Ramp > 0 {
+			shown = min(f.Servers, f.source.count()+f.Ramp)
+		}
+		if n == 0 {
+			shown = f.source.count() // those that were there from the start
+		}
+		f.source.show(shown)
+		if n, _ = f.Await(Command{Servers: shown, Wait: most}); n < f.Daemons {
+			break
+		}
+	}
+	return n, time.Since(at)
+}
+
 // AwaitOutside is Await for the daemons of all zones but one.
 //
 // Example: n, took := f.AwaitOutside(3, hollow.Command{Version: 7, Wait: time.Minute})
--- a/proof/hollow/spec.go
+++ b/proof/hollow/spec.go
@@ -21,6 +21,7 @@
 	Zones   int
 	Regions int
 	Servers int
+	Ramp    int // they come so many at a time; 0: all at once
 	Models  int
 	Tenants int
 	Routes  int
@@ -57,6 +58,7 @@
 	List    string        // where the list of servers is asked for
 	Far     time.Duration // to daemons of other regions, one way
 	Regions int
+	Models  int
 }
 
 // region of a zone: zones are dealt out round the regions.
@@ -90,7 +92,7 @@
 		c.Wire, c.Web = address(zone, i/o.Zones, o.Port), address(zone, i/o.Zones, o.Port+1)
 		c.Fleet, c.Cell, c.Seeds, c.Ring, c.Losses = "hollow", fmt.Sprintf("zone-%d", zone), seeds, 64, o.Losses
 		c.Bounds.Plan = o.Apply
-		out[i] = Spec{Index: i, Zone: zone, Region: region(zone, o.Regions), Core: i < o.Core, List: list, Far: o.Far, Regions: o.Regions}
+		out[i] = Spec{Index: i, Zone: zone, Region: region(zone, o.Regions), Core: i < o.Core, List: list, Far: o.Far, Regions: o.Regions, Models: o.Models}
 		if i < o.Core {
 			c.Data = fmt.Sprintf("%s/core-%d", o.Dir, i)
 		}
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -97,15 +97,26 @@
 // ranks orders the servers for a key, alike on all daemons of all zones; the
 // first few have rank 0, 1, 2, all others 3.
 func (l *Lane) ranks(list []Server, key uint64) map[string]int {
-	out := map[string]int{}
-	for _, s := range list {
-		n, mine := 0, weight(key, s.Key)
-		for _, o := range list {
-			if weight(key, o.Key) > mine {
+	own := make([]uint64, len(list))
+	var top [3]uint64 // the highest, first to third
+	for i, s := range list {
+		w := weight(key, s.Key)
+		own[i] = w
+		for j := range top {
+			if w > top[j] {
+				w, top[j] = top[j], w
+			}
+		}
+	}
+	out := make(map[string]int, len(list))
+	for i, s := range list {
+		n := 0
+		for _, w := range top {
+			if w > own[i] {
 				n++
 			}
 		}
-		out[s.Key] = min(n, 3)
+		out[s.Key] = n
 	}
 	return out
 }
