--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -5,7 +5,6 @@
 
 import (
 	"hash/fnv"
-	"iter"
 	"maps"
 	"slices"
 	"sort"
@@ -24,89 +23,15 @@
 	First  bool // the fleet starts for the first time, and so does this daemon
 }
 
-// View is a snapshot of the fleet; it is never changed once published.
-type View struct {
-	Me      form.Member
-	Members []form.Member
-	Owns    map[int]form.Own
-	Live    bool // our own session stands
-	small   int
-	by      map[string]form.Member
-}
-
-// Find looks a member up by identity.
-//
-// Example: m, ok := v.Find(note.From)
-func (v *View) Find(id string) (form.Member, bool) { m, ok := v.by[id]; return m, ok }
-
-// In iterates over the members of a cell.
-//
-// Example: for m := range v.In("north") { ... }
-func (v *View) In(cell string) iter.Seq[form.Member] {
-	return func(yield func(form.Member) bool) {
-		for _, m := range v.Members {
-			if m.Cell == cell && !yield(m) {
-				return
-			}
-		}
-	}
-}
-
-// Relay is the static relay of a part in a cell; none in a small cell.
-//
-// Example: seat := v.Relay(3, "north")
-func (v *View) Relay(part int, cell string) form.Seat {
-	own := v.Owns[part].Seat.Ident
-	var best form.Seat
-	top, n := uint64(0), 0
-	for m := range v.In(cell) {
-		if m.Ident == own {
-			continue
-		}
-		n++
-		if s := weight(part, m.Addr); best.Ident == "" || s > top {
-			top, best = s, form.Seat{Ident: m.Ident, Addr: m.Addr}
-		}
-	}
-	if n < v.small {
-		return form.Seat{}
-	}
-	return best
-}
-
-// Parent is this daemon's static parent for a part: the cell's relay, or the
-// owner for the relay itself and in small cells.
-//
-// Example: seat := v.Parent(3)
-func (v *View) Parent(part int) form.Seat {
-	own := v.Owns[part].Seat
-	if own.Ident == v.Me.Ident {
-		return form.Seat{}
-	}
-	if r := v.Relay(part, v.Me.Cell); r.Ident != "" && r.Ident != v.Me.Ident {
-		return r
-	}
-	return own
-}
-
-func weight(part int, addr string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte{byte(part), byte(part >> 8)})
-	_, _ = h.Write([]byte(addr))
-	x := h.Sum64()
-	x ^= x >> 31
-	x *= 0x9e3779b97f4a7c15
-	return x ^ x>>29
-}
-
 type session struct {
 	m  form.Member
 	at time.Duration
 }
 
 type rumour struct {
-	list []form.Member
+	list []form.Member // its own entry is the last
 	at   time.Duration
+	sum  uint64 // digest of what it told, as it says
 }
 
 // Roster is the state machine.
@@ -119,7 +44,12 @@
 	heard  map[string]rumour  // what other control daemons told
 	view   []form.Member
 	owns   map[int]form.Own
-	other  []string // control addresses from elsewhere, such as our own groups
+	other  []string          // control addresses from elsewhere, such as our own groups
+	acked  map[string]uint64 // by address: digest of our gossip that a control daemon has
+	last   *View             // as published, while nothing changes
+	sum    uint64            // digest of view
+	past   []shown           // views before this one, oldest first
+	madeAt time.Duration     // when view was made
 	goneAt map[string]time.Duration
 
 	ctl    int
@@ -138,7 +68,7 @@
 // Example: r := roster.New(cfg, me, seeds)
 func New(cfg Config, me form.Member, seeds []string) *Roster {
 	return &Roster{cfg: cfg, me: me, seeds: seeds, mine: map[string]session{}, heard: map[string]rumour{}, owns: map[int]form.Own{},
-		goneAt: map[string]time.Duration{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
+		goneAt: map[string]time.Duration{}, acked: map[string]uint64{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
 }
 
 // Know adds addresses of control daemons that were learnt elsewhere: seeds may
@@ -174,12 +104,16 @@
 	}
 	if me.Disk {
 		r.live = true
+		gone := false
 		for id, s := range r.mine {
 			if now-s.at > r.cfg.Session {
 				delete(r.mine, id)
+				gone = true
 			}
 		}
-		r.rebuild(now)
+		if gone || now-r.madeAt >= r.cfg.Beat || r.view == nil {
+			r.rebuild(now)
+		}
 	} else {
 		r.live = now-r.backAt <= r.cfg.Session
 	}
@@ -196,47 +130,6 @@
 	return o
 }
 
-// hello renews the session at the control daemon that has it; when that is
-// silent or cut off from most others, or there is none yet, it asks several at
-// once.
-func (r *Roster) hello(now time.Duration, o *Out) {
-	list := r.controls()
-	if now-r.backAt <= r.cfg.Session/2 && slices.Contains(list, r.home) && !r.alone {
-		list = []string{r.home}
-	}
-	for range min(wide, len(list)) {
-		r.ctl++
-		r.greet(list[r.ctl%len(list)], o)
-	}
-}
-
-func (r *Roster) greet(addr string, o *Out) {
-	o.Sends = append(o.Sends, form.Send{Addr: addr, Note: form.Note{Kind: form.Hello, Self: r.me, Num: r.print()}})
-}
-
-func (r *Roster) gossip(o *Out) {
-	var list []form.Member
-	for _, id := range slices.Sorted(maps.Keys(r.mine)) {
-		list = append(list, r.mine[id].m)
-	}
-	kept := r.kept()
-	for _, to := range r.controls() {
-		o.Sends = append(o.Sends, form.Send{Addr: to, Note: form.Note{Kind: form.Gossip, Self: r.me, Members: list, Owns: r.known(), Num: kept}})
-	}
-}
-
-// near is the number of control daemons that this one heard of just now, and
-// itself.
-func (r *Roster) near(now time.Duration) int64 {
-	n := int64(1)
-	for _, h := range r.heard {
-		if now-h.at <= r.cfg.Session {
-			n++
-		}
-	}
-	return n
-}
-
 // controls lists the wire addresses of control daemons: known ones and seeds.
 func (r *Roster) controls() []string {
 	set := map[string]bool{}
@@ -283,6 +176,10 @@
 // wide is how many control daemons are asked at once for a session.
 const wide = 3
 
+// differ marks a Hello whose sender takes differences, and a Welcome that holds
+// them.
+const differ = "differ"
+
 // refer marks a Welcome that opens no session and only names control daemons.
 const refer = "refer"
 
@@ -293,16 +190,26 @@
 	switch n.Kind {
 	case form.Hello:
 		if r.me.Disk && n.Self.Ident != "" {
-			for id, s := range r.mine {
-				if s.m.Addr == n.Self.Addr { // its machine's earlier life is over
-					delete(r.mine, id)
+			if s, ok := r.mine[n.Self.Ident]; ok && s.m == n.Self {
+				r.mine[n.Self.Ident] = session{n.Self, now}
+			} else {
+				for id, s := range r.mine {
+					if s.m.Addr == n.Self.Addr { // its machine's earlier life is over
+						delete(r.mine, id)
+					}
 				}
+				r.mine[n.Self.Ident] = session{n.Self, now}
+				r.rebuild(now)
 			}
-			r.mine[n.Self.Ident] = session{n.Self, now}
-			r.rebuild(now)
 			rep := form.Note{Kind: form.Welcome, Owns: r.known(), Num: r.print(), Len: r.near(now)}
+			if n.Set == digest(nil, rep.Owns) {
+				rep.Owns = nil
+			}
 			if rep.Num != n.Num {
 				rep.Members = r.view
+				if n.Op == differ {
+					r.since(n.Num, &rep)
+				}
 			}
 			o.Sends = append(o.Sends, form.Send{Addr: n.Self.Addr, Note: rep})
 		} else if n.Self.Ident != "" {
@@ -325,23 +232,24 @@
 			r.alone = alone
 		}
 		r.backAt, r.live = now, true
-		if len(n.Members) > 0 {
-			r.view = n.Members
+		if n.Op == differ {
+			r.merge(n)
+		} else if len(n.Members) > 0 {
+			r.see(n.Members)
 		}
 		for _, own := range n.Owns {
 			r.claim(own)
 		}
 	case form.Gossip:
 		if r.me.Disk {
-			r.heard[n.Self.Ident] = rumour{append(n.Members, n.Self), now}
-			r.rebuild(now)
+			r.told(now, n)
 		} else if n.Self.Ident != "" {
 			for id, h := range r.heard {
 				if h.list[0].Addr == n.Self.Addr {
 					delete(r.heard, id)
 				}
 			}
-			r.heard[n.Self.Ident] = rumour{[]form.Member{n.Self}, now}
+			r.heard[n.Self.Ident] = rumour{list: []form.Member{n.Self}, at: now}
 			r.meet(n.Self)
 		}
 		if n.Num != r.kept() && n.Self.Ident != "" { // one of us can't find the others yet
@@ -394,11 +302,25 @@
 	for id := range seen {
 		delete(r.goneAt, id)
 	}
-	r.view = list
+	r.madeAt = now
+	r.see(list)
+}
+
+// see takes a view, if it is another one than before.
+func (r *Roster) see(list []form.Member) {
+	if r.view == nil || r.sum == unlike || !slices.Equal(list, r.view) {
+		if r.me.Disk && r.view != nil { // for those who have it still
+			r.past = append(r.past[max(0, len(r.past)-remembered+1):], shown{r.print(), r.view})
+		}
+		r.view, r.sum = list, 0
+	}
 }
 
 // print is a digest of the view, so that an unchanged one isn't sent again.
 func (r *Roster) print() uint64 {
+	if r.sum != 0 {
+		return r.sum
+	}
 	h := fnv.New64a()
 	for _, m := range r.view {
 		for _, w := range []string{m.Ident, m.Addr, m.Web, m.Cell} {
@@ -410,7 +332,8 @@
 		}
 		_, _ = h.Write([]byte{f})
 	}
-	return h.Sum64()
+	r.sum = h.Sum64()
+	return r.sum
 }
 
 // Vacant names a standby control daemon for a seat whose daemon is gone: its
@@ -472,6 +395,9 @@
 //
 // Example: v := r.View()
 func (r *Roster) View() *View {
+	if v := r.last; v != nil && v.Me == r.me && v.Live == r.live && slices.Equal(v.Members, r.view) && maps.Equal(v.Owns, r.owns) {
+		return v
+	}
 	v := &View{Me: r.me, Members: append([]form.Member(nil), r.view...), Owns: map[int]form.Own{}, Live: r.live, small: r.cfg.Small, by: map[string]form.Member{}}
 	for _, m := range v.Members {
 		v.by[m.Ident] = m
@@ -479,5 +405,6 @@
 	for p, o := range r.owns {
 		v.Owns[p] = o
 	}
+	r.last = v
 	return v
 }
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"strconv"
 	"time"
 
@@ -151,15 +150,37 @@
 		out = append(out, o)
 	}
 	if !kept && tokens > 0 { // nobody is known to keep it: an order that all daemons share
-		slices.SortFunc(out, func(a, b option) int {
-			if weight(key, a.Key) > weight(key, b.Key) {
-				return -1
-			}
-			return 1
-		})
+		rank := l.ranks(list, key)
 		for i := range out {
-			out[i].costs += w.Miss * float64(min(i, 4)) * min(1, float64(tokens)/1000)
+			out[i].costs += w.Miss * float64(rank[out[i].Key]) * min(1, float64(tokens)/1000)
+		}
+	}
+	return out
+}
+
+// ranks orders the servers for a key, alike on all daemons of all zones; the
+// first few have rank 0, 1, 2, all others 3.
+func (l *Lane) ranks(list []Server, key uint64) map[string]int {
+	own := make([]uint64, len(list))
+	var top [3]uint64 // the highest, first to third
+	for i, s := range list {
+		w := weight(key, s.Key)
+		own[i] = w
+		for j := range top {
+			if w > top[j] {
+				w, top[j] = top[j], w
+			}
+		}
+	}
+	out := make(map[string]int, len(list))
+	for i, s := range list {
+		n := 0
+		for _, w := range top {
+			if w > own[i] {
+				n++
+			}
 		}
+		out[s.Key] = n
 	}
 	return out
 }
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -30,7 +30,7 @@
 }
 
 // most is the number of sends that count.
-func (t *trip) most() int { return max(2, t.Tries) }
+func (t *trip) most() int { return max(1, t.Tries) }
 
 // Begin takes a request in and makes its first move.
 //
