Servers that answer nobody are told on the board and passed by for longer each time

Change: the board tells how many daemons had an answer from a server just now and how many had none; a server is passed by while the second are as many.

--- a/proof/hollow/client.go
+++ b/proof/hollow/client.go
@@ -61,6 +61,20 @@
 // Example: h.Paused(server, time.Millisecond)
 func (hints) Paused(string, time.Duration) {}
 
+// Came notes the end of a call.
+//
+// Example: h.Came(now, server, true)
+func (h hints) Came(now time.Duration, server string, answered bool) {
+	h.Board.Came(now, board.Name("", server), answered)
+}
+
+// Down tells whether a server most likely answers nobody.
+//
+// Example: h.Down(now, server) == false
+func (h hints) Down(now time.Duration, server string) bool {
+	return h.Board.Down(now, board.Name("", server))
+}
+
 // Keeps notes that a server has a prompt.
 //
 // Example: h.Keeps(prefix, server, 1460)
--- a/traffic/board/board.go
+++ b/traffic/board/board.go
@@ -49,11 +49,12 @@
 // Board is the state machine of one daemon.
 type Board struct {
 	cfg    Config
-	own    map[uint64]Use           // under way from here, now
-	told   map[uint64]Use           // and when last told
-	leaves map[string]heard         // of the daemons of this zone, if this is its head
-	zones  map[string]heard         // of the other zones
-	whole  heard                    // the fleet's sum, from our head
+	own    map[uint64]Use   // under way from here, now
+	told   map[uint64]Use   // and when last told
+	leaves map[string]heard // of the daemons of this zone, if this is its head
+	zones  map[string]heard // of the other zones
+	whole  heard            // the fleet's sum, from our head
+	marks  map[uint64]mark
 	pauses map[uint64]time.Duration // between events of late, as seen here
 	head   bool
 	next   time.Duration
@@ -72,7 +73,7 @@
 //
 // Example: b := board.New(board.Config{Beat: 250 * time.Millisecond, Old: time.Second, Most: 128, Keep: 0.7, Size: 1 << 15})
 func New(cfg Config) *Board {
-	return &Board{cfg: cfg, own: map[uint64]Use{}, told: map[uint64]Use{}, leaves: map[string]heard{}, zones: map[string]heard{}, pauses: map[uint64]time.Duration{},
+	return &Board{cfg: cfg, own: map[uint64]Use{}, told: map[uint64]Use{}, leaves: map[string]heard{}, zones: map[string]heard{}, pauses: map[uint64]time.Duration{}, marks: map[uint64]mark{},
 		clocks: map[uint64]float64{}, memory: map[uint64]float64{}, at: map[uint64]map[uint64]*place{}}
 }
 
@@ -102,6 +103,56 @@
 	b.own[server] = u
 }
 
+// mark is what became of a daemon's own calls to a server.
+type mark struct{ good, bad time.Duration }
+
+// Came notes the end of a call to a server: with an answer of any kind, or
+// without a word.
+//
+// Example: b.Came(now, id, false)
+func (b *Board) Came(now time.Duration, server uint64, answered bool) {
+	m := b.marks[server]
+	if m.good == 0 && m.bad == 0 {
+		m = mark{-time.Hour, -time.Hour}
+	}
+	if answered {
+		m.good = now
+	} else {
+		m.bad = now
+	}
+	b.marks[server] = m
+}
+
+// marked is the own use of servers with what became of the calls to them.
+func (b *Board) marked(now time.Duration) map[uint64]Use {
+	out := maps.Clone(b.own)
+	for id, m := range b.marks {
+		u := out[id]
+		u.Server = id
+		if now-m.good < 4*b.cfg.Beat {
+			u.Good = 1
+		}
+		if m.bad > m.good && now-m.bad < 8*b.cfg.Beat {
+			u.Bad = 1
+		}
+		if u.Good+u.Bad > 0 {
+			out[id] = u
+		} else if now-max(m.good, m.bad) > 40*b.cfg.Beat {
+			delete(b.marks, id)
+		}
+	}
+	return out
+}
+
+// Down tells whether a server most likely answers nobody: some daemons had no
+// word from it, and not more of them had one just now.
+//
+// Example: if b.Down(now, id) { avoid(server) }
+func (b *Board) Down(now time.Duration, server uint64) bool {
+	u := b.Load(now, server)
+	return u.Bad > 0 && u.Bad >= u.Good
+}
+
 // Paused notes the time between two events of an answer.
 //
 // Example: b.Paused(id, 42*time.Millisecond)
@@ -123,8 +174,15 @@
 // Example: u := b.Load(now, id); wait := u.Tokens / pace
 func (b *Board) Load(now time.Duration, server uint64) (sum Use) {
 	sum = b.own[server]
+	if m, ok := b.marks[server]; ok && b.told != nil {
+		sum.Good, sum.Bad = b.told[server].Good, b.told[server].Bad
+		if m.good > m.bad {
+			sum.Bad = 0
+		}
+	}
 	add := func(u Use) {
 		sum.Tokens, sum.Writing, sum.Pause = sum.Tokens+u.Tokens, sum.Writing+u.Writing, sum.Pause+u.Pause
+		sum.Good, sum.Bad = sum.Good+u.Good, sum.Bad+u.Bad
 	}
 	if b.head {
 		for _, h := range b.leaves {
@@ -141,7 +199,8 @@
 	}
 	if now-b.whole.at < b.cfg.Old && b.whole.uses != nil {
 		u, old := b.whole.uses[server], b.told[server]
-		add(Use{Tokens: max(0, u.Tokens-old.Tokens), Writing: max(0, u.Writing-old.Writing), Pause: max(0, u.Pause-old.Pause)})
+		add(Use{Tokens: max(0, u.Tokens-old.Tokens), Writing: max(0, u.Writing-old.Writing), Pause: max(0, u.Pause-old.Pause),
+			Good: max(0, u.Good-old.Good), Bad: max(0, u.Bad-old.Bad)})
 	}
 	return sum
 }
@@ -207,6 +266,7 @@
 	delete(b.clocks, server)
 	delete(b.memory, server)
 	delete(b.pauses, server)
+	delete(b.marks, server)
 	for _, list := range b.at {
 		delete(list, server)
 	}
@@ -239,9 +299,10 @@
 	b.next = now + b.cfg.Beat
 	head := Head(members, me.Cell)
 	b.head = head.Ident == me.Ident || head.Ident == ""
-	b.told = maps.Clone(b.own)
+	own := b.marked(now)
+	b.told = own
 	if !b.head {
-		out = append(out, b.sheet(head, Sheet{From: me.Ident, Zone: me.Cell, Kind: leaf, Uses: flat(b.own), Kept: b.most(&b.news)}))
+		out = append(out, b.sheet(head, Sheet{From: me.Ident, Zone: me.Cell, Kind: leaf, Uses: flat(own), Kept: b.most(&b.news)}))
 		b.pass, b.spill = nil, nil
 		return out
 	}
@@ -250,7 +311,7 @@
 			delete(b.leaves, id)
 		}
 	}
-	sum := maps.Clone(b.own)
+	sum := maps.Clone(own)
 	for _, h := range b.leaves {
 		merge(sum, h.uses)
 	}
@@ -310,7 +371,7 @@
 func merge(to, from map[uint64]Use) {
 	for k, u := range from {
 		t := to[k]
-		to[k] = Use{Server: k, Tokens: t.Tokens + u.Tokens, Writing: t.Writing + u.Writing, Pause: t.Pause + u.Pause}
+		to[k] = Use{Server: k, Tokens: t.Tokens + u.Tokens, Writing: t.Writing + u.Writing, Pause: t.Pause + u.Pause, Good: t.Good + u.Good, Bad: t.Bad + u.Bad}
 	}
 }
 
--- a/traffic/board/sheet.go
+++ b/traffic/board/sheet.go
@@ -8,6 +8,8 @@
 	Tokens  int    `msg:"t"` // of prompts sent to be read and not yet read
 	Writing int    `msg:"w"` // answers
 	Pause   int    `msg:"g"` // ms between their events of late, times Writing so that sums can be told
+	Good    int    `msg:"o"` // daemons that had an answer from it just now
+	Bad     int    `msg:"b"` // daemons whose last call to it failed without a word
 }
 
 // Kept says that a server has just read or taken up a prompt.
--- a/traffic/board/sheet_gen.go
+++ b/traffic/board/sheet_gen.go
@@ -589,6 +589,18 @@
 				err = msgp.WrapError(err, "Pause")
 				return
 			}
+		case "o":
+			z.Good, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Good")
+				return
+			}
+		case "b":
+			z.Bad, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Bad")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -602,9 +614,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Use) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 6
 	// write "s"
-	err = en.Append(0x84, 0xa1, 0x73)
+	err = en.Append(0x86, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -643,15 +655,35 @@
 		err = msgp.WrapError(err, "Pause")
 		return
 	}
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Good)
+	if err != nil {
+		err = msgp.WrapError(err, "Good")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Bad)
+	if err != nil {
+		err = msgp.WrapError(err, "Bad")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Use) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "s"
-	o = append(o, 0x84, 0xa1, 0x73)
+	o = append(o, 0x86, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Server)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -662,6 +694,12 @@
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendInt(o, z.Pause)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt(o, z.Good)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendInt(o, z.Bad)
 	return
 }
 
@@ -707,6 +745,18 @@
 				err = msgp.WrapError(err, "Pause")
 				return
 			}
+		case "o":
+			z.Good, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Good")
+				return
+			}
+		case "b":
+			z.Bad, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Bad")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -721,6 +771,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Use) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -20,6 +20,10 @@
 	Load(now time.Duration, server string) (tokens, writing int, pause time.Duration)
 	// Paused notes the time between two events of an answer.
 	Paused(server string, d time.Duration)
+	// Came notes the end of a call: with an answer of any kind, or without a word.
+	Came(now time.Duration, server string, answered bool)
+	// Down tells whether a server most likely answers nobody.
+	Down(now time.Duration, server string) bool
 	// Keeps notes that a server read or took up a prompt, and how many tokens
 	// it had to keep anew.
 	Keeps(prefix uint64, server string, tokens int)
@@ -72,7 +76,7 @@
 		case s.Part != part || t.led.Tried(phase, s.Key):
 		case s.Warming:
 			warm = append(warm, s)
-		case now < l.stat(s.Key).shyUntil:
+		case now < l.stat(s.Key).shyUntil || l.board.Down(now, s.Key):
 			shy = append(shy, s)
 		default:
 			good = append(good, s)
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -14,6 +14,7 @@
 	open     int // calls under way from here
 	load     Load
 	loadAt   time.Duration
+	fails    int // calls in a row that it didn't answer
 	shyUntil time.Duration
 	seenAt   time.Duration
 }
--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -87,9 +87,11 @@
 	return 0, 0, 0
 }
 
-func (b tally) Paused(string, time.Duration)          {}
-func (b tally) Keeps(uint64, string, int)             {}
-func (b tally) Has(prefix uint64, server string) bool { return weight(prefix, server)%4 == 0 }
+func (b tally) Came(time.Duration, string, bool)         {}
+func (b tally) Down(_ time.Duration, server string) bool { return weight(7, server)%8 == 0 }
+func (b tally) Paused(string, time.Duration)             {}
+func (b tally) Keeps(uint64, string, int)                {}
+func (b tally) Has(prefix uint64, server string) bool    { return weight(prefix, server)%4 == 0 }
 
 // journey is what a test knows of one request: what became of each send.
 type journey struct {
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -169,12 +169,16 @@
 		l.bucket.Give(t.sentAt)
 	}
 	switch out {
-	case NotSent, Lost:
-		st.shyUntil = now + l.cfg.Shy
+	case NotSent, Lost: // passed by for longer each time, until it answers
+		st.shyUntil = now + l.cfg.Shy<<min(st.fails, 3)
+		st.fails++
+		l.board.Came(now, t.to.Key, false)
 	case Full, Moved:
 		st.shyUntil = now + l.cfg.Turned
-	case OK:
-		st.shyUntil = 0
+		l.board.Came(now, t.to.Key, true)
+	case OK, Gone:
+		st.shyUntil, st.fails = 0, 0
+		l.board.Came(now, t.to.Key, true)
 	}
 }
 
@@ -251,6 +255,7 @@
 		}
 		l.keeps(t, fresh)
 	}
+	l.board.Came(now, t.to.Key, true)
 	l.was(t)
 	t.begun = true
 }
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -66,7 +66,7 @@
 // Example: l := forward.New(gateway.Config(cfg), svc, part, source)
 func Config(c cabin.Config) forward.Config {
 	return forward.Config{Zone: c.Cell, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: c.Vol() * 5 / 4,
-		Shy: c.Bounds.Plan, Turned: c.Bounds.Plan / 8, Back: c.Vol() / 4, Pace: 50,
+		Shy: c.Bounds.Plan / 2, Turned: c.Bounds.Plan / 8, Back: c.Vol() / 4, Pace: 50,
 		Weights: forward.Weights{Far: 0.0023, Again: 0.05, Moved: 0.0022, Apart: 3, Miss: 0.05, Stall: 0.3}}
 }
 
@@ -128,6 +128,24 @@
 	n.g.board.Paused(board.Name(n.svc, server), d)
 }
 
+// Came notes the end of a call.
+//
+// Example: n.Came(now, server, true)
+func (n notes) Came(now time.Duration, server string, answered bool) {
+	n.g.bmu.Lock()
+	defer n.g.bmu.Unlock()
+	n.g.board.Came(now, board.Name(n.svc, server), answered)
+}
+
+// Down tells whether a server most likely answers nobody.
+//
+// Example: if n.Down(now, server) { avoid(server) }
+func (n notes) Down(now time.Duration, server string) bool {
+	n.g.bmu.Lock()
+	defer n.g.bmu.Unlock()
+	return n.g.board.Down(now, board.Name(n.svc, server))
+}
+
 // Keeps notes that a server has a prompt.
 //
 // Example: n.Keeps(prefix, server, 1460)
