Fleets of real daemons booted by settings files, between the stand-ins

Twelve of them run as tests, four at a time, at the platform's own bounds; the stand-ins have tests of their own.

--- a/cmd/testtrack/platform.go
+++ b/cmd/testtrack/platform.go
@@ -43,7 +43,7 @@
 	for _, n := range names {
 		at := filepath.Join(dir, n)
 		fmt.Printf("%s, files in %s\n", n, at)
-		rep, err := scene.Play(ctx, scene.Config{Dir: at, Program: filepath.Join(filepath.Dir(exe), "signalbox"), Pace: pace, PerZone: 2, Rate: rate, Seed: seed}, scene.Scenes[n])
+		rep, err := scene.Play(ctx, scene.Config{Dir: at, Program: filepath.Join(filepath.Dir(exe), "signalbox"), Pace: pace, PerZone: 2, Short: pace < 1, Rate: rate, Seed: seed}, scene.Scenes[n])
 		if err != nil {
 			return failed(err)
 		}
--- /dev/null
+++ b/proof/standin/scene/scene_test.go
@@ -0,0 +1,56 @@
+package scene
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+// build makes the daemon once for all scenes.
+func build(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "mulleinmast/cmd/signalbox").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return filepath.Join(dir, "signalbox")
+}
+
+// play has a scene end without a broken rule; at least a part of the tries is
+// served.
+func play(t *testing.T, program, name string, rate, part float64) {
+	t.Helper()
+	rep, err := Play(context.Background(), Config{Dir: t.TempDir(), Program: program, Pace: 1, PerZone: 2, Short: true, Rate: rate, Seed: 11}, Scenes[name])
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range rep.Broken {
+		t.Error(b)
+	}
+	if rep.Failed || rep.All == 0 || float64(rep.Served) < part*float64(rep.All) {
+		t.Errorf("failed, or too few were served:\n%s", rep)
+	}
+	if rep.Seen["handed over"] == 0 {
+		t.Errorf("no prompt was handed over: %v", rep.Seen)
+	}
+	t.Log(rep)
+}
+
+// Real daemons, booted as on the platform, between stand-ins of all that it is:
+// what befalls them breaks no rule.
+func TestScenesOnThePlatform(t *testing.T) {
+	program := build(t)
+	four := make(chan bool, 4) // more at once would make each other slow
+	t.Run("scenes", func(t *testing.T) {
+		for name, part := range map[string]float64{"calm": 0.98, "roll": 0.95, "kill-owner": 0.9, "release": 0.95, "evacuate": 0.95, "config": 0.95, "garble": 0.8, "crash": 0.9,
+			"race": 0.95, "lost-disk": 0.9, "seeds": 0.6, "lapse": 0.7} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				four <- true
+				defer func() { <-four }()
+				play(t, program, name, 40, part)
+			})
+		}
+	})
+}
--- a/proof/standin/server/server.go
+++ b/proof/standin/server/server.go
@@ -41,6 +41,7 @@
 	TellsLoad, ChecksFence     bool
 	ColdFor                    time.Duration
 	ColdRate                   float64
+	Changed                    func(*Server) // called when it plays another part
 }
 
 // Peers finds servers by address, for the moves of prompt memory.
