--- a/proof/standin/scene/orders.go
+++ b/proof/standin/scene/orders.go
@@ -109,18 +109,21 @@
 	for i := range 6 {
 		on := w.Op.Now()
 		var wait sync.WaitGroup
+		var sent [2]wire.Change
 		var got [2]*record.Change
 		for k := range got {
 			wait.Go(func() {
-				ch := wire.Change{Version: on.Version + 1 + k*(i%2)}
 				r := w.Routes[0]
 				r.GiveUpMs = 4000 + 10*i + k
-				ch.Replace.Routes = []wire.Route{r}
-				got[k] = w.Op.Patch(ctx, ch, on)
+				sent[k].Version, sent[k].Replace.Routes = on.Version+1+k*(i%2), []wire.Route{r}
+				got[k] = w.Op.Patch(ctx, sent[k], on)
 			})
 		}
 		wait.Wait()
-		for _, c := range got {
+		for k, c := range got {
+			if again := w.Op.Patch(ctx, sent[k], on); again.Status != c.Status {
+				w.Fail("a change was answered %d, and %d when it was sent again", c.Status, again.Status)
+			}
 			switch c.Status {
 			case 200:
 				won++
