--- a/cmd/testtrack/sweep.go
+++ b/cmd/testtrack/sweep.go
@@ -38,7 +38,7 @@
 		faults := map[string]int{}
 		results, sheds, plans := map[string]int{}, map[string]int{}, map[string]int{}
 		var gap, wait []time.Duration
-		for i := 0; i < runtime.NumCPU(); i++ {
+		for i := 0; i < runtime.GOMAXPROCS(0); i++ {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
