A write withdraws only the records that it writes

Cause: a job held and purged every record that it had looked at; one that looks at two and writes one took the other out of the whole tree's leases for nothing. Test first: TestOnlyWhatIsWrittenIsWithdrawn failed ("the record that was only looked at is withdrawn") and passes; both records stay closed to other jobs meanwhile.

--- a/control/section/section.go
+++ b/control/section/section.go
@@ -17,8 +17,8 @@
 )
 
 // Job is a write: the keys it touches, and what to write given what is there.
-// Make runs when no other write holds the keys; it returns no records when
-// nothing is to be written, and any word for the caller.
+// Make runs when no other write holds the keys; it returns the records of some
+// of them, or none when nothing is to be written, and any word for the caller.
 type Job struct {
 	Keys []string
 	Make func(read purge.Source) (recs []form.Rec, word any)
@@ -68,7 +68,7 @@
 	due  int // holds not yet purged
 	recs []form.Rec
 	word any
-	held bool
+	held []string // the keys that it writes
 }
 
 // Section is the state machine.
@@ -250,11 +250,14 @@
 			continue
 		}
 		s.runs[j.tag] = j
-		j.due, j.held = len(j.Keys), true
 		for _, k := range j.Keys {
 			s.busy[k] = true
 		}
-		for _, k := range j.Keys {
+		for _, r := range j.recs {
+			j.held = append(j.held, r.Key)
+		}
+		j.due = len(j.held)
+		for _, k := range j.held {
 			s.fromNode(now, s.Node.Hold(now, k, j.tag), o)
 		}
 	}
@@ -302,6 +305,8 @@
 			r.Fate = Done
 			for _, k := range j.Keys {
 				delete(s.busy, k)
+			}
+			for _, k := range j.held {
 				s.fromNode(now, s.Node.Free(now, k), o)
 			}
 		}
--- a/control/section/section_test.go
+++ b/control/section/section_test.go
@@ -84,3 +84,36 @@
 		}
 	}
 }
+
+// A job that looked at two records and writes one withdraws that one alone; no
+// other job touches either meanwhile.
+func TestOnlyWhatIsWrittenIsWithdrawn(t *testing.T) {
+	s, sync := owner(t)
+	now := s.Seat.Lease() - 900*time.Millisecond
+	write := func(keys ...string) Job {
+		return Job{Keys: []string{"a", "b"}, Make: func(purge.Source) (recs []form.Rec, _ any) {
+			for _, k := range keys {
+				recs = append(recs, form.Rec{Key: k, Val: []byte("new")})
+			}
+			return recs, nil
+		}}
+	}
+	first := s.Do(now, 1, write("a")) // not on disk yet
+	if _, ok := s.Node.Get(now, "a"); ok {
+		t.Error("the record that is written is served")
+	}
+	if _, ok := s.Node.Get(now, "b"); !ok {
+		t.Error("the record that was only looked at is withdrawn")
+	}
+	if o := s.Do(now, 2, write("b")); len(o.Results)+len(o.Saves) > 0 {
+		t.Errorf("a second job ran beside the first: %+v", o)
+	}
+	if o := sync(first); len(o.Results) != 2 || o.Results[0].Fate != Done || o.Results[1].Fate != Done {
+		t.Errorf("%+v", o.Results)
+	}
+	for _, k := range []string{"a", "b"} {
+		if r, ok := s.Node.Get(now, k); !ok || string(r.Val) != "new" {
+			t.Errorf("%s: %q %v", k, r.Val, ok)
+		}
+	}
+}
