A call that comes late or a second time undoes nothing that came between

Cause: an end of an evacuation that was held up on its way, or sent again when its reply was lost, arrived after a newer evacuation and undid it: nothing orders evacuations, seats, or lists without a version. A once key's claim that arrived after its request had given the key back, and another's claim had come and gone, took the key for nobody. A late report of a daemon's work replaced a newer one.

Change: all tries of a call carry its number; daemon, life and number name it. A once key's record keeps the last 16 requests that gave it back. An overtaken report is turned away.

Ruled out: identities inside the record of cells (an older build would read it as no cells out); one record for claims too (every claim of a part would wait for the one before).

Left: a call that was given up as "uncertain" without having been carried out may still come through when its operator has long sent it anew under another number.

--- a/control/errand/errand.go
+++ b/control/errand/errand.go
@@ -1,6 +1,7 @@
 // Package errand carries a call to the owner of a part, wherever that is, and
 // waits out a change of owner. It is a plain state machine: a call that was
-// sent and not answered is "uncertain", one that nobody took is "not done".
+// sent and not answered is "uncertain", one that nobody took is "not done". All
+// tries of a call go under one number, so that an owner carries it out once.
 package errand
 
 import (
@@ -90,7 +91,7 @@
 	e.no++
 	c.ref, c.due = e.no, now+e.cfg.Try
 	e.refs[e.no] = no
-	o.Sends = append(o.Sends, form.Send{Addr: own.Addr, Note: form.Note{Kind: form.Call, Part: c.part, To: own.Ident, No: e.no, Op: c.op, Body: c.body}})
+	o.Sends = append(o.Sends, form.Send{Addr: own.Addr, Note: form.Note{Kind: form.Call, Part: c.part, To: own.Ident, No: e.no, Ref: no, Op: c.op, Body: c.body}})
 }
 
 // Hear takes an owner's word.
--- a/control/errand/errand_test.go
+++ b/control/errand/errand_test.go
@@ -72,3 +72,19 @@
 		t.Errorf("a second reply ended %+v", d)
 	}
 }
+
+// Every try of a call goes under the call's own number, so that an owner knows
+// one that it has carried out; the try's number tells the replies apart.
+func TestTriesOfOneCall(t *testing.T) {
+	e := New(cfg)
+	_, first := e.Start(0, own, 0, "return", nil, 4*time.Second, false)
+	_, other := e.Start(0, own, 0, "return", nil, 4*time.Second, false)
+	again := e.Tick(500*time.Millisecond, func(int) form.Seat { return form.Seat{Ident: "p", Addr: "10.0.0.2:1"} })
+	if len(again.Sends) != 2 {
+		t.Fatalf("%+v", again)
+	}
+	a, b, c := first.Sends[0].Note, again.Sends[0].Note, other.Sends[0].Note
+	if a.Ref == 0 || a.Ref != b.Ref || a.No == b.No || a.Ref == c.Ref {
+		t.Errorf("tries go as %d/%d and %d/%d, another call as %d/%d", a.Ref, a.No, b.Ref, b.No, c.Ref, c.No)
+	}
+}
--- a/control/errand/word.go
+++ b/control/errand/word.go
@@ -4,9 +4,10 @@
 
 // Claim is a once key's record: who has it and what is known.
 type Claim struct {
-	Request string `json:"request"`
-	Daemon  string `json:"daemon"`
-	State   string `json:"state"` // claimed, shed, done
+	Request string   `json:"request"`
+	Daemon  string   `json:"daemon"`
+	State   string   `json:"state"`          // claimed, shed, done
+	Past    []string `json:"past,omitempty"` // requests that gave the key back, kept with the record only
 }
 
 // Word is a control reply that is not a verdict.
--- a/control/master/job.go
+++ b/control/master/job.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"mulleinmast/control/errand"
 	"mulleinmast/control/purge"
@@ -32,13 +33,17 @@
 	Claim errand.Claim
 }
 
+// keepPast is how many requests that gave a once key back are kept with it.
+const keepPast = 16
+
 // OnceKey is the key of a once key's record.
 //
 // Example: master.OnceKey("express/k-17") == "once/express/k-17"
 func OnceKey(key string) string { return "once/" + key }
 
-// job turns a call into a write; fault says what is wrong with its body.
-func job(op string, body []byte) (j section.Job, fault string) {
+// job turns a call into a write; fault says what is wrong with its body. call
+// names it over all its tries, see onceOnly.
+func job(call, op string, body []byte) (j section.Job, fault string) {
 	read := func(to any) bool {
 		if err := json.Unmarshal(body, to); err != nil {
 			fault = err.Error()
@@ -49,16 +54,18 @@
 	case "plan", "changes":
 		return planJob(op, body)
 	case "evacuate", "return":
-		return cellJob(op, string(body)), ""
+		return onceOnly(call, cellJob(op, string(body))), ""
 	case "seat":
 		var in SeatCall
 		if read(&in) {
-			j = seatJob(in)
+			j = onceOnly(call, seatJob(in))
 		}
 	case "servers":
 		var in ServersCall
 		if read(&in) {
-			j = listJob(in)
+			if j = listJob(in); in.List.Version == 0 {
+				j = onceOnly(call, j)
+			}
 		}
 	case "claim", "unclaim":
 		var in ClaimCall
@@ -147,7 +154,8 @@
 }
 
 // claimJob takes a once key or says what became of it. A key that was settled
-// before its claim arrived stays settled: the late claim finds it so.
+// before its claim arrived stays settled: the late claim finds it so, also when
+// other requests had the key since.
 func claimJob(op string, in ClaimCall) section.Job {
 	key := OnceKey(in.Key)
 	return section.Job{Keys: []string{key}, Make: func(read purge.Source) ([]form.Rec, any) {
@@ -158,21 +166,33 @@
 				panic("claim record can't be read: " + err.Error()) // we wrote it ourselves
 			}
 		}
-		mine := cur.Request == in.Claim.Request
-		if op == "claim" {
-			if mine && cur.State == in.Claim.State {
+		mine, next := cur.Request == in.Claim.Request, in.Claim
+		next.Past = cur.Past
+		over := slices.Contains(cur.Past, in.Claim.Request)
+		switch {
+		case op == "claim" && mine && cur.State == next.State:
+			return nil, done
+		case op == "claim" && (mine || over || !r.Dead && cur.State != "shed"):
+			cur.Past = nil
+			return nil, errand.Word{Result: "duplicate", Claim: &cur}
+		case op == "claim" && !r.Dead:
+			next.Past = settled(cur.Past, cur.Request)
+		case op == "unclaim" && !r.Dead && !mine:
+			if over {
 				return nil, done
 			}
-			if !r.Dead && cur.State != "shed" && !mine || mine {
-				return nil, errand.Word{Result: "duplicate", Claim: &cur}
-			}
-		} else if !r.Dead && !mine {
-			return nil, done
+			next, next.Past = cur, settled(cur.Past, in.Claim.Request)
 		}
-		return []form.Rec{{Key: key, Val: errand.Pack(in.Claim)}}, done
+		return []form.Rec{{Key: key, Val: errand.Pack(next)}}, done
 	}}
 }
 
+// settled adds a request to those that gave a key back; the last are kept.
+func settled(past []string, request string) []string {
+	past = append(slices.Clone(past), request)
+	return past[max(0, len(past)-keepPast):]
+}
+
 func openSeats(r form.Rec) (seats []form.Seat) {
 	if !r.Dead && len(r.Val) > 0 {
 		if err := json.Unmarshal(r.Val, &seats); err != nil {
--- a/control/master/master.go
+++ b/control/master/master.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -69,6 +70,7 @@
 	backs []form.Send
 
 	holder *interlock.Holder
+	wants  map[string][2]uint64 // life and number of a daemon's last report for a service
 	dirty  bool
 	seen   [2]form.Ver // plan and cells that the holder works by
 	group  uint64
@@ -79,7 +81,7 @@
 //
 // Example: m := master.New(cfg, 3, me, section.New(3, me, epoch, seat, node))
 func New(cfg Config, part int, me form.Seat, sec *section.Section) *Master {
-	return &Master{cfg: cfg, part: part, me: me, sec: sec, acts: map[uint64]func(section.Result){}, dirty: true}
+	return &Master{cfg: cfg, part: part, me: me, sec: sec, acts: map[uint64]func(section.Result){}, wants: map[string][2]uint64{}, dirty: true}
 }
 
 // Section is the part underneath.
@@ -107,7 +109,7 @@
 		m.holder = nil
 	}
 	if s.Won {
-		m.holder, m.marks = nil, nil
+		m.holder, m.marks, m.wants = nil, nil, map[string][2]uint64{}
 		o.say("duty", "part %d: owner with ballot %d", m.part, m.sec.Seat.Num())
 	}
 	o.Out = s
@@ -184,7 +186,7 @@
 		m.wanted(now, n)
 		return m.wrap(section.Out{})
 	}
-	j, fault := job(n.Op, n.Body)
+	j, fault := job(callOf(n), n.Op, n.Body)
 	if fault != "" {
 		m.back(n, http.StatusBadRequest, errand.Pack(errand.Word{Result: "broken", Faults: []string{fault}}))
 		return m.wrap(section.Out{})
@@ -224,11 +226,28 @@
 		m.back(n, http.StatusBadRequest, errand.Pack(errand.Word{Result: "broken", Faults: []string{err.Error()}}))
 	case !m.sec.Owner(now) || m.holder == nil:
 		m.back(n, errand.Other, nil)
+	case m.overtaken(n, w.Service):
+		m.back(n, errand.Other, nil)
 	default:
 		m.back(n, http.StatusOK, errand.Pack(m.holder.Asked(now, n.From, w, m.sec.Seat.Lease()-now)))
 	}
 }
 
+// overtaken tells whether a later report of the same daemon came before this
+// one: what it says is in flight is no longer so.
+func (m *Master) overtaken(n form.Note, service string) bool {
+	if n.Ref == 0 { // a build that doesn't number its calls
+		return false
+	}
+	id := service + "/" + n.From
+	last, now := m.wants[id], [2]uint64{n.Epoch, n.Ref}
+	if slices.Compare(now[:], last[:]) <= 0 {
+		return true
+	}
+	m.wants[id] = now
+	return false
+}
+
 // Works runs the owner's systems over its group, its once keys and its servers.
 //
 // Example: out := m.Works(now, sight)
--- /dev/null
+++ b/control/master/once_test.go
@@ -0,0 +1,243 @@
+package master
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"mulleinmast/control/errand"
+	"mulleinmast/control/interlock"
+	"mulleinmast/control/notary"
+	"mulleinmast/control/purge"
+	"mulleinmast/control/section"
+	"mulleinmast/control/survey"
+	"mulleinmast/control/tariff"
+	"mulleinmast/wire/form"
+)
+
+var self = form.Seat{Ident: "o", Addr: "10.0.0.1:1"}
+
+// office is an owner that is alone in its group, with its disk at hand.
+type office struct {
+	t    *testing.T
+	m    *Master
+	now  time.Duration
+	book map[string]form.Rec // what the disk holds
+	meta notary.Meta
+	back []form.Note
+}
+
+// open makes an owner out of what the disk of another holds, or of nothing.
+func open(t *testing.T, part int, old *office) *office {
+	t.Helper()
+	a := &office{t: t, book: map[string]form.Rec{}, meta: notary.Meta{Group: form.Group{Num: 1, Seats: []form.Seat{self}}}}
+	held := survey.NewBook()
+	if old != nil {
+		a.meta = old.meta
+		for k, r := range old.book {
+			a.book[k] = r
+			held.Put(r)
+		}
+	}
+	duty := notary.Config{Duty: time.Second, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 333 * time.Millisecond}
+	tree := purge.Config{Vol: 800 * time.Millisecond, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 266 * time.Millisecond}
+	a.m = New(Config{Works: interlock.Config{Share: time.Second}, Keep: time.Hour}, part, self,
+		section.New(part, self, 1, notary.New(duty, part, self, a.meta, held, 0, true), purge.New(tree, part, self, 1)))
+	for a.step(); !a.m.Owner(a.now); a.step() {
+		if a.now > time.Minute {
+			t.Fatal("no owner")
+		}
+	}
+	return a
+}
+
+func (a *office) step() {
+	a.now += 10 * time.Millisecond
+	a.carry(a.m.Tick(a.now))
+}
+
+func (a *office) carry(o Out) {
+	for _, s := range o.Saves {
+		a.meta = s.Meta
+		for _, r := range s.Recs {
+			a.book[r.Key] = r
+		}
+		a.carry(a.m.Saved(a.now, s.Ticket))
+	}
+	for _, m := range o.Sends {
+		if m.Note.Kind == form.Back {
+			a.back = append(a.back, m.Note)
+		}
+	}
+}
+
+// call hands a try of a daemon's call to the owner and returns the code and the
+// word that went back.
+func (a *office) call(from string, ref, no uint64, op string, body []byte) (int, string) {
+	a.t.Helper()
+	a.back = nil
+	a.carry(a.m.Hear(a.now, form.Note{Kind: form.Call, Part: a.m.part, From: from, Epoch: 1, Addr: "10.0.0.9:1", Ref: ref, No: no, Op: op, Body: body}))
+	if len(a.back) != 1 || a.back[0].Ref != no {
+		a.t.Fatalf("%s: replies %+v", op, a.back)
+	}
+	var w errand.Word
+	if err := json.Unmarshal(a.back[0].Body, &w); err != nil {
+		a.t.Fatal(err)
+	}
+	return a.back[0].Code, w.Result
+}
+
+func (a *office) read(key string) form.Rec {
+	r, ok := a.m.Section().Node.Get(a.now, key)
+	if !ok {
+		a.t.Fatalf("%s is not served", key)
+	}
+	return r
+}
+
+// An evacuation or its end that was held up on its way, or sent a second time
+// since its reply was lost, undoes nothing that came between; nor when another
+// daemon has become owner meanwhile. Each try gets the first one's reply.
+func TestALateTryUndoesNothing(t *testing.T) {
+	for what, x := range map[string]struct {
+		late string // came first and comes again at the end
+		then string // came between
+		out  bool   // in the end
+	}{
+		"an end of an evacuation":             {"return", "evacuate", true},
+		"an evacuation":                       {"evacuate", "return", false},
+		"an end that found nothing to change": {"return", "evacuate", true},
+		"an evacuation that changed nothing":  {"evacuate", "return", false},
+	} {
+		for _, moved := range []bool{false, true} {
+			a := open(t, 0, nil)
+			no := uint64(0)
+			call := func(from string, ref uint64, op string) {
+				t.Helper()
+				no++
+				if code, w := a.call(from, ref, no, op, []byte("north")); code != 200 || w != "done" {
+					t.Errorf("%s: %s: %d %s", what, op, code, w)
+				}
+			}
+			if x.late == "return" && what != "an end that found nothing to change" {
+				call("q", 1, "evacuate")
+			}
+			if what == "an evacuation that changed nothing" {
+				call("q", 1, "evacuate")
+			}
+			call("p", 7, x.late)
+			call("q", 7, x.then) // another daemon may count its calls alike
+			if moved {
+				a = open(t, 0, a)
+			}
+			call("p", 7, x.late)
+			if out := tariff.Cells(a.read(tariff.CellKey))["north"]; out != x.out {
+				t.Errorf("%s, owner changed %v: north is out: %v", what, moved, out)
+			}
+			call("p", 8, x.late) // a call of its own is carried out
+			if out := tariff.Cells(a.read(tariff.CellKey))["north"]; out == x.out {
+				t.Errorf("%s, owner changed %v: a new call did nothing", what, moved)
+			}
+		}
+	}
+}
+
+// So with a seat that is given away and back, one that could not be given away
+// at first, and a list of servers without a version.
+func TestALateSeatOrListUndoesNothing(t *testing.T) {
+	a := open(t, 0, nil)
+	seats := []form.Seat{self, {Ident: "b", Addr: "10.0.0.2:1"}, {Ident: "c", Addr: "10.0.0.3:1"}}
+	a.carry(a.m.Do(a.now, section.Job{Keys: []string{tariff.SeatKey}, Make: func(purge.Source) ([]form.Rec, any) {
+		return []form.Rec{{Key: tariff.SeatKey, Val: errand.Pack(seats)}}, nil
+	}}, func(section.Result) {}))
+	move := func(out, in string) []byte { return errand.Pack(SeatCall{Out: out, Ident: in, Addr: "10.0.0.4:1"}) }
+	for i, x := range []struct {
+		ref  uint64
+		body []byte
+		want string
+		has  string
+	}{{1, move("d", "e"), "not done", "c"}, {2, move("c", "d"), "done", "d"}, {1, move("d", "e"), "not done", "d"}, {3, move("d", "c"), "done", "c"}, {2, move("c", "d"), "done", "c"}} {
+		if _, w := a.call("p", x.ref, uint64(i+1), "seat", x.body); w != x.want {
+			t.Errorf("%d: %s", i, w)
+		}
+		if g := (form.Group{Seats: openSeats(a.read(tariff.SeatKey))}); !g.Has(x.has) {
+			t.Errorf("%d: %v lacks %s", i, g.Seats, x.has)
+		}
+	}
+
+	b := open(t, 1, nil)
+	list := func(leaving bool) []byte {
+		return errand.Pack(ServersCall{"m", tariff.List{Servers: []tariff.Server{{Addr: "10.0.0.1:1", Cell: "a", Capacity: 8, Leaving: leaving}}}})
+	}
+	for no, leaving := range []bool{false, true, false} { // the third is the first again
+		if code, w := b.call("p", uint64(no%2+1), uint64(no+1), "servers", list(leaving)); code != 200 || w != "done" {
+			t.Errorf("%d %s", code, w)
+		}
+	}
+	if !tariff.OpenList(b.read(tariff.ListKey("m"))).Servers[0].Leaving {
+		t.Error("a list that came a second time brought a leaving server back")
+	}
+}
+
+// What is kept of calls is bounded; a call of a build that doesn't number its
+// calls is carried out each time.
+func TestWhatIsKeptOfCalls(t *testing.T) {
+	a := open(t, 0, nil)
+	for i := uint64(1); i <= 3*keepCalls; i++ {
+		a.call("p", i, i, []string{"evacuate", "return"}[i%2], fmt.Appendf(nil, "cell-%d", i%5))
+	}
+	if n := len(openCalls(a.read(callsKey))); n != keepCalls {
+		t.Errorf("%d calls are kept", n)
+	}
+	for no, op := range []string{"evacuate", "return", "evacuate"} {
+		a.call("old", 0, uint64(no+1), op, []byte("south"))
+		if out := tariff.Cells(a.read(tariff.CellKey))["south"]; out != (op == "evacuate") {
+			t.Errorf("%s by an older build: south is out: %v", op, out)
+		}
+	}
+}
+
+// A claim that was held up doesn't take a key that its request gave back, with
+// another's claim come and gone since.
+func TestALateClaimTakesNothing(t *testing.T) {
+	a := open(t, 1, nil)
+	no := uint64(0)
+	call := func(op, req, state string) string {
+		no++
+		_, w := a.call("p", no, no, op, errand.Pack(ClaimCall{"t/k", errand.Claim{Request: req, State: state}}))
+		return w
+	}
+	for _, req := range []string{"r1", "r2", "r3"} {
+		if w := call("claim", req, "claimed"); w != "done" {
+			t.Errorf("%s: %s", req, w)
+		}
+		call("unclaim", req, "shed")
+	}
+	if w := call("claim", "r1", "claimed"); w != "duplicate" {
+		t.Errorf("a request that gave the key back got it again: %s", w)
+	}
+	if w := call("claim", "r4", "claimed"); w != "done" {
+		t.Errorf("the key is held: %s", w)
+	}
+}
+
+// A daemon's report that was overtaken by a later one is not taken for what it
+// has in flight now.
+func TestALateReportIsDropped(t *testing.T) {
+	a := open(t, 1, nil)
+	a.m.holder = interlock.New(interlock.Config{Share: time.Second}, 1, 0)
+	want := func(ref uint64, epoch uint64) int {
+		a.back = nil
+		a.carry(a.m.Hear(a.now, form.Note{Kind: form.Call, Part: 1, From: "p", Epoch: epoch, Ref: ref, No: ref, Op: "want", Body: errand.Pack(interlock.Want{Service: "m"})}))
+		return a.back[0].Code
+	}
+	for i, x := range []struct {
+		ref, epoch uint64
+		code       int
+	}{{4, 1, 200}, {6, 1, 200}, {5, 1, errand.Other}, {1, 2, 200}, {7, 1, errand.Other}, {2, 2, 200}} {
+		if code := want(x.ref, x.epoch); code != x.code {
+			t.Errorf("%d: number %d of life %d: %d", i, x.ref, x.epoch, code)
+		}
+	}
+}
