Simulated: calls that come again seconds later, with a cell out and back all the time

A scenario "late": 0.8 of the calls (but evacuations, which would hide what a late end undid) come a second time, 3 s later on average, with kills, freezes and cut-off machines.

--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -41,6 +41,10 @@
 	if w.o.Mutate > 0 && w.rng.Float64() < w.o.Mutate {
 		w.at(w.exp(time.Millisecond), func() { w.land(to, w.mutated(m)) })
 	}
+	// An evacuation that came again would hide what a late end of one undid.
+	if w.o.Late > 0 && m.Kind == form.Call && m.Op != "evacuate" && w.rng.Float64() < w.o.Late {
+		w.at(w.exp(3*time.Second), func() { w.land(to, m) })
+	}
 	d := 100*time.Microsecond + w.exp(400*time.Microsecond)
 	if from.cell != to.cell {
 		d += w.o.Far
@@ -94,6 +98,9 @@
 	if p.Section().Node.Root() {
 		w.res.RootNotes++
 	}
+	if w.o.Sabotage == "nonumber" && m.Kind == form.Call {
+		m.Ref = 0
+	}
 	if m.Kind == form.Call && m.Op == "changes" && w.o.Sabotage == "nobase" {
 		m.Body = rebase(m.Body, tariff.Open(w.read(to, tariff.PlanKey)).Version)
 	}
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// moves evacuates a cell again soon after it was brought back.
+func (w *world) moves() {
+	if w.now < w.o.Length-6*time.Second {
+		w.evacuate()
+		w.at(w.exp(w.o.Moves), w.moves)
+	}
+}
+
 // change sends a named change; at times two operators at once on one base, an
 // old base, or a broken one.
 func (w *world) change() {
@@ -80,12 +88,15 @@
 	}
 }
 
-// evacuate takes a cell out, and later brings it back.
+// evacuate takes a cell out, if none is, and later brings it back.
 func (w *world) evacuate() {
 	if w.out != "" || len(w.o.Cells) < 2 {
 		return
 	}
 	cell := fmt.Sprintf("cell-%d", w.rng.Intn(len(w.o.Cells)))
+	if w.o.Moves > 0 { // again and again the same, so that a late call meets another's work
+		cell = "cell-1"
+	}
 	w.out = cell
 	from := w.now
 	w.control(w.pick(""), 0, "evacuate", []byte(cell), func(code int, _ []byte) {
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -28,6 +28,8 @@
 	Servers  []int           // model servers of each service
 	Orders   time.Duration   // mean time between operators' and the platform's calls
 	Swaps    []time.Duration // when a core machine is exchanged for an empty one
+	Moves    time.Duration   // mean time until a cell that was brought back is evacuated again; 0: only by Orders
+	Late     float64         // part of the calls to owners that come a second time, seconds later
 	Far      time.Duration   // more between cells, one way
 	Lame     time.Duration   // more to and from one relay, from 15 s to 55 s
 	Back     bool            // who is shed comes back when told to, once
@@ -83,6 +85,13 @@
 	"servers": calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"crash": 4, "dark": 2, "lapse": 2, "cross": 3, "break": 4, "skip": 2, "twice": 2, "sluggish": 2, "link": 2, "roll": 2, "crowd": 1}),
 	"cells":   calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"cell": 1, "kill": 1, "freeze": 1, "crowd": 1, "swing": 1}),
 	"reboot":  calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"all": 1.5, "kill": 4, "ackkill": 3, "freeze": 3}),
+	// A cell is evacuated and brought back all the time, and calls come a second
+	// time seconds later, under the same owner or the next.
+	"late": func(seed int64) Options {
+		o := calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"kill": 3, "freeze": 2, "alone": 1})(seed)
+		o.Late, o.Moves = 0.8, 200*time.Millisecond
+		return o
+	},
 	// Five seats over three cells, and a founder without a disk.
 	"five": func(seed int64) Options {
 		o := Default(seed)
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -78,6 +78,7 @@
 		"lapsed":       {"traffic", "plan-late:"},    // leases are never looked at
 		"fallback":     {"servers", "plan-back:"},    // a daemon goes back to the plan before
 		"nobase":       {"servers", "plan-race:"},    // a plan's base is not looked at
+		"nonumber":     {"late", "evacuated:"},       // tries of one call are taken for calls of their own
 		"sayno":        {"servers", "plan-refused:"}, // a plan is refused and written all the same
 		"noretrybound": {"servers", "retries:"},      // retries know no bound
 		"noramp":       {"servers", "flood:"},        // a server that starts gets its whole share
