An early promise is given only to who waits; a void after a restart lowers no vote

Cause, found while the early take-up of a duty was proved: (1) a candidate of the build before would be promised at once like any other, though it doesn't know of quiet times and would write while leases under the owner before stand; (2) a voter that restarted between its promise and the candidate's void was set back to ballot 0, as what it was bound to before isn't known any more: it could then have promised a ballot below one whose writes it holds.

Change: asking for a ballot says how long its sender would write nothing; who doesn't say so waits the lease out as before. A void undoes only a promise of this life.

--- a/control/notary/ballot.go
+++ b/control/notary/ballot.go
@@ -24,19 +24,19 @@
 	}
 	again := n.Num == s.meta.Promised && n.From == s.meta.To
 	if n.Op == probe {
-		if (s.free(now) || s.support == n.From) && n.Num > s.meta.Promised {
+		if s.may(now, n) && n.Num > s.meta.Promised {
 			o.send(from, form.Note{Kind: form.Promise, Op: probe, Part: s.part, Num: n.Num, Group: form.Group{Num: own.Num}})
 		} else {
 			s.shed(now, from, n, o)
 		}
 		return
 	}
-	if !s.free(now) && s.support != n.From || n.Num <= s.meta.Promised && !again {
+	if !s.may(now, n) || n.Num <= s.meta.Promised && !again {
 		s.shed(now, from, n, o)
 		return
 	}
 	if !again {
-		s.before = s.meta
+		s.before, s.undo = s.meta, n.Num
 	}
 	if n.From == s.me.Ident {
 		s.meta.Tried = n.Num
@@ -98,12 +98,18 @@
 }
 
 func (s *Seat) shed(now time.Duration, from form.Seat, n form.Note, o *Out) {
-	o.send(from, form.Note{Kind: form.Refuse, Part: s.part, Num: n.Num, Set: s.meta.Promised, Group: s.meta.Group, Len: int64(s.left(now)), Hint: s.hint.Seat})
+	o.send(from, form.Note{Kind: form.Refuse, Part: s.part, Num: n.Num, Set: s.meta.Promised, Group: s.meta.Group, Len: int64(s.left(now, n)), Hint: s.hint.Seat})
 }
 
-// left is how long this seat is bound to another still.
-func (s *Seat) left(now time.Duration) time.Duration {
-	if s.free(now) {
+// may tells whether a candidate can be promised a ballot now. One that would
+// not write nothing while leases stand, as an older build's, waits them out.
+func (s *Seat) may(now time.Duration, n form.Note) bool {
+	return now >= s.till || s.support == n.From || s.over() && time.Duration(n.Len) >= s.till-now
+}
+
+// left is how long this seat is bound still, and not to the one that asks.
+func (s *Seat) left(now time.Duration, n form.Note) time.Duration {
+	if s.may(now, n) {
 		return 0
 	}
 	return s.till - now
@@ -224,10 +230,13 @@
 	s.num = max(s.high, s.meta.Promised, s.meta.Tried, s.num) + 1
 	s.mode, s.askAt, s.probed = probing, now, map[string]bool{}
 	for _, seat := range s.meta.Group.All() {
-		o.send(seat, form.Note{Kind: form.Ask, Op: probe, Part: s.part, Num: s.num, Group: s.meta.Group})
+		o.send(seat, form.Note{Kind: form.Ask, Op: probe, Part: s.part, Num: s.num, Group: s.meta.Group, Len: s.wait()})
 	}
 }
 
+// wait is for how long at most this seat would write nothing as owner.
+func (s *Seat) wait() int64 { return int64(s.cfg.Wait(s.cfg.Duty)) }
+
 func (s *Seat) stand(now time.Duration, o *Out) {
 	if s.meta.Promised >= s.num { // we were asked for that ballot meanwhile
 		s.drop(o)
@@ -238,7 +247,7 @@
 	s.votes = map[string]vote{}
 	digs := s.book.Digs()
 	for _, seat := range s.meta.Group.All() {
-		o.send(seat, form.Note{Kind: form.Ask, Part: s.part, Num: s.num, Digs: digs, Group: s.meta.Group})
+		o.send(seat, form.Note{Kind: form.Ask, Part: s.part, Num: s.num, Digs: digs, Group: s.meta.Group, Len: s.wait()})
 	}
 }
 
--- a/control/notary/notary.go
+++ b/control/notary/notary.go
@@ -127,7 +127,8 @@
 	lives   map[string]uint64 // the latest life of each seat that was heard
 	calm    time.Duration     // as owner: nothing is written before this
 	hint    form.Own
-	before  Meta // what our vote was bound to before its last promise
+	before  Meta   // what our vote was bound to before its last promise
+	undo    uint64 // the ballot of that promise; none since the start
 
 	tick   uint64
 	after  map[uint64][]form.Send // sends held until the ticket is synced
@@ -292,7 +293,7 @@
 	case form.Void:
 		// Nobody can ever be owner under a ballot that its candidate gave up, so
 		// the vote need not stay bound to it.
-		if s.meta.Promised == n.Num && s.meta.To == n.From && s.before.Promised < n.Num {
+		if s.meta.Promised == n.Num && s.meta.To == n.From && s.undo == n.Num {
 			s.meta.Promised, s.meta.To, s.meta.ToEpoch = s.before.Promised, s.before.To, s.before.ToEpoch
 			s.save(&o, nil, nil)
 		}
