An owner elected early gives out no shares of slots before it is calm

Cause: shares that the owner before gave out stand as long as its leases, and live in its memory only. The next one, elected early since that daemon started anew, would have divided all slots again, so that for up to a lease the sum could exceed a server's capacity. Section.Calm is a field so that proofs can do without the wait. Tests: TestNoSharesWhileOlderOnesStand, seen failing.

--- a/control/master/master.go
+++ b/control/master/master.go
@@ -224,7 +224,7 @@
 	switch err := json.Unmarshal(n.Body, &w); {
 	case err != nil:
 		m.back(n, http.StatusBadRequest, errand.Pack(errand.Word{Result: "broken", Faults: []string{err.Error()}}))
-	case !m.sec.Owner(now) || m.holder == nil:
+	case !m.sec.Owner(now) || m.holder == nil || now < m.sec.Calm(): // an earlier owner's shares may stand
 		m.back(n, errand.Other, nil)
 	case m.overtaken(n, w.Service):
 		m.back(n, errand.Other, nil)
--- a/control/master/once_test.go
+++ b/control/master/once_test.go
@@ -241,3 +241,20 @@
 		}
 	}
 }
+
+// Shares that an owner gave out before its daemon was gone stand as long as its
+// leases: the next one, elected early, gives out none until then.
+func TestNoSharesWhileOlderOnesStand(t *testing.T) {
+	a := open(t, 1, nil)
+	a.m.holder = interlock.New(interlock.Config{Share: time.Second}, 1, 0)
+	calm := a.now + time.Second
+	a.m.Section().Calm = func() time.Duration { return calm }
+	for ref, want := range []int{errand.Other, 200} {
+		a.back = nil
+		a.carry(a.m.Hear(a.now, form.Note{Kind: form.Call, Part: 1, From: "p", Epoch: 1, Ref: uint64(ref + 1), No: uint64(ref + 1), Op: "want", Body: errand.Pack(interlock.Want{Service: "m"})}))
+		if a.back[0].Code != want {
+			t.Errorf("%v before the calm: %d", calm-a.now, a.back[0].Code)
+		}
+		calm = a.now
+	}
+}
--- a/control/section/section.go
+++ b/control/section/section.go
@@ -78,7 +78,9 @@
 	epoch uint64
 	Seat  *notary.Seat // nil on a daemon without a disk
 	Node  *purge.Node
-	now   time.Duration
+	// Calm is when an owner may begin to write: the seat's unless a proof says
+	// otherwise.
+	Calm func() time.Duration
 
 	queue []*job
 	busy  map[string]bool
@@ -89,7 +91,11 @@
 //
 // Example: s := section.New(0, me, epoch, seat, node)
 func New(part int, me form.Seat, epoch uint64, seat *notary.Seat, node *purge.Node) *Section {
-	return &Section{part: part, me: me, epoch: epoch, Seat: seat, Node: node, busy: map[string]bool{}, runs: map[uint64]*job{}}
+	s := &Section{part: part, me: me, epoch: epoch, Seat: seat, Node: node, busy: map[string]bool{}, runs: map[uint64]*job{}}
+	if seat != nil {
+		s.Calm = seat.Calm
+	}
+	return s
 }
 
 // Owner tells whether this daemon holds the part's duty now.
@@ -157,7 +163,7 @@
 //
 // Example: out := s.Regroup(now, seats)
 func (s *Section) Regroup(now time.Duration, want []form.Seat) (o Out) {
-	if s.Owner(now) && len(s.runs) == 0 && now >= s.Seat.Calm() {
+	if s.Owner(now) && len(s.runs) == 0 && now >= s.Calm() {
 		out, _ := s.Seat.Regroup(now, 0, want)
 		s.fromSeat(now, out, &o)
 		s.turn(now, &o)
@@ -225,7 +231,7 @@
 const abreast = 32
 
 func (s *Section) start(now time.Duration, o *Out) {
-	if len(s.queue) == 0 || !s.Owner(now) || now < s.Seat.Calm() {
+	if len(s.queue) == 0 || !s.Owner(now) || now < s.Calm() {
 		return
 	}
 	var rest []*job
