Simulated: owners elected while leases under the ones before still stand

A scenario "early": the whole core is killed and back at once, 8 times a run beside other trouble, with writes every 40 ms and reads every 20 ms at each daemon.

--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -104,6 +104,13 @@
 			m.kill()
 			w.back(m)
 		}
+	case "core": // every machine with a disk, back while others still hold leases
+		for _, m := range w.nodes {
+			if m.hasDisk {
+				m.kill()
+				w.at(20*time.Millisecond+w.exp(100*time.Millisecond), m.start)
+			}
+		}
 	case "ackkill": // right after an acknowledgement, sometimes with its disk
 		n.kill()
 		if !w.lost && w.rng.Intn(3) == 0 {
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -153,7 +153,11 @@
 			}
 			return form.Seat{}
 		}
-		s := master.New(master.Config{Works: w.works(), Keep: w.cfg.Keep()}, p, me, section.New(p, me, n.epoch, seat, tree))
+		sec := section.New(p, me, n.epoch, seat, tree)
+		if w.o.Sabotage == "nocalm" {
+			sec.Calm = func() time.Duration { return 0 }
+		}
+		s := master.New(master.Config{Works: w.works(), Keep: w.cfg.Keep()}, p, me, sec)
 		n.parts = append(n.parts, s)
 		n.guides = append(n.guides, roster.Guide{Part: p, Vol: w.cfg.Vol()})
 		for k := 0; k < w.o.Keys; k++ {
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -92,6 +92,15 @@
 		o.Late, o.Moves = 0.8, 200*time.Millisecond
 		return o
 	},
+	// The whole core is killed again and again and back at once, beside other
+	// trouble, with writes all the time: owners are elected while leases under
+	// the ones before still stand.
+	"early": func(seed int64) Options {
+		o := Default(seed)
+		o.Cells, o.Writes, o.Reads = []int{4, 3, 3}, 40*time.Millisecond, 20*time.Millisecond
+		o.Faults = map[string]float64{"core": 8, "kill": 3, "freeze": 2, "alone": 1, "ackkill": 0.2}
+		return o
+	},
 	// Five seats over three cells, and a founder without a disk.
 	"five": func(seed int64) Options {
 		o := Default(seed)
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -64,6 +64,7 @@
 		"drift":        {"freezes", ""},              // clocks run further apart than the bound
 		"nowait":       {"cuts", ""},                 // a granter doesn't wait a lease out
 		"nowaitvote":   {"kills", ""},                // a restarted voter promises at once
+		"nocalm":       {"early", "without"},         // an owner that is elected early writes at once
 		"standstill":   {"freezes", ""},              // the clock stops while its machine is suspended
 		"nomend":       {"rot", "copy"},              // copies are not compared
 		"double":       {"servers", "once:"},         // a decode goes to two makers
