Last records only after a renewal was asked for in vain, by lanes too, and none too old

Change: a node notes since when a renewal is due and not answered; a standstill of half a beat begins that anew. Lapsed tells when the lease lapsed and whether Last serves. A lane remembers whether its table is what was read.

--- a/control/cabin/shard.go
+++ b/control/cabin/shard.go
@@ -162,10 +162,14 @@
 	s := c.shards[part]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if until := s.Section().Node.Until(); c.Now() < until {
+	now := c.Now()
+	if until := s.Section().Node.Until(); now < until {
 		return until
 	}
-	_, lapsed, _ := s.Section().Node.Last(0, "")
+	lapsed, ok := s.Section().Node.Lapsed(now)
+	if !ok { // nothing is served until a renewal was asked for in vain
+		return lapsed
+	}
 	return lapsed + c.Cfg.Overrun()
 }
 
--- a/control/purge/child.go
+++ b/control/purge/child.go
@@ -65,7 +65,9 @@
 			}
 		}
 	}
-	n.sentAt = now
+	if n.sentAt = now; n.vain == 0 {
+		n.vain = now
+	}
 	o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: form.Note{Kind: form.Renew, Part: n.part, No: n.no, Mark: n.pmark, Keys: keys, To: n.parent.Ident, Cost: int64(n.cost)}})
 }
 
@@ -122,6 +124,7 @@
 			return
 		}
 		delete(n.reqs, m.Ref)
+		n.vain = 0
 		n.costed(now - req.at)
 		keep := map[string]form.Rec{}
 		for _, r := range m.Recs {
@@ -156,6 +159,7 @@
 		if req, ok := n.reqs[m.Ref]; ok && m.Len > 0 {
 			n.till = max(n.till, req.at+time.Duration(m.Len))
 			delete(n.reqs, m.Ref)
+			n.vain = 0
 			n.costed(now - req.at)
 		}
 		for _, r := range m.Recs {
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -99,7 +99,8 @@
 	pins   map[string]bool
 	gen    uint64
 	reign  time.Duration // when our own duty lease ended, if we were the root
-	vain   time.Duration // since when we know that the lease lapsed; 0: it didn't
+	vain   time.Duration // since when a renewal is due and not answered; 0: none is
+	tickAt time.Duration // when time was last let pass
 
 	kids   map[string]*kid
 	needs  map[string]map[string]bool // key -> children waiting for it
@@ -132,7 +133,7 @@
 	n.root, n.term, n.src, n.lease = true, term, src, lease
 	n.held = map[string]int{}
 	n.objs, n.want, n.reqs = map[string]cached{}, map[string]wanted{}, map[uint64]ask{}
-	n.parent, n.pmark, n.till, n.stale = form.Seat{}, form.Mark{}, 0, true
+	n.parent, n.pmark, n.till, n.stale, n.vain = form.Seat{}, form.Mark{}, 0, true, 0
 }
 
 // Uncrown ends the root's part; everything it granted lapsed with its lease.
@@ -144,12 +145,13 @@
 	if n.root { // what it read from its own book is the last that it knows
 		n.reign = n.lease()
 		for key := range n.pins {
-			if n.held[key] == 0 {
-				n.objs[key] = cached{rec: n.src(key), till: n.reign + n.cfg.Obj}
+			// A later owner may have brought its own records before we knew of it.
+			if rec := n.src(key); n.held[key] == 0 && rec.Ver.Term <= n.term {
+				n.objs[key] = cached{rec: rec, till: n.reign + n.cfg.Obj}
 			}
 		}
 	}
-	n.root, n.src, n.lease, n.term, n.stale = false, nil, nil, 0, true
+	n.root, n.src, n.lease, n.term, n.stale, n.vain = false, nil, nil, 0, true, 0
 	n.held = map[string]int{}
 }
 
@@ -181,13 +183,23 @@
 // Last is a record whose volume lease lapsed, and when, if it was not withdrawn
 // since: the last that this node knows. It is no lease: only what may go by
 // old records while the owner can't be reached may use it, and for how long is
-// its user's to bound. It serves only once a renewal was asked for in vain, so
-// that a daemon that was frozen asks before it goes by what it holds.
+// its user's to bound.
 //
 // Example: if rec, at, ok := n.Last(now, "plan/now"); ok && now-at < bound { route(rec) }
 func (n *Node) Last(now time.Duration, key string) (rec form.Rec, lapsed time.Duration, ok bool) {
-	c, ok := n.objs[key]
-	return c.rec, max(n.till, n.reign), ok && !n.root && n.sweeps[key] == nil && n.vain > 0 && now-n.vain >= n.cfg.Beat/2
+	c, held := n.objs[key]
+	lapsed, ok = n.Lapsed(now)
+	return c.rec, lapsed, ok && held && c.till >= lapsed && n.sweeps[key] == nil
+}
+
+// Lapsed tells when the volume lease lapsed and whether Last serves now: once a
+// renewal was asked for in vain for half a beat, of which this node saw all: one
+// that stood still asks, or at least listens, first.
+//
+// Example: if at, ok := n.Lapsed(now); ok { goOnUntil(at + bound) }
+func (n *Node) Lapsed(now time.Duration) (at time.Duration, ok bool) {
+	patience := n.cfg.Beat / 2
+	return max(n.till, n.reign), !n.root && !n.Live(now) && n.vain > 0 && now-n.vain >= patience && now-n.tickAt <= patience
 }
 
 // Gen counts the changes of what this node serves: what was read stands as long
@@ -277,9 +289,10 @@
 //
 // Example: out := n.Tick(now)
 func (n *Node) Tick(now time.Duration) (o Out) {
-	if n.Live(now) {
+	if now-n.tickAt > n.cfg.Beat/2 { // it stood still, and may not have heard the reply yet
 		n.vain = 0
-	} else if n.vain == 0 {
+	}
+	if n.tickAt = now; n.vain == 0 && !n.Live(now) { // nobody may be there to ask
 		n.vain = now
 	}
 	for _, key := range sorted(n.sweeps) {
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -29,6 +29,7 @@
 	board Board
 
 	gen    [2]uint64
+	whole  bool // rows are what was read at gen
 	until  time.Duration
 	rows   map[string]Server
 	keys   []string // of the list of this version
@@ -104,10 +105,10 @@
 		return true
 	}
 	l.until = min(l.src.Until(0), l.src.Until(l.part))
-	if gen == l.gen && now < l.until {
+	if l.whole && gen == l.gen && now < l.until {
 		return true
 	}
-	l.gen = gen
+	l.gen, l.whole = gen, false
 	clear(l.rows)
 	list, okList := l.src.Read(l.part, tariff.ListKey(l.svc))
 	cells, okCells := l.src.Read(0, tariff.CellKey)
@@ -135,6 +136,7 @@
 			delete(l.stats, key)
 		}
 	}
+	l.whole = true
 	return true
 }
 
