--- a/proof/hollow/worker.go
+++ b/proof/hollow/worker.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -71,7 +70,7 @@
 type worker struct {
 	mu   sync.Mutex
 	list []*daemon
-	plan sync.Map // versions of configurations by those of their records
+	plan sync.Map // records that were read: versions of configurations, ids of servers
 }
 
 // version of a configuration: it is long, and read once for all daemons here.
@@ -194,7 +193,7 @@
 			return d.servers() >= c.Servers
 		case c.Model != "":
 			rec, ok := d.c.Read(d.c.Part(c.Model), tariff.ListKey(c.Model))
-			return ok && contains(rec.Val, c.Mark)
+			return ok && w.names(c.Model, rec, c.Mark)
 		case c.Version > 0:
 			rec, ok := d.c.Read(0, tariff.PlanKey)
 			return ok && w.version(rec) >= c.Version
@@ -225,17 +224,22 @@
 	}
 }
 
-func contains(b []byte, mark string) bool {
-	var l tariff.List
-	if json.Unmarshal(b, &l) != nil {
-		return false
+// names tells whether a list of servers has this one in it; a list is long,
+// and read once for all daemons here.
+func (w *worker) names(model string, rec form.Rec, id string) bool {
+	type place struct {
+		model string
+		ver   form.Ver
 	}
-	for _, s := range l.Servers {
-		if s.ID == mark {
-			return true
+	ids, ok := w.plan.Load(place{model, rec.Ver})
+	if !ok {
+		set := map[string]bool{}
+		for _, s := range tariff.OpenList(rec).Servers {
+			set[s.ID] = true
 		}
+		ids, _ = w.plan.LoadOrStore(place{model, rec.Ver}, set)
 	}
-	return false
+	return ids.(map[string]bool)[id]
 }
 
 func keep(path string, write func(io.Writer) error) string {
