--- a/control/purge/child.go
+++ b/control/purge/child.go
@@ -51,9 +51,9 @@
 	n.no++
 	var keys []string
 	for k, w := range n.want {
-		if !w.asked || now-w.last >= n.cfg.Beat/2 {
+		if w.due(now, n.cfg.Beat) {
 			keys = append(keys, k)
-			n.want[k] = wanted{first: w.first, last: now, asked: true}
+			n.want[k] = wanted{first: w.first, last: now, asks: w.asks + 1}
 		}
 	}
 	sort.Strings(keys)
--- a/control/purge/purge.go
+++ b/control/purge/purge.go
@@ -60,10 +60,16 @@
 	at time.Duration
 }
 
-// wanted is a record asked of the parent: when first, and when last.
+// wanted is a record asked of the parent: when first and last, and how often.
 type wanted struct {
 	first, last time.Duration
-	asked       bool
+	asks        int
+}
+
+// due tells whether it is to be asked for again: later each time, since a
+// parent that is slow would else be sent the more, the slower it is.
+func (w wanted) due(now, beat time.Duration) bool {
+	return w.asks == 0 || now-w.last >= beat/2<<min(w.asks-1, 4)
 }
 
 // Node is the state machine.
