--- a/control/purge/child.go
+++ b/control/purge/child.go
@@ -51,7 +51,8 @@
 	n.no++
 	var keys []string
 	for k, w := range n.want {
-		if w.due(now, n.cfg.Beat) {
+		// A parent that doesn't know us yet has us reconnect and looks at no key.
+		if n.pmark.Ident == n.parent.Ident && w.due(now, n.cfg.Beat) {
 			keys = append(keys, k)
 			n.want[k] = wanted{first: w.first, last: now, asks: w.asks + 1}
 		}
