Warming servers get their rate, shared among the daemons without talk

Change: as many daemons as lie between the rate and the bound use a warming server, the first of an order by address that all see alike, each its part of the rate; daemons that were seen of late are counted, so that halves of a cut fleet don't take it twice. Warming servers are ordinary choices at a small cost, once they play their part by the platform's word. A lane has no slack before it knows its fleet (the gateway's test resets its lane and so tells it).

--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -38,6 +38,7 @@
 	Moved float64 // 1,000 tokens of prompt memory moved within a zone
 	Apart float64 // and to another zone, times that
 	Miss  float64 // a server that is not first in a prompt's order
+	Cold  float64 // a server that warms up
 	Stall float64 // an answer under way whose pause gets too long
 }
 
@@ -68,27 +69,23 @@
 }
 
 // candidates are the servers of a part that may get the request now: not tried
-// before, not shy; failing that, shy ones, and last those that warm up.
+// before, not shy, failing that, shy ones; one that warms up only as far as the
+// daemons together may use it.
 func (l *Lane) candidates(now time.Duration, t *trip, part string, phase waybill.Phase) []Server {
-	var good, shy, warm []Server
+	var good, shy []Server
 	for _, s := range l.rows {
 		switch {
-		case s.Part != part || t.led.Tried(phase, s.Key):
-		case s.Warming:
-			warm = append(warm, s)
+		case s.Part != part || t.led.Tried(phase, s.Key) || s.Warming && !l.bears(now, s.Key):
 		case now < l.stat(s.Key).shyUntil || l.board.Down(now, s.Key):
 			shy = append(shy, s)
 		default:
 			good = append(good, s)
 		}
 	}
-	switch {
-	case len(good) > 0:
+	if len(good) > 0 {
 		return good
-	case len(shy) > 0:
-		return shy
 	}
-	return warm
+	return shy
 }
 
 // option is one way to go: a server, and what it costs in parts of the
@@ -149,6 +146,9 @@
 		if s.Zone != l.cfg.Zone {
 			o.costs += w.Far * float64(t.Bytes) / 1024
 		}
+		if s.Warming {
+			o.costs += w.Cold
+		}
 		// A hair of chance from the request itself keeps daemons from herding.
 		o.costs += float64(weight(t.dice, s.Key)%1024) / 1024 * w.Miss / 8
 		out = append(out, o)
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -17,6 +17,7 @@
 	fails    int // calls in a row that it didn't answer
 	shyUntil time.Duration
 	seenAt   time.Duration
+	coldAt   time.Duration // last send while it warmed up
 }
 
 // Lane is the state machine of one service on one daemon.
@@ -39,6 +40,10 @@
 	aim    time.Duration // the shortest aim of any request
 	gap    time.Duration // the shortest pause that any request allows between events
 
+	crew    crew
+	warm    Warm
+	spacing map[string]time.Duration // between sends to a warming server; below 0: none
+
 	bucket waybill.Bucket
 	trips  map[string]*trip
 	n      Counts
@@ -48,8 +53,8 @@
 //
 // Example: l := forward.New(cfg, "timetable", 3, cabin, board)
 func New(cfg Config, svc string, part int, src Source, board Board) *Lane {
-	return &Lane{cfg: cfg, svc: svc, part: part, src: src, board: board, rows: map[string]Server{}, stats: map[string]*stat{}, pace: cfg.Pace,
-		bucket: waybill.Bucket{Rate: cfg.Retry, Window: cfg.Window, Slack: cfg.Slack}, trips: map[string]*trip{}}
+	return &Lane{cfg: cfg, svc: svc, part: part, src: src, board: board, rows: map[string]Server{}, crew: crew{seen: map[string]time.Duration{}}, spacing: map[string]time.Duration{}, stats: map[string]*stat{}, pace: cfg.Pace,
+		bucket: waybill.Bucket{Rate: cfg.Retry, Window: cfg.Window}, trips: map[string]*trip{}}
 }
 
 // Counts are the lane's numbers so far.
@@ -57,12 +62,6 @@
 // Example: n := l.Counts().Served
 func (l *Lane) Counts() Counts { return l.n }
 
-// Fleet tells how many daemons there are: the slack of second sends is
-// divided among them.
-//
-// Example: l.Fleet(len(view.Members))
-func (l *Lane) Fleet(n int) { l.bucket.Slack = l.cfg.Slack / max(1, n) }
-
 // Servers lists the servers in use, as the last look had them.
 //
 // Example: for _, s := range l.Servers() { show(s) }
@@ -126,6 +125,9 @@
 			continue
 		}
 		b, ok := interlock.OpenBerth(rec)
+		if s.Part != "" && s.Part != b.Part { // by the platform's word it doesn't play its part yet
+			continue
+		}
 		if !ok || b.To != "" || b.Status != interlock.Up && b.Status != interlock.Warming {
 			continue
 		}
--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -450,6 +450,14 @@
 	})
 }
 
+// fleet names n daemons.
+func fleet(n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("d-%d", i))
+	}
+	return out
+}
+
 // The fleet shares the slack: no daemon has more than its part of it.
 func TestTheSlackIsShared(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -457,7 +465,7 @@
 		cfg := bounds
 		cfg.Slack = slack
 		l := New(cfg, "s", 1, &records{now: new(time.Duration)}, tally{})
-		l.Fleet(n)
+		l.Fleet(time.Minute, "d-0", fleet(n))
 		if l.bucket.Slack*max(1, n) > slack {
 			t.Fatalf("%d of %d for each of %d", l.bucket.Slack, slack, n)
 		}
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -114,6 +114,9 @@
 	t.to, t.sentAt = m.To, now
 	m.No, m.Until = t.no, t.Due
 	l.stat(m.To.Key).open++
+	if m.To.Warming {
+		l.stat(m.To.Key).coldAt = now
+	}
 	switch {
 	case m.Kind == Read:
 		t.phase = waybill.Prefill
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -67,7 +67,7 @@
 func Config(c cabin.Config) forward.Config {
 	return forward.Config{Zone: c.Cell, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: c.Vol() * 5 / 4,
 		Shy: c.Bounds.Plan / 2, Turned: c.Bounds.Plan / 8, Back: c.Vol() / 4, Pace: 50,
-		Weights: forward.Weights{Far: 0.0023, Again: 0.05, Moved: 0.0022, Apart: 3, Miss: 0.05, Stall: 0.3}}
+		Weights: forward.Weights{Far: 0.0023, Again: 0.05, Moved: 0.0022, Apart: 3, Miss: 0.05, Cold: 0.05, Stall: 0.3}}
 }
 
 // BoardConfig is the board's bounds, as ratios to those in the daemon's config.
@@ -220,7 +220,8 @@
 
 func (g *Gateway) keep(l *lane, svc tariff.Service) {
 	l.mu.Lock()
-	l.Fleet(len(g.c.View().Members))
+	g.fleet(l)
+	l.Warm(forward.Warm{Rate: svc.ColdRate, Over: g.c.Cfg.Warm.Over, Slack: g.c.Cfg.Warm.Slack})
 	var fresh []string
 	for _, k := range l.Keys() {
 		if !l.pinned[k] {
@@ -253,11 +254,22 @@
 	if l == nil {
 		p := g.c.Part(svc)
 		l = &lane{part: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, source{g.c}, notes{g, svc})}
+		g.fleet(l)
 		g.list[svc] = l
 	}
 	return l
 }
 
+// fleet tells a lane which daemons there are.
+func (g *Gateway) fleet(l *lane) {
+	v := g.c.View()
+	daemons := make([]string, 0, len(v.Members))
+	for _, m := range v.Members {
+		daemons = append(daemons, m.Addr)
+	}
+	l.Fleet(g.c.Now(), v.Me.Addr, daemons)
+}
+
 func (g *Gateway) told(svc, key string, load forward.Load) {
 	l := g.lane(svc)
 	l.mu.Lock()
--- a/traffic/gateway/gateway_test.go
+++ b/traffic/gateway/gateway_test.go
@@ -223,6 +223,7 @@
 	l := g.lane("one")
 	l.mu.Lock()
 	l.Lane = forward.New(g.cfg, "one", l.part, source{g.c}, notes{g, "one"})
+	g.fleet(l)
 	l.mu.Unlock()
 	requests++
 	q := &Request{ID: fmt.Sprint("r", requests), Method: "POST", Host: "h.example", Path: path, Target: path, Header: http.Header{}}
