Plans are msgp records read once a version; records of servers, too; crowds of news at once

A lane reads a server's record and the list once a version; news that come together are looked at together; strain and fleet once a beat. The model test's records get a version by value, as in the fleet.

--- a/control/cabin/cabin.go
+++ b/control/cabin/cabin.go
@@ -69,7 +69,7 @@
 	rost    *roster.Roster
 	stop    atomic.Bool
 	stopAt  atomic.Int64
-	plan    atomic.Pointer[planSeen]
+	plans   tariff.Reader
 	ready   atomic.Bool
 	begun   atomic.Bool  // it was ready once
 	readyAt atomic.Int64 // when it was last
--- a/control/cabin/fleet.go
+++ b/control/cabin/fleet.go
@@ -117,13 +117,6 @@
 	return a && b
 }
 
-// planSeen is the plan in force, parsed once a version.
-type planSeen struct {
-	ver  form.Ver
-	id   string
-	plan uint64
-}
-
 // Plan names the plan in force here, if it is under valid leases.
 //
 // Example: id, version, ok := c.Plan()
@@ -132,11 +125,11 @@
 	if !ok {
 		return "", 0, false
 	}
-	p := c.plan.Load()
-	if p == nil || p.ver != rec.Ver {
-		now := tariff.Open(rec)
-		p = &planSeen{rec.Ver, now.ID, now.Version}
-		c.plan.Store(p)
-	}
-	return p.id, p.plan, true
+	p := c.plans.Open(rec)
+	return p.ID, p.Version, true
 }
+
+// OpenPlan reads a plan record, once a version; the plan is not to be changed.
+//
+// Example: plan := c.OpenPlan(rec)
+func (c *Cabin) OpenPlan(rec form.Rec) tariff.Plan { return c.plans.Open(rec) }
--- a/control/cabin/operate.go
+++ b/control/cabin/operate.go
@@ -78,7 +78,7 @@
 			Reply(w, 503, errand.Word{Result: "not known", Why: "no valid lease on the plan", After: part2(c.Cfg)})
 			return
 		}
-		Reply(w, 200, tariff.Open(rec))
+		Reply(w, 200, c.plans.Open(rec))
 	})
 	m.HandleFunc("PUT /v1/plan", func(w http.ResponseWriter, r *http.Request) { c.operator(w, r, 0, "plan", nil) })
 	m.HandleFunc("POST /v1/plan/changes", func(w http.ResponseWriter, r *http.Request) { c.operator(w, r, 0, "changes", nil) })
--- a/control/cabin/source.go
+++ b/control/cabin/source.go
@@ -70,7 +70,7 @@
 	if !ok {
 		return
 	}
-	for _, svc := range tariff.Open(rec).Services {
+	for _, svc := range c.plans.Open(rec).Services {
 		if _, ok := got[svc.Name]; !ok {
 			got[svc.Name] = nil
 		}
--- a/control/master/job.go
+++ b/control/master/job.go
@@ -43,7 +43,7 @@
 
 // job turns a call into a write; fault says what is wrong with its body. call
 // names it over all its tries, see onceOnly.
-func job(call, op string, body []byte) (j section.Job, fault string) {
+func job(plans *tariff.Reader, call, op string, body []byte) (j section.Job, fault string) {
 	read := func(to any) bool {
 		if err := json.Unmarshal(body, to); err != nil {
 			fault = err.Error()
@@ -52,7 +52,7 @@
 	}
 	switch op {
 	case "plan", "changes":
-		return planJob(op, body)
+		return planJob(plans, op, body)
 	case "evacuate", "return":
 		return onceOnly(call, cellJob(op, string(body))), ""
 	case "seat":
@@ -78,7 +78,7 @@
 	return j, fault
 }
 
-func planJob(op string, body []byte) (section.Job, string) {
+func planJob(plans *tariff.Reader, op string, body []byte) (section.Job, string) {
 	var whole tariff.Plan
 	var named tariff.Changes
 	var f tariff.Faults
@@ -95,7 +95,7 @@
 		return section.Job{}, f.List[0]
 	}
 	return section.Job{Keys: []string{tariff.PlanKey}, Make: func(read purge.Source) ([]form.Rec, any) {
-		cur := tariff.Open(read(tariff.PlanKey))
+		cur := plans.Open(read(tariff.PlanKey))
 		id, base, next := whole.ID, whole.Base, func(tariff.Plan) (tariff.Plan, tariff.Faults) { return whole, whole.Check() }
 		if op == "changes" {
 			id, base, next = named.ID, named.Base, func(p tariff.Plan) (tariff.Plan, tariff.Faults) { return p.With(named) }
--- a/control/master/job_test.go
+++ b/control/master/job_test.go
@@ -22,7 +22,7 @@
 	}
 	none := func(key string) form.Rec { return form.Rec{Key: key, Dead: true} }
 	for op, good := range bodies {
-		if j, fault := job("", op, good); fault != "" {
+		if j, fault := job(new(tariff.Reader), "", op, good); fault != "" {
 			t.Errorf("%s: %s", op, fault)
 		} else if recs, word := j.Make(none); len(recs) != 1 && op != "seat" {
 			t.Errorf("%s: wrote %v, said %v", op, recs, word)
@@ -32,7 +32,7 @@
 			for _, x := range []byte{0, '"', '}', '-', '9', 'x', good[i] ^ 1} {
 				b := append([]byte(nil), good...)
 				b[i] = x
-				j, fault := job("", op, b)
+				j, fault := job(new(tariff.Reader), "", op, b)
 				if fault != "" {
 					broken++
 					continue
@@ -51,7 +51,7 @@
 			t.Errorf("%s: only %d of %d mutations were named broken", op, broken, 7*len(good))
 		}
 	}
-	if _, fault := job("", "evict", nil); fault == "" {
+	if _, fault := job(new(tariff.Reader), "", "evict", nil); fault == "" {
 		t.Error("an unknown call has no fault")
 	}
 }
@@ -67,7 +67,7 @@
 		return form.Rec{Key: key, Dead: true}
 	}
 	do := func(op string, in any) errand.Word {
-		j, _ := job("", op, errand.Pack(in))
+		j, _ := job(new(tariff.Reader), "", op, errand.Pack(in))
 		out, word := j.Make(read)
 		for _, r := range out {
 			recs[r.Key] = r
--- a/control/master/master.go
+++ b/control/master/master.go
@@ -69,6 +69,7 @@
 	acts  map[uint64]func(section.Result)
 	backs []form.Send
 
+	plans  tariff.Reader
 	holder *interlock.Holder
 	wants  map[string][2]uint64 // life and number of a daemon's last report for a service
 	dirty  bool
@@ -186,7 +187,7 @@
 		m.wanted(now, n)
 		return m.wrap(section.Out{})
 	}
-	j, fault := job(callOf(n), n.Op, n.Body)
+	j, fault := job(&m.plans, callOf(n), n.Op, n.Body)
 	if fault != "" {
 		m.back(n, http.StatusBadRequest, errand.Pack(errand.Word{Result: "broken", Faults: []string{fault}}))
 		return m.wrap(section.Out{})
@@ -267,7 +268,7 @@
 	h := m.holder
 	h.Strain = s.Strain
 	if s.OkPlan && s.OkCells && (m.dirty || m.seen != [2]form.Ver{s.Plan.Ver, s.Cells.Ver}) {
-		h.Plan(tariff.Open(s.Plan), tariff.Cells(s.Cells))
+		h.Plan(m.plans.Open(s.Plan), tariff.Cells(s.Cells))
 		m.seen = [2]form.Ver{s.Plan.Ver, s.Cells.Ver}
 		m.dirty = !m.load(now)
 	}
--- a/control/master/plan_test.go
+++ b/control/master/plan_test.go
@@ -16,7 +16,7 @@
 	drop := tariff.Changes{ID: "c", Base: 4, Number: 9, Changes: []tariff.Change{{Op: "drop-route", Name: "r"}}}
 	cur := form.Rec{Key: tariff.PlanKey, Dead: true}
 	do := func(op string, body []byte) (tariff.Verdict, string) {
-		j, fault := job("", op, body)
+		j, fault := job(new(tariff.Reader), "", op, body)
 		if fault != "" {
 			return tariff.Verdict{}, fault
 		}
--- a/control/tariff/pack.go
+++ b/control/tariff/pack.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"sync"
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/zeebo/errs"
+
+	"mulleinmast/wire/form"
 )
 
 // Error is the class of this package's errors.
@@ -18,10 +21,10 @@
 // opens.
 const mostPlan = 64 << 20
 
-// Pack makes a compressed record, or the body of a call, of a plan or changes;
-// the error is of a value that is too long or, in a raw part, isn't JSON.
+// Pack makes the compressed body of a call of a plan or changes; the error is
+// of a value that is too long or, in a raw part, isn't JSON.
 //
-// Example: body, err := tariff.Pack(plan)
+// Example: body, err := tariff.Pack(changes)
 func Pack(x any) ([]byte, error) {
 	var b bytes.Buffer
 	e := json.NewEncoder(&b)
@@ -29,23 +32,65 @@
 	if err := e.Encode(x); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if b.Len() > mostPlan {
-		return nil, Error.New("%d bytes, at most %d are taken", b.Len(), mostPlan)
+	return squeeze(packed, b.Bytes())
+}
+
+// stored begins a plan's record: msgp, compressed. It is read many times for
+// each time it is written, by daemons with a fifth of a processor.
+const stored = 'm'
+
+// Record makes the record of a plan; the error is of one that is too long.
+//
+// Example: val, err := tariff.Record(plan)
+func Record(p Plan) ([]byte, error) {
+	b, err := p.MarshalMsg(nil)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return squeeze(stored, b)
+}
+
+func squeeze(mark byte, b []byte) ([]byte, error) {
+	if len(b) > mostPlan {
+		return nil, Error.New("%d bytes, at most %d are taken", len(b), mostPlan)
 	}
 	// One worker and a small window: plans are small and seldom written.
 	w, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(1<<20))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return w.EncodeAll(b.Bytes(), []byte{packed}), nil
+	return w.EncodeAll(b, []byte{mark}), nil
+}
+
+// Reader keeps the last plan that it read, by its record's version: a plan is
+// read once a version, however many ask. Plans that it gives are not changed.
+type Reader struct {
+	mu   sync.Mutex
+	ver  form.Ver
+	plan Plan
+}
+
+// Open is Open, read once a version.
+//
+// Example: plan := reader.Open(rec)
+func (r *Reader) Open(rec form.Rec) Plan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec.Ver == (form.Ver{}) || rec.Dead {
+		return Open(rec)
+	}
+	if r.ver != rec.Ver {
+		r.plan, r.ver = Open(rec), rec.Ver
+	}
+	return r.plan
 }
 
-// Plain gives the JSON of a packed value; one that is not packed stays as it
-// is. The error is of a value that Pack didn't make.
+// Plain gives what a compressed value holds; one that isn't compressed stays as
+// it is. The error is of a value that Pack didn't make.
 //
 // Example: b, err := tariff.Plain(rec.Val)
 func Plain(b []byte) ([]byte, error) {
-	if len(b) == 0 || b[0] != packed {
+	if len(b) == 0 || b[0] != packed && b[0] != stored {
 		return b, nil
 	}
 	r, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(mostPlan))
--- a/control/tariff/route.go
+++ b/control/tariff/route.go
@@ -51,6 +51,13 @@
 	Raw         json.RawMessage `json:"raw,omitempty"` // as the operator sent them
 }
 
+// IsZero tells that nothing is bounded and nothing was sent.
+//
+// Example: tariff.Limits{}.IsZero() == true
+func (l Limits) IsZero() bool {
+	return l.HeaderBytes == 0 && l.BodyBytes == 0 && l.HeaderWait == 0 && l.Idle == 0 && len(l.Raw) == 0
+}
+
 // Place is what no two routes share: the host as it is compared, and the prefix.
 //
 // Example: tariff.Route{Host: "A.example:80", Prefix: "/x/"}.Place() == [2]string{"a.example", "/x/"}
--- a/control/tariff/tariff.go
+++ b/control/tariff/tariff.go
@@ -20,6 +20,11 @@
 	"mulleinmast/wire/form"
 )
 
+//go:generate go run github.com/tinylib/msgp -tests=false -io=false -file . -o tariff_gen.go
+//msgp:tag json
+//msgp:replace json.RawMessage with:[]byte
+//msgp:ignore Faults Verdict Change Changes Server List Reader list draft
+
 // Keys of the records in the configuration part.
 const (
 	PlanKey = "plan/now"
@@ -243,7 +248,7 @@
 	if len(p.Past) > keepIDs {
 		p.Past = p.Past[len(p.Past)-keepIDs:]
 	}
-	b, err := Pack(p)
+	b, err := Record(p)
 	if err != nil {
 		return nil, Verdict{Result: "broken", Version: cur.Version, Faults: []string{err.Error()}}
 	}
@@ -257,7 +262,10 @@
 	var p Plan
 	if !r.Dead && len(r.Val) > 0 {
 		b, err := Plain(r.Val)
-		if err == nil {
+		switch {
+		case err == nil && r.Val[0] == stored:
+			_, err = p.UnmarshalMsg(b)
+		case err == nil: // an older build's
 			err = json.Unmarshal(b, &p)
 		}
 		if err != nil {
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -29,16 +29,18 @@
 
 	board Board
 
-	gen    [2]uint64
-	whole  bool // rows are what was read at gen
-	until  time.Duration
-	rows   map[string]Server
-	keys   []string // of the list of this version
-	listed form.Ver
-	stats  map[string]*stat
-	pace   float64       // tokens read in a ms, measured
-	aim    time.Duration // the shortest aim of any request
-	gap    time.Duration // the shortest pause that any request allows between events
+	gen     [2]uint64
+	whole   bool // rows are what was read at gen
+	until   time.Duration
+	rows    map[string]Server
+	keys    []string // of the list of this version
+	servers []tariff.Server
+	records map[string]record
+	listed  form.Ver
+	stats   map[string]*stat
+	pace    float64       // tokens read in a ms, measured
+	aim     time.Duration // the shortest aim of any request
+	gap     time.Duration // the shortest pause that any request allows between events
 
 	crew    crew
 	warm    Warm
@@ -87,13 +89,44 @@
 	if !ok {
 		return []string{list}
 	}
+	l.list(rec)
+	return l.keys
+}
+
+// list reads a list of servers, once a version.
+func (l *Lane) list(rec form.Rec) []tariff.Server {
 	if l.keys == nil || l.listed != rec.Ver {
-		l.keys, l.listed = []string{list}, rec.Ver
-		for _, s := range tariff.OpenList(rec).Servers {
-			l.keys = append(l.keys, tariff.BerthKey(l.svc, s.Key()))
+		l.servers = tariff.OpenList(rec).Servers
+		l.keys, l.listed = []string{rec.Key}, rec.Ver
+		known := make(map[string]record, len(l.servers))
+		for _, s := range l.servers {
+			key := tariff.BerthKey(l.svc, s.Key())
+			l.keys = append(l.keys, key)
+			if r, ok := l.records[key]; ok {
+				known[key] = r
+			}
 		}
+		l.records = known
 	}
-	return l.keys
+	return l.servers
+}
+
+// record is a server's record as it was read.
+type record struct {
+	ver form.Ver
+	interlock.Berth
+	ok bool
+}
+
+// record reads a server's record, once a version.
+func (l *Lane) record(rec form.Rec) record {
+	r, known := l.records[rec.Key]
+	if !known || r.ver != rec.Ver || rec.Dead == r.ok {
+		r = record{ver: rec.Ver}
+		r.Berth, r.ok = interlock.OpenBerth(rec)
+		l.records[rec.Key] = r
+	}
+	return r
 }
 
 // look makes the table of servers anew if a record changed or a lease lapsed;
@@ -109,26 +142,26 @@
 	}
 	l.gen, l.whole = gen, false
 	clear(l.rows)
-	list, okList := l.src.Read(l.part, tariff.ListKey(l.svc))
+	listed, okList := l.src.Read(l.part, tariff.ListKey(l.svc))
 	cells, okCells := l.src.Read(0, tariff.CellKey)
 	if !okList || !okCells || now >= l.until {
 		l.until = 0
 		return false
 	}
 	out := tariff.Cells(cells)
-	for _, s := range tariff.OpenList(list).Servers {
+	for i, s := range l.list(listed) {
 		if s.Leaving || out[s.Cell] {
 			continue
 		}
-		rec, ok := l.src.Read(l.part, tariff.BerthKey(l.svc, s.Key()))
+		rec, ok := l.src.Read(l.part, l.keys[i+1])
 		if !ok {
 			continue
 		}
-		b, ok := interlock.OpenBerth(rec)
+		b := l.record(rec)
 		if s.Part != "" && s.Part != b.Part { // by the platform's word it doesn't play its part yet
 			continue
 		}
-		if !ok || b.To != "" || b.Status != interlock.Up && b.Status != interlock.Warming {
+		if !b.ok || b.To != "" || b.Status != interlock.Up && b.Status != interlock.Warming {
 			continue
 		}
 		l.rows[s.Key()] = Server{Key: s.Key(), Addr: s.Addr, Zone: s.Cell, Part: b.Part, Slots: s.Capacity, Warming: b.Status == interlock.Warming}
--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"os"
 	"slices"
@@ -40,7 +41,9 @@
 		if err != nil {
 			panic(err)
 		}
-		return form.Rec{Key: key, Val: b}, true
+		h := fnv.New64a() // as in the fleet, no two values of a record share a version
+		_, _ = h.Write(b)
+		return form.Rec{Key: key, Ver: form.Ver{Term: 1, Seq: h.Sum64()}, Val: b}, true
 	}
 	switch {
 	case part == 0 && key == tariff.CellKey:
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -199,36 +199,45 @@
 //
 // Example: supervisor.Add(g.Run)
 func (g *Gateway) Run(ctx context.Context) error {
-	t := time.NewTicker(BoardConfig(g.c.Cfg).Beat)
+	beat := BoardConfig(g.c.Cfg).Beat
+	t := time.NewTicker(beat)
 	defer t.Stop()
-	for {
+	soon := time.NewTimer(0)
+	defer soon.Stop()
+	news := g.c.News()
+	for whole := true; ; {
 		g.tell()
-		news := g.c.News()
 		if s, ok := g.sheet(); ok {
 			for _, svc := range s.plan.Services {
-				g.keep(g.lane(svc.Name), svc)
+				l := g.lane(svc.Name)
+				g.keep(l)
+				if whole {
+					g.measure(l, svc)
+				}
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-news:
+		case <-news: // news come in crowds: they are looked at together
+			soon.Reset(beat / 16)
+			whole, news = false, nil
+		case <-soon.C:
+			whole, news = false, g.c.News()
 		case <-t.C:
+			whole = true
+			if news == nil {
+				news = g.c.News()
+			}
 		}
 	}
 }
 
-func (g *Gateway) keep(l *lane, svc tariff.Service) {
+// measure takes what changes all the time: the fleet, and the servers' strain.
+func (g *Gateway) measure(l *lane, svc tariff.Service) {
 	l.mu.Lock()
 	g.fleet(l)
 	l.Warm(forward.Warm{Rate: svc.ColdRate, Over: g.c.Cfg.Warm.Over, Slack: g.c.Cfg.Warm.Slack})
-	var fresh []string
-	for _, k := range l.Keys() {
-		if !l.pinned[k] {
-			l.pinned[k] = true
-			fresh = append(fresh, k)
-		}
-	}
 	servers := l.Servers()
 	strain := make(map[string]interlock.Strain, len(servers))
 	for _, s := range servers {
@@ -242,6 +251,19 @@
 		g.board.Memory(board.Name(svc.Name, s.Key), svc.Memory)
 	}
 	g.bmu.Unlock()
+}
+
+// keep has the records wanted that a lane reads.
+func (g *Gateway) keep(l *lane) {
+	l.mu.Lock()
+	var fresh []string
+	for _, k := range l.Keys() {
+		if !l.pinned[k] {
+			l.pinned[k] = true
+			fresh = append(fresh, k)
+		}
+	}
+	l.mu.Unlock()
 	for _, k := range fresh {
 		g.c.Pin(l.part, k)
 	}
@@ -294,7 +316,7 @@
 		g.plan.Store(&n)
 		return &n, true
 	}
-	p := tariff.Open(rec)
+	p := g.c.OpenPlan(rec)
 	n := &sheet{gen: gen, until: until, ver: rec.Ver, plan: p, table: route.New(p), split: map[string]bool{}}
 	for _, v := range p.Services {
 		n.split[v.Name] = v.TokenBytes > 0
