--- a/cmd/depot/main.go
+++ b/cmd/fakeserver/main.go
@@ -1,4 +1,4 @@
-// Command depot runs a stand-in model server.
+// Command fakeserver runs a stand-in model server.
 package main
 
 import (
@@ -9,14 +9,14 @@
 	"os"
 	"time"
 
-	"mulleinmast/proof/depot"
-	"mulleinmast/proof/journal"
+	"mulleinmast/proof/fakeserver"
+	"mulleinmast/proof/history"
 )
 
 func main() {
-	c := depot.Config{}
+	c := fakeserver.Config{}
 	flag.StringVar(&c.Addr, "addr", "127.0.0.1:9000", "`ip:port` to serve on")
-	flag.StringVar(&c.Cell, "cell", "cell-1", "`name` of its cell")
+	flag.StringVar(&c.Zone, "cell", "cell-1", "`name` of its cell")
 	flag.IntVar(&c.Capacity, "capacity", 8, "slots")
 	flag.DurationVar(&c.Char, "char", 20*time.Microsecond, "prefill `time` per character")
 	flag.DurationVar(&c.Token, "token", 5*time.Millisecond, "decode `time` per piece")
@@ -28,14 +28,14 @@
 	path := flag.String("journal", "", "journal `file`")
 	flag.Parse()
 	if _, err := netip.ParseAddrPort(c.Addr); err != nil || c.Capacity < 1 {
-		_, _ = fmt.Fprintf(os.Stderr, "depot: -addr %q, -capacity %d: expected an IP address and port, and at least one slot\n", c.Addr, c.Capacity)
+		_, _ = fmt.Fprintf(os.Stderr, "fakeserver: -addr %q, -capacity %d: expected an IP address and port, and at least one slot\n", c.Addr, c.Capacity)
 		os.Exit(2)
 	}
-	book, err := journal.Open(*path)
+	recorder, err := history.Open(*path)
 	if err == nil {
-		srv := &http.Server{Addr: c.Addr, Handler: depot.New(c, book), IdleTimeout: 5 * time.Minute, ReadHeaderTimeout: 10 * time.Second}
+		srv := &http.Server{Addr: c.Addr, Handler: fakeserver.New(c, recorder), IdleTimeout: 5 * time.Minute, ReadHeaderTimeout: 10 * time.Second}
 		err = srv.ListenAndServe()
 	}
-	_, _ = fmt.Fprintln(os.Stderr, "depot:", err)
+	_, _ = fmt.Fprintln(os.Stderr, "fakeserver:", err)
 	os.Exit(1)
 }
--- a/cmd/testtrack/hollow.go
+++ b/cmd/fleetlab/hollow.go
@@ -61,7 +61,7 @@
 func (h hollowFlags) main() int {
 	if *h.worker {
 		if err := hollow.Serve(os.Stdin, os.Stdout); err != nil {
-			_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+			_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 			return 1
 		}
 		return 0
@@ -70,13 +70,13 @@
 	for i, s := range []string{*h.daemons, *h.servers, *h.tenants, *h.routes} {
 		var err error
 		if lists[i], err = numbersOf(s); err != nil {
-			_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+			_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 			return 2
 		}
 	}
 	exe, err := os.Executable()
 	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 		return 1
 	}
 	if *h.fit != "" {
@@ -86,7 +86,7 @@
 		for _, n := range lists[1] {
 			took, err := hollow.Requests(n, 0.3, 400, 8)
 			if err != nil {
-				_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+				_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 				return 1
 			}
 			fmt.Printf("%d servers of a model: a request's decisions take %v of a core\n", n, took.Round(time.Microsecond))
@@ -103,12 +103,12 @@
 				rows, err := h.fleet(o)
 				all = append(all, rows...)
 				if err != nil {
-					_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+					_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 					return 1
 				}
 				if *h.out != "" {
 					if err := hollow.WriteCSV(*h.out, all); err != nil {
-						_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+						_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 						return 1
 					}
 				}
@@ -228,12 +228,12 @@
 	return rows, nil
 }
 
-// blackout takes the zone of the configuration's owner away.
+// blackout takes the zone of the configuration's leader away.
 func (h hollowFlags) blackout(f *hollow.Fleet) error {
-	owners := f.Owners()
-	zone := f.ZoneOf(owners[0])
+	leaders := f.Leaders()
+	zone := f.ZoneOf(leaders[0])
 	lost := 0
-	for _, i := range owners {
+	for _, i := range leaders {
 		if f.ZoneOf(i) == zone {
 			lost++
 		}
@@ -241,7 +241,7 @@
 	at := time.Now()
 	left := f.LoseZone(zone)
 	n, _ := f.AwaitOutside(zone, hollow.Command{Fresh: true, Zone: zone, Wait: time.Minute})
-	fmt.Printf("zone %d lost, with the owners of %d of %d parts: %d of %d daemons left are ready and know owners for all parts after %v", zone, lost, len(owners), n, left, time.Since(at).Round(time.Millisecond))
+	fmt.Printf("zone %d lost, with the owners of %d of %d parts: %d of %d daemons left are ready and know owners for all parts after %v", zone, lost, len(leaders), n, left, time.Since(at).Round(time.Millisecond))
 	took, err := f.Change()
 	if err != nil {
 		return err
@@ -257,7 +257,7 @@
 
 // link cuts two regions off from each other.
 func (h hollowFlags) link(f *hollow.Fleet) error {
-	a := f.RegionOf(f.Owners()[0])
+	a := f.RegionOf(f.Leaders()[0])
 	f.LoseLink(a, (a+1)%f.Regions)
 	took, err := f.Change()
 	if err != nil {
@@ -279,14 +279,14 @@
 		err = fmt.Errorf("-over %q: expected daemons, servers, tenants or routes", *h.over)
 	}
 	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 		return 2
 	}
 	fmt.Print(hollow.Fits(rows, *h.over, *h.at))
 	base := strings.TrimSuffix(path, ".csv")
 	for cost, name := range map[string]string{"bytes": "bytes", "core": "core", "resident MB": "memory"} {
 		if err := hollow.Plot(base+"-"+name+".png", rows, rows[0].Step, *h.over, cost); err != nil {
-			_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+			_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 			return 1
 		}
 	}
--- a/cmd/testtrack/main.go
+++ b/cmd/fleetlab/main.go
@@ -1,4 +1,4 @@
-// Command testtrack starts a layout as real processes on this machine, runs a
+// Command fleetlab starts a layout as real processes on this machine, runs a
 // scenario under load and judges the journals.
 package main
 
@@ -40,7 +40,7 @@
 		return many.main()
 	}
 	if *base < 1024 || *base > 65000 || *rate <= 0 || *length < time.Second || *count < 1 {
-		_, _ = fmt.Fprintln(os.Stderr, "testtrack: expected -port 1024 to 65000, -rate above 0, -for at least 1s, -seeds at least 1")
+		_, _ = fmt.Fprintln(os.Stderr, "fleetlab: expected -port 1024 to 65000, -rate above 0, -for at least 1s, -seeds at least 1")
 		return 2
 	}
 	if *plat {
@@ -60,25 +60,25 @@
 	}
 	l, ok := track.Layouts[*layout]
 	if !ok {
-		_, _ = fmt.Fprintf(os.Stderr, "testtrack: -layout %q: expected rangsit or pat\n", *layout)
+		_, _ = fmt.Fprintf(os.Stderr, "fleetlab: -layout %q: expected rangsit or pat\n", *layout)
 		return 2
 	}
 	play, ok := track.Scenarios[*name]
 	if !ok {
-		_, _ = fmt.Fprintf(os.Stderr, "testtrack: -scenario %q: see -scenario list\n", *name)
+		_, _ = fmt.Fprintf(os.Stderr, "fleetlab: -scenario %q: see -scenario list\n", *name)
 		return 2
 	}
 	if *dir == "" {
-		d, err := os.MkdirTemp("", "testtrack-")
+		d, err := os.MkdirTemp("", "fleetlab-")
 		if err != nil {
-			_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+			_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 			return 1
 		}
 		*dir = d
 	}
 	exe, err := os.Executable()
 	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 		return 1
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -90,12 +90,12 @@
 		err = f.Begin(ctx)
 	}
 	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err, "logs in", *dir)
+		_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err, "logs in", *dir)
 		return 1
 	}
-	fmt.Printf("%s: %d daemons and %d servers up, files in %s\n", l.Name, len(f.Daemons), len(f.Depots), *dir)
+	fmt.Printf("%s: %d daemons and %d servers up, files in %s\n", l.Name, len(f.Daemons), len(f.FakeServers), *dir)
 	for _, p := range f.Daemons {
-		fmt.Printf("  %s web %s wire %s %s disk %v\n", p.Name, p.Addr, p.Wire, p.Cell, p.Data != "")
+		fmt.Printf("  %s web %s wire %s %s disk %v\n", p.Name, p.Addr, p.Wire, p.Zone, p.Data != "")
 	}
 	if *hold {
 		<-ctx.Done()
--- a/cmd/testtrack/platform.go
+++ b/cmd/fleetlab/platform.go
@@ -23,11 +23,11 @@
 	case name == "all":
 		names = scene.Names()
 	case !ok:
-		_, _ = fmt.Fprintf(os.Stderr, "testtrack: -platform -scenario %q: see -platform -scenario list\n", name)
+		_, _ = fmt.Fprintf(os.Stderr, "fleetlab: -platform -scenario %q: see -platform -scenario list\n", name)
 		return 2
 	}
 	if dir == "" {
-		d, err := os.MkdirTemp("", "testtrack-")
+		d, err := os.MkdirTemp("", "fleetlab-")
 		if err != nil {
 			return failed(err)
 		}
@@ -43,7 +43,7 @@
 	for _, n := range names {
 		at := filepath.Join(dir, n)
 		fmt.Printf("%s, files in %s\n", n, at)
-		rep, err := scene.Play(ctx, scene.Config{Dir: at, Program: filepath.Join(filepath.Dir(exe), "signalbox"), Pace: pace, PerZone: 2, Short: pace < 1, Rate: rate, Seed: seed}, scene.Scenes[n])
+		rep, err := scene.Play(ctx, scene.Config{Dir: at, Program: filepath.Join(filepath.Dir(exe), "mulleinmast"), Pace: pace, PerZone: 2, Short: pace < 1, Rate: rate, Seed: seed}, scene.Scenes[n])
 		if err != nil {
 			return failed(err)
 		}
@@ -60,6 +60,6 @@
 }
 
 func failed(err error) int {
-	_, _ = fmt.Fprintln(os.Stderr, "testtrack:", err)
+	_, _ = fmt.Fprintln(os.Stderr, "fleetlab:", err)
 	return 1
 }
--- a/cmd/testtrack/sweep.go
+++ b/cmd/fleetlab/sweep.go
@@ -27,7 +27,7 @@
 	for _, name := range names {
 		options, ok := sim.Scenarios[name]
 		if !ok {
-			_, _ = fmt.Fprintf(os.Stderr, "testtrack: -sweep %q: no such simulated scenario\n", name)
+			_, _ = fmt.Fprintf(os.Stderr, "fleetlab: -sweep %q: no such simulated scenario\n", name)
 			return 2
 		}
 		var mu sync.Mutex
@@ -36,7 +36,7 @@
 		broken := 0
 		var yes, never, maybe, reads int
 		faults := map[string]int{}
-		results, sheds, plans := map[string]int{}, map[string]int{}, map[string]int{}
+		results, refusals, plans := map[string]int{}, map[string]int{}, map[string]int{}
 		var gap, wait []time.Duration
 		for i := 0; i < runtime.GOMAXPROCS(0); i++ {
 			wg.Add(1)
@@ -52,7 +52,7 @@
 					yes, never, maybe, reads = yes+r.Yes, never+r.Never, maybe+r.Maybe, reads+r.Reads
 					sum(faults, r.Faults)
 					sum(results, r.Results)
-					sum(sheds, r.Sheds)
+					sum(refusals, r.Refusals)
 					sum(plans, r.Plans)
 					gap = append(gap, r.Gap)
 					wait = append(wait, r.Waits...)
@@ -64,7 +64,7 @@
 		fmt.Printf("%-8s %d seeds, %d broken; writes: %d in force, %d refused, %d uncertain; %d reads; simulated: write median %v 99th %v, longest without an owner median %v 99th %v; faults %v\n",
 			name, count, broken, yes, never, maybe, reads, at(wait, 0.5), at(wait, 0.99), at(gap, 0.5), at(gap, 0.99), faults)
 		if len(results) > 0 {
-			fmt.Printf("         requests %v; sheds %v; plans %v\n", results, sheds, plans)
+			fmt.Printf("         requests %v; sheds %v; plans %v\n", results, refusals, plans)
 		}
 		bad += broken
 	}
@@ -100,25 +100,25 @@
 }
 
 // scale runs healthy fleets of growing size, flat and with relays, and reports
-// what reaches the owners and how long a write waits for its purge.
+// what reaches the leaders and how long a write waits for its invalidation.
 func scale(seed int64) int {
 	for _, size := range []int{9, 30, 90, 180} {
 		for _, flat := range []bool{true, false} {
 			o := sim.Default(seed)
-			o.Cells, o.Faults, o.Length, o.Calm, o.Clean, o.Flat = []int{size / 3, size / 3, size / 3}, nil, 25*time.Second, time.Second, true, flat
+			o.Zones, o.Faults, o.Length, o.Calm, o.Clean, o.Flat = []int{size / 3, size / 3, size / 3}, nil, 25*time.Second, time.Second, true, flat
 			r := sim.Run(o)
 			shape := "relays"
 			if flat {
 				shape = "flat"
 			}
 			fmt.Printf("%3d daemons, %-6s: %6.1f notes a second into each owner, %5.1f purges a write, write median %v 99th %v, %d rules broken\n",
-				size, shape, float64(r.RootNotes)/25/2, float64(r.Purges)/float64(max(1, r.Yes)), at(r.Waits, 0.5), at(r.Waits, 0.99), len(r.Broken))
+				size, shape, float64(r.RootMessages)/25/2, float64(r.Invalidations)/float64(max(1, r.Yes)), at(r.Waits, 0.5), at(r.Waits, 0.99), len(r.Broken))
 		}
 	}
 	for _, static := range []bool{true, false} {
 		r := sim.Run(sim.Tree(seed, static))
 		fmt.Printf("18 daemons in 3 far cells, one cell's relays slow for 40 s, static %v: %d joins and %d splits told, renewal in that cell meanwhile %v, %.1f notes a second into each owner, %d rules broken\n",
-			static, r.Steers["join"], r.Steers["split"], r.Renewal.Round(10*time.Microsecond), float64(r.RootNotes)/130/2, len(r.Broken))
+			static, r.Steers["join"], r.Steers["split"], r.Renewal.Round(10*time.Microsecond), float64(r.RootMessages)/130/2, len(r.Broken))
 	}
 	o := sim.Scenarios["servers"](seed)
 	o.Faults, o.Back = map[string]float64{"crowd": 3}, true
--- a/cmd/carrier/main.go
+++ b/cmd/loadgen/main.go
@@ -1,4 +1,4 @@
-// Command carrier is the stand-in requester: load, and the check of journals.
+// Command loadgen is the stand-in client: load, and the check of journals.
 package main
 
 import (
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"mulleinmast/proof/journal"
+	"mulleinmast/proof/history"
 	"mulleinmast/proof/judge"
 	"mulleinmast/proof/load"
 )
@@ -23,18 +23,18 @@
 	flag.DurationVar(&c.For, "for", 10*time.Second, "how long")
 	flag.IntVar(&c.Most, "most", 100000, "requests in all, at most")
 	flag.Int64Var(&c.Seed, "seed", 1, "seed")
-	flag.DurationVar(&c.Budget, "budget", 10*time.Second, "budget of a request")
+	flag.DurationVar(&c.Timeout, "budget", 10*time.Second, "budget of a request")
 	flag.Float64Var(&c.Once, "once", 0.3, "part of the requests with a once key")
 	flag.BoolVar(&c.Again, "again", false, "send each once key to a second daemon too")
 	flag.Float64Var(&c.Swing, "swing", -1, "part of long prompts (below 0: the mix's own)")
-	path := flag.String("journal", "carrier.jsonl", "journal `file`")
+	path := flag.String("journal", "loadgen.jsonl", "journal `file`")
 	check := flag.Bool("check", false, "judge the journals named as arguments instead of sending")
 	flag.Parse()
 	if *check {
 		os.Exit(verdict(flag.Args()))
 	}
 	if _, ok := load.Mixes[c.Mix]; !ok {
-		_, _ = fmt.Fprintf(os.Stderr, "carrier: -mix %q: expected rangsit or pat\n", c.Mix)
+		_, _ = fmt.Fprintf(os.Stderr, "loadgen: -mix %q: expected rangsit or pat\n", c.Mix)
 		os.Exit(2)
 	}
 	c.Targets = strings.Split(*to, ",")
@@ -50,33 +50,33 @@
 	if c.Once < 0 || c.Once > 1 {
 		faults = append(faults, fmt.Sprintf("-once %v: expected 0 to 1", c.Once))
 	}
-	if c.Budget <= 0 || c.Most < 1 {
+	if c.Timeout <= 0 || c.Most < 1 {
 		faults = append(faults, "-budget and -most: expected more than 0")
 	}
 	if len(faults) > 0 {
-		_, _ = fmt.Fprintln(os.Stderr, "carrier: "+strings.Join(faults, "\ncarrier: "))
+		_, _ = fmt.Fprintln(os.Stderr, "loadgen: "+strings.Join(faults, "\ncarrier: "))
 		os.Exit(2)
 	}
-	book, err := journal.Open(*path)
+	recorder, err := history.Open(*path)
 	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "carrier:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "loadgen:", err)
 		os.Exit(2)
 	}
-	load.Run(context.Background(), c, book)
-	ev, err := journal.Read(*path)
+	load.Run(context.Background(), c, recorder)
+	ev, err := history.Read(*path)
 	if err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "carrier:", err)
+		_, _ = fmt.Fprintln(os.Stderr, "loadgen:", err)
 		os.Exit(1)
 	}
 	fmt.Print(load.Sum(ev))
 }
 
 func verdict(paths []string) int {
-	var all []journal.Event
+	var all []history.Event
 	for _, p := range paths {
-		ev, err := journal.Read(p)
+		ev, err := history.Read(p)
 		if err != nil {
-			_, _ = fmt.Fprintln(os.Stderr, "carrier:", err)
+			_, _ = fmt.Fprintln(os.Stderr, "loadgen:", err)
 			return 2
 		}
 		all = append(all, ev...)
--- a/cmd/enquiry/main.go
+++ b/cmd/mulleinctl/main.go
@@ -1,4 +1,4 @@
-// Command enquiry is a shell for queries on the fleet's state, interactive or
+// Command mulleinctl is a shell for queries on the fleet's state, interactive or
 // one-shot, as text or JSON.
 package main
 
@@ -19,11 +19,11 @@
 	"text/tabwriter"
 	"time"
 
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/daybook"
-	"mulleinmast/control/tariff"
-	"mulleinmast/control/tariff/openapi"
-	"mulleinmast/traffic/dispatch"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/fleetconfig/openapi"
+	"mulleinmast/traffic/scheduler"
 )
 
 const usage = `members            who is in the fleet, where, and ready or not
@@ -53,14 +53,14 @@
 	to := flag.String("to", "127.0.0.1:8000", "web `address` of one daemon or of several, a,b,c")
 	flag.BoolVar(&s.asJS, "json", false, "JSON instead of text")
 	flag.Usage = func() {
-		_, _ = fmt.Fprintf(os.Stderr, "usage: enquiry [-to ip:port,...] [-json] [QUERY]\n\nWithout a query it reads them from standard input. Exit codes: 0 answered, 1 no daemon answered, 2 bad query or flags.\n\n%s\n", usage)
+		_, _ = fmt.Fprintf(os.Stderr, "usage: mulleinctl [-to ip:port,...] [-json] [QUERY]\n\nWithout a query it reads them from standard input. Exit codes: 0 answered, 1 no daemon answered, 2 bad query or flags.\n\n%s\n", usage)
 		flag.PrintDefaults()
 	}
 	flag.Parse()
 	s.to = strings.Split(*to, ",")
 	for _, a := range s.to {
 		if _, err := netip.ParseAddrPort(a); err != nil {
-			_, _ = fmt.Fprintf(os.Stderr, "enquiry: -to %q: expected an IP address and port\n", a)
+			_, _ = fmt.Fprintf(os.Stderr, "mulleinctl: -to %q: expected an IP address and port\n", a)
 			os.Exit(2)
 		}
 	}
@@ -68,7 +68,7 @@
 		os.Exit(s.run(flag.Args()))
 	}
 	in := bufio.NewScanner(os.Stdin)
-	for fmt.Fprint(os.Stderr, "enquiry> "); in.Scan(); fmt.Fprint(os.Stderr, "enquiry> ") {
+	for fmt.Fprint(os.Stderr, "mulleinctl> "); in.Scan(); fmt.Fprint(os.Stderr, "mulleinctl> ") {
 		words := strings.Fields(in.Text())
 		if len(words) == 0 {
 			continue
@@ -97,15 +97,15 @@
 }
 
 // first asks the given daemons until one replies.
-func (s *shell) first() (cabin.State, error) {
+func (s *shell) first() (daemon.State, error) {
 	var last error
 	for _, a := range s.to {
-		var st cabin.State
+		var st daemon.State
 		if last = s.get(a, "/v1/state", &st); last == nil {
 			return st, nil
 		}
 	}
-	return cabin.State{}, last
+	return daemon.State{}, last
 }
 
 // each asks every member at once; silent ones come back with an error.
@@ -164,7 +164,7 @@
 }
 
 func (s *shell) bad(err error) int {
-	_, _ = fmt.Fprintln(os.Stderr, "enquiry:", err)
+	_, _ = fmt.Fprintln(os.Stderr, "mulleinctl:", err)
 	return 1
 }
 
@@ -184,11 +184,11 @@
 		}
 		var rows [][]any
 		for _, m := range st.Members {
-			rows = append(rows, []any{m.Ident, m.Epoch, m.Cell, m.Web, m.Addr, m.Disk, m.Ready})
+			rows = append(rows, []any{m.Ident, m.Epoch, m.Zone, m.Web, m.Addr, m.Disk, m.Ready})
 		}
 		return s.show(st.Members, "IDENT EPOCH CELL WEB WIRE DISK READY", rows)
 	case "plan":
-		var p tariff.Plan
+		var p fleetconfig.Plan
 		var err error
 		for _, a := range s.to {
 			if err = s.get(a, "/v1/plan", &p); err == nil {
@@ -200,7 +200,7 @@
 		}
 		var rows [][]any
 		for _, t := range p.Tenants {
-			rows = append(rows, []any{p.Version, t.Name, t.Priority, t.Budget, t.Queue, strings.Join(t.Services, ",")})
+			rows = append(rows, []any{p.Version, t.Name, t.Priority, t.Timeout, t.Queue, strings.Join(t.Services, ",")})
 		}
 		return s.show(p, "VERSION TENANT PRIORITY BUDGET_MS QUEUE SERVICES", rows)
 	case "parts", "tree", "servers", "versions", "queue", "counts":
@@ -219,12 +219,12 @@
 }
 
 func (s *shell) wrong(why string) int {
-	_, _ = fmt.Fprintln(os.Stderr, "enquiry:", why)
+	_, _ = fmt.Fprintln(os.Stderr, "mulleinctl:", why)
 	return 2
 }
 
 func (s *shell) states(what, arg string) int {
-	got, bad, err := each[cabin.State](s, "/v1/state")
+	got, bad, err := each[daemon.State](s, "/v1/state")
 	if err != nil {
 		return s.bad(err)
 	}
@@ -235,7 +235,7 @@
 		switch what {
 		case "versions":
 			head = "DAEMON PLAN LEASES_STAND CELLS_OUT"
-			rows = append(rows, []any{web, st.Plan, st.PlanOK, strings.Join(st.Cells, ",")})
+			rows = append(rows, []any{web, st.Plan, st.PlanOK, strings.Join(st.Zones, ",")})
 		case "counts":
 			head = "DAEMON COUNTS SHEDS"
 			rows = append(rows, []any{web, flat(st.Extra["counts"]), flat(st.Extra["sheds"])})
@@ -246,17 +246,17 @@
 				rows = append(rows, []any{web, svc, flat(q[svc])})
 			}
 		default:
-			for _, p := range st.Parts {
+			for _, p := range st.Partitions {
 				switch {
 				case what == "parts" && p.Mine:
 					head = "PART OWNER BALLOT GROUP NEXT RECORDS"
-					rows = append(rows, []any{p.Part, web, p.Owner.Num, len(p.Group.Seats), len(p.Group.Next), p.Recs})
+					rows = append(rows, []any{p.Partition, web, p.Leader.Num, len(p.Group.Replicas), len(p.Group.Next), p.Recs})
 				case what == "servers":
 					head = "SERVICE SERVER CELL PART STATUS TO ACTIVE SLOTS OUT PAIRS"
 					for _, r := range p.Server {
-						rows = append(rows, []any{r.Service, r.Addr, r.Cell, r.Part, r.Status, r.To, r.Active, r.Total, r.Out, len(r.Pairs)})
+						rows = append(rows, []any{r.Service, r.Addr, r.Zone, r.Part, r.Status, r.To, r.Active, r.Total, r.Out, len(r.Pairs)})
 					}
-				case what == "tree" && (arg == "" || arg == fmt.Sprint(p.Part)):
+				case what == "tree" && (arg == "" || arg == fmt.Sprint(p.Partition)):
 					head = "PART DAEMON PARENT LEASE_MS RECORDS CHILDREN"
 					up, kids := p.Node.Parent.Addr, []string{}
 					if p.Node.Root {
@@ -267,9 +267,9 @@
 						if k.Listed {
 							mark = "!"
 						}
-						kids = append(kids, fmt.Sprintf("%s%s(%d)", k.Seat.Addr, mark, k.Left))
+						kids = append(kids, fmt.Sprintf("%s%s(%d)", k.Replica.Addr, mark, k.Left))
 					}
-					rows = append(rows, []any{p.Part, web, up, p.Node.Left, len(p.Node.Objs), strings.Join(kids, " ")})
+					rows = append(rows, []any{p.Partition, web, up, p.Node.Left, len(p.Node.Objs), strings.Join(kids, " ")})
 				}
 			}
 		}
@@ -297,7 +297,7 @@
 }
 
 func (s *shell) why(id string) int {
-	got, _, err := each[[]dispatch.Story](s, "/v1/why/"+id)
+	got, _, err := each[[]scheduler.Story](s, "/v1/why/"+id)
 	if err != nil {
 		return s.bad(err)
 	}
@@ -327,7 +327,7 @@
 	if f.Any() {
 		return s.wrong(strings.Join(f.List, "\n"))
 	}
-	var p tariff.Plan
+	var p fleetconfig.Plan
 	if err := s.get(s.to[0], "/v1/plan", &p); err != nil {
 		return s.bad(err)
 	}
@@ -342,14 +342,14 @@
 
 func (s *shell) story(kind string) int {
 	type ring struct {
-		Lines []daybook.Entry `json:"lines"`
+		Lines []eventlog.Entry `json:"lines"`
 	}
 	got, bad, err := each[ring](s, "/v1/ring")
 	if err != nil {
 		return s.bad(err)
 	}
 	type line struct {
-		daybook.Entry
+		eventlog.Entry
 		Daemon string `json:"daemon"`
 	}
 	var all []line
--- a/cmd/signalbox/main.go
+++ b/cmd/mulleinmast/main.go
@@ -1,4 +1,4 @@
-// Command signalbox is the daemon that runs on every machine of the fleet.
+// Command mulleinmast is the daemon that runs on every machine of the fleet.
 package main
 
 import (
@@ -13,28 +13,28 @@
 	"syscall"
 	"time"
 
-	"mulleinmast/control/archive"
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/daybook"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/storage"
 	"mulleinmast/platform"
-	"mulleinmast/traffic/desk"
+	"mulleinmast/traffic/nativeapi"
 )
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	boot, ours, err := platform.Boot(os.Getenv)
-	var cfg cabin.Config
+	var cfg daemon.Config
 	if ours && err == nil {
 		cfg = boot.Config()
 	} else if !ours {
-		cfg, err = cabin.ReadConfig("signalbox", os.Args[1:], os.Stderr)
+		cfg, err = daemon.ReadConfig("mulleinmast", os.Args[1:], os.Stderr)
 	}
-	if errors.Is(err, cabin.ErrHelp) {
+	if errors.Is(err, daemon.ErrHelp) {
 		return 0
 	}
 	if err != nil {
-		_, _ = fmt.Fprintf(os.Stderr, "signalbox: bad config:\n%v\n", err)
+		_, _ = fmt.Fprintf(os.Stderr, "mulleinmast: bad config:\n%v\n", err)
 		return 2
 	}
 	if cfg.Cores > 0 {
@@ -43,15 +43,15 @@
 	if cfg.Memory > 0 {
 		debug.SetMemoryLimit(cfg.Memory)
 	}
-	book := daybook.New(cfg.Ring, os.Stderr)
-	book.Loud = ours && slices.Contains(os.Args[1:], "-say") // every line is written out at once
-	c, err := cabin.Open(cfg, book)
+	events := eventlog.New(cfg.Ring, os.Stderr)
+	events.Loud = ours && slices.Contains(os.Args[1:], "-say") // every line is written out at once
+	c, err := daemon.Open(cfg, events)
 	if err != nil {
 		return fail(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	d := desk.New(ctx, c)
+	d := nativeapi.New(ctx, c)
 	// The servers' list and the front of the platform are hooked in here.
 	var host *platform.Host
 	if ours {
@@ -59,7 +59,7 @@
 			return fail(err)
 		}
 	}
-	book.Say("start", "fleet %s cell %s wire %s web %s identity %s seeds %v", cfg.Fleet, cfg.Cell, cfg.Wire, cfg.Web, c.Ident(), cfg.Seeds)
+	events.Say("start", "fleet %s cell %s wire %s web %s identity %s seeds %v", cfg.Fleet, cfg.Zone, cfg.Wire, cfg.Web, c.Ident(), cfg.Seeds)
 	sig := make(chan os.Signal, 2)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
@@ -87,19 +87,19 @@
 		stop()
 	}()
 	if err := c.Run(ctx); err != nil {
-		book.Trouble("stop", "%v", err)
+		events.Trouble("stop", "%v", err)
 		return 1
 	}
-	book.Say("stop", "stopped")
+	events.Say("stop", "stopped")
 	return 0
 }
 
 func fail(err error) int {
-	_, _ = fmt.Fprintf(os.Stderr, "signalbox: %v\n", err)
+	_, _ = fmt.Fprintf(os.Stderr, "mulleinmast: %v\n", err)
 	switch {
-	case archive.Error.Has(err):
+	case storage.Error.Has(err):
 		return 3
-	case cabin.InUse.Has(err):
+	case daemon.InUse.Has(err):
 		return 4
 	}
 	return 1
@@ -107,7 +107,7 @@
 
 // finish takes requests until those who check have seen that we are not ready,
 // and waits for the streams that have begun.
-func finish(ctx context.Context, c *cabin.Cabin, d *desk.Desk) {
+func finish(ctx context.Context, c *daemon.Daemon, d *nativeapi.API) {
 	c.Leave()
 	limit := time.After(c.Cfg.Bounds.Recover)
 	t := time.NewTicker(c.Cfg.Vol() / 16)
--- a/control/regulator/regulator.go
+++ b/control/clock/clock.go
@@ -1,8 +1,8 @@
-// Package regulator is the one clock by which leases, shares, budgets and
-// duties are judged. It goes on while the machine is suspended, which Go's own
+// Package clock is the one clock by which leases, shares, budgets and
+// leaderships are judged. It goes on while the machine is suspended, which Go's own
 // monotonic reading on Linux does not: a daemon that wakes must find its
 // leases lapsed. Timers elsewhere only wake; they decide nothing.
-package regulator
+package clock
 
 import (
 	"sync/atomic"
@@ -19,7 +19,7 @@
 
 // New starts a clock at zero.
 //
-// Example: c := regulator.New(); c.Now() < time.Second
+// Example: c := clock.New(); c.Now() < time.Second
 func New() *Clock { return &Clock{from: boot()} }
 
 // Now is the time since the clock was made, suspended time included.
--- a/control/regulator/regulator_test.go
+++ b/control/clock/clock_test.go
@@ -1,4 +1,4 @@
-package regulator
+package clock
 
 import (
 	"testing"
--- a/control/cabin/config.go
+++ b/control/daemon/config.go
@@ -1,4 +1,4 @@
-package cabin
+package daemon
 
 import (
 	"errors"
@@ -10,11 +10,11 @@
 	"strings"
 	"time"
 
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/notary"
-	"mulleinmast/control/purge"
-	"mulleinmast/control/roster"
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/membership"
+	"mulleinmast/control/placement"
+	"mulleinmast/control/quorum"
 )
 
 // Bounds are the promises to the users; every length below is a ratio to one.
@@ -28,28 +28,28 @@
 
 // Config is what a daemon is told of its place.
 type Config struct {
-	Fleet  string
-	Wire   string // address for other daemons
-	Web    string // address for requesters, the platform and operators
-	Cell   string
-	Seeds  []string
-	Data   string // empty: this machine holds no state
-	Parts  int    // service parts, beside the configuration part
-	Drift  float64
-	Bounds Bounds
-	Queue  int
-	Test   bool // opens the switches for tests
-	Ring   int
-	Losses int           // machines with state that may be lost at once
-	First  bool          // the whole fleet starts for the first time; else a group is joined, never founded
-	Touch  time.Duration // for how long a machine is well before bounds hold for it
-	Ack    time.Duration // an operator's order is acknowledged within this
-	Grace  time.Duration // from the signal to stop until the process is killed
-	Cores  int           // processors to use; 0: all
-	CPU    float64       // the share of a processor that this daemon gets
-	Memory int64         // bytes, at most; 0: no bound
-	Retry  Retry         // of opaque requests, over the whole fleet
-	Warm   Warm
+	Fleet      string
+	Wire       string // address for other daemons
+	Web        string // address for clients, the platform and operators
+	Zone       string
+	Seeds      []string
+	Data       string // empty: this machine holds no state
+	Partitions int    // service partitions, beside the configuration partition
+	Drift      float64
+	Bounds     Bounds
+	Queue      int
+	Test       bool // opens the switches for tests
+	Ring       int
+	Losses     int           // machines with state that may be lost at once
+	First      bool          // the whole fleet starts for the first time; else a group is joined, never founded
+	Touch      time.Duration // for how long a machine is well before bounds hold for it
+	Ack        time.Duration // an operator's order is acknowledged within this
+	Grace      time.Duration // from the signal to stop until the process is killed
+	Cores      int           // processors to use; 0: all
+	CPU        float64       // the share of a processor that this daemon gets
+	Memory     int64         // bytes, at most; 0: no bound
+	Retry      Retry         // of opaque requests, over the whole fleet
+	Warm       Warm
 }
 
 // Retry bounds what the daemons together send beyond the first call of each
@@ -69,31 +69,31 @@
 
 // Default is the config before the file and the flags.
 //
-// Example: c := cabin.Default()
+// Example: c := daemon.Default()
 func Default() Config {
-	return Config{Fleet: "mulleinmast", Cell: "cell-1", Parts: 8, Drift: 0.02, Queue: 512, Ring: 4096, Losses: 1, First: true,
+	return Config{Fleet: "mulleinmast", Zone: "cell-1", Partitions: 8, Drift: 0.02, Queue: 512, Ring: 4096, Losses: 1, First: true,
 		Touch: 3 * time.Second, Ack: 4 * time.Second, Grace: 12 * time.Second, CPU: 1, Retry: Retry{Ratio: 0.2, Window: 12 * time.Second}, Warm: Warm{Over: 1},
 		Bounds: Bounds{Plan: 2 * time.Second, Leave: 3 * time.Second, Evacuate: 5 * time.Second, Swap: 3 * time.Second, Recover: 12 * time.Second}}
 }
 
 type file struct {
-	Fleet    *string  `json:"fleet"`
-	Wire     *string  `json:"wire"`
-	Web      *string  `json:"web"`
-	Cell     *string  `json:"cell"`
-	Seeds    []string `json:"seeds"`
-	Data     *string  `json:"data"`
-	Parts    *int     `json:"parts"`
-	Drift    *float64 `json:"drift"`
-	Queue    *int     `json:"queue"`
-	Ring     *int     `json:"ring"`
-	Losses   *int     `json:"losses"`
-	First    *bool    `json:"first"`
-	Plan     *string  `json:"bound_plan"`
-	Leave    *string  `json:"bound_leave"`
-	Evacuate *string  `json:"bound_evacuate"`
-	Swap     *string  `json:"bound_swap"`
-	Recover  *string  `json:"bound_recover"`
+	Fleet      *string  `json:"fleet"`
+	Wire       *string  `json:"wire"`
+	Web        *string  `json:"web"`
+	Zone       *string  `json:"cell"`
+	Seeds      []string `json:"seeds"`
+	Data       *string  `json:"data"`
+	Partitions *int     `json:"parts"`
+	Drift      *float64 `json:"drift"`
+	Queue      *int     `json:"queue"`
+	Ring       *int     `json:"ring"`
+	Losses     *int     `json:"losses"`
+	First      *bool    `json:"first"`
+	Plan       *string  `json:"bound_plan"`
+	Leave      *string  `json:"bound_leave"`
+	Evacuate   *string  `json:"bound_evacuate"`
+	Swap       *string  `json:"bound_swap"`
+	Recover    *string  `json:"bound_recover"`
 }
 
 func set[T any](to *T, from *T) {
@@ -108,7 +108,7 @@
 // ReadConfig reads the config file, if one is named, then the flags, which
 // win; it reports every fault at once.
 //
-// Example: c, err := cabin.ReadConfig("signalbox", os.Args[1:], os.Stderr)
+// Example: c, err := daemon.ReadConfig("mulleinmast", os.Args[1:], os.Stderr)
 func ReadConfig(prog string, args []string, w io.Writer) (Config, error) {
 	c := Default()
 	fs := flag.NewFlagSet(prog, flag.ContinueOnError)
@@ -117,10 +117,10 @@
 	fleet := fs.String("fleet", c.Fleet, "`name` of the fleet; all its daemons say the same")
 	wire := fs.String("wire", "", "`ip:port` for other daemons")
 	web := fs.String("web", "", "`ip:port` for requesters, the platform and operators (HTTP)")
-	cell := fs.String("cell", c.Cell, "`name` of this machine's cell")
+	zone := fs.String("cell", c.Zone, "`name` of this machine's cell")
 	seeds := fs.String("seeds", "", "up to three `ip:port,ip:port,ip:port` of daemons' -wire")
 	data := fs.String("data", "", "data `folder`; a daemon with one holds state")
-	parts := fs.Int("parts", c.Parts, "service parts; the same on all daemons, for good")
+	partitions := fs.Int("parts", c.Partitions, "service parts; the same on all daemons, for good")
 	drift := fs.Float64("drift", c.Drift, "most by which one clock outruns another")
 	losses := fs.Int("losses", c.Losses, "daemons with a data folder that may be lost at once; the first group has twice as many seats, and one")
 	first := fs.Bool("first", c.First, "the fleet may start for the first time; say false once it has, where a seed has no data folder")
@@ -133,7 +133,7 @@
 	if err := fs.Parse(args); err != nil {
 		return c, err
 	}
-	var f tariff.Faults
+	var f fleetconfig.Faults
 	if fs.NArg() > 0 {
 		f.Add("flags: %q is not a flag", fs.Arg(0))
 	}
@@ -149,13 +149,13 @@
 		case "web":
 			c.Web = *web
 		case "cell":
-			c.Cell = *cell
+			c.Zone = *zone
 		case "seeds":
 			c.Seeds = strings.Split(*seeds, ",")
 		case "data":
 			c.Data = *data
 		case "parts":
-			c.Parts = *parts
+			c.Partitions = *partitions
 		case "drift":
 			c.Drift = *drift
 		case "losses":
@@ -175,23 +175,23 @@
 	return c, nil
 }
 
-func readFile(path string, c *Config, f *tariff.Faults) {
+func readFile(path string, c *Config, f *fleetconfig.Faults) {
 	b, err := os.ReadFile(path)
 	if err != nil {
 		f.Add("config: %v", err)
 		return
 	}
 	var in file
-	if bad := tariff.Decode(b, &in); bad.Any() {
+	if bad := fleetconfig.Decode(b, &in); bad.Any() {
 		f.Add("config %s: %s", path, strings.Join(bad.List, "; "))
 		return
 	}
 	set(&c.Fleet, in.Fleet)
 	set(&c.Wire, in.Wire)
 	set(&c.Web, in.Web)
-	set(&c.Cell, in.Cell)
+	set(&c.Zone, in.Zone)
 	set(&c.Data, in.Data)
-	set(&c.Parts, in.Parts)
+	set(&c.Partitions, in.Partitions)
 	set(&c.Drift, in.Drift)
 	set(&c.Queue, in.Queue)
 	set(&c.Ring, in.Ring)
@@ -221,12 +221,12 @@
 // Check lists every fault of a config at once.
 //
 // Example: f := c.Check(); f.Any() == false
-func (c Config) Check() (f tariff.Faults) {
+func (c Config) Check() (f fleetconfig.Faults) {
 	c.check(&f)
 	return f
 }
 
-func (c Config) check(f *tariff.Faults) {
+func (c Config) check(f *fleetconfig.Faults) {
 	addr := func(what, s string) {
 		p, err := netip.ParseAddrPort(s)
 		if err != nil {
@@ -251,14 +251,14 @@
 		}
 		seen[s] = true
 	}
-	if !tariff.GoodName(c.Cell) {
-		f.Add("cell: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", c.Cell)
+	if !fleetconfig.GoodName(c.Zone) {
+		f.Add("cell: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", c.Zone)
 	}
-	if !tariff.GoodName(c.Fleet) {
+	if !fleetconfig.GoodName(c.Fleet) {
 		f.Add("fleet: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", c.Fleet)
 	}
-	if c.Parts < 1 || c.Parts > 64 {
-		f.Add("parts: %d: expected 1 to 64", c.Parts)
+	if c.Partitions < 1 || c.Partitions > 64 {
+		f.Add("parts: %d: expected 1 to 64", c.Partitions)
 	}
 	if c.Drift < 0 || c.Drift > 0.2 {
 		f.Add("drift: %v: expected 0 to 0.2", c.Drift)
@@ -282,16 +282,16 @@
 	}
 }
 
-func part(d time.Duration, r float64) time.Duration { return time.Duration(float64(d) * r) }
+func fraction(d time.Duration, r float64) time.Duration { return time.Duration(float64(d) * r) }
 
 // Vol is the volume lease.
 //
 // Example: c.Vol() == 800*time.Millisecond for a plan bound of 2 s
-func (c Config) Vol() time.Duration { return part(c.Bounds.Plan, 0.4) }
+func (c Config) Vol() time.Duration { return fraction(c.Bounds.Plan, 0.4) }
 
-func (c Config) margin() time.Duration { return part(c.Bounds.Plan, 0.01) }
+func (c Config) margin() time.Duration { return fraction(c.Bounds.Plan, 0.01) }
 
-// Overrun is how long after its leases lapsed a daemon that can't reach an owner
+// Overrun is how long after its leases lapsed a daemon that can't reach a leader
 // goes on routing requests by the records that it last held.
 //
 // Example: c.Overrun() == 12*time.Second for a recovery bound of 12 s
@@ -299,18 +299,18 @@
 
 // Leases is the config of the lease tree.
 //
-// Example: node := purge.New(c.Leases(), 0, me, epoch)
-func (c Config) Leases() purge.Config {
-	return purge.Config{Vol: c.Vol(), Obj: 600 * c.Vol(), Drift: c.Drift, Margin: c.margin(), Beat: c.Vol() / 3,
-		Gain: part(c.Bounds.Plan, 0.01), Span: 5 * c.Vol(), Most: 2000}
+// Example: node := lease.New(c.Leases(), 0, me, epoch)
+func (c Config) Leases() lease.Config {
+	return lease.Config{Vol: c.Vol(), Obj: 600 * c.Vol(), Drift: c.Drift, Margin: c.margin(), Beat: c.Vol() / 3,
+		Gain: fraction(c.Bounds.Plan, 0.01), Span: 5 * c.Vol(), Most: 2000}
 }
 
-// Duty is the config of the owners' seats.
+// Leadership is the config of the leaders' replicas.
 //
-// Example: seat := notary.New(c.Duty(), 0, me, meta, book, now, false)
-func (c Config) Duty() notary.Config {
+// Example: replica := quorum.New(c.Leadership(), 0, me, meta, records, now, false)
+func (c Config) QuorumConfig() quorum.Config {
 	d := c.Bounds.Plan / 2
-	return notary.Config{Duty: d, Drift: c.Drift, Margin: c.margin(), Beat: d / 3}
+	return quorum.Config{LeaderLease: d, Drift: c.Drift, Margin: c.margin(), Beat: d / 3}
 }
 
 // Keep is how long a once key is kept; no request's budget is longer than half.
@@ -318,19 +318,19 @@
 // Example: c.Keep() == 20*time.Minute for a recovery bound of 12 s
 func (c Config) Keep() time.Duration { return 100 * c.Bounds.Recover }
 
-// Sessions is the config of the roster.
+// Sessions is the config of the membership table.
 //
-// Example: r := roster.New(c.Sessions(), me, c.Seeds)
-func (c Config) Sessions() roster.Config {
-	return roster.Config{Session: part(c.Bounds.Plan, 0.6), Beat: part(c.Bounds.Plan, 0.1), Small: 3, Losses: c.Losses, First: c.First}
+// Example: r := membership.New(c.Sessions(), me, c.Seeds)
+func (c Config) Sessions() membership.Config {
+	return membership.Config{Session: fraction(c.Bounds.Plan, 0.6), Beat: fraction(c.Bounds.Plan, 0.1), Small: 3, Losses: c.Losses, First: c.First}
 }
 
 // Works is the config of the servers' holder.
 //
-// Example: h := interlock.New(c.Works(), term, since)
-func (c Config) Works() interlock.Config {
+// Example: h := placement.New(c.Works(), term, since)
+func (c Config) Works() placement.Config {
 	b := c.Bounds
-	return interlock.Config{Swap: b.Swap, Poll: part(b.Leave, 0.08), Warm: b.Swap, Share: part(b.Leave, 0.25), Drift: c.Drift, Margin: c.margin(),
-		Dwell: 2 * b.Evacuate, Window: part(b.Leave, 0.8), Drain: 2 * b.Recover, Slow: part(b.Plan, 0.05), Dark: 3, High: 0.9, Low: 0.6,
+	return placement.Config{Swap: b.Swap, Poll: fraction(b.Leave, 0.08), Warm: b.Swap, Share: fraction(b.Leave, 0.25), Drift: c.Drift, Margin: c.margin(),
+		Dwell: 2 * b.Evacuate, Window: fraction(b.Leave, 0.8), Drain: 2 * b.Recover, Slow: fraction(b.Plan, 0.05), Dark: 3, High: 0.9, Low: 0.6,
 		Settle: b.Swap, Press: b.Swap / 8}
 }
--- a/control/cabin/config_test.go
+++ b/control/daemon/config_test.go
@@ -1,4 +1,4 @@
-package cabin
+package daemon
 
 import (
 	"io"
@@ -10,7 +10,7 @@
 
 func TestConfigFaultsAreNamedAtOnce(t *testing.T) {
 	read := func(args ...string) error {
-		_, err := ReadConfig("signalbox", args, io.Discard)
+		_, err := ReadConfig("mulleinmast", args, io.Discard)
 		return err
 	}
 	ok := []string{"-wire", "10.0.0.1:7000", "-web", "10.0.0.1:8000", "-seeds", "10.0.0.1:7000,10.0.0.2:7000,10.0.0.3:7000"}
@@ -40,8 +40,8 @@
 	if err := os.WriteFile(path, []byte(`{"wire":"10.0.0.9:7000","cell":"north","bound_plan":"4s"}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c, err := ReadConfig("signalbox", append(append([]string(nil), ok...), "-config", path), io.Discard)
-	if err != nil || c.Wire != "10.0.0.1:7000" || c.Cell != "north" || c.Vol().Milliseconds() != 1600 {
+	c, err := ReadConfig("mulleinmast", append(append([]string(nil), ok...), "-config", path), io.Discard)
+	if err != nil || c.Wire != "10.0.0.1:7000" || c.Zone != "north" || c.Vol().Milliseconds() != 1600 {
 		t.Errorf("file and flags: %+v %v", c, err)
 	}
 	if err := os.WriteFile(path, []byte(`{"wier":"x","bound_plan":"soon"}`), 0o600); err != nil {
--- /dev/null
+++ b/control/daemon/daemon.go
@@ -0,0 +1,278 @@
+// Package daemon is the daemon: it drives the state machines with real time,
+// wire and disk. Each partition is a shard under its own lock.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"github.com/zeebo/errs"
+
+	"mulleinmast/control/clock"
+	"mulleinmast/control/digest"
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/membership"
+	"mulleinmast/control/partition"
+	"mulleinmast/control/placement"
+	"mulleinmast/control/quorum"
+	"mulleinmast/control/storage"
+	"mulleinmast/traffic/serverpool"
+	"mulleinmast/wire/message"
+	"mulleinmast/wire/transport"
+)
+
+// Build names this build to others.
+const Build = "1"
+
+const writeBuffer = 64 << 10
+
+// Error is the class of start-up errors; InUse marks an address that can't be used.
+var (
+	Error = errs.Class("mulleinmast")
+	InUse = errs.Class("address")
+)
+
+// Daemon is one daemon.
+type Daemon struct {
+	Cfg    Config
+	Events *eventlog.Log
+	Line   *transport.Line
+	Hands  *serverpool.Hands
+	Mux    *http.ServeMux
+	More   func() map[string]any // what traffic adds to the state dump
+	// Orders gives servers their orders; Hands unless a driver says otherwise.
+	Orders Orders
+	// Strain tells how hard a server is pressed; none: nobody knows.
+	Strain func(service, server string) placement.Strain
+	// Hint takes what other daemons tell of the servers' load.
+	Hint func(message.Message)
+	// Source tells which servers there are; none: the platform PUTs the lists.
+	Source Source
+
+	clock   *clock.Clock
+	arch    *storage.Store
+	me      message.Replica
+	epoch   uint64
+	shards  []*shard
+	view    atomic.Pointer[membership.View]
+	rmu     sync.Mutex
+	rost    *membership.Table
+	stop    atomic.Bool
+	stopAt  atomic.Int64
+	plans   fleetconfig.PlanReader
+	ready   atomic.Bool
+	begun   atomic.Bool  // it was ready once
+	readyAt atomic.Int64 // when it was last
+
+	dmu   sync.Mutex
+	dq    []quorum.Save
+	dwake chan struct{}
+	stall atomic.Int64 // test switch: every disk write takes this long more
+
+	cmu   sync.Mutex
+	runs  *leadercall.Calls
+	calls map[uint64]chan leadercall.Done
+
+	nmu  sync.Mutex
+	news chan struct{}
+
+	web   net.Listener
+	extra []suture.Service
+}
+
+// Orders gives a server an order; may is asked just before the first byte goes
+// out. An error means that the server may or may not have taken it.
+type Orders interface {
+	Order(ctx context.Context, o placement.Order, holder string, may func() bool) error
+}
+
+// Open readies a daemon: data folder, addresses, machines. Nothing runs yet.
+//
+// Example: c, err := daemon.Open(cfg, records)
+func Open(cfg Config, events *eventlog.Log) (*Daemon, error) {
+	c := &Daemon{Cfg: cfg, Events: events, Mux: http.NewServeMux(), Hands: serverpool.NewHands(fraction(cfg.Bounds.Plan, 0.25)), clock: clock.New(), epoch: 1,
+		dwake: make(chan struct{}, 1), calls: map[uint64]chan leadercall.Done{}, news: make(chan struct{})}
+	c.Orders = c.Hands
+	c.me = message.Replica{Ident: storage.NewIdent(), Addr: cfg.Wire}
+	if cfg.Data != "" {
+		a, err := storage.Open(cfg.Data, cfg.Fleet)
+		if err != nil {
+			return nil, err
+		}
+		c.arch, c.me.Ident, c.epoch = a, a.Ident, a.Epoch
+		if a.Moved != "" {
+			events.Say("disk", "state was damaged; set aside as %s, starting empty as %s", a.Moved, a.Ident)
+		}
+		if a.Spoilt > 0 {
+			events.Say("disk", "%d records are spoilt and count as missing; the other copies have them", a.Spoilt)
+		}
+		for p := range a.Partitions {
+			if p > cfg.Partitions {
+				a.Close()
+				return nil, storage.Error.New("%s: holds part %d, but parts is %d", cfg.Data, p, cfg.Partitions)
+			}
+		}
+	}
+	c.Line = &transport.Line{Fleet: cfg.Fleet, Me: c.me, Epoch: c.epoch, Hear: c.hear, Bad: func(from string, err error) { c.Events.Trouble("wire", "%s: %v", from, err) }}
+	if err := c.Line.Listen(cfg.Wire); err != nil {
+		c.close()
+		return nil, InUse.Wrap(err)
+	}
+	ln, err := net.Listen("tcp", cfg.Web)
+	if err != nil {
+		c.close()
+		return nil, InUse.Wrap(err)
+	}
+	c.web = ln
+	c.runs = leadercall.New(leadercall.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}) // calls may be sent twice: each is known by its id
+	c.rost = membership.New(cfg.Sessions(), c.member(), cfg.Seeds)
+	if c.arch != nil {
+		for _, h := range c.arch.Partitions {
+			for _, replica := range h.Meta.Group.All() {
+				c.rost.Know(replica.Addr)
+			}
+		}
+	}
+	c.view.Store(c.rost.View())
+	now := c.Now()
+	for p := 0; p <= cfg.Partitions; p++ {
+		var replica *quorum.Replica
+		if c.arch != nil {
+			h, ok := c.arch.Partitions[p]
+			if !ok {
+				h = storage.Held{Records: digest.NewRecords()}
+			}
+			replica = quorum.New(cfg.QuorumConfig(), p, c.me, h.Meta, h.Records, now, h.Meta.Group.Num == 0)
+		}
+		node := lease.New(cfg.Leases(), p, c.me, c.epoch)
+		p := p
+		node.Relay = func(id string) message.Replica {
+			v := c.View()
+			if m, ok := v.Find(id); ok {
+				return v.Relay(p, m.Zone)
+			}
+			return message.Replica{}
+		}
+		m := leader.New(leader.Config{Works: cfg.Works(), Keep: cfg.Keep()}, p, c.me, partition.New(p, c.me, c.epoch, replica, node))
+		c.shards = append(c.shards, &shard{partition: p, Controller: m, guide: membership.Guide{Partition: p, Vol: cfg.Vol()}})
+	}
+	c.Pin(0, fleetconfig.PlanKey)
+	c.Pin(0, fleetconfig.ZoneKey)
+	if c.arch != nil {
+		c.Pin(0, fleetconfig.ReplicaKey)
+	}
+	c.operate()
+	return c, nil
+}
+
+func (c *Daemon) close() {
+	if c.arch != nil {
+		c.arch.Close()
+	}
+}
+
+// Now is the daemon's time, suspended time included; no decision uses any other.
+//
+// Example: if c.Now() < till { serve() }
+func (c *Daemon) Now() time.Duration { return c.clock.Now() }
+
+// Ident is this daemon's identity.
+//
+// Example: id := c.Ident()
+func (c *Daemon) Ident() string { return c.me.Ident }
+
+// View is the fleet as last heard.
+//
+// Example: for _, m := range c.View().Members { ... }
+func (c *Daemon) View() *membership.View { return c.view.Load() }
+
+// Part is the partition that holds a service's records; partition 0 is configuration.
+//
+// Example: p := c.Part("timetable")
+func (c *Daemon) Partition(svc string) int { return fleetconfig.PartitionOf(svc, c.Cfg.Partitions) }
+
+// Run runs the daemon until the context ends.
+//
+// Example: err := c.Run(ctx)
+func (c *Daemon) Run(ctx context.Context) error {
+	defer c.close()
+	sup := suture.New("mulleinmast", suture.Spec{EventHook: func(e suture.Event) { c.Events.Trouble("supervisor", "%s", e.String()) }})
+	sup.Add(c.Line)
+	sup.Add(service(c.serveWeb))
+	sup.Add(service(c.tickMembership))
+	sup.Add(service(c.tickShards))
+	if c.arch != nil {
+		sup.Add(service(c.serveDisk))
+		if c.Source != nil {
+			sup.Add(service(c.tickSource))
+		}
+	}
+	for _, s := range c.extra {
+		sup.Add(s)
+	}
+	err := sup.Serve(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+type service func(context.Context) error
+
+// Serve runs the service; suture calls it.
+//
+// Example: sup.Add(service(c.tickRoster))
+func (s service) Serve(ctx context.Context) error { return s(ctx) }
+
+func (c *Daemon) serveWeb(ctx context.Context) error {
+	// A small buffer: what a client doesn't read must not pile up here.
+	small := func(ctx context.Context, conn net.Conn) context.Context {
+		if t, ok := conn.(*net.TCPConn); ok {
+			_ = t.SetWriteBuffer(writeBuffer)
+		}
+		return ctx
+	}
+	srv := &http.Server{Handler: c.Mux, ConnContext: small, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	err := srv.Serve(c.web)
+	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
+		return ctx.Err()
+	}
+	return err
+}
+
+// Closed tells whether the daemon was told to go so long ago that the platform
+// has seen it is not ready; until then it still takes requests.
+//
+// Example: if c.Closed() { refused() }
+func (c *Daemon) Closed() bool {
+	return c.stop.Load() && c.Now()-time.Duration(c.stopAt.Load()) >= c.Cfg.Bounds.Plan
+}
+
+// Leave makes the daemon not ready and lets its leaderships lapse.
+//
+// Example: c.Leave(); waitForStreams()
+func (c *Daemon) Leave() {
+	c.stopAt.Store(int64(c.Now()))
+	c.stop.Store(true)
+	c.ready.Store(false)
+	c.Events.Record("stop", "asked to stop")
+	for _, s := range c.shards {
+		s.mu.Lock()
+		if s.Partition().Replica != nil {
+			s.Partition().Replica.Resign()
+		}
+		s.mu.Unlock()
+	}
+}
--- a/control/cabin/disk.go
+++ b/control/daemon/disk.go
@@ -1,15 +1,15 @@
-package cabin
+package daemon
 
 import (
 	"context"
 	"time"
 
-	"mulleinmast/control/master"
-	"mulleinmast/control/notary"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/quorum"
 )
 
 // toDisk queues saves; what is queued together is one transaction.
-func (c *Cabin) toDisk(list []notary.Save) {
+func (c *Daemon) toDisk(list []quorum.Save) {
 	c.dmu.Lock()
 	c.dq = append(c.dq, list...)
 	c.dmu.Unlock()
@@ -19,7 +19,7 @@
 	}
 }
 
-func (c *Cabin) serveDisk(ctx context.Context) error {
+func (c *Daemon) serveDisk(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -39,13 +39,13 @@
 				break
 			}
 			// Nothing was said to anybody yet; try until it works or we are stopped.
-			c.Book.Trouble("disk", "%v", err)
+			c.Events.Trouble("disk", "%v", err)
 			if !pause(ctx, c.Cfg.Vol()/4) {
 				return ctx.Err()
 			}
 		}
 		for _, x := range list {
-			c.step(c.shards[x.Part], func(s *master.Master, now time.Duration) master.Out { return s.Saved(now, x.Ticket) })
+			c.step(c.shards[x.Partition], func(s *leader.Controller, now time.Duration) leader.Out { return s.Saved(now, x.Ticket) })
 		}
 	}
 }
--- /dev/null
+++ b/control/daemon/fleet.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/quorum"
+	"mulleinmast/wire/message"
+)
+
+func (c *Daemon) member() message.Member {
+	empty := c.arch != nil
+	for _, s := range c.shards {
+		s.mu.Lock()
+		if s.Partition().Replica != nil && s.Partition().Replica.Group().Num > 0 {
+			empty = false
+		}
+		s.mu.Unlock()
+	}
+	if c.shards == nil && c.arch != nil {
+		for _, h := range c.arch.Partitions {
+			if h.Meta.Group.Num > 0 {
+				empty = false
+			}
+		}
+	}
+	return message.Member{Ident: c.me.Ident, Epoch: c.epoch, Addr: c.me.Addr, Web: c.Cfg.Web, Zone: c.Cfg.Zone, Disk: c.arch != nil, Ready: c.shown(), Empty: empty, Build: Build}
+}
+
+// shown tells whether the session table is to show this daemon as ready: a dip
+// as short as a change of configuration makes is not worth telling the fleet.
+func (c *Daemon) shown() bool {
+	if c.ready.Load() {
+		c.readyAt.Store(int64(c.Now()))
+		return true
+	}
+	at := time.Duration(c.readyAt.Load())
+	return at > 0 && !c.stop.Load() && c.Now()-at < c.Cfg.Sessions().Session
+}
+
+func (c *Daemon) tickMembership(ctx context.Context) error {
+	t := time.NewTicker(c.Cfg.Sessions().Beat / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		var owns []message.Own
+		for _, s := range c.shards {
+			s.mu.Lock()
+			if s.Partition().Replica != nil {
+				if s.Leader(c.Now()) {
+					owns = append(owns, message.Own{Partition: s.partition, Num: s.Partition().Replica.Num(), Replica: c.me})
+				} else if h := s.Partition().Replica.Hint(); h.Num > 0 {
+					owns = append(owns, h)
+				}
+			}
+			s.mu.Unlock()
+		}
+		if now := c.isReady(); c.ready.Swap(now) != now {
+			c.turned(now)
+		}
+		me := c.member() // takes the shards' locks, so before the membership table's
+		c.rmu.Lock()
+		o := c.rost.Tick(c.Now(), me, owns)
+		v := c.rost.View()
+		c.rmu.Unlock()
+		c.view.Store(v)
+		for _, m := range o.Sends {
+			c.Line.Send(m)
+		}
+		if o.Found != nil {
+			c.found(o.Found)
+		}
+	}
+}
+
+// found makes the first group of every partition, in one transaction.
+func (c *Daemon) found(replicas []message.Replica) {
+	c.Events.Say("fleet", "nobody knows of a group: the fleet is founded with %v", replicas)
+	var saves []quorum.Save
+	var sends []message.Send
+	for _, s := range c.shards {
+		s.mu.Lock()
+		o := s.Found(c.Now(), message.Group{Num: 1, Replicas: replicas})
+		s.mu.Unlock()
+		saves, sends = append(saves, o.Saves...), append(sends, o.Sends...)
+	}
+	c.toDisk(saves)
+	for _, m := range sends {
+		c.Line.Send(m)
+	}
+}
+
+// turned messages that the daemon became ready, or no longer is; the first time
+// is written out.
+func (c *Daemon) turned(ready bool) {
+	switch {
+	case !ready:
+		c.Events.Record("ready", "no more: %s", c.unready())
+	case c.begun.Swap(true):
+		c.Events.Record("ready", "again")
+	default:
+		c.Events.Say("ready", "ready %v after the start", c.Now().Round(time.Millisecond))
+	}
+}
+
+func (c *Daemon) isReady() bool {
+	if c.stop.Load() {
+		return false
+	}
+	_, a := c.Last(0, fleetconfig.PlanKey)
+	_, b := c.Last(0, fleetconfig.ZoneKey)
+	return a && b
+}
+
+// Plan names the plan in force here, if it is under valid leases.
+//
+// Example: id, version, ok := c.Plan()
+func (c *Daemon) Plan() (id string, version uint64, ok bool) {
+	rec, ok := c.Read(0, fleetconfig.PlanKey)
+	if !ok {
+		return "", 0, false
+	}
+	p := c.plans.Open(rec)
+	return p.ID, p.Version, true
+}
+
+// OpenPlan reads a plan record, once a version; the plan is not to be changed.
+//
+// Example: plan := c.OpenPlan(rec)
+func (c *Daemon) OpenPlan(rec message.Rec) fleetconfig.Plan { return c.plans.Open(rec) }
--- a/control/cabin/last_test.go
+++ b/control/daemon/last_test.go
@@ -1,42 +1,42 @@
-package cabin
+package daemon
 
 import (
 	"io"
 	"testing"
 	"time"
 
-	"mulleinmast/control/daybook"
-	"mulleinmast/control/master"
-	"mulleinmast/control/tariff"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/wire/message"
 )
 
-// A daemon that can't reach an owner routes, and is ready, by what it held when
+// A daemon that can't reach a leader routes, and is ready, by what it held when
 // its leases lapsed: not before a renewal was asked for in vain, not as soon as
 // it wakes from a standstill, and never once Overrun has passed; what is read
 // and told elsewhere needs leases all the while.
 func TestNothingIsServedAfterTheOverrun(t *testing.T) {
 	cfg := Default()
-	cfg.Wire, cfg.Web, cfg.Parts = "127.0.0.1:0", "127.0.0.1:0", 1
+	cfg.Wire, cfg.Web, cfg.Partitions = "127.0.0.1:0", "127.0.0.1:0", 1
 	cfg.Bounds.Plan, cfg.Bounds.Recover = 200*time.Second, 1200*time.Second // a pause of this machine is nothing then
-	c, err := Open(cfg, daybook.New(64, io.Discard))
+	c, err := Open(cfg, eventlog.New(64, io.Discard))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer c.close()
-	beat, node, no := cfg.Leases().Beat, c.shards[0].Section().Node, uint64(0)
-	hear := func(n form.Note) []form.Send {
+	beat, node, no := cfg.Leases().Beat, c.shards[0].Partition().Node, uint64(0)
+	hear := func(n message.Message) []message.Send {
 		no++
-		n.From, n.Addr, n.Mark, n.No, n.Num = "p", "p", form.Mark{Ident: "p", Epoch: 1}, no, c.epoch
+		n.From, n.Addr, n.Mark, n.No, n.Num = "p", "p", message.Mark{Ident: "p", Epoch: 1}, no, c.epoch
 		return node.Hear(c.Now(), n).Sends
 	}
-	node.Adopt(c.Now(), form.Seat{Ident: "p", Addr: "p"})
-	list := hear(form.Note{Kind: form.Reconnect})[0].Note
-	hear(form.Note{Kind: form.Synced, Ref: list.No, Len: int64(cfg.Vol()), Long: int64(time.Hour)})
-	hear(form.Note{Kind: form.Grant, Recs: []form.Rec{{Key: tariff.PlanKey, Val: []byte("{}")}, {Key: tariff.CellKey, Val: []byte("[]")}}, Long: int64(time.Hour)})
+	node.Adopt(c.Now(), message.Replica{Ident: "p", Addr: "p"})
+	list := hear(message.Message{Kind: message.Reconnect})[0].Message
+	hear(message.Message{Kind: message.Synced, Ref: list.No, Len: int64(cfg.Vol()), Long: int64(time.Hour)})
+	hear(message.Message{Kind: message.Grant, Recs: []message.Rec{{Key: fleetconfig.PlanKey, Val: []byte("{}")}, {Key: fleetconfig.ZoneKey, Val: []byte("[]")}}, Long: int64(time.Hour)})
 
 	tick := func() {
-		c.step(c.shards[0], func(m *master.Master, now time.Duration) master.Out { return m.Tick(now) })
+		c.step(c.shards[0], func(m *leader.Controller, now time.Duration) leader.Out { return m.Tick(now) })
 	}
 	pass := func(d time.Duration) { // awake, with no reply to what is asked
 		for end := c.Now() + d; c.Now() < end; tick() {
@@ -45,12 +45,12 @@
 	}
 	check := func(what string, leased, served bool) {
 		t.Helper()
-		_, read := c.Read(0, tariff.PlanKey)
-		_, last := c.Last(0, tariff.PlanKey)
+		_, read := c.Read(0, fleetconfig.PlanKey)
+		_, last := c.Last(0, fleetconfig.PlanKey)
 		if read != leased || last != served || c.isReady() != served || (c.Now() < c.LastUntil(0)) != served {
 			t.Errorf("%s: read under leases %v, routed by %v, ready %v, until %v at %v", what, read, last, c.isReady(), c.LastUntil(0), c.Now())
 		}
-		if _, ok := c.Last(0, tariff.SeatKey); ok {
+		if _, ok := c.Last(0, fleetconfig.ReplicaKey); ok {
 			t.Errorf("%s: what was never held is routed by", what)
 		}
 	}
--- /dev/null
+++ b/control/daemon/operate.go
@@ -0,0 +1,322 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/placement"
+	"mulleinmast/wire/message"
+)
+
+const mostBody = 16 << 20
+
+// Reply writes a JSON reply; one to come back for carries Retry-After.
+//
+// Example: daemon.Reply(w, 503, leadercall.Word{Result: "refused", After: 1500})
+func Respond(w http.ResponseWriter, code int, v any) {
+	b, ok := v.([]byte)
+	if !ok {
+		b = leadercall.Pack(v)
+	}
+	var word leadercall.Word
+	if code >= 500 || code == http.StatusTooManyRequests {
+		_ = json.Unmarshal(b, &word)
+		w.Header().Set("Retry-After", strconv.FormatInt(max(1, (word.After+999)/1000), 10))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_, _ = w.Write(append(b, '\n'))
+}
+
+// Body reads a request's body up to a bound; what is wrong was replied.
+//
+// Example: b, ok := daemon.Body(w, r, 1<<20)
+func Body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var big *http.MaxBytesError
+	switch {
+	case errors.As(err, &big):
+		Respond(w, http.StatusRequestEntityTooLarge, leadercall.Word{Result: "broken", Faults: []string{fmt.Sprintf("body: more than %d bytes", most)}})
+	case err != nil:
+		Respond(w, http.StatusBadRequest, leadercall.Word{Result: "broken", Faults: []string{"body: " + err.Error()}})
+	}
+	return b, err == nil
+}
+
+// operate lays out the calls for operators and the platform.
+func (c *Daemon) operate() {
+	m := c.Mux
+	m.HandleFunc("GET /livez", func(w http.ResponseWriter, r *http.Request) { Respond(w, 200, leadercall.Word{Result: "live"}) })
+	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, r *http.Request) {
+		if c.ready.Load() && c.isReady() {
+			id, version, _ := c.Plan()
+			Respond(w, 200, leadercall.Word{Result: "ready", Plan: id, Version: version})
+			return
+		}
+		Respond(w, 503, leadercall.Word{Result: "not ready", Why: c.unready(), After: 1000})
+	})
+	m.HandleFunc("GET /v1/plan/template", func(w http.ResponseWriter, r *http.Request) { Respond(w, 200, fleetconfig.Template()) })
+	m.HandleFunc("GET /v1/plan", func(w http.ResponseWriter, r *http.Request) {
+		ctx, done := context.WithTimeout(r.Context(), c.Cfg.Bounds.Plan)
+		defer done()
+		rec, ok := c.Await(ctx, 0, fleetconfig.PlanKey)
+		if !ok {
+			Respond(w, 503, leadercall.Word{Result: "not known", Why: "no valid lease on the plan", After: part2(c.Cfg)})
+			return
+		}
+		Respond(w, 200, c.plans.Open(rec))
+	})
+	m.HandleFunc("PUT /v1/plan", func(w http.ResponseWriter, r *http.Request) { c.operator(w, r, 0, "plan", nil) })
+	m.HandleFunc("POST /v1/plan/changes", func(w http.ResponseWriter, r *http.Request) { c.operator(w, r, 0, "changes", nil) })
+	m.HandleFunc("POST /v1/cells/{cell}/{op}", func(w http.ResponseWriter, r *http.Request) {
+		op, zone := r.PathValue("op"), r.PathValue("cell")
+		if op != "evacuate" && op != "return" || !fleetconfig.GoodName(zone) {
+			Respond(w, 404, leadercall.Word{Result: "broken", Faults: []string{fmt.Sprintf("cell %q, op %q: expected a cell's name and evacuate or return", zone, op)}})
+			return
+		}
+		known := false
+		for range c.View().In(zone) {
+			known = true
+		}
+		if !known { // carried out all the same: it may have servers and no daemon
+			w.Header().Set("Warning", fmt.Sprintf("299 - \"no daemon of the fleet is in cell %s\"", zone))
+		}
+		c.operator(w, r, 0, op, func([]byte) ([]byte, fleetconfig.Faults) { return []byte(zone), fleetconfig.Faults{} })
+	})
+	m.HandleFunc("POST /v1/seats", func(w http.ResponseWriter, r *http.Request) {
+		c.operator(w, r, 0, "seat", func(b []byte) ([]byte, fleetconfig.Faults) {
+			var in leader.ReplicaCall
+			f := fleetconfig.Decode(b, &in)
+			if _, err := netip.ParseAddrPort(in.Addr); err != nil || in.Ident == "" || in.Out == "" {
+				f.Add("expected out (an identity), ident and addr (ip:port)")
+			}
+			return leadercall.Pack(in), f
+		})
+	})
+	m.HandleFunc("PUT /v1/services/{service}/servers", func(w http.ResponseWriter, r *http.Request) {
+		svc := r.PathValue("service")
+		c.operator(w, r, c.Partition(svc), "servers", func(b []byte) ([]byte, fleetconfig.Faults) {
+			var l fleetconfig.List
+			f := fleetconfig.Decode(b, &l)
+			if !fleetconfig.GoodName(svc) {
+				f.Add("service: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", svc)
+			}
+			bad := l.Check()
+			f.List = append(f.List, bad.List...)
+			return leadercall.Pack(leader.ServersCall{Service: svc, List: l}), f
+		})
+	})
+	m.HandleFunc("GET /v1/services/{service}/servers", func(w http.ResponseWriter, r *http.Request) {
+		svc := r.PathValue("service")
+		ctx, done := context.WithTimeout(r.Context(), c.Cfg.Bounds.Plan)
+		defer done()
+		if !fleetconfig.GoodName(svc) {
+			Respond(w, 404, leadercall.Word{Result: "broken", Faults: []string{"no such service"}})
+			return
+		}
+		rec, ok := c.Await(ctx, c.Partition(svc), fleetconfig.ListKey(svc))
+		if !ok {
+			Respond(w, 503, leadercall.Word{Result: "not known", After: part2(c.Cfg)})
+			return
+		}
+		if rec.Dead {
+			Respond(w, 404, leadercall.Word{Result: "not known", Why: "no list for service " + svc})
+			return
+		}
+		Respond(w, 200, rec.Val)
+	})
+	m.HandleFunc("GET /v1/state", func(w http.ResponseWriter, r *http.Request) { Respond(w, 200, c.State()) })
+	m.HandleFunc("GET /v1/ring", func(w http.ResponseWriter, r *http.Request) {
+		since := r.URL.Query().Get("since")
+		from, err := strconv.ParseUint(since, 10, 64)
+		if err != nil && since != "" {
+			Respond(w, 400, leadercall.Word{Result: "broken", Faults: []string{fmt.Sprintf("since: %q: expected a line's number", since)}})
+			return
+		}
+		Respond(w, 200, map[string]any{"ident": c.me.Ident, "addr": c.Cfg.Web, "lines": c.Events.Since(from)})
+	})
+	if c.arch != nil {
+		m.HandleFunc("POST /v1/backup", func(w http.ResponseWriter, r *http.Request) {
+			to := r.URL.Query().Get("to")
+			if !filepath.IsAbs(to) {
+				Respond(w, 400, leadercall.Word{Result: "broken", Faults: []string{fmt.Sprintf("to: %q: expected the full path of a file that isn't there yet", to)}})
+				return
+			}
+			if err := c.arch.Backup(to); err != nil {
+				Respond(w, 400, leadercall.Word{Result: "not done", Why: err.Error()})
+				return
+			}
+			c.Events.Record("disk", "backed up to %s", to)
+			Respond(w, 200, leadercall.Word{Result: "done"})
+		})
+	}
+	if c.Cfg.Test {
+		m.HandleFunc("POST /test/cut", func(w http.ResponseWriter, r *http.Request) {
+			var list []string
+			if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+				Respond(w, 400, leadercall.Word{Result: "broken", Faults: []string{err.Error()}})
+				return
+			}
+			cut := map[string]bool{}
+			for _, a := range list {
+				cut[a] = true
+			}
+			c.Line.Cut.Store(&cut)
+			Respond(w, 200, leadercall.Word{Result: "done"})
+		})
+		m.HandleFunc("POST /test/leap", func(w http.ResponseWriter, r *http.Request) {
+			d, err := time.ParseDuration(r.URL.Query().Get("by"))
+			if err != nil || d < 0 {
+				Respond(w, 400, leadercall.Word{Result: "broken", Faults: []string{"by: expected a length of time, such as 30s"}})
+				return
+			}
+			c.clock.Leap(d)
+			// What is still served, owned or held the moment after, if anything.
+			st := c.State()
+			held := 0
+			for _, p := range st.Partitions {
+				if p.Mine || p.Node.Left > 0 {
+					held++
+				}
+			}
+			Respond(w, 200, map[string]any{"result": "done", "parts_still_held": held, "plan_still_valid": st.PlanOK})
+		})
+		m.HandleFunc("POST /test/full", func(w http.ResponseWriter, r *http.Request) {
+			if c.arch == nil {
+				Respond(w, 400, leadercall.Word{Result: "broken", Faults: []string{"no data folder here"}})
+				return
+			}
+			if err := c.arch.Full(r.URL.Query().Get("on") == "1"); err != nil {
+				Respond(w, 500, leadercall.Word{Result: "not done", Why: err.Error()})
+				return
+			}
+			Respond(w, 200, leadercall.Word{Result: "done"})
+		})
+		m.HandleFunc("POST /test/stall", func(w http.ResponseWriter, r *http.Request) {
+			d, err := time.ParseDuration(r.URL.Query().Get("for"))
+			if err != nil {
+				Respond(w, 400, leadercall.Word{Result: "broken", Faults: []string{err.Error()}})
+				return
+			}
+			c.stall.Store(int64(d))
+			Respond(w, 200, leadercall.Word{Result: "done"})
+		})
+	}
+}
+
+func (c *Daemon) unready() string {
+	switch {
+	case c.stop.Load():
+		return "stopping"
+	case !c.View().Live:
+		return "no session with a control daemon; asked at the seeds " + strings.Join(c.Cfg.Seeds, ", ")
+	}
+	for _, s := range c.shards {
+		s.mu.Lock()
+		var g message.Group
+		if s.Partition().Replica != nil {
+			g = s.Partition().Replica.Group()
+		}
+		s.mu.Unlock()
+		here := 0
+		there := func(id string) bool {
+			_, ok := c.View().Find(id)
+			if ok {
+				here++
+			}
+			return ok
+		}
+		if g.Num > 0 && !g.Quorum(there) {
+			return fmt.Sprintf("part %d: %d of its group's %d disks are here, a majority is needed; bring the others back, or restore their folders from a back-up", s.partition, here, len(g.All()))
+		}
+	}
+	return "no valid leases on the configuration"
+}
+
+// operator takes a control call and passes it to the partition's leader.
+func (c *Daemon) operator(w http.ResponseWriter, r *http.Request, p int, op string, turn func([]byte) ([]byte, fleetconfig.Faults)) {
+	b, ok := Body(w, r, mostBody)
+	if !ok {
+		return
+	}
+	if turn != nil {
+		var f fleetconfig.Faults
+		if b, f = turn(b); f.Any() {
+			Respond(w, 400, leadercall.Word{Result: "broken", Faults: f.List})
+			return
+		}
+	}
+	code, rep := c.Ask(r.Context(), p, op, b, 2*c.Cfg.Bounds.Plan)
+	c.Events.Record("call", "%s: %d", op, code)
+	Respond(w, code, rep)
+}
+
+// PartView is one partition as this daemon sees it.
+type PartitionView struct {
+	Partition int             `json:"part"`
+	Leader    message.Own     `json:"owner"`
+	Mine      bool            `json:"mine"`
+	Group     message.Group   `json:"group"`
+	Set       uint64          `json:"set"`
+	Recs      int             `json:"records"`
+	Node      lease.View      `json:"node"`
+	Server    []placement.Row `json:"servers,omitempty"`
+}
+
+// State is the dump that the query shell reads.
+type State struct {
+	Fleet      string           `json:"fleet"`
+	Me         message.Member   `json:"me"`
+	Members    []message.Member `json:"members"`
+	Live       bool             `json:"live"`
+	Plan       uint64           `json:"plan_version"`
+	PlanOK     bool             `json:"plan_valid"`
+	Zones      []string         `json:"cells_out"`
+	Partitions []PartitionView  `json:"parts"`
+	Wire       [3]int64         `json:"wire_sent_got_lost"`
+	Extra      map[string]any   `json:"traffic,omitempty"`
+}
+
+// State dumps what this daemon knows.
+//
+// Example: json.Marshal(c.State())
+func (c *Daemon) State() State {
+	v := c.View()
+	st := State{Fleet: c.Cfg.Fleet, Me: v.Me, Members: v.Members, Live: v.Live, Zones: []string{}, Wire: [3]int64{c.Line.Sent.Load(), c.Line.Got.Load(), c.Line.Lost.Load()}}
+	_, st.Plan, st.PlanOK = c.Plan()
+	if r, ok := c.Read(0, fleetconfig.ZoneKey); ok {
+		for zone := range fleetconfig.Zones(r) {
+			st.Zones = append(st.Zones, zone)
+		}
+		sort.Strings(st.Zones)
+	}
+	for _, s := range c.shards {
+		s.mu.Lock()
+		now := c.Now()
+		p := PartitionView{Partition: s.partition, Leader: v.Owns[s.partition], Mine: s.Leader(now), Node: s.Partition().Node.View(now)}
+		if s.Partition().Replica != nil {
+			p.Group, p.Set, p.Recs = s.Partition().Replica.Group(), s.Partition().Replica.Meta().LastComplete, s.Partition().Replica.Records().Size()
+		}
+		p.Server = s.Rows(now)
+		s.mu.Unlock()
+		st.Partitions = append(st.Partitions, p)
+	}
+	if c.More != nil {
+		st.Extra = c.More()
+	}
+	return st
+}
--- /dev/null
+++ b/control/daemon/shard.go
@@ -0,0 +1,271 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinmast/control/leader"
+	"mulleinmast/control/membership"
+	"mulleinmast/wire/message"
+)
+
+type shard struct {
+	mu        sync.Mutex
+	partition int
+	gen       atomic.Uint64 // counts changes of what may be served
+	*leader.Controller
+	guide membership.Guide
+}
+
+// step runs one input through a shard and carries out what it asks for.
+func (c *Daemon) step(s *shard, f func(*leader.Controller, time.Duration) leader.Out) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.carry(s, f(s.Controller, c.Now()))
+}
+
+func (c *Daemon) carry(s *shard, o leader.Out) {
+	if len(o.Saves) > 0 {
+		c.toDisk(o.Saves)
+	}
+	for _, m := range o.Sends {
+		c.send(m)
+	}
+	for _, l := range o.Lines {
+		c.Events.Record(l.Kind, "%s", l.Text)
+	}
+	if o.Lost {
+		tell := c.Events.Trouble
+		if c.stop.Load() { // it was let go
+			tell = c.Events.Record
+		}
+		tell("duty", "part %d: duty lost", s.partition)
+	}
+	if o.Orphan {
+		s.guide.Orphaned(c.Now())
+		c.Events.Record("tree", "part %d: parent %s can't serve", s.partition, s.Partition().Node.Parent().Addr)
+	}
+	if o.Steer.Ident != "" {
+		s.guide.Steered(c.Now(), o.Steer)
+		c.Events.Record("tree", "part %d: steered to %s", s.partition, o.Steer.Addr)
+	}
+	if len(o.Fresh)+len(o.Gone) > 0 || o.Won || o.Lost {
+		c.tellNews()
+	}
+	if gen := s.Partition().Node.Gen(); gen != s.gen.Load() {
+		s.gen.Store(gen)
+		c.tellNews()
+	}
+}
+
+// send puts a message on the line; one to ourselves never leaves the daemon.
+func (c *Daemon) send(m message.Send) {
+	if m.Message.To == c.me.Ident {
+		m.Message.From, m.Message.Epoch, m.Message.Addr = c.me.Ident, c.epoch, c.me.Addr
+		go c.hear(m.Message) // the shard's lock is held here
+		return
+	}
+	// A replica is known by its identity; its machine may have a new address.
+	if at, ok := c.View().Find(m.Message.To); ok {
+		m.Addr = at.Addr
+	}
+	c.Line.Send(m)
+}
+
+func (c *Daemon) tellNews() {
+	c.nmu.Lock()
+	close(c.news)
+	c.news = make(chan struct{})
+	c.nmu.Unlock()
+}
+
+// News is closed when any record changes here.
+//
+// Example: <-c.News()
+func (c *Daemon) News() <-chan struct{} {
+	c.nmu.Lock()
+	defer c.nmu.Unlock()
+	return c.news
+}
+
+func (c *Daemon) hear(n message.Message) {
+	switch {
+	case n.Kind >= message.Hello && n.Kind <= message.Count, n.Kind == message.Found:
+		c.rmu.Lock()
+		o := c.rost.Hear(c.Now(), n)
+		c.rmu.Unlock()
+		for _, m := range o.Sends {
+			c.Line.Send(m)
+		}
+		if o.Found != nil {
+			c.found(o.Found)
+		}
+	case n.Kind == message.Board:
+		if c.Hint != nil {
+			c.Hint(n)
+		}
+	case n.Kind == message.Back:
+		c.cmu.Lock()
+		o := c.runs.Hear(c.Now(), n)
+		c.carryCalls(o)
+		c.cmu.Unlock()
+	case n.Partition < 0 || n.Partition >= len(c.shards):
+		c.Events.Trouble("wire", "%s: %s for part %d, which isn't one of %d", n.Addr, n.Kind, n.Partition, len(c.shards))
+	default:
+		c.step(c.shards[n.Partition], func(s *leader.Controller, now time.Duration) leader.Out { return s.Hear(now, n) })
+	}
+}
+
+// Tell puts messages on the line to other daemons.
+//
+// Example: c.Tell(board.Tick(now, me, members))
+func (c *Daemon) Tell(list []message.Send) {
+	for _, m := range list {
+		c.Line.Send(m)
+	}
+}
+
+// Read serves a record from this daemon's cache if both leases are valid now.
+//
+// Example: rec, ok := c.Read(0, fleetconfig.PlanKey)
+func (c *Daemon) Read(partition int, key string) (message.Rec, bool) {
+	s := c.shards[partition]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Partition().Node.Get(c.Now(), key)
+}
+
+// Last serves a record under valid leases or, while its leader can't be reached,
+// as it was when they lapsed: not longer than Overrun after that, and never once
+// it was withdrawn. Requests are routed by it and readiness goes by it; nothing
+// is ordered, written or told to others on its ground.
+//
+// Example: rec, ok := c.Last(0, fleetconfig.PlanKey)
+func (c *Daemon) Last(partition int, key string) (message.Rec, bool) {
+	s := c.shards[partition]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := c.Now()
+	if rec, ok := s.Partition().Node.Get(now, key); ok {
+		return rec, true
+	}
+	rec, lapsed, ok := s.Partition().Node.Last(now, key)
+	return rec, ok && now < lapsed+c.Cfg.Overrun()
+}
+
+// LastUntil is when what Last serves of a partition ends, unless leases are renewed.
+//
+// Example: if c.Now() < c.LastUntil(p) { route() }
+func (c *Daemon) LastUntil(partition int) time.Duration {
+	s := c.shards[partition]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := c.Now()
+	if until := s.Partition().Node.Until(); now < until {
+		return until
+	}
+	lapsed, ok := s.Partition().Node.Lapsed(now)
+	if !ok { // nothing is served until a renewal was asked for in vain
+		return lapsed
+	}
+	return lapsed + c.Cfg.Overrun()
+}
+
+// Gen counts the changes of what a partition serves here: what was read stands as
+// long as Gen is the same and Until has not passed.
+//
+// Example: gen := c.Gen(p); read(); ...; if c.Gen(p) != gen { readAgain() }
+func (c *Daemon) Gen(partition int) uint64 { return c.shards[partition].gen.Load() }
+
+// Until is when the first of the leases lapses under which this daemon serves
+// a partition's records, unless they are renewed before.
+//
+// Example: if c.Now() < c.Until(p) { serve() }
+func (c *Daemon) Until(partition int) time.Duration {
+	s := c.shards[partition]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Partition().Node.Until()
+}
+
+// Pin keeps a record wanted here.
+//
+// Example: c.Pin(p, fleetconfig.ListKey("timetable"))
+func (c *Daemon) Pin(partition int, key string) {
+	c.step(c.shards[partition], func(s *leader.Controller, now time.Duration) leader.Out { return s.Pin(now, key) })
+}
+
+// Await waits for a record to be servable.
+//
+// Example: rec, ok := c.Await(ctx, 0, fleetconfig.PlanKey)
+func (c *Daemon) Await(ctx context.Context, partition int, key string) (message.Rec, bool) {
+	pinned := false
+	for {
+		news := c.News()
+		if r, ok := c.Read(partition, key); ok {
+			return r, true
+		}
+		if !pinned {
+			c.Pin(partition, key)
+			pinned = true
+		}
+		select {
+		case <-ctx.Done():
+			return message.Rec{}, false
+		case <-news:
+		case <-time.After(c.Cfg.Vol() / 16): // volume leases come without news
+		}
+	}
+}
+
+// Term is the term of a partition's leader as far as known; attempts carry it.
+//
+// Example: term := c.Term(p)
+func (c *Daemon) Term(partition int) uint64 { return c.View().Owns[partition].Num }
+
+// tickShards lets time pass in all partitions, one after another: one wake-up, and
+// one write to each daemon that several of them speak to.
+func (c *Daemon) tickShards(ctx context.Context) error {
+	t := time.NewTicker(c.Cfg.Vol() / 32)
+	defer t.Stop()
+	slow := c.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		c.Line.Together(func() {
+			works := c.arch != nil && c.Now()-slow >= c.Cfg.Vol()/16 // only control daemons own anything
+			if works {
+				slow = c.Now()
+			}
+			v := c.View()
+			for _, s := range c.shards {
+				c.tickShard(ctx, s, v, works)
+			}
+			c.cmu.Lock()
+			c.carryCalls(c.runs.Tick(c.Now(), c.leaderOf))
+			c.cmu.Unlock()
+		})
+	}
+}
+
+// tickShard lets time pass in one partition: leases, leadership, parent, servers.
+func (c *Daemon) tickShard(ctx context.Context, s *shard, v *membership.View, works bool) {
+	now := c.Now()
+	s.mu.Lock()
+	c.carry(s, s.Tick(now))
+	if p := s.guide.Parent(now, v); p != s.Partition().Node.Parent() && !s.Partition().Node.Root() {
+		c.carry(s, s.Adopt(now, p))
+	}
+	for _, m := range s.guide.Hints(s.Partition().Node.Live(now), s.Partition().Node.Mark(), v) {
+		c.Line.Send(m)
+	}
+	s.mu.Unlock()
+	if works {
+		c.works(ctx, s)
+	}
+}
--- a/control/cabin/source.go
+++ b/control/daemon/source.go
@@ -1,4 +1,4 @@
-package cabin
+package daemon
 
 import (
 	"bytes"
@@ -8,30 +8,30 @@
 	"sync"
 	"time"
 
-	"mulleinmast/control/errand"
-	"mulleinmast/control/master"
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/leadercall"
 )
 
 // Source tells which servers there are, by service. Where the platform keeps a
-// list to be asked for, the owner of the configuration asks, and writes what
-// changed to the owners of the services.
+// list to be asked for, the leader of the configuration asks, and writes what
+// changed to the leaders of the services.
 type Source interface {
 	// List asks for the whole list; an error leaves everything as it is.
-	List(ctx context.Context) (map[string][]tariff.Server, error)
+	List(ctx context.Context) (map[string][]fleetconfig.Server, error)
 }
 
-// listing is what the source said last, under one ballot.
+// listing is what the source said last, under one term.
 type listing struct {
 	term  uint64
 	seq   uint64
-	taken map[string][]byte // by service, as its owner took it
+	taken map[string][]byte // by service, as its leader took it
 }
 
 // tickSource asks the source at a steady pace while this daemon owns the
 // configuration.
-func (c *Cabin) tickSource(ctx context.Context) error {
-	t := time.NewTicker(part(c.Cfg.Bounds.Leave, 0.15))
+func (c *Daemon) tickSource(ctx context.Context) error {
+	t := time.NewTicker(fraction(c.Cfg.Bounds.Leave, 0.15))
 	defer t.Stop()
 	var l listing
 	for {
@@ -42,12 +42,12 @@
 		}
 		s := c.shards[0]
 		s.mu.Lock()
-		owner, term := s.Owner(c.Now()), uint64(0)
-		if owner {
-			term = s.Section().Seat.Num()
+		leader, term := s.Leader(c.Now()), uint64(0)
+		if leader {
+			term = s.Partition().Replica.Num()
 		}
 		s.mu.Unlock()
-		if !owner {
+		if !leader {
 			continue
 		}
 		if l.term != term {
@@ -58,15 +58,15 @@
 }
 
 // pull takes one look at the source and hands on what changed.
-func (c *Cabin) pull(ctx context.Context, l *listing) {
+func (c *Daemon) pull(ctx context.Context, l *listing) {
 	ctx, done := context.WithTimeout(ctx, c.Cfg.Bounds.Leave/3)
 	defer done()
 	got, err := c.Source.List(ctx)
 	if err != nil {
-		c.Book.Note("source", "%v", err)
+		c.Events.Record("source", "%v", err)
 		return
 	}
-	rec, ok := c.Read(0, tariff.PlanKey)
+	rec, ok := c.Read(0, fleetconfig.PlanKey)
 	if !ok {
 		return
 	}
@@ -78,13 +78,13 @@
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	for _, svc := range slices.Sorted(maps.Keys(got)) {
-		list := tariff.List{Servers: got[svc]}
-		slices.SortFunc(list.Servers, func(a, b tariff.Server) int { return bytes.Compare([]byte(a.Key()), []byte(b.Key())) })
-		if f := list.Check(); f.Any() || !tariff.GoodName(svc) {
-			c.Book.Note("source", "list of %q not taken: %v", svc, f.List)
+		list := fleetconfig.List{Servers: got[svc]}
+		slices.SortFunc(list.Servers, func(a, b fleetconfig.Server) int { return bytes.Compare([]byte(a.Key()), []byte(b.Key())) })
+		if f := list.Check(); f.Any() || !fleetconfig.GoodName(svc) {
+			c.Events.Record("source", "list of %q not taken: %v", svc, f.List)
 			continue
 		}
-		val := errand.Pack(list)
+		val := leadercall.Pack(list)
 		mu.Lock()
 		same := bytes.Equal(val, l.taken[svc]) && l.taken[svc] != nil
 		mu.Unlock()
@@ -94,7 +94,7 @@
 		l.seq++
 		list.Version = l.term<<24 + l.seq
 		wait.Go(func() {
-			if code, _ := c.Ask(ctx, c.Part(svc), "servers", errand.Pack(master.ServersCall{Service: svc, List: list}), c.Cfg.Bounds.Leave/3); code == 200 {
+			if code, _ := c.Ask(ctx, c.Partition(svc), "servers", leadercall.Pack(leader.ServersCall{Service: svc, List: list}), c.Cfg.Bounds.Leave/3); code == 200 {
 				mu.Lock()
 				l.taken[svc] = val
 				mu.Unlock()
--- /dev/null
+++ b/control/daemon/works.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/placement"
+	"mulleinmast/wire/message"
+)
+
+// works runs the leader's systems over its servers and its group.
+func (c *Daemon) works(ctx context.Context, s *shard) {
+	var sight leader.Sight
+	sight.Plan, sight.OkPlan = c.Read(0, fleetconfig.PlanKey)
+	sight.Zones, sight.OkZones = c.Read(0, fleetconfig.ZoneKey)
+	if c.arch != nil {
+		sight.Replicas, sight.OkReplicas = c.Read(0, fleetconfig.ReplicaKey)
+	}
+	sight.Strain = c.Strain
+	sight.Vacant = func(replicas []message.Replica) ([]message.Replica, bool) {
+		c.rmu.Lock()
+		defer c.rmu.Unlock()
+		return c.rost.Vacant(c.Now(), replicas, fraction(c.Cfg.Bounds.Recover, 1.5))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.Works(c.Now(), sight)
+	term := s.Term()
+	c.carry(s, o)
+	for _, key := range o.Polls {
+		go c.poll(ctx, s, term, key)
+	}
+	for _, ord := range o.Orders {
+		go c.order(ctx, s, ord)
+	}
+}
+
+func (c *Daemon) poll(ctx context.Context, s *shard, term uint64, key string) {
+	ctx, done := context.WithTimeout(ctx, 2*c.Cfg.Works().Poll)
+	defer done()
+	u, err := c.Hands.Usage(ctx, key[strings.LastIndexByte(key, '/')+1:])
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Polled(c.Now(), term, key, u, err == nil)
+}
+
+// order sends an order; the leader lease is looked at once more just before its
+// first byte.
+func (c *Daemon) order(ctx context.Context, s *shard, o placement.Order) {
+	ctx, done := context.WithTimeout(ctx, fraction(c.Cfg.Bounds.Swap, 0.2))
+	defer done()
+	err := c.Orders.Order(ctx, o, c.me.Ident, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.MayOrder(c.Now(), o.Term)
+	})
+	if err != nil {
+		c.Events.Record("servers", "order to %s: %v", o.Addr, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Ordered(c.Now(), o, err == nil)
+}
--- a/control/survey/survey.go
+++ b/control/digest/digest.go
@@ -1,19 +1,19 @@
-// Package survey compares copies of a part by digests over ranges of keys.
-package survey
+// Package digest compares copies of a partition by digests over ranges of keys.
+package digest
 
 import (
 	"hash/fnv"
 	"iter"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
-// Spans is the number of ranges a part's keys are cut into.
+// Spans is the number of ranges a partition's keys are cut into.
 const Spans = 64
 
 // Span tells which range a key falls in.
 //
-// Example: survey.Span("plan/now") < survey.Spans
+// Example: digest.Span("plan/now") < digest.Spans
 func Span(key string) int { return int(mix(hash(key)) % Spans) }
 
 func hash(key string) uint64 {
@@ -32,8 +32,8 @@
 
 // Print is what one record adds to its range's digest.
 //
-// Example: survey.Print(rec) != survey.Print(newerRec)
-func Print(r form.Rec) uint64 {
+// Example: digest.Print(rec) != digest.Print(newerRec)
+func Print(r message.Rec) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(r.Val)
 	if r.Dead {
@@ -42,20 +42,20 @@
 	return mix(hash(r.Key) ^ mix(r.Ver.Term*0x9e3779b97f4a7c15^mix(r.Ver.Seq+1)) ^ mix(h.Sum64()))
 }
 
-// Book is a set of records with its digests kept up to date.
-type Book struct {
-	recs [Spans]map[string]form.Rec
+// Records is a set of records with its digests kept up to date.
+type Records struct {
+	recs [Spans]map[string]message.Rec
 	digs [Spans]uint64
 	size int
 }
 
-// NewBook makes an empty book.
+// NewBook makes an empty records.
 //
-// Example: b := survey.NewBook(); b.Put(rec)
-func NewBook() *Book {
-	b := &Book{}
+// Example: b := digest.NewBook(); b.Put(rec)
+func NewRecords() *Records {
+	b := &Records{}
 	for i := range b.recs {
-		b.recs[i] = map[string]form.Rec{}
+		b.recs[i] = map[string]message.Rec{}
 	}
 	return b
 }
@@ -63,15 +63,15 @@
 // Get returns a record.
 //
 // Example: rec, ok := b.Get("plan/now")
-func (b *Book) Get(key string) (form.Rec, bool) {
+func (b *Records) Get(key string) (message.Rec, bool) {
 	r, ok := b.recs[Span(key)][key]
 	return r, ok
 }
 
 // Put sets a record, whatever was there.
 //
-// Example: b.Put(form.Rec{Key: "plan/now", Ver: v})
-func (b *Book) Put(r form.Rec) {
+// Example: b.Put(message.Rec{Key: "plan/now", Ver: v})
+func (b *Records) Put(r message.Rec) {
 	s := Span(r.Key)
 	if old, ok := b.recs[s][r.Key]; ok {
 		b.digs[s] ^= Print(old)
@@ -85,7 +85,7 @@
 // Take sets a record only if it is newer than the one there.
 //
 // Example: if b.Take(rec) { save(rec) }
-func (b *Book) Take(r form.Rec) bool {
+func (b *Records) Take(r message.Rec) bool {
 	old, ok := b.Get(r.Key)
 	if ok && !old.Ver.Less(r.Ver) {
 		return false
@@ -97,7 +97,7 @@
 // Drop forgets a record.
 //
 // Example: b.Drop("once/x")
-func (b *Book) Drop(key string) {
+func (b *Records) Drop(key string) {
 	s := Span(key)
 	if old, ok := b.recs[s][key]; ok {
 		b.digs[s] ^= Print(old)
@@ -108,19 +108,19 @@
 
 // Size is the number of records.
 //
-// Example: survey.NewBook().Size() == 0
-func (b *Book) Size() int { return b.size }
+// Example: digest.NewBook().Size() == 0
+func (b *Records) Size() int { return b.size }
 
 // Digs returns the digests of all ranges.
 //
-// Example: diff := survey.Differ(a.Digs(), b.Digs())
-func (b *Book) Digs() []uint64 { return append([]uint64(nil), b.digs[:]...) }
+// Example: diff := digest.Differ(a.Digs(), b.Digs())
+func (b *Records) Digs() []uint64 { return append([]uint64(nil), b.digs[:]...) }
 
 // In iterates over the records of one range.
 //
 // Example: for rec := range b.In(3) { ... }
-func (b *Book) In(span int) iter.Seq[form.Rec] {
-	return func(yield func(form.Rec) bool) {
+func (b *Records) In(span int) iter.Seq[message.Rec] {
+	return func(yield func(message.Rec) bool) {
 		for _, r := range b.recs[span] {
 			if !yield(r) {
 				return
@@ -132,8 +132,8 @@
 // All iterates over every record.
 //
 // Example: for rec := range b.All() { ... }
-func (b *Book) All() iter.Seq[form.Rec] {
-	return func(yield func(form.Rec) bool) {
+func (b *Records) All() iter.Seq[message.Rec] {
+	return func(yield func(message.Rec) bool) {
 		for i := range b.recs {
 			for _, r := range b.recs[i] {
 				if !yield(r) {
@@ -147,7 +147,7 @@
 // Differ lists the ranges whose digests differ; digests of another length
 // differ everywhere.
 //
-// Example: survey.Differ(a.Digs(), a.Digs()) == nil
+// Example: digest.Differ(a.Digs(), a.Digs()) == nil
 func Differ(a, b []uint64) []int {
 	var out []int
 	for i := 0; i < Spans; i++ {
--- a/control/survey/survey_test.go
+++ b/control/digest/digest_test.go
@@ -1,4 +1,4 @@
-package survey
+package digest
 
 import (
 	"fmt"
@@ -6,16 +6,16 @@
 
 	"pgregory.net/rapid"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Whatever is put, taken and dropped, digests are those of what is in the
-// book; two books differ in just the ranges whose records do, in value too.
+// records; two records differ in just the ranges whose records do, in value too.
 func TestDigestsFollowTheRecords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a := NewBook()
+		a := NewRecords()
 		for i := 0; i < 60; i++ {
-			r := form.Rec{Key: fmt.Sprint("k", rapid.IntRange(0, 20).Draw(t, "key")), Ver: form.Ver{Term: 1, Seq: uint64(rapid.IntRange(0, 5).Draw(t, "seq"))}, Val: []byte{byte(i)}}
+			r := message.Rec{Key: fmt.Sprint("k", rapid.IntRange(0, 20).Draw(t, "key")), Ver: message.Ver{Term: 1, Seq: uint64(rapid.IntRange(0, 5).Draw(t, "seq"))}, Val: []byte{byte(i)}}
 			switch rapid.IntRange(0, 2).Draw(t, "what") {
 			case 0:
 				a.Put(r)
@@ -28,7 +28,7 @@
 				a.Drop(r.Key)
 			}
 		}
-		b := NewBook()
+		b := NewRecords()
 		n := 0
 		for r := range a.All() {
 			b.Put(r)
--- a/control/daybook/daybook.go
+++ b/control/eventlog/eventlog.go
@@ -1,6 +1,6 @@
-// Package daybook is the daemon's log: a ring in memory, written out when
+// Package event log is the daemon's log: a ring in memory, written out when
 // something goes wrong, and little else.
-package daybook
+package eventlog
 
 import (
 	"fmt"
@@ -19,8 +19,8 @@
 	Text string    `json:"text"`
 }
 
-// Book is the ring.
-type Book struct {
+// Records is the ring.
+type Log struct {
 	Loud bool // each line is written out as it comes; set before use
 
 	mu   sync.Mutex
@@ -33,15 +33,15 @@
 
 // New makes a ring of a size that writes out to w.
 //
-// Example: b := daybook.New(2048, os.Stderr)
-func New(size int, w io.Writer) *Book {
-	return &Book{ring: make([]Entry, size), out: log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}}}
+// Example: b := eventlog.New(2048, os.Stderr)
+func New(size int, w io.Writer) *Log {
+	return &Log{ring: make([]Entry, size), out: log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}}}
 }
 
-// Note adds a line.
+// Message adds a line.
 //
-// Example: b.Note("duty", "won part %d", 3)
-func (b *Book) Note(kind, how string, args ...any) {
+// Example: b.Message("leadership", "won part %d", 3)
+func (b *Log) Record(kind, how string, args ...any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.no++
@@ -56,8 +56,8 @@
 // time, at most once in ten seconds so that trouble doesn't drown the disk.
 //
 // Example: b.Trouble("disk", "write failed: %v", err)
-func (b *Book) Trouble(kind, how string, args ...any) {
-	b.Note("trouble "+kind, how, args...)
+func (b *Log) Trouble(kind, how string, args ...any) {
+	b.Record("trouble "+kind, how, args...)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if time.Since(b.at) < 10*time.Second {
@@ -73,12 +73,12 @@
 // Say writes one line out at once.
 //
 // Example: b.Say("start", "listening on %s", addr)
-func (b *Book) Say(kind, how string, args ...any) {
-	b.Note(kind, how, args...)
+func (b *Log) Say(kind, how string, args ...any) {
+	b.Record(kind, how, args...)
 	b.out.Info().Str("kind", kind).Msgf(how, args...)
 }
 
-func (b *Book) since(no uint64) []Entry {
+func (b *Log) since(no uint64) []Entry {
 	size := uint64(len(b.ring))
 	from := no + 1
 	if b.no > size && from < b.no-size+1 {
@@ -94,7 +94,7 @@
 // Since returns the lines after a number, as far as the ring holds them.
 //
 // Example: lines := b.Since(0)
-func (b *Book) Since(no uint64) []Entry {
+func (b *Log) Since(no uint64) []Entry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.since(no)
--- a/control/tariff/change.go
+++ b/control/fleetconfig/change.go
@@ -1,4 +1,4 @@
-package tariff
+package fleetconfig
 
 import (
 	"fmt"
--- a/control/tariff/tariff.go
+++ b/control/fleetconfig/fleetconfig.go
@@ -1,8 +1,8 @@
-// Package tariff is the operators' side of the fleet: one template a tenant,
-// whole plans, named changes, the servers' lists and the cells taken out of
+// Package fleet configuration is the operators' side of the fleet: one template a tenant,
+// whole plans, named changes, the servers' lists and the zones taken out of
 // service. A plan is checked in full before anything is written and is one
 // record, so it is in force whole or not at all.
-package tariff
+package fleetconfig
 
 import (
 	"bytes"
@@ -17,19 +17,19 @@
 
 	v "github.com/go-ozzo/ozzo-validation/v4"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
-//go:generate go run github.com/tinylib/msgp -tests=false -io=false -file . -o tariff_gen.go
+//go:generate go run github.com/tinylib/msgp -tests=false -io=false -file . -o fleetconfig_gen.go
 //msgp:tag json
 //msgp:replace json.RawMessage with:[]byte
-//msgp:ignore Faults Verdict Change Changes Server List Reader list draft
+//msgp:ignore Faults Verdict Change Changes Server List PlanReader list draft
 
 // Keys of the records in the configuration part.
 const (
-	PlanKey = "plan/now"
-	CellKey = "cells/out"
-	SeatKey = "seats/now"
+	PlanKey    = "plan/now"
+	ZoneKey    = "cells/out"
+	ReplicaKey = "seats/now"
 )
 
 // Most bounds a plan's size.
@@ -46,16 +46,16 @@
 	Name     string   `json:"name"`
 	Priority int      `json:"priority"`           // 0 is the most urgent, 9 the least
 	Services []string `json:"services,omitempty"` // models it may use; none means all
-	Budget   int      `json:"budget_ms"`          // for requests that name none
+	Timeout  int      `json:"budget_ms"`          // for requests that name none
 	Queue    float64  `json:"queue"`              // most of a daemon's queue it may fill
 }
 
 // Service is what a plan says of one model.
 type Service struct {
-	Name    string   `json:"name"`
-	Readers int      `json:"readers"` // never fewer
-	Makers  int      `json:"makers"`
-	Exclude []string `json:"exclude,omitempty"` // servers that get no work
+	Name           string   `json:"name"`
+	PrefillServers int      `json:"readers"` // never fewer
+	DecodeServers  int      `json:"makers"`
+	Exclude        []string `json:"exclude,omitempty"` // servers that get no work
 
 	Status     string          `json:"status,omitempty"`      // path at which a server tells how it is
 	Conns      int             `json:"conns,omitempty"`       // most connections a server takes from all daemons together
@@ -97,10 +97,10 @@
 
 // Template is an example for operators to fill in.
 //
-// Example: json.Marshal(tariff.Template())
+// Example: json.Marshal(fleetconfig.Template())
 func Template() Plan {
-	return Plan{ID: "change-me", Tenants: []Tenant{{Name: "tenant", Priority: 5, Budget: 30000, Queue: 0.5}},
-		Services: []Service{{Name: "model", Readers: 1, Makers: 1}}}
+	return Plan{ID: "change-me", Tenants: []Tenant{{Name: "tenant", Priority: 5, Timeout: 30000, Queue: 0.5}},
+		Services: []Service{{Name: "model", PrefillServers: 1, DecodeServers: 1}}}
 }
 
 // Faults collects everything wrong with an input.
@@ -108,7 +108,7 @@
 	List []string `json:"faults"`
 }
 
-// Add notes a fault.
+// Add messages a fault.
 //
 // Example: f.Add("tenants[%d].name: %v", i, err)
 func (f *Faults) Add(how string, args ...any) { f.List = append(f.List, fmt.Sprintf(how, args...)) }
@@ -138,7 +138,7 @@
 
 // Decode reads JSON strictly: unknown fields and trailing bytes are faults.
 //
-// Example: f := tariff.Decode(body, &plan)
+// Example: f := fleetconfig.Decode(body, &plan)
 func Decode(b []byte, to any) (f Faults) {
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
@@ -173,7 +173,7 @@
 		f.take(at, v.ValidateStruct(&t,
 			v.Field(&t.Name, v.Required, v.Match(name).Error("expected 1 to 64 letters, digits, '.', '_' or '-'")),
 			v.Field(&t.Priority, v.Min(0), v.Max(9)),
-			v.Field(&t.Budget, v.Required, v.Min(1), v.Max(600000)),
+			v.Field(&t.Timeout, v.Required, v.Min(1), v.Max(600000)),
 			v.Field(&t.Queue, v.Required, v.Min(0.001), v.Max(1.0))))
 		if j, ok := seen[t.Name]; ok {
 			f.Add("%s.name: %q stands already in tenants[%d]", at, t.Name, j)
@@ -192,8 +192,8 @@
 func (s Service) check() error {
 	return v.ValidateStruct(&s,
 		v.Field(&s.Name, v.Required, v.By(service)),
-		v.Field(&s.Readers, v.Required, v.Min(1)),
-		v.Field(&s.Makers, v.Required, v.Min(1)),
+		v.Field(&s.PrefillServers, v.Required, v.Min(1)),
+		v.Field(&s.DecodeServers, v.Required, v.Min(1)),
 		v.Field(&s.Exclude, v.Each(v.By(address))))
 }
 
@@ -215,7 +215,7 @@
 
 // Verdict is the reply to a plan or a change.
 type Verdict struct {
-	Result  string   `json:"result"` // taken, beaten or broken
+	Result  string   `json:"result"` // taken, in conflict or broken
 	Version uint64   `json:"version"`
 	Faults  []string `json:"faults,omitempty"`
 }
@@ -223,7 +223,7 @@
 // Judge decides about a next plan against the one in force. It returns the
 // record's value when the plan is taken.
 //
-// Example: val, verdict := tariff.Judge(cur, "id-1", 4, func(p Plan) (Plan, Faults) { return p.With(c) })
+// Example: val, verdict := fleetconfig.Judge(cur, "id-1", 4, func(p Plan) (Plan, Faults) { return p.With(c) })
 func Judge(cur Plan, id string, base uint64, next func(Plan) (Plan, Faults)) ([]byte, Verdict) {
 	for _, p := range cur.Past {
 		if p.ID == id && id != "" {
@@ -257,8 +257,8 @@
 
 // Open reads a plan record; absence is the empty plan, version 0.
 //
-// Example: plan := tariff.Open(rec)
-func Open(r form.Rec) Plan {
+// Example: plan := fleetconfig.Open(rec)
+func Open(r message.Rec) Plan {
 	var p Plan
 	if !r.Dead && len(r.Val) > 0 {
 		b, err := Plain(r.Val)
@@ -275,10 +275,10 @@
 	return p
 }
 
-// Cells reads the record of evacuated cells.
+// Zones reads the record of evacuated zones.
 //
-// Example: if tariff.Cells(rec)["north"] { skip() }
-func Cells(r form.Rec) map[string]bool {
+// Example: if fleetconfig.Zones(rec)["north"] { skip() }
+func Zones(r message.Rec) map[string]bool {
 	out := map[string]bool{}
 	var list []string
 	if !r.Dead && json.Unmarshal(r.Val, &list) == nil {
@@ -289,10 +289,10 @@
 	return out
 }
 
-// PackCells is the inverse of Cells.
+// PackCells is the inverse of Zones.
 //
-// Example: val := tariff.PackCells(map[string]bool{"north": true})
-func PackCells(m map[string]bool) []byte {
+// Example: val := fleetconfig.PackCells(map[string]bool{"north": true})
+func PackZones(m map[string]bool) []byte {
 	list := []string{}
 	for c, on := range m {
 		if on {
@@ -308,7 +308,7 @@
 type Server struct {
 	ID       string `json:"id,omitempty"` // of this life of the server, where the platform gives one
 	Addr     string `json:"addr"`
-	Cell     string `json:"cell"`
+	Zone     string `json:"cell"`
 	Capacity int    `json:"capacity"`
 	Leaving  bool   `json:"leaving,omitempty"`
 	Part     string `json:"part,omitempty"` // that it plays by the platform's word; none: it is to be asked and ordered
@@ -317,7 +317,7 @@
 
 // Key names a server within its service: the id of this life, else its address.
 //
-// Example: tariff.Server{Addr: "10.0.0.1:9000"}.Key() == "10.0.0.1:9000"
+// Example: fleetconfig.Server{Addr: "10.0.0.1:9000"}.Key() == "10.0.0.1:9000"
 func (s Server) Key() string {
 	if s.ID != "" {
 		return s.ID
@@ -327,14 +327,14 @@
 
 // List is a service's servers as the platform names them.
 type List struct {
-	Version uint64   `json:"version,omitempty"` // the platform's own count; a lower one is beaten
+	Version uint64   `json:"version,omitempty"` // the platform's own count; a lower one is in conflict
 	Servers []Server `json:"servers"`
 }
 
 // OpenList reads a list record; absence is the empty list.
 //
-// Example: for _, s := range tariff.OpenList(rec).Servers { ... }
-func OpenList(r form.Rec) (l List) {
+// Example: for _, s := range fleetconfig.OpenList(rec).Servers { ... }
+func OpenList(r message.Rec) (l List) {
 	if !r.Dead && len(r.Val) > 0 {
 		if err := json.Unmarshal(r.Val, &l); err != nil {
 			panic(fmt.Sprintf("list record %q can't be read: %v", r.Key, err)) // we wrote it ourselves
@@ -352,7 +352,7 @@
 		at := fmt.Sprintf("servers[%d]", i)
 		f.take(at, v.ValidateStruct(&s,
 			v.Field(&s.Addr, v.Required, v.By(address)),
-			v.Field(&s.Cell, v.Required, v.Match(name)),
+			v.Field(&s.Zone, v.Required, v.Match(name)),
 			v.Field(&s.Capacity, v.Required, v.Min(1), v.Max(4096))))
 		if j, ok := seen[s.Key()]; ok {
 			f.Add("%s: %q is listed already in servers[%d]", at, s.Key(), j)
@@ -364,12 +364,12 @@
 
 // GoodName tells whether a name may stand in a key.
 //
-// Example: tariff.GoodName("north") == true
+// Example: fleetconfig.GoodName("north") == true
 func GoodName(s string) bool { return name.MatchString(s) && !strings.Contains(s, "/") }
 
 // GoodService tells whether a service may have that name.
 //
-// Example: tariff.GoodService("time table") == true
+// Example: fleetconfig.GoodService("time table") == true
 func GoodService(s string) bool {
 	return s != "" && len(s) <= 1024 && !strings.Contains(s, "/") && utf8.ValidString(s)
 }
@@ -377,20 +377,20 @@
 // PartOf is the part that holds a service's records, by a hash of its name;
 // part 0 is configuration.
 //
-// Example: p := tariff.PartOf("timetable", 8)
-func PartOf(svc string, parts int) int {
+// Example: p := fleetconfig.PartOf("timetable", 8)
+func PartitionOf(svc string, partitions int) int {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(svc))
 	x := h.Sum64()
-	return 1 + int((x^x>>32)%uint64(parts))
+	return 1 + int((x^x>>32)%uint64(partitions))
 }
 
 // ListKey is the key of a service's list; BerthKey of one of its servers.
 //
-// Example: key := tariff.ListKey("timetable")
+// Example: key := fleetconfig.ListKey("timetable")
 func ListKey(svc string) string { return "list/" + svc }
 
 // BerthKey is the key of a server's record; see Server.Key.
 //
-// Example: key := tariff.BerthKey("timetable", "127.0.0.1:9000")
-func BerthKey(svc, server string) string { return "berth/" + svc + "/" + server }
+// Example: key := fleetconfig.BerthKey("timetable", "127.0.0.1:9000")
+func ServerRecordKey(svc, server string) string { return "berth/" + svc + "/" + server }
--- a/control/tariff/tariff_test.go
+++ b/control/fleetconfig/fleetconfig_test.go
@@ -1,15 +1,15 @@
-package tariff
+package fleetconfig
 
 import (
 	"encoding/json"
 	"strings"
 	"testing"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 func good() Plan {
-	return Plan{ID: "a", Tenants: []Tenant{{Name: "x", Priority: 1, Budget: 100, Queue: 0.5}}, Services: []Service{{Name: "m", Readers: 1, Makers: 1}}}
+	return Plan{ID: "a", Tenants: []Tenant{{Name: "x", Priority: 1, Timeout: 100, Queue: 0.5}}, Services: []Service{{Name: "m", PrefillServers: 1, DecodeServers: 1}}}
 }
 
 // The good plan is changed in one place at a time; each change is named.
@@ -21,12 +21,12 @@
 		"plan.id":               func(p *Plan) { p.ID = "" },
 		"tenants[0].name":       func(p *Plan) { p.Tenants[0].Name = "a/b" },
 		"tenants[0].priority":   func(p *Plan) { p.Tenants[0].Priority = 10 },
-		"tenants[0].budget_ms":  func(p *Plan) { p.Tenants[0].Budget = 0 },
+		"tenants[0].budget_ms":  func(p *Plan) { p.Tenants[0].Timeout = 0 },
 		"tenants[0].queue":      func(p *Plan) { p.Tenants[0].Queue = 1.5 },
 		"tenants[0].services":   func(p *Plan) { p.Tenants[0].Services = []string{"q"} },
 		"tenants[1].name":       func(p *Plan) { p.Tenants = append(p.Tenants, p.Tenants[0]) },
 		"services[1].name":      func(p *Plan) { p.Services = append(p.Services, p.Services[0]) },
-		"services[0].readers":   func(p *Plan) { p.Services[0].Readers = 0 },
+		"services[0].readers":   func(p *Plan) { p.Services[0].PrefillServers = 0 },
 		"services[0].exclude.0": func(p *Plan) { p.Services[0].Exclude = []string{"nowhere"} },
 	} {
 		p := good()
@@ -37,7 +37,7 @@
 		}
 	}
 	p := good()
-	p.ID, p.Tenants[0].Priority, p.Services[0].Makers = "", -1, 0
+	p.ID, p.Tenants[0].Priority, p.Services[0].DecodeServers = "", -1, 0
 	if f := p.Check(); len(f.List) != 3 {
 		t.Errorf("three faults at once: %v", f.List)
 	}
@@ -49,7 +49,7 @@
 	if v.Result != "taken" || v.Version != 1 {
 		t.Fatal(v)
 	}
-	cur := Open(form.Rec{Val: val})
+	cur := Open(message.Rec{Val: val})
 	if val, v := Judge(cur, "a", 0, whole(good())); val != nil || v.Result != "taken" || v.Version != 1 {
 		t.Errorf("resent: %v", v)
 	}
@@ -57,7 +57,7 @@
 		t.Errorf("old base: %v", v)
 	}
 	bad := good()
-	bad.Tenants[0].Budget = -1
+	bad.Tenants[0].Timeout = -1
 	if val, v := Judge(cur, "c", 1, whole(bad)); val != nil || v.Result != "broken" || len(v.Faults) == 0 {
 		t.Errorf("broken: %v", v)
 	}
@@ -85,7 +85,7 @@
 }
 
 func TestServerList(t *testing.T) {
-	l := List{Servers: []Server{{Addr: "10.0.0.1:1", Cell: "a", Capacity: 1}, {Addr: "10.0.0.1:1", Cell: "a", Capacity: 1}, {Addr: "host:1", Cell: "", Capacity: 0}}}
+	l := List{Servers: []Server{{Addr: "10.0.0.1:1", Zone: "a", Capacity: 1}, {Addr: "10.0.0.1:1", Zone: "a", Capacity: 1}, {Addr: "host:1", Zone: "", Capacity: 0}}}
 	if f := l.Check(); len(f.List) != 4 {
 		t.Errorf("%v", f.List)
 	}
--- a/control/tariff/openapi/openapi.go
+++ b/control/fleetconfig/openapi/openapi.go
@@ -9,14 +9,14 @@
 
 	"github.com/getkin/kin-openapi/openapi3"
 
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
 )
 
 // Read turns an OpenAPI document into named changes, to be sent with an id and
 // the plan's current version as base.
 //
 // Example: c, f := openapi.Read(file)
-func Read(doc []byte) (out tariff.Changes, f tariff.Faults) {
+func Read(doc []byte) (out fleetconfig.Changes, f fleetconfig.Faults) {
 	spec, err := openapi3.NewLoader().LoadFromData(doc)
 	if err != nil {
 		f.Add("openapi: %v", err)
@@ -37,7 +37,7 @@
 			} else {
 				name = fmt.Sprint(v)
 			}
-			if !tariff.GoodName(name) {
+			if !fleetconfig.GoodName(name) {
 				f.Add("%s %s: x-model: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", verb, path, name)
 				continue
 			}
@@ -50,7 +50,7 @@
 	}
 	sort.Strings(names)
 	for _, n := range names {
-		out.Changes = append(out.Changes, tariff.Change{Op: "set-service", Service: &tariff.Service{Name: n, Readers: 1, Makers: 1}})
+		out.Changes = append(out.Changes, fleetconfig.Change{Op: "set-service", Service: &fleetconfig.Service{Name: n, PrefillServers: 1, DecodeServers: 1}})
 	}
 	if len(names) == 0 && !f.Any() {
 		f.Add("openapi: no operation names a model (x-model)")
--- a/control/tariff/pack.go
+++ b/control/fleetconfig/pack.go
@@ -1,4 +1,4 @@
-package tariff
+package fleetconfig
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"github.com/klauspost/compress/zstd"
 	"github.com/zeebo/errs"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Error is the class of this package's errors.
@@ -24,7 +24,7 @@
 // Pack makes the compressed body of a call of a plan or changes; the error is
 // of a value that is too long or, in a raw part, isn't JSON.
 //
-// Example: body, err := tariff.Pack(changes)
+// Example: body, err := fleetconfig.Pack(changes)
 func Pack(x any) ([]byte, error) {
 	var b bytes.Buffer
 	e := json.NewEncoder(&b)
@@ -41,7 +41,7 @@
 
 // Record makes the record of a plan; the error is of one that is too long.
 //
-// Example: val, err := tariff.Record(plan)
+// Example: val, err := fleetconfig.Record(plan)
 func Record(p Plan) ([]byte, error) {
 	b, err := p.MarshalMsg(nil)
 	if err != nil {
@@ -62,21 +62,21 @@
 	return w.EncodeAll(b, []byte{mark}), nil
 }
 
-// Reader keeps the last plan that it read, by its record's version: a plan is
+// Prefill server keeps the last plan that it read, by its record's version: a plan is
 // read once a version, however many ask. Plans that it gives are not changed.
-type Reader struct {
+type PlanReader struct {
 	mu   sync.Mutex
-	ver  form.Ver
+	ver  message.Ver
 	plan Plan
 }
 
 // Open is Open, read once a version.
 //
-// Example: plan := reader.Open(rec)
-func (r *Reader) Open(rec form.Rec) Plan {
+// Example: plan := prefill server.Open(rec)
+func (r *PlanReader) Open(rec message.Rec) Plan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if rec.Ver == (form.Ver{}) || rec.Dead {
+	if rec.Ver == (message.Ver{}) || rec.Dead {
 		return Open(rec)
 	}
 	if r.ver != rec.Ver {
@@ -88,7 +88,7 @@
 // Plain gives what a compressed value holds; one that isn't compressed stays as
 // it is. The error is of a value that Pack didn't make.
 //
-// Example: b, err := tariff.Plain(rec.Val)
+// Example: b, err := fleetconfig.Plain(rec.Val)
 func Plain(b []byte) ([]byte, error) {
 	if len(b) == 0 || b[0] != packed && b[0] != stored {
 		return b, nil
--- a/control/tariff/route.go
+++ b/control/fleetconfig/route.go
@@ -1,4 +1,4 @@
-package tariff
+package fleetconfig
 
 import (
 	"encoding/json"
@@ -14,7 +14,7 @@
 // Kinds of a route: what may be done with a request whose end is not known.
 const (
 	Safe   = "safe"   // it may run more than once
-	Unsafe = "unsafe" // it runs at most once a try of its requester
+	Unsafe = "unsafe" // it runs at most once a try of its client
 	Stream = "stream" // as unsafe, and the reply is a series of events
 )
 
@@ -42,7 +42,7 @@
 	Raw      json.RawMessage `json:"raw,omitempty"`   // the item as its operator sent it
 }
 
-// Limits bound what a requester may send and how long it may take; 0 is no bound.
+// Limits bound what a client may send and how long it may take; 0 is no bound.
 type Limits struct {
 	HeaderBytes int             `json:"header_bytes,omitempty"`
 	BodyBytes   int             `json:"body_bytes,omitempty"`
@@ -53,20 +53,20 @@
 
 // IsZero tells that nothing is bounded and nothing was sent.
 //
-// Example: tariff.Limits{}.IsZero() == true
+// Example: fleetconfig.Limits{}.IsZero() == true
 func (l Limits) IsZero() bool {
 	return l.HeaderBytes == 0 && l.BodyBytes == 0 && l.HeaderWait == 0 && l.Idle == 0 && len(l.Raw) == 0
 }
 
 // Place is what no two routes share: the host as it is compared, and the prefix.
 //
-// Example: tariff.Route{Host: "A.example:80", Prefix: "/x/"}.Place() == [2]string{"a.example", "/x/"}
+// Example: fleetconfig.Route{Host: "A.example:80", Prefix: "/x/"}.Place() == [2]string{"a.example", "/x/"}
 func (r Route) Place() [2]string { return [2]string{Host(r.Host), r.Prefix} }
 
 // Host brings a host to the form in which hosts are compared: lower case and
 // without a port.
 //
-// Example: tariff.Host("A.example:8080") == "a.example"
+// Example: fleetconfig.Host("A.example:8080") == "a.example"
 func Host(s string) string {
 	if i := strings.LastIndexByte(s, ':'); i >= 0 && strings.IndexByte(s[i:], ']') < 0 {
 		if strings.IndexByte(s, ':') == i || s[0] == '[' { // else a bare IPv6 address, which has no port
@@ -84,7 +84,7 @@
 	names, places := make(map[string]int, len(p.Routes)), make(map[[2]string]int, len(p.Routes))
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		if r.Name == "" || r.Kind != Safe && r.Kind != Unsafe && r.Kind != Stream || r.GiveUp < 1 { // the owner waits meanwhile: slow words only for faults
+		if r.Name == "" || r.Kind != Safe && r.Kind != Unsafe && r.Kind != Stream || r.GiveUp < 1 { // the leader waits meanwhile: slow words only for faults
 			f.take(fmt.Sprintf("routes[%d]", i), v.ValidateStruct(r,
 				v.Field(&r.Name, v.Required),
 				v.Field(&r.Kind, v.Required, v.In(Safe, Unsafe, Stream).Error("expected safe, unsafe or stream")),
--- a/control/tariff/route_test.go
+++ b/control/fleetconfig/route_test.go
@@ -1,4 +1,4 @@
-package tariff
+package fleetconfig
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 func routed() Plan {
@@ -36,7 +36,9 @@
 		"routes[1].services[0].weight": func(p *Plan) { p.Routes[1].Services[0].Weight = -1 },
 		"routes[1].services: the":      func(p *Plan) { p.Routes[1].Services[1].Weight = 0 },
 		"routes[0].services: the":      func(p *Plan) { p.Routes[0].Services = nil },
-		"services[0].name":             func(p *Plan) { p.Services = append([]Service{{Name: "a/b", Readers: 1, Makers: 1}}, p.Services...) },
+		"services[0].name": func(p *Plan) {
+			p.Services = append([]Service{{Name: "a/b", PrefillServers: 1, DecodeServers: 1}}, p.Services...)
+		},
 	} {
 		p := routed()
 		change(&p)
@@ -51,7 +53,7 @@
 		t.Errorf("four faults at once: %v", f.List)
 	}
 	p = routed()
-	p.Services = append(p.Services, Service{Name: "Ünïcode: any name \"goes\"", Readers: 1, Makers: 1})
+	p.Services = append(p.Services, Service{Name: "Ünïcode: any name \"goes\"", PrefillServers: 1, DecodeServers: 1})
 	if f := p.Check(); f.Any() {
 		t.Errorf("a service's odd name: %v", f)
 	}
@@ -78,7 +80,7 @@
 			t.Errorf("%d: %+v, expected %s %d", i, v, x.result, x.ver)
 		}
 		if val != nil {
-			cur = Open(form.Rec{Val: val})
+			cur = Open(message.Rec{Val: val})
 			if cur.Version != x.ver || cur.Number != 0 {
 				t.Errorf("%d: version %d, number %d in force", i, cur.Version, cur.Number)
 			}
@@ -176,7 +178,7 @@
 	if len(packed)*5 > len(plain) {
 		t.Errorf("%d bytes packed to %d", len(plain), len(packed))
 	}
-	a, b := Open(form.Rec{Val: plain}), Open(form.Rec{Val: packed})
+	a, b := Open(message.Rec{Val: plain}), Open(message.Rec{Val: packed})
 	p.Raw, a.Raw = nil, nil // escaped by Marshal in the plain record
 	if b.Raw = nil; !reflect.DeepEqual(a, p) || !reflect.DeepEqual(b, p) {
 		t.Error("not the same plan")
@@ -202,7 +204,7 @@
 	}
 }
 
-// BenchmarkJudge is the owner's share of a change to a plan of 3000 routes.
+// BenchmarkJudge is the leader's share of a change to a plan of 3000 routes.
 func BenchmarkJudge(b *testing.B) {
 	p := routed()
 	for i := range 3000 {
@@ -216,7 +218,7 @@
 		b.Fatal(v)
 	}
 	for b.Loop() {
-		cur := Open(form.Rec{Val: val})
+		cur := Open(message.Rec{Val: val})
 		if _, v := Judge(cur, "b", 1, func(p Plan) (Plan, Faults) {
 			return p.With(Changes{ID: "b", Changes: []Change{{Op: "set-route", Route: &p.Routes[7]}}})
 		}); v.Result != "taken" {
--- /dev/null
+++ b/control/leader/job.go
@@ -0,0 +1,203 @@
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/partition"
+	"mulleinmast/wire/message"
+)
+
+var done = leadercall.Word{Result: "done"}
+
+// ServersCall is the body of a call that names a service's servers.
+type ServersCall struct {
+	Service string
+	List    fleetconfig.List
+}
+
+// SeatCall is the body of a call that gives a replica away.
+type ReplicaCall struct {
+	Out   string `json:"out"`
+	Ident string `json:"ident"`
+	Addr  string `json:"addr"`
+}
+
+// ClaimCall is the body of a call that claims or settles a once key.
+type ClaimCall struct {
+	Key   string
+	Claim leadercall.Claim
+}
+
+// keepPast is how many requests that gave a once key back are kept with it.
+const keepPast = 16
+
+// OnceKey is the key of a once key's record.
+//
+// Example: leader.OnceKey("express/k-17") == "once/express/k-17"
+func OnceKey(key string) string { return "once/" + key }
+
+// job turns a call into a write; fault says what is wrong with its body. call
+// names it over all its tries, see onceOnly.
+func job(plans *fleetconfig.PlanReader, call, op string, body []byte) (j partition.Job, fault string) {
+	read := func(to any) bool {
+		if err := json.Unmarshal(body, to); err != nil {
+			fault = err.Error()
+		}
+		return fault == ""
+	}
+	switch op {
+	case "plan", "changes":
+		return planJob(plans, op, body)
+	case "evacuate", "return":
+		return onceOnly(call, zoneJob(op, string(body))), ""
+	case "seat":
+		var in ReplicaCall
+		if read(&in) {
+			j = onceOnly(call, replicaJob(in))
+		}
+	case "servers":
+		var in ServersCall
+		if read(&in) {
+			if j = listJob(in); in.List.Version == 0 {
+				j = onceOnly(call, j)
+			}
+		}
+	case "claim", "unclaim":
+		var in ClaimCall
+		if read(&in) {
+			j = claimJob(op, in)
+		}
+	default:
+		fault = fmt.Sprintf("unknown call %q", op)
+	}
+	return j, fault
+}
+
+func planJob(plans *fleetconfig.PlanReader, op string, body []byte) (partition.Job, string) {
+	var whole fleetconfig.Plan
+	var named fleetconfig.Changes
+	var f fleetconfig.Faults
+	body, err := fleetconfig.Plain(body) // a daemon may pack what it passes on
+	if err != nil {
+		return partition.Job{}, err.Error()
+	}
+	if op == "plan" {
+		f = fleetconfig.Decode(body, &whole)
+	} else {
+		f = fleetconfig.Decode(body, &named)
+	}
+	if f.Any() {
+		return partition.Job{}, f.List[0]
+	}
+	return partition.Job{Keys: []string{fleetconfig.PlanKey}, Make: func(read lease.Source) ([]message.Rec, any) {
+		cur := plans.Open(read(fleetconfig.PlanKey))
+		id, base, next := whole.ID, whole.Base, func(fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return whole, whole.Check() }
+		if op == "changes" {
+			id, base, next = named.ID, named.Base, func(p fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return p.With(named) }
+		}
+		val, verdict := fleetconfig.Judge(cur, id, base, next)
+		if val == nil {
+			return nil, verdict
+		}
+		return []message.Rec{{Key: fleetconfig.PlanKey, Val: val}}, verdict
+	}}, ""
+}
+
+func zoneJob(op, zone string) partition.Job {
+	return partition.Job{Keys: []string{fleetconfig.ZoneKey}, Make: func(read lease.Source) ([]message.Rec, any) {
+		out := fleetconfig.Zones(read(fleetconfig.ZoneKey))
+		if out[zone] == (op == "evacuate") {
+			return nil, done
+		}
+		out[zone] = op == "evacuate"
+		return []message.Rec{{Key: fleetconfig.ZoneKey, Val: fleetconfig.PackZones(out)}}, done
+	}}
+}
+
+func replicaJob(in ReplicaCall) partition.Job {
+	return partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Make: func(read lease.Source) ([]message.Rec, any) {
+		replicas := openReplicas(read(fleetconfig.ReplicaKey))
+		for i := range replicas {
+			if replicas[i].Ident == in.Ident {
+				return nil, done
+			}
+			if replicas[i].Ident == in.Out {
+				replicas[i] = message.Replica{Ident: in.Ident, Addr: in.Addr}
+				return []message.Rec{{Key: fleetconfig.ReplicaKey, Val: leadercall.Pack(replicas)}}, done
+			}
+		}
+		return nil, leadercall.Word{Result: "not done", Why: fmt.Sprintf("no seat of %q in %v", in.Out, replicas)}
+	}}
+}
+
+// listJob takes a list unless one with a later version is in force: a call
+// that was held up on its way must not bring a leaving server back.
+func listJob(in ServersCall) partition.Job {
+	key := fleetconfig.ListKey(in.Service)
+	val := leadercall.Pack(in.List)
+	return partition.Job{Keys: []string{key}, Make: func(read lease.Source) ([]message.Rec, any) {
+		if cur := read(key); !cur.Dead {
+			if string(cur.Val) == string(val) {
+				return nil, done
+			}
+			if now := fleetconfig.OpenList(cur); in.List.Version > 0 && in.List.Version <= now.Version {
+				return nil, leadercall.Word{Result: "beaten", Version: now.Version, Why: "a list of a later or the same version is in force"}
+			}
+		}
+		return []message.Rec{{Key: key, Val: val}}, done
+	}}
+}
+
+// claimJob takes a once key or says what became of it. A key that was settled
+// before its claim arrived stays settled: the late claim finds it so, also when
+// other requests had the key since.
+func claimJob(op string, in ClaimCall) partition.Job {
+	key := OnceKey(in.Key)
+	return partition.Job{Keys: []string{key}, Make: func(read lease.Source) ([]message.Rec, any) {
+		var cur leadercall.Claim
+		r := read(key)
+		if !r.Dead {
+			if err := json.Unmarshal(r.Val, &cur); err != nil {
+				panic("claim record can't be read: " + err.Error()) // we wrote it ourselves
+			}
+		}
+		mine, next := cur.Request == in.Claim.Request, in.Claim
+		next.Past = cur.Past
+		over := slices.Contains(cur.Past, in.Claim.Request)
+		switch {
+		case op == "claim" && mine && cur.State == next.State:
+			return nil, done
+		case op == "claim" && (mine || over || !r.Dead && cur.State != "shed"):
+			cur.Past = nil
+			return nil, leadercall.Word{Result: "duplicate", Claim: &cur}
+		case op == "claim" && !r.Dead:
+			next.Past = settled(cur.Past, cur.Request)
+		case op == "unclaim" && !r.Dead && !mine:
+			if over {
+				return nil, done
+			}
+			next, next.Past = cur, settled(cur.Past, in.Claim.Request)
+		}
+		return []message.Rec{{Key: key, Val: leadercall.Pack(next)}}, done
+	}}
+}
+
+// settled adds a request to those that gave a key back; the last are kept.
+func settled(past []string, request string) []string {
+	past = append(slices.Clone(past), request)
+	return past[max(0, len(past)-keepPast):]
+}
+
+func openReplicas(r message.Rec) (replicas []message.Replica) {
+	if !r.Dead && len(r.Val) > 0 {
+		if err := json.Unmarshal(r.Val, &replicas); err != nil {
+			panic("seats record can't be read: " + err.Error()) // we wrote it ourselves
+		}
+	}
+	return replicas
+}
--- /dev/null
+++ b/control/leader/leader.go
@@ -0,0 +1,429 @@
+// Package controller is one partition on one daemon, with the works of its leader: it
+// takes calls, keeps the group's replicas filled, lets old once keys go and holds
+// the servers. A plain state machine round control/partition; the daemon and the
+// simulator drive the same one.
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/partition"
+	"mulleinmast/control/placement"
+	"mulleinmast/control/quorum"
+	"mulleinmast/wire/message"
+)
+
+// Config holds the bounds of a leader's works.
+type Config struct {
+	Works placement.Config
+	Keep  time.Duration // once keys are kept this long
+}
+
+// Line is something for the ring.
+type Line struct{ Kind, Text string }
+
+// Out is what a step asks for, beside what its partition does.
+type Out struct {
+	partition.Out
+	Polls  []string // keys of server records whose servers are to be polled
+	Orders []placement.Order
+	Lines  []Line
+}
+
+func (o *Out) say(kind, how string, args ...any) {
+	o.Lines = append(o.Lines, Line{kind, fmt.Sprintf(how, args...)})
+}
+
+// Sight is what this daemon sees of the configuration under valid leases.
+type Sight struct {
+	Plan, Zones, Replicas       message.Rec
+	OkPlan, OkZones, OkReplicas bool
+	// Strain tells how hard a server is pressed, as far as this daemon heard.
+	Strain func(service, server string) placement.Strain
+	// Vacant names a standby for a replica whose daemon is gone.
+	Vacant func([]message.Replica) ([]message.Replica, bool)
+}
+
+// mark is the last version that had been written at some time.
+type mark struct {
+	at  time.Duration
+	ver message.Ver
+}
+
+// Controller is the state machine.
+type Controller struct {
+	cfg       Config
+	partition int
+	me        message.Replica
+	sec       *partition.Partition
+
+	tags  uint64
+	acts  map[uint64]func(partition.Result)
+	backs []message.Send
+
+	plans  fleetconfig.PlanReader
+	holder *placement.Holder
+	wants  map[string][2]uint64 // life and number of a daemon's last report for a service
+	dirty  bool
+	seen   [2]message.Ver // plan and zones that the holder works by
+	group  uint64
+	marks  []mark // versions written so far under this leadership, and when
+}
+
+// New puts a controller over a partition.
+//
+// Example: m := leader.New(cfg, 3, me, partition.New(3, me, epoch, replica, node))
+func New(cfg Config, number int, me message.Replica, sec *partition.Partition) *Controller {
+	return &Controller{cfg: cfg, partition: number, me: me, sec: sec, acts: map[uint64]func(partition.Result){}, wants: map[string][2]uint64{}, dirty: true}
+}
+
+// Partition is the partition underneath.
+//
+// Example: rec, ok := m.Partition().Node.Get(now, key)
+func (m *Controller) Partition() *partition.Partition { return m.sec }
+
+// Leader tells whether this daemon holds the partition's leadership now.
+//
+// Example: if m.Leader(now) { work() }
+func (m *Controller) Leader(now time.Duration) bool { return m.sec.Leader(now) }
+
+// wrap hands out the results of a partition's step.
+func (m *Controller) wrap(s partition.Out) (o Out) {
+	for _, r := range s.Results {
+		if f := m.acts[r.Tag]; f != nil {
+			delete(m.acts, r.Tag)
+			f(r)
+		}
+	}
+	s.Results = nil
+	s.Sends = append(s.Sends, m.backs...)
+	m.backs = nil
+	if s.Lost {
+		m.holder = nil
+	}
+	if s.Won {
+		m.holder, m.marks, m.wants = nil, nil, map[string][2]uint64{}
+		o.say("duty", "part %d: owner with ballot %d", m.partition, m.sec.Replica.Num())
+	}
+	o.Out = s
+	return o
+}
+
+func (o *Out) add(p Out) {
+	o.Sends = append(o.Sends, p.Sends...)
+	o.Saves = append(o.Saves, p.Saves...)
+	o.Fresh = append(o.Fresh, p.Fresh...)
+	o.Gone = append(o.Gone, p.Gone...)
+	o.Won, o.Lost, o.Orphan = o.Won || p.Won, o.Lost || p.Lost, o.Orphan || p.Orphan
+	if p.Steer.Ident != "" {
+		o.Steer = p.Steer
+	}
+	o.Polls = append(o.Polls, p.Polls...)
+	o.Orders = append(o.Orders, p.Orders...)
+	o.Lines = append(o.Lines, p.Lines...)
+}
+
+// Hear takes a message: a lease's, a term's or a call.
+//
+// Example: out := m.Hear(now, message)
+func (m *Controller) Hear(now time.Duration, n message.Message) Out {
+	if n.Kind == message.Call {
+		return m.called(now, n)
+	}
+	return m.wrap(m.sec.Hear(now, n))
+}
+
+// Saved tells that a save is on disk.
+//
+// Example: out := m.Saved(now, ticket)
+func (m *Controller) Saved(now time.Duration, ticket uint64) Out {
+	return m.wrap(m.sec.Saved(now, ticket))
+}
+
+// Tick lets time pass.
+//
+// Example: out := m.Tick(now)
+func (m *Controller) Tick(now time.Duration) Out { return m.wrap(m.sec.Tick(now)) }
+
+// Found makes the first group.
+//
+// Example: out := m.Found(now, group)
+func (m *Controller) Found(now time.Duration, g message.Group) Out {
+	return m.wrap(m.sec.Found(now, g))
+}
+
+// Adopt sets the parent in the tree.
+//
+// Example: out := m.Adopt(now, replica)
+func (m *Controller) Adopt(now time.Duration, p message.Replica) Out {
+	return m.wrap(m.sec.Adopt(now, p))
+}
+
+// Pin keeps a record wanted here.
+//
+// Example: out := m.Pin(now, "plan/now")
+func (m *Controller) Pin(now time.Duration, key string) Out { return m.wrap(m.sec.Pin(now, key)) }
+
+// Do runs a write and tells its fate.
+//
+// Example: out := m.Do(now, job, func(r partition.Result) { log(r.Fate) })
+func (m *Controller) Do(now time.Duration, j partition.Job, then func(partition.Result)) Out {
+	m.tags++
+	m.acts[m.tags] = then
+	return m.wrap(m.sec.Do(now, m.tags, j))
+}
+
+func (m *Controller) back(n message.Message, code int, body []byte) {
+	m.backs = append(m.backs, message.Send{Addr: n.Addr, Message: message.Message{Kind: message.Back, Partition: m.partition, To: n.From, Ref: n.No, Code: code, Body: body}})
+}
+
+// called carries out a call if this daemon is the leader.
+func (m *Controller) called(now time.Duration, n message.Message) Out {
+	if n.Op == "want" {
+		m.wanted(now, n)
+		return m.wrap(partition.Out{})
+	}
+	j, fault := job(&m.plans, callOf(n), n.Op, n.Body)
+	if fault != "" {
+		m.back(n, http.StatusBadRequest, leadercall.Pack(leadercall.Word{Result: "broken", Faults: []string{fault}}))
+		return m.wrap(partition.Out{})
+	}
+	line := Line{}
+	o := m.Do(now, j, func(r partition.Result) {
+		m.dirty = m.dirty || n.Op == "servers" // once keys come by the hundred and concern no server
+		switch r.Fate {
+		case partition.NotLeader:
+			m.back(n, leadercall.Other, nil)
+			return
+		case partition.Uncertain:
+			m.back(n, leadercall.Uncertain, nil)
+			return
+		}
+		switch w := r.Word.(type) {
+		case fleetconfig.Verdict:
+			line = Line{"plan", fmt.Sprintf("%s: %s, version %d", n.Op, w.Result, w.Version)}
+			m.back(n, map[string]int{"taken": 200, "beaten": 409, "broken": 400}[w.Result], leadercall.Pack(w))
+		case leadercall.Word:
+			m.back(n, map[string]int{"done": 200, "duplicate": 409, "beaten": 409, "not done": 409}[w.Result], leadercall.Pack(w))
+		default:
+			panic("job without a word: " + n.Op)
+		}
+	})
+	if line.Kind != "" {
+		o.Lines = append(o.Lines, line)
+	}
+	return o
+}
+
+// wanted gives a daemon its share of the slots; shares live in memory only.
+func (m *Controller) wanted(now time.Duration, n message.Message) {
+	var w placement.Want
+	switch err := json.Unmarshal(n.Body, &w); {
+	case err != nil:
+		m.back(n, http.StatusBadRequest, leadercall.Pack(leadercall.Word{Result: "broken", Faults: []string{err.Error()}}))
+	case !m.sec.Leader(now) || m.holder == nil || now < m.sec.Calm(): // an earlier leader's shares may stand
+		m.back(n, leadercall.Other, nil)
+	case m.overtaken(n, w.Service):
+		m.back(n, leadercall.Other, nil)
+	default:
+		m.back(n, http.StatusOK, leadercall.Pack(m.holder.Asked(now, n.From, w, m.sec.Replica.Lease()-now)))
+	}
+}
+
+// overtaken tells whether a later report of the same daemon came before this
+// one: what it says is in flight is no longer so.
+func (m *Controller) overtaken(n message.Message, service string) bool {
+	if n.Ref == 0 { // a build that doesn't number its calls
+		return false
+	}
+	id := service + "/" + n.From
+	last, now := m.wants[id], [2]uint64{n.Epoch, n.Ref}
+	if slices.Compare(now[:], last[:]) <= 0 {
+		return true
+	}
+	m.wants[id] = now
+	return false
+}
+
+// Works runs the leader's systems over its group, its once keys and its servers.
+//
+// Example: out := m.Works(now, sight)
+func (m *Controller) Works(now time.Duration, s Sight) (o Out) {
+	if !m.sec.Leader(now) {
+		m.holder = nil
+		return o
+	}
+	m.regroup(now, s, &o)
+	if m.partition == 0 {
+		return o
+	}
+	if m.holder == nil {
+		m.holder, m.dirty = placement.New(m.cfg.Works, m.sec.Replica.Num(), m.sec.Replica.Since()), true
+	}
+	m.floor(now, &o)
+	h := m.holder
+	h.Strain = s.Strain
+	if s.OkPlan && s.OkZones && (m.dirty || m.seen != [2]message.Ver{s.Plan.Ver, s.Zones.Ver}) {
+		h.Plan(m.plans.Open(s.Plan), fleetconfig.Zones(s.Zones))
+		m.seen = [2]message.Ver{s.Plan.Ver, s.Zones.Ver}
+		m.dirty = !m.load(now)
+	}
+	t := h.Tick(now)
+	for _, text := range t.Notes {
+		o.say("servers", "%s", text)
+	}
+	for _, w := range t.Writes {
+		o.add(m.writeServerRecord(now, h, w))
+	}
+	o.Polls, o.Orders = append(o.Polls, t.Polls...), append(o.Orders, t.Orders...)
+	return o
+}
+
+// Term is the term of the holder at work here, 0 if none.
+//
+// Example: term := m.Term()
+func (m *Controller) Term() uint64 {
+	if m.holder == nil {
+		return 0
+	}
+	return m.sec.Replica.Num()
+}
+
+// MayOrder looks once more, just before an order goes out.
+//
+// Example: if m.MayOrder(now, order.Term) { send(order) }
+func (m *Controller) MayOrder(now time.Duration, term uint64) bool {
+	return m.holder != nil && m.sec.Leader(now) && m.sec.Replica.Num() == term
+}
+
+// Polled takes a server's reply to a poll of this term, or its silence.
+//
+// Example: m.Polled(now, term, key, usage, true)
+func (m *Controller) Polled(now time.Duration, term uint64, key string, u placement.Usage, ok bool) {
+	if m.Term() == term && m.holder != nil {
+		m.holder.Polled(now, key, u, ok)
+	}
+}
+
+// Ordered takes a server's reply to an order.
+//
+// Example: m.Ordered(now, order, true)
+func (m *Controller) Ordered(now time.Duration, ord placement.Order, ok bool) {
+	if m.Term() == ord.Term && m.holder != nil {
+		m.holder.Ordered(now, ord.Key, ord, ok)
+	}
+}
+
+// Rows is the holder's table of servers.
+//
+// Example: for _, r := range m.Rows(now) { show(r) }
+func (m *Controller) Rows(now time.Duration) []placement.Row {
+	if m.holder == nil {
+		return nil
+	}
+	return m.holder.Rows(now)
+}
+
+// floor lets once keys go that are older than the retention. What an earlier
+// leader wrote counts as written when this one took over.
+func (m *Controller) floor(now time.Duration, o *Out) {
+	if n := len(m.marks); n == 0 || now-m.marks[n-1].at > m.cfg.Keep/8 {
+		m.marks = append(m.marks, mark{now, m.sec.Replica.Seq()})
+	}
+	if now-m.marks[0].at <= m.cfg.Keep {
+		return
+	}
+	val := leadercall.Pack(m.marks[0].ver)
+	m.marks = m.marks[1:]
+	o.add(m.Do(now, partition.Job{Keys: []string{quorum.FloorKey}, Make: func(lease.Source) ([]message.Rec, any) {
+		return []message.Rec{{Key: quorum.FloorKey, Val: val}}, nil
+	}}, nil))
+}
+
+// load hands the committed lists and server records of this partition to the holder; it
+// says false if one is being written just now.
+func (m *Controller) load(now time.Duration) bool {
+	whole := true
+	lists := map[string]fleetconfig.List{}
+	serverRecords := map[string]map[string]placement.ServerRecord{}
+	for r := range m.sec.Replica.Records().All() {
+		kind, rest, _ := strings.Cut(r.Key, "/")
+		if kind != "list" && kind != "berth" {
+			continue
+		}
+		cur, ok := m.sec.Node.Get(now, r.Key)
+		whole = whole && ok
+		if !ok || cur.Dead {
+			continue
+		}
+		svc, _, _ := strings.Cut(rest, "/")
+		if kind == "list" {
+			lists[svc] = fleetconfig.OpenList(cur)
+		} else if b, ok := placement.OpenServerRecord(cur); ok {
+			if serverRecords[svc] == nil {
+				serverRecords[svc] = map[string]placement.ServerRecord{}
+			}
+			serverRecords[svc][r.Key] = b
+		}
+	}
+	for svc, l := range lists {
+		m.holder.Load(now, svc, l, serverRecords[svc])
+	}
+	return whole
+}
+
+func (m *Controller) writeServerRecord(now time.Duration, h *placement.Holder, w placement.Write) Out {
+	return m.Do(now, partition.Job{Keys: []string{w.Key}, Make: func(lease.Source) ([]message.Rec, any) {
+		return []message.Rec{{Key: w.Key, Val: w.Val, Dead: w.Gone}}, nil
+	}}, func(r partition.Result) {
+		b, _ := placement.OpenServerRecord(message.Rec{Key: w.Key, Val: w.Val, Dead: w.Gone})
+		m.dirty = true
+		if m.holder == h {
+			h.Wrote(w.Key, b, r.Fate == partition.Done)
+		}
+	})
+}
+
+// regroup keeps the wanted replicas of all partitions (kept in one record) and moves
+// this partition's group towards them.
+func (m *Controller) regroup(now time.Duration, s Sight, o *Out) {
+	if !s.OkReplicas {
+		return
+	}
+	want := openReplicas(s.Replicas)
+	replica := m.sec.Replica
+	if g := replica.Group(); g.Num != m.group {
+		m.group = g.Num
+		o.say("seats", "part %d: group %d is %v next %v", m.partition, g.Num, g.Replicas, g.Next)
+	}
+	if m.partition == 0 {
+		next, change := want, false
+		if len(want) == 0 {
+			next, change = replica.Group().Replicas, true
+		} else if len(replica.Group().Next) == 0 {
+			next, change = s.Vacant(want)
+		}
+		if change {
+			o.say("seats", "wanted seats become %v", next)
+			val := leadercall.Pack(next)
+			o.add(m.Do(now, partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Make: func(read lease.Source) ([]message.Rec, any) {
+				if cur := read(fleetconfig.ReplicaKey); cur.Ver != s.Replicas.Ver {
+					return nil, nil
+				}
+				return []message.Rec{{Key: fleetconfig.ReplicaKey, Val: val}}, nil
+			}}, nil))
+			return
+		}
+	}
+	if n := len(want); n > 0 && n == len(replica.Group().Replicas) {
+		o.add(m.wrap(m.sec.Regroup(now, want)))
+	}
+}
--- a/control/master/once_test.go
+++ b/control/leader/once_test.go
@@ -1,4 +1,4 @@
-package master
+package leader
 
 import (
 	"encoding/json"
@@ -6,45 +6,45 @@
 	"testing"
 	"time"
 
-	"mulleinmast/control/errand"
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/notary"
-	"mulleinmast/control/purge"
-	"mulleinmast/control/section"
-	"mulleinmast/control/survey"
-	"mulleinmast/control/tariff"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/digest"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/partition"
+	"mulleinmast/control/placement"
+	"mulleinmast/control/quorum"
+	"mulleinmast/wire/message"
 )
 
-var self = form.Seat{Ident: "o", Addr: "10.0.0.1:1"}
+var self = message.Replica{Ident: "o", Addr: "10.0.0.1:1"}
 
-// office is an owner that is alone in its group, with its disk at hand.
+// office is a leader that is alone in its group, with its disk at hand.
 type office struct {
-	t    *testing.T
-	m    *Master
-	now  time.Duration
-	book map[string]form.Rec // what the disk holds
-	meta notary.Meta
-	back []form.Note
+	t       *testing.T
+	m       *Controller
+	now     time.Duration
+	records map[string]message.Rec // what the disk holds
+	meta    quorum.Meta
+	back    []message.Message
 }
 
-// open makes an owner out of what the disk of another holds, or of nothing.
-func open(t *testing.T, part int, old *office) *office {
+// open makes a leader out of what the disk of another holds, or of nothing.
+func open(t *testing.T, number int, old *office) *office {
 	t.Helper()
-	a := &office{t: t, book: map[string]form.Rec{}, meta: notary.Meta{Group: form.Group{Num: 1, Seats: []form.Seat{self}}}}
-	held := survey.NewBook()
+	a := &office{t: t, records: map[string]message.Rec{}, meta: quorum.Meta{Group: message.Group{Num: 1, Replicas: []message.Replica{self}}}}
+	held := digest.NewRecords()
 	if old != nil {
 		a.meta = old.meta
-		for k, r := range old.book {
-			a.book[k] = r
+		for k, r := range old.records {
+			a.records[k] = r
 			held.Put(r)
 		}
 	}
-	duty := notary.Config{Duty: time.Second, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 333 * time.Millisecond}
-	tree := purge.Config{Vol: 800 * time.Millisecond, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 266 * time.Millisecond}
-	a.m = New(Config{Works: interlock.Config{Share: time.Second}, Keep: time.Hour}, part, self,
-		section.New(part, self, 1, notary.New(duty, part, self, a.meta, held, 0, true), purge.New(tree, part, self, 1)))
-	for a.step(); !a.m.Owner(a.now); a.step() {
+	quorumConfig := quorum.Config{LeaderLease: time.Second, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 333 * time.Millisecond}
+	tree := lease.Config{Vol: 800 * time.Millisecond, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 266 * time.Millisecond}
+	a.m = New(Config{Works: placement.Config{Share: time.Second}, Keep: time.Hour}, number, self,
+		partition.New(number, self, 1, quorum.New(quorumConfig, number, self, a.meta, held, 0, true), lease.New(tree, number, self, 1)))
+	for a.step(); !a.m.Leader(a.now); a.step() {
 		if a.now > time.Minute {
 			t.Fatal("no owner")
 		}
@@ -61,35 +61,35 @@
 	for _, s := range o.Saves {
 		a.meta = s.Meta
 		for _, r := range s.Recs {
-			a.book[r.Key] = r
+			a.records[r.Key] = r
 		}
 		a.carry(a.m.Saved(a.now, s.Ticket))
 	}
 	for _, m := range o.Sends {
-		if m.Note.Kind == form.Back {
-			a.back = append(a.back, m.Note)
+		if m.Message.Kind == message.Back {
+			a.back = append(a.back, m.Message)
 		}
 	}
 }
 
-// call hands a try of a daemon's call to the owner and returns the code and the
+// call hands a try of a daemon's call to the leader and returns the code and the
 // word that went back.
 func (a *office) call(from string, ref, no uint64, op string, body []byte) (int, string) {
 	a.t.Helper()
 	a.back = nil
-	a.carry(a.m.Hear(a.now, form.Note{Kind: form.Call, Part: a.m.part, From: from, Epoch: 1, Addr: "10.0.0.9:1", Ref: ref, No: no, Op: op, Body: body}))
+	a.carry(a.m.Hear(a.now, message.Message{Kind: message.Call, Partition: a.m.partition, From: from, Epoch: 1, Addr: "10.0.0.9:1", Ref: ref, No: no, Op: op, Body: body}))
 	if len(a.back) != 1 || a.back[0].Ref != no {
 		a.t.Fatalf("%s: replies %+v", op, a.back)
 	}
-	var w errand.Word
+	var w leadercall.Word
 	if err := json.Unmarshal(a.back[0].Body, &w); err != nil {
 		a.t.Fatal(err)
 	}
 	return a.back[0].Code, w.Result
 }
 
-func (a *office) read(key string) form.Rec {
-	r, ok := a.m.Section().Node.Get(a.now, key)
+func (a *office) read(key string) message.Rec {
+	r, ok := a.m.Partition().Node.Get(a.now, key)
 	if !ok {
 		a.t.Fatalf("%s is not served", key)
 	}
@@ -98,7 +98,7 @@
 
 // An evacuation or its end that was held up on its way, or sent a second time
 // since its reply was lost, undoes nothing that came between; nor when another
-// daemon has become owner meanwhile. Each try gets the first one's reply.
+// daemon has become leader meanwhile. Each try gets the first one's reply.
 func TestALateTryUndoesNothing(t *testing.T) {
 	for what, x := range map[string]struct {
 		late string // came first and comes again at the end
@@ -132,26 +132,28 @@
 				a = open(t, 0, a)
 			}
 			call("p", 7, x.late)
-			if out := tariff.Cells(a.read(tariff.CellKey))["north"]; out != x.out {
+			if out := fleetconfig.Zones(a.read(fleetconfig.ZoneKey))["north"]; out != x.out {
 				t.Errorf("%s, owner changed %v: north is out: %v", what, moved, out)
 			}
 			call("p", 8, x.late) // a call of its own is carried out
-			if out := tariff.Cells(a.read(tariff.CellKey))["north"]; out == x.out {
+			if out := fleetconfig.Zones(a.read(fleetconfig.ZoneKey))["north"]; out == x.out {
 				t.Errorf("%s, owner changed %v: a new call did nothing", what, moved)
 			}
 		}
 	}
 }
 
-// So with a seat that is given away and back, one that could not be given away
+// So with a replica that is given away and back, one that could not be given away
 // at first, and a list of servers without a version.
-func TestALateSeatOrListUndoesNothing(t *testing.T) {
+func TestALateReplicaOrListUndoesNothing(t *testing.T) {
 	a := open(t, 0, nil)
-	seats := []form.Seat{self, {Ident: "b", Addr: "10.0.0.2:1"}, {Ident: "c", Addr: "10.0.0.3:1"}}
-	a.carry(a.m.Do(a.now, section.Job{Keys: []string{tariff.SeatKey}, Make: func(purge.Source) ([]form.Rec, any) {
-		return []form.Rec{{Key: tariff.SeatKey, Val: errand.Pack(seats)}}, nil
-	}}, func(section.Result) {}))
-	move := func(out, in string) []byte { return errand.Pack(SeatCall{Out: out, Ident: in, Addr: "10.0.0.4:1"}) }
+	replicas := []message.Replica{self, {Ident: "b", Addr: "10.0.0.2:1"}, {Ident: "c", Addr: "10.0.0.3:1"}}
+	a.carry(a.m.Do(a.now, partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Make: func(lease.Source) ([]message.Rec, any) {
+		return []message.Rec{{Key: fleetconfig.ReplicaKey, Val: leadercall.Pack(replicas)}}, nil
+	}}, func(partition.Result) {}))
+	move := func(out, in string) []byte {
+		return leadercall.Pack(ReplicaCall{Out: out, Ident: in, Addr: "10.0.0.4:1"})
+	}
 	for i, x := range []struct {
 		ref  uint64
 		body []byte
@@ -161,21 +163,21 @@
 		if _, w := a.call("p", x.ref, uint64(i+1), "seat", x.body); w != x.want {
 			t.Errorf("%d: %s", i, w)
 		}
-		if g := (form.Group{Seats: openSeats(a.read(tariff.SeatKey))}); !g.Has(x.has) {
-			t.Errorf("%d: %v lacks %s", i, g.Seats, x.has)
+		if g := (message.Group{Replicas: openReplicas(a.read(fleetconfig.ReplicaKey))}); !g.Has(x.has) {
+			t.Errorf("%d: %v lacks %s", i, g.Replicas, x.has)
 		}
 	}
 
 	b := open(t, 1, nil)
 	list := func(leaving bool) []byte {
-		return errand.Pack(ServersCall{"m", tariff.List{Servers: []tariff.Server{{Addr: "10.0.0.1:1", Cell: "a", Capacity: 8, Leaving: leaving}}}})
+		return leadercall.Pack(ServersCall{"m", fleetconfig.List{Servers: []fleetconfig.Server{{Addr: "10.0.0.1:1", Zone: "a", Capacity: 8, Leaving: leaving}}}})
 	}
 	for no, leaving := range []bool{false, true, false} { // the third is the first again
 		if code, w := b.call("p", uint64(no%2+1), uint64(no+1), "servers", list(leaving)); code != 200 || w != "done" {
 			t.Errorf("%d %s", code, w)
 		}
 	}
-	if !tariff.OpenList(b.read(tariff.ListKey("m"))).Servers[0].Leaving {
+	if !fleetconfig.OpenList(b.read(fleetconfig.ListKey("m"))).Servers[0].Leaving {
 		t.Error("a list that came a second time brought a leaving server back")
 	}
 }
@@ -192,7 +194,7 @@
 	}
 	for no, op := range []string{"evacuate", "return", "evacuate"} {
 		a.call("old", 0, uint64(no+1), op, []byte("south"))
-		if out := tariff.Cells(a.read(tariff.CellKey))["south"]; out != (op == "evacuate") {
+		if out := fleetconfig.Zones(a.read(fleetconfig.ZoneKey))["south"]; out != (op == "evacuate") {
 			t.Errorf("%s by an older build: south is out: %v", op, out)
 		}
 	}
@@ -205,7 +207,7 @@
 	no := uint64(0)
 	call := func(op, req, state string) string {
 		no++
-		_, w := a.call("p", no, no, op, errand.Pack(ClaimCall{"t/k", errand.Claim{Request: req, State: state}}))
+		_, w := a.call("p", no, no, op, leadercall.Pack(ClaimCall{"t/k", leadercall.Claim{Request: req, State: state}}))
 		return w
 	}
 	for _, req := range []string{"r1", "r2", "r3"} {
@@ -226,32 +228,32 @@
 // has in flight now.
 func TestALateReportIsDropped(t *testing.T) {
 	a := open(t, 1, nil)
-	a.m.holder = interlock.New(interlock.Config{Share: time.Second}, 1, 0)
+	a.m.holder = placement.New(placement.Config{Share: time.Second}, 1, 0)
 	want := func(ref uint64, epoch uint64) int {
 		a.back = nil
-		a.carry(a.m.Hear(a.now, form.Note{Kind: form.Call, Part: 1, From: "p", Epoch: epoch, Ref: ref, No: ref, Op: "want", Body: errand.Pack(interlock.Want{Service: "m"})}))
+		a.carry(a.m.Hear(a.now, message.Message{Kind: message.Call, Partition: 1, From: "p", Epoch: epoch, Ref: ref, No: ref, Op: "want", Body: leadercall.Pack(placement.Want{Service: "m"})}))
 		return a.back[0].Code
 	}
 	for i, x := range []struct {
 		ref, epoch uint64
 		code       int
-	}{{4, 1, 200}, {6, 1, 200}, {5, 1, errand.Other}, {1, 2, 200}, {7, 1, errand.Other}, {2, 2, 200}} {
+	}{{4, 1, 200}, {6, 1, 200}, {5, 1, leadercall.Other}, {1, 2, 200}, {7, 1, leadercall.Other}, {2, 2, 200}} {
 		if code := want(x.ref, x.epoch); code != x.code {
 			t.Errorf("%d: number %d of life %d: %d", i, x.ref, x.epoch, code)
 		}
 	}
 }
 
-// Shares that an owner gave out before its daemon was gone stand as long as its
+// Shares that a leader gave out before its daemon was gone stand as long as its
 // leases: the next one, elected early, gives out none until then.
 func TestNoSharesWhileOlderOnesStand(t *testing.T) {
 	a := open(t, 1, nil)
-	a.m.holder = interlock.New(interlock.Config{Share: time.Second}, 1, 0)
+	a.m.holder = placement.New(placement.Config{Share: time.Second}, 1, 0)
 	calm := a.now + time.Second
-	a.m.Section().Calm = func() time.Duration { return calm }
-	for ref, want := range []int{errand.Other, 200} {
+	a.m.Partition().Calm = func() time.Duration { return calm }
+	for ref, want := range []int{leadercall.Other, 200} {
 		a.back = nil
-		a.carry(a.m.Hear(a.now, form.Note{Kind: form.Call, Part: 1, From: "p", Epoch: 1, Ref: uint64(ref + 1), No: uint64(ref + 1), Op: "want", Body: errand.Pack(interlock.Want{Service: "m"})}))
+		a.carry(a.m.Hear(a.now, message.Message{Kind: message.Call, Partition: 1, From: "p", Epoch: 1, Ref: uint64(ref + 1), No: uint64(ref + 1), Op: "want", Body: leadercall.Pack(placement.Want{Service: "m"})}))
 		if a.back[0].Code != want {
 			t.Errorf("%v before the calm: %d", calm-a.now, a.back[0].Code)
 		}
--- /dev/null
+++ b/control/leader/plan_test.go
@@ -0,0 +1,48 @@
+package leader
+
+import (
+	"testing"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/wire/message"
+)
+
+// A daemon may pass a plan or changes on packed: the leader does the same with
+// them as with plain ones, and names one that can't be opened.
+func TestPackedCalls(t *testing.T) {
+	plan := fleetconfig.Plan{ID: "p", Number: 4, Tenants: []fleetconfig.Tenant{}, Services: []fleetconfig.Service{{Name: "m", PrefillServers: 1, DecodeServers: 1}},
+		Routes: []fleetconfig.Route{{Name: "r", Host: "h", Prefix: "/", Kind: fleetconfig.Safe, GiveUp: 5, Services: []fleetconfig.Share{{Service: "m", Weight: 1}}}}}
+	drop := fleetconfig.Changes{ID: "c", Base: 4, Number: 9, Changes: []fleetconfig.Change{{Op: "drop-route", Name: "r"}}}
+	cur := message.Rec{Key: fleetconfig.PlanKey, Dead: true}
+	do := func(op string, body []byte) (fleetconfig.Verdict, string) {
+		j, fault := job(new(fleetconfig.PlanReader), "", op, body)
+		if fault != "" {
+			return fleetconfig.Verdict{}, fault
+		}
+		recs, word := j.Make(func(string) message.Rec { return cur })
+		for _, r := range recs {
+			cur = r
+		}
+		return word.(fleetconfig.Verdict), ""
+	}
+	for i, x := range []struct {
+		op   string
+		body any
+		ver  uint64
+		left int
+	}{{"plan", plan, 4, 1}, {"changes", drop, 9, 0}} {
+		body, err := fleetconfig.Pack(x.body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range [][]byte{body, leadercall.Pack(x.body)} { // the second is the first sent again
+			if v, fault := do(x.op, b); fault != "" || v.Result != "taken" || v.Version != x.ver || len(fleetconfig.Open(cur).Routes) != x.left {
+				t.Errorf("%d: %+v %s", i, v, fault)
+			}
+		}
+		if _, fault := do(x.op, body[:len(body)/2]); fault == "" {
+			t.Errorf("%d: cut short and not named", i)
+		}
+	}
+}
--- /dev/null
+++ b/control/leadercall/leadercall.go
@@ -0,0 +1,169 @@
+// Package call carries a call to the leader of a partition, wherever that is, and
+// waits out a change of leader. It is a plain state machine: a call that was
+// sent and not answered is "uncertain", one that nobody took is "not done". All
+// tries of a call go under one number, so that a leader carries it out once.
+package leadercall
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"mulleinmast/wire/message"
+)
+
+// Codes of control replies beside those of HTTP.
+const (
+	Other     = http.StatusMisdirectedRequest // not the leader
+	Uncertain = http.StatusGatewayTimeout
+	NotDone   = http.StatusServiceUnavailable
+)
+
+// Config holds the bounds of a call.
+type Config struct {
+	Try   time.Duration // a leader's word is waited for this long
+	Pause time.Duration // between tries
+	After time.Duration // what a caller who got no word is told to wait
+}
+
+// Done is the end of a call.
+type Done struct {
+	No   uint64
+	Code int
+	Body []byte
+}
+
+// Out is what a step asks for.
+type Out struct {
+	Sends []message.Send
+	Done  []Done
+}
+
+type call struct {
+	partition int
+	op        string
+	body      []byte
+	until     time.Duration
+	once      bool // one try only
+	due       time.Duration
+	ref       uint64 // of the message that is out, if any
+	lost      bool   // a try was sent and had no word
+}
+
+// Calls are the calls under way.
+type Calls struct {
+	cfg   Config
+	no    uint64
+	calls map[uint64]*call
+	refs  map[uint64]uint64 // message -> call
+}
+
+// New makes an empty set of calls.
+//
+// Example: e := leadercall.New(leadercall.Config{Try: time.Second, Pause: 25 * time.Millisecond})
+func New(cfg Config) *Calls {
+	return &Calls{cfg: cfg, calls: map[uint64]*call{}, refs: map[uint64]uint64{}}
+}
+
+// Start begins a call; once says that one try is enough.
+//
+// Example: no, out := e.Start(now, leader, 0, "plan", body, now+4*time.Second, false)
+func (e *Calls) Start(now time.Duration, own message.Replica, partition int, op string, body []byte, until time.Duration, once bool) (no uint64, o Out) {
+	e.no++
+	no = e.no
+	c := &call{partition: partition, op: op, body: body, until: until, once: once, due: now}
+	e.calls[no] = c
+	e.try(now, no, c, own, &o)
+	return no, o
+}
+
+func (e *Calls) try(now time.Duration, no uint64, c *call, own message.Replica, o *Out) {
+	if own.Ident == "" {
+		if c.once {
+			e.end(no, c, o)
+			return
+		}
+		c.due = now + e.cfg.Pause
+		return
+	}
+	e.no++
+	c.ref, c.due = e.no, now+e.cfg.Try
+	e.refs[e.no] = no
+	o.Sends = append(o.Sends, message.Send{Addr: own.Addr, Message: message.Message{Kind: message.Call, Partition: c.partition, To: own.Ident, No: e.no, Ref: no, Op: c.op, Body: c.body}})
+}
+
+// Hear takes a leader's word.
+//
+// Example: out := e.Hear(now, message)
+func (e *Calls) Hear(now time.Duration, n message.Message) (o Out) {
+	no, ok := e.refs[n.Ref]
+	c := e.calls[no]
+	if !ok || c == nil {
+		return o
+	}
+	delete(e.refs, n.Ref)
+	if c.ref == n.Ref {
+		c.ref = 0
+	}
+	switch {
+	case n.Code == Other && !c.once:
+		if c.ref == 0 {
+			c.due = now + e.cfg.Pause
+		}
+	case n.Code == Other || n.Code == Uncertain:
+		c.lost = c.lost || n.Code == Uncertain
+		e.end(no, c, &o)
+	default:
+		e.drop(no, c)
+		o.Done = append(o.Done, Done{no, n.Code, n.Body})
+	}
+	return o
+}
+
+// Drop forgets a call whose caller went away.
+//
+// Example: e.Drop(no)
+func (e *Calls) Drop(no uint64) {
+	if c := e.calls[no]; c != nil {
+		e.drop(no, c)
+	}
+}
+
+func (e *Calls) drop(no uint64, c *call) {
+	delete(e.calls, no)
+	for ref, of := range e.refs {
+		if of == no {
+			delete(e.refs, ref)
+		}
+	}
+}
+
+// end gives a call up with what is known of it.
+func (e *Calls) end(no uint64, c *call, o *Out) {
+	e.drop(no, c)
+	w, code := Word{Result: "not done", Why: "part " + strconv.Itoa(c.partition) + " has no owner now", After: e.cfg.After.Milliseconds()}, NotDone
+	if c.lost || c.ref != 0 {
+		w, code = Word{Result: "uncertain", Why: "no word from the owner of part " + strconv.Itoa(c.partition) + "; ask again with the same id", After: e.cfg.After.Milliseconds()}, Uncertain
+	}
+	o.Done = append(o.Done, Done{no, code, Pack(w)})
+}
+
+// Tick lets time pass; own names a partition's leader as far as known.
+//
+// Example: out := e.Tick(now, func(partition int) message.Replica { return view.Owns[partition].Replica })
+func (e *Calls) Tick(now time.Duration, own func(int) message.Replica) (o Out) {
+	for _, no := range slices.Sorted(maps.Keys(e.calls)) {
+		c := e.calls[no]
+		switch {
+		case now >= c.until || now >= c.due && c.once:
+			e.end(no, c, &o)
+		case now >= c.due:
+			c.lost = c.lost || c.ref != 0
+			c.ref = 0
+			e.try(now, no, c, own(c.partition), &o)
+		}
+	}
+	return o
+}
--- a/control/errand/errand_test.go
+++ b/control/leadercall/leadercall_test.go
@@ -1,16 +1,16 @@
-package errand
+package leadercall
 
 import (
 	"encoding/json"
 	"testing"
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 var (
 	cfg = Config{Try: 400 * time.Millisecond, Pause: 25 * time.Millisecond, After: 2 * time.Second}
-	own = form.Seat{Ident: "o", Addr: "10.0.0.1:1"}
+	own = message.Replica{Ident: "o", Addr: "10.0.0.1:1"}
 )
 
 func word(t *testing.T, d []Done) Word {
@@ -26,11 +26,11 @@
 // "uncertain"; neither waits past its budget, both say when to come back.
 func TestFateOfACall(t *testing.T) {
 	for what, x := range map[string]struct {
-		own  form.Seat
+		own  message.Replica
 		back int
 		want string
 	}{
-		"no owner":      {form.Seat{}, 0, "not done"},
+		"no owner":      {message.Replica{}, 0, "not done"},
 		"silent owner":  {own, 0, "uncertain"},
 		"not the owner": {own, Other, "not done"},
 		"owner unsure":  {own, Uncertain, "uncertain"},
@@ -42,10 +42,10 @@
 		for ; now < 4*time.Second && len(done) == 0; now += 10 * time.Millisecond {
 			for _, m := range o.Sends {
 				if x.back != 0 {
-					done = append(done, e.Hear(now, form.Note{Ref: m.Note.No, Code: x.back}).Done...)
+					done = append(done, e.Hear(now, message.Message{Ref: m.Message.No, Code: x.back}).Done...)
 				}
 			}
-			o = e.Tick(now, func(int) form.Seat { return x.own })
+			o = e.Tick(now, func(int) message.Replica { return x.own })
 			done = append(done, o.Done...)
 		}
 		if w := word(t, done); w.Result != x.want || w.After <= 0 || now > 2100*time.Millisecond {
@@ -55,35 +55,35 @@
 }
 
 // A reply to an earlier try counts; a second one, or one to nobody, does not.
-func TestLateAndStrayReplies(t *testing.T) {
+func TestLateAndStrayResponses(t *testing.T) {
 	e := New(cfg)
 	no, o := e.Start(0, own, 0, "plan", nil, 4*time.Second, false)
-	first := o.Sends[0].Note.No
-	if o = e.Tick(500*time.Millisecond, func(int) form.Seat { return own }); len(o.Sends) != 1 {
+	first := o.Sends[0].Message.No
+	if o = e.Tick(500*time.Millisecond, func(int) message.Replica { return own }); len(o.Sends) != 1 {
 		t.Fatalf("not sent again: %+v", o)
 	}
-	if d := e.Hear(time.Second, form.Note{Ref: 999, Code: 200}).Done; len(d) > 0 {
+	if d := e.Hear(time.Second, message.Message{Ref: 999, Code: 200}).Done; len(d) > 0 {
 		t.Errorf("a stray reply ended %+v", d)
 	}
-	if d := e.Hear(time.Second, form.Note{Ref: first, Code: 200}).Done; len(d) != 1 || d[0].No != no {
+	if d := e.Hear(time.Second, message.Message{Ref: first, Code: 200}).Done; len(d) != 1 || d[0].No != no {
 		t.Errorf("a late reply ended %+v", d)
 	}
-	if d := e.Hear(time.Second, form.Note{Ref: o.Sends[0].Note.No, Code: 409}).Done; len(d) > 0 {
+	if d := e.Hear(time.Second, message.Message{Ref: o.Sends[0].Message.No, Code: 409}).Done; len(d) > 0 {
 		t.Errorf("a second reply ended %+v", d)
 	}
 }
 
-// Every try of a call goes under the call's own number, so that an owner knows
+// Every try of a call goes under the call's own number, so that a leader knows
 // one that it has carried out; the try's number tells the replies apart.
 func TestTriesOfOneCall(t *testing.T) {
 	e := New(cfg)
 	_, first := e.Start(0, own, 0, "return", nil, 4*time.Second, false)
 	_, other := e.Start(0, own, 0, "return", nil, 4*time.Second, false)
-	again := e.Tick(500*time.Millisecond, func(int) form.Seat { return form.Seat{Ident: "p", Addr: "10.0.0.2:1"} })
+	again := e.Tick(500*time.Millisecond, func(int) message.Replica { return message.Replica{Ident: "p", Addr: "10.0.0.2:1"} })
 	if len(again.Sends) != 2 {
 		t.Fatalf("%+v", again)
 	}
-	a, b, c := first.Sends[0].Note, again.Sends[0].Note, other.Sends[0].Note
+	a, b, c := first.Sends[0].Message, again.Sends[0].Message, other.Sends[0].Message
 	if a.Ref == 0 || a.Ref != b.Ref || a.No == b.No || a.Ref == c.Ref {
 		t.Errorf("tries go as %d/%d and %d/%d, another call as %d/%d", a.Ref, a.No, b.Ref, b.No, c.Ref, c.No)
 	}
--- a/control/errand/word.go
+++ b/control/leadercall/word.go
@@ -1,4 +1,4 @@
-package errand
+package leadercall
 
 import "encoding/json"
 
@@ -6,7 +6,7 @@
 type Claim struct {
 	Request string   `json:"request"`
 	Daemon  string   `json:"daemon"`
-	State   string   `json:"state"`          // claimed, shed, done
+	State   string   `json:"state"`          // claimed, refused, done
 	Past    []string `json:"past,omitempty"` // requests that gave the key back, kept with the record only
 }
 
@@ -23,7 +23,7 @@
 
 // Pack makes JSON of one of our own types.
 //
-// Example: body := errand.Pack(errand.Word{Result: "done"})
+// Example: body := leadercall.Pack(leadercall.Word{Result: "done"})
 func Pack(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
--- a/control/purge/child.go
+++ b/control/lease/child.go
@@ -1,21 +1,21 @@
-package purge
+package lease
 
 import (
 	"sort"
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Adopt sets the parent. The old one's lease goes on being honoured until the
 // new one has confirmed our records.
 //
-// Example: out := n.Adopt(now, seat)
-func (n *Node) Adopt(now time.Duration, p form.Seat) (o Out) {
+// Example: out := n.Adopt(now, replica)
+func (n *Node) Adopt(now time.Duration, p message.Replica) (o Out) {
 	if n.root || p.Ident == n.me.Ident || p == n.parent {
 		return o
 	}
-	n.parent, n.pmark = p, form.Mark{}
+	n.parent, n.pmark = p, message.Mark{}
 	n.reqs, n.listAt = map[uint64]ask{}, 0
 	n.backAt, n.stale = now, true
 	n.unask()
@@ -32,7 +32,7 @@
 }
 
 // hurry asks for what is wanted at once, but for what comes in a row only
-// once, a little later: each renewal is a note up and a note down.
+// once, a little later: each renewal is a message up and a message down.
 func (n *Node) hurry(now time.Duration, o *Out) {
 	if now-n.sentAt < n.cfg.Beat/16 {
 		n.late = true
@@ -69,7 +69,7 @@
 	if n.sentAt = now; n.vain == 0 {
 		n.vain = now
 	}
-	o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: form.Note{Kind: form.Renew, Part: n.part, No: n.no, Mark: n.pmark, Keys: keys, To: n.parent.Ident, Cost: int64(n.cost)}})
+	o.Sends = append(o.Sends, message.Send{Addr: n.parent.Addr, Message: message.Message{Kind: message.Renew, Partition: n.partition, No: n.no, Mark: n.pmark, Keys: keys, To: n.parent.Ident, Cost: int64(n.cost)}})
 }
 
 // unask has everything wanted asked for again: whoever was asked won't say.
@@ -79,22 +79,22 @@
 	}
 }
 
-func (n *Node) fromParent(now time.Duration, m form.Note, o *Out) {
+func (n *Node) fromParent(now time.Duration, m message.Message, o *Out) {
 	if m.Mark.Ident != m.From {
 		return
 	}
-	if m.Kind == form.Steer && m.Why == "return" {
+	if m.Kind == message.Steer && m.Why == "return" {
 		o.Steer = m.Hint
 		return
 	}
 	if m.Num != n.epoch {
-		return // meant for an earlier life of ours: the granter notes it there
+		return // meant for an earlier life of ours: the granter messages it there
 	}
-	if m.Kind == form.Purge {
+	if m.Kind == message.Invalidate {
 		// Whoever says so, dropping a record is safe; the number makes a grant
-		// that was overtaken by this purge come too late.
+		// that was overtaken by this invalidation come too late.
 		n.heard[m.Mark] = max(n.heard[m.Mark], m.No)
-		n.sweep(now, m.Key, &back{seat: form.Seat{Ident: m.From, Addr: m.Addr}, ref: m.Ref, mark: m.Mark}, 0, o)
+		n.sweep(now, m.Key, &back{replica: message.Replica{Ident: m.From, Addr: m.Addr}, ref: m.Ref, mark: m.Mark}, 0, o)
 		return
 	}
 	if n.root || m.From != n.parent.Ident || m.No <= n.heard[m.Mark] {
@@ -103,7 +103,7 @@
 	n.heard[m.Mark] = m.No
 	n.backAt = now
 	switch m.Kind {
-	case form.Reconnect:
+	case message.Reconnect:
 		// One at a time: two that overlap would undo one another for ever.
 		if n.listAt > 0 && now-n.listAt < n.cfg.Beat/2 {
 			return
@@ -111,15 +111,15 @@
 		n.listAt = now
 		n.no++
 		n.reqs[n.no] = ask{at: now}
-		list := form.Note{Kind: form.Listing, Part: n.part, No: n.no, Mark: m.Mark, To: n.parent.Ident}
+		list := message.Message{Kind: message.Listing, Partition: n.partition, No: n.no, Mark: m.Mark, To: n.parent.Ident}
 		for key, c := range n.objs {
 			if now < c.till {
-				list.Recs = append(list.Recs, form.Rec{Key: key, Ver: c.rec.Ver, Dead: c.rec.Dead})
+				list.Recs = append(list.Recs, message.Rec{Key: key, Ver: c.rec.Ver, Dead: c.rec.Dead})
 			}
 		}
 		sort.Slice(list.Recs, func(i, j int) bool { return list.Recs[i].Key < list.Recs[j].Key })
-		o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: list})
-	case form.Synced:
+		o.Sends = append(o.Sends, message.Send{Addr: n.parent.Addr, Message: list})
+	case message.Synced:
 		req, ok := n.reqs[m.Ref]
 		if !ok {
 			return
@@ -127,7 +127,7 @@
 		delete(n.reqs, m.Ref)
 		n.vain = 0
 		n.costed(now - req.at)
-		keep := map[string]form.Rec{}
+		keep := map[string]message.Rec{}
 		for _, r := range m.Recs {
 			keep[r.Key] = r
 		}
@@ -142,7 +142,7 @@
 		}
 		n.pmark = m.Mark
 		n.till = req.at + time.Duration(m.Len)
-		o.Sends = append(o.Sends, form.Send{Addr: n.parent.Addr, Note: form.Note{Kind: form.Connect, Part: n.part, Ref: m.No, Mark: m.Mark, To: n.parent.Ident}})
+		o.Sends = append(o.Sends, message.Send{Addr: n.parent.Addr, Message: message.Message{Kind: message.Connect, Partition: n.partition, Ref: m.No, Mark: m.Mark, To: n.parent.Ident}})
 		for key := range n.pins {
 			if _, ok := n.Get(now, key); !ok {
 				n.fetch(now, key)
@@ -152,8 +152,8 @@
 		if len(n.want) > 0 {
 			n.renew(now, o)
 		}
-		n.replyKids(now, o)
-	case form.Grant:
+		n.answerChildren(now, o)
+	case message.Grant:
 		if m.Mark != n.pmark {
 			return
 		}
@@ -174,10 +174,10 @@
 			o.Fresh = append(o.Fresh, r.Key)
 			n.serve(now, r.Key, o)
 		}
-		n.replyKids(now, o)
-	case form.Deny:
+		n.answerChildren(now, o)
+	case message.Deny:
 		o.Orphan = true
-	case form.Steer:
+	case message.Steer:
 		o.Steer = m.Hint
 	}
 }
--- a/control/purge/gen_test.go
+++ b/control/lease/gen_test.go
@@ -1,4 +1,4 @@
-package purge
+package lease
 
 import (
 	"testing"
@@ -6,15 +6,15 @@
 
 	"pgregory.net/rapid"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // A snapshot that was read at the root stands only while Gen is the same, so
-// holding a record must change it, and so must freeing it: the owner's own
+// holding a record must change it, and so must freeing it: the leader's own
 // reads once went on from a list that was being written.
 func TestGenTellsOfARecordThatIsHeldAtTheRoot(t *testing.T) {
-	n := New(cfg, 0, form.Seat{Ident: "p", Addr: "p"}, 1)
-	n.Crown(1, func(key string) form.Rec { return form.Rec{Key: key} }, func() time.Duration { return time.Hour })
+	n := New(cfg, 0, message.Replica{Ident: "p", Addr: "p"}, 1)
+	n.Crown(1, func(key string) message.Rec { return message.Rec{Key: key} }, func() time.Duration { return time.Hour })
 	before := n.Gen()
 	if _, ok := n.Get(0, "k"); !ok {
 		t.Fatal("the root doesn't serve it")
@@ -39,25 +39,25 @@
 func TestWhatWasReadStandsWhileGenIsTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := map[string]uint64{"a": 1, "b": 1}
-		n := New(cfg, 0, form.Seat{Ident: "c", Addr: "c"}, 1)
+		n := New(cfg, 0, message.Replica{Ident: "c", Addr: "c"}, 1)
 		now, no, held := time.Second, uint64(0), map[string]int{}
-		mark := form.Mark{Ident: "p", Epoch: 1}
+		mark := message.Mark{Ident: "p", Epoch: 1}
 		lists := map[uint64]bool{}
 		take := func(o Out) {
 			for _, s := range o.Sends {
-				if s.Note.Kind == form.Listing {
-					lists[s.Note.No] = true
+				if s.Message.Kind == message.Listing {
+					lists[s.Message.No] = true
 				}
 			}
 		}
-		hear := func(m form.Note) {
+		hear := func(m message.Message) {
 			no++
 			m.From, m.Addr, m.Mark, m.No, m.Num = "p", "p", mark, no, 1
 			take(n.Hear(now, m))
 		}
 		n.Pin(now, "a")
 		n.Pin(now, "b")
-		take(n.Adopt(now, form.Seat{Ident: "p", Addr: "p"}))
+		take(n.Adopt(now, message.Replica{Ident: "p", Addr: "p"}))
 		type seen struct {
 			ver uint64
 			ok  bool
@@ -77,11 +77,11 @@
 				now += rapid.SampledFrom([]time.Duration{1, time.Millisecond, 300 * time.Millisecond, time.Second}).Draw(t, "passes")
 				take(n.Tick(now))
 			case 1:
-				hear(form.Note{Kind: form.Reconnect})
+				hear(message.Message{Kind: message.Reconnect})
 			case 2:
 				for ref := range lists {
 					delete(lists, ref)
-					hear(form.Note{Kind: form.Synced, Ref: ref, Len: int64(cfg.Vol), Long: int64(cfg.Obj)})
+					hear(message.Message{Kind: message.Synced, Ref: ref, Len: int64(cfg.Vol), Long: int64(cfg.Obj)})
 					break
 				}
 			case 3:
@@ -89,13 +89,13 @@
 					continue // there a record changes only while it is held
 				}
 				store[key]++
-				hear(form.Note{Kind: form.Grant, Recs: []form.Rec{{Key: key, Ver: form.Ver{Term: 1, Seq: store[key]}}}, Long: int64(cfg.Obj)})
+				hear(message.Message{Kind: message.Grant, Recs: []message.Rec{{Key: key, Ver: message.Ver{Term: 1, Seq: store[key]}}}, Long: int64(cfg.Obj)})
 			case 4:
-				hear(form.Note{Kind: form.Purge, Key: key, Ref: 3})
+				hear(message.Message{Kind: message.Invalidate, Key: key, Ref: 3})
 			case 5:
 				if !n.Root() {
 					held = map[string]int{}
-					n.Crown(2, func(k string) form.Rec { return form.Rec{Key: k, Ver: form.Ver{Seq: store[k]}} }, func() time.Duration { return 10 * time.Second })
+					n.Crown(2, func(k string) message.Rec { return message.Rec{Key: k, Ver: message.Ver{Seq: store[k]}} }, func() time.Duration { return 10 * time.Second })
 				}
 			case 6:
 				if n.Root() {
@@ -115,7 +115,7 @@
 				}
 			case 9:
 				mark.Epoch++
-				hear(form.Note{Kind: form.Reconnect})
+				hear(message.Message{Kind: message.Reconnect})
 			}
 			if got := read(); n.Gen() == gen && now < until && got != was {
 				t.Fatalf("read %v, then %v, Gen %d all the while", was, got, gen)
--- a/control/purge/last_test.go
+++ b/control/lease/last_test.go
@@ -1,10 +1,10 @@
-package purge
+package lease
 
 import (
 	"testing"
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // leaf is a node below a parent that replies at once while it can be reached.
@@ -14,48 +14,48 @@
 	no    uint64
 	mute  bool
 	long  time.Duration // of the object leases
-	recs  map[string]form.Rec
+	recs  map[string]message.Rec
 	asked time.Duration // when a renewal last went out
 }
 
 func newLeaf(keys ...string) *leaf {
-	l := &leaf{Node: New(cfg, 0, form.Seat{Ident: "c", Addr: "c"}, 1), now: time.Second, long: cfg.Obj, recs: map[string]form.Rec{}}
+	l := &leaf{Node: New(cfg, 0, message.Replica{Ident: "c", Addr: "c"}, 1), now: time.Second, long: cfg.Obj, recs: map[string]message.Rec{}}
 	for _, k := range keys {
-		l.recs[k] = form.Rec{Key: k, Ver: form.Ver{Term: 1, Seq: 1}}
+		l.recs[k] = message.Rec{Key: k, Ver: message.Ver{Term: 1, Seq: 1}}
 		l.carry(l.Pin(l.now, k))
 	}
-	l.carry(l.Adopt(l.now, form.Seat{Ident: "p", Addr: "p"}))
+	l.carry(l.Adopt(l.now, message.Replica{Ident: "p", Addr: "p"}))
 	l.run(2 * time.Second)
 	return l
 }
 
-// hear brings a note of the parent's.
-func (l *leaf) hear(n form.Note) {
+// hear brings a message of the parent's.
+func (l *leaf) hear(n message.Message) {
 	l.no++
-	n.From, n.Addr, n.Mark, n.No, n.Num = "p", "p", form.Mark{Ident: "p", Epoch: 1}, l.no, 1
+	n.From, n.Addr, n.Mark, n.No, n.Num = "p", "p", message.Mark{Ident: "p", Epoch: 1}, l.no, 1
 	l.carry(l.Hear(l.now, n))
 }
 
 func (l *leaf) carry(o Out) {
 	for _, s := range o.Sends {
-		n := s.Note
-		if n.Kind == form.Renew {
+		n := s.Message
+		if n.Kind == message.Renew {
 			l.asked = l.now
 		}
 		switch {
 		case l.mute:
-		case n.Kind == form.Renew && n.Mark == (form.Mark{}):
-			l.hear(form.Note{Kind: form.Reconnect, Ref: n.No})
-		case n.Kind == form.Renew:
-			g := form.Note{Kind: form.Grant, Ref: n.No, Len: int64(cfg.Vol), Long: int64(l.long)}
+		case n.Kind == message.Renew && n.Mark == (message.Mark{}):
+			l.hear(message.Message{Kind: message.Reconnect, Ref: n.No})
+		case n.Kind == message.Renew:
+			g := message.Message{Kind: message.Grant, Ref: n.No, Len: int64(cfg.Vol), Long: int64(l.long)}
 			for _, k := range n.Keys {
 				if r, ok := l.recs[k]; ok {
 					g.Recs = append(g.Recs, r)
 				}
 			}
 			l.hear(g)
-		case n.Kind == form.Listing:
-			y := form.Note{Kind: form.Synced, Ref: n.No, Len: int64(cfg.Vol), Long: int64(l.long)}
+		case n.Kind == message.Listing:
+			y := message.Message{Kind: message.Synced, Ref: n.No, Len: int64(cfg.Vol), Long: int64(l.long)}
 			for _, r := range n.Recs {
 				if l.recs[r.Key].Ver == r.Ver {
 					y.Recs = append(y.Recs, r)
@@ -127,14 +127,18 @@
 // A record that was withdrawn is never served again, in whichever way that was.
 func TestLastNeverServesAWithdrawnRecord(t *testing.T) {
 	for what, f := range map[string]func(*leaf){
-		"purged under leases": func(l *leaf) { l.mute = true; l.hear(form.Note{Kind: form.Purge, Key: "k", Ref: 3}) },
+		"purged under leases": func(l *leaf) { l.mute = true; l.hear(message.Message{Kind: message.Invalidate, Key: "k", Ref: 3}) },
 		"purged when they lapsed": func(l *leaf) {
 			l.mute = true
 			l.run(l.now + 2*cfg.Vol)
-			l.hear(form.Note{Kind: form.Purge, Key: "k", Ref: 3})
+			l.hear(message.Message{Kind: message.Invalidate, Key: "k", Ref: 3})
+		},
+		"not confirmed by a list": func(l *leaf) { l.recs = nil; l.hear(message.Message{Kind: message.Reconnect}); l.mute = true },
+		"being purged below": func(l *leaf) {
+			below(l, "k")
+			l.mute = true
+			l.hear(message.Message{Kind: message.Invalidate, Key: "k", Ref: 3})
 		},
-		"not confirmed by a list":  func(l *leaf) { l.recs = nil; l.hear(form.Note{Kind: form.Reconnect}); l.mute = true },
-		"being purged below":       func(l *leaf) { below(l, "k"); l.mute = true; l.hear(form.Note{Kind: form.Purge, Key: "k", Ref: 3}) },
 		"its own lease had lapsed": func(l *leaf) { l.mute = true; l.objs["k"] = cached{rec: l.recs["k"], till: l.Till() - 1} },
 	} {
 		l := newLeaf("k", "other")
@@ -150,27 +154,27 @@
 
 // below puts a child under a leaf that holds the record and says no more.
 func below(l *leaf, key string) {
-	kid := func(n form.Note) []form.Send {
+	kid := func(n message.Message) []message.Send {
 		n.From, n.Epoch, n.Addr = "d", 1, "d"
 		return l.Hear(l.now, n).Sends
 	}
-	kid(form.Note{Kind: form.Renew, No: 1})
-	synced := kid(form.Note{Kind: form.Listing, No: 2, Mark: l.Mark()})
-	kid(form.Note{Kind: form.Connect, Ref: synced[0].Note.No, Mark: l.Mark()})
-	kid(form.Note{Kind: form.Renew, No: 3, Mark: l.Mark(), Keys: []string{key}})
+	kid(message.Message{Kind: message.Renew, No: 1})
+	synced := kid(message.Message{Kind: message.Listing, No: 2, Mark: l.Mark()})
+	kid(message.Message{Kind: message.Connect, Ref: synced[0].Message.No, Mark: l.Mark()})
+	kid(message.Message{Kind: message.Renew, No: 3, Mark: l.Mark(), Keys: []string{key}})
 }
 
-// The root serves by its duty alone. When that has ended it knows what it last
-// read, though not what was being written, nor what a later owner brought it.
-func TestLastOfAnExOwner(t *testing.T) {
-	store := map[string]form.Rec{}
+// The root serves by its leadership alone. When that has ended it knows what it last
+// read, though not what was being written, nor what a later leader brought it.
+func TestLastRecordsOfAFormerLeader(t *testing.T) {
+	store := map[string]message.Rec{}
 	for _, k := range []string{"k", "held", "later"} {
-		store[k] = form.Rec{Key: k, Ver: form.Ver{Term: 4, Seq: 1}, Val: []byte("old")}
+		store[k] = message.Rec{Key: k, Ver: message.Ver{Term: 4, Seq: 1}, Val: []byte("old")}
 	}
 	l := newLeaf("k", "held", "later")
 	l.mute = true
 	lease := l.now + time.Second
-	l.Crown(4, func(k string) form.Rec { return store[k] }, func() time.Duration { return lease })
+	l.Crown(4, func(k string) message.Rec { return store[k] }, func() time.Duration { return lease })
 	l.Hold(l.now, "held", 1)
 	for range 3 { // its lease ends, and nobody has told it yet
 		l.run(l.now + time.Second)
@@ -180,7 +184,7 @@
 			}
 		}
 	}
-	store["later"] = form.Rec{Key: "later", Ver: form.Ver{Term: 5, Seq: 1}, Val: []byte("new")}
+	store["later"] = message.Rec{Key: "later", Ver: message.Ver{Term: 5, Seq: 1}, Val: []byte("new")}
 	l.Uncrown()
 	if l.last("k") {
 		t.Error("it asked nobody yet")
@@ -194,10 +198,10 @@
 			t.Errorf("an ex-owner serves %q", k)
 		}
 	}
-	// What the next owner doesn't confirm is gone, what it grants is the last then.
-	l.recs = map[string]form.Rec{"k": {Key: "k", Ver: form.Ver{Term: 5, Seq: 9}}}
+	// What the next leader doesn't confirm is gone, what it grants is the last then.
+	l.recs = map[string]message.Rec{"k": {Key: "k", Ver: message.Ver{Term: 5, Seq: 9}}}
 	l.mute = false
-	l.carry(l.Adopt(l.now, form.Seat{Ident: "p", Addr: "p"}))
+	l.carry(l.Adopt(l.now, message.Replica{Ident: "p", Addr: "p"}))
 	l.run(l.now + cfg.Beat)
 	l.mute = true
 	l.run(l.now + 3*cfg.Vol)
--- a/control/purge/purge.go
+++ b/control/lease/lease.go
@@ -1,20 +1,20 @@
-// Package purge is one daemon's place in a part's tree of volume leases
+// Package invalidation is one daemon's place in a partition's tree of volume leases
 // (Yin, Alvisi, Dahlin, Lin: Hierarchical Cache Consistency in a WAN, 1999).
 // A Node is a child of its parent and a parent to its children at once; at
-// the root it stands on the owner's duty lease instead of a parent's.
+// the root it stands on the leader's leader lease instead of a parent's.
 //
 // A record is served only under its object lease and the volume lease. A
 // holder counts a lease from when it sent the request; a granter from when it
 // sent the grant, stretched by drift and margin. No node grants a volume lease
 // that outlasts its own.
-package purge
+package lease
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Config holds the bounds of the leases.
@@ -34,25 +34,25 @@
 }
 
 // Source reads the root's committed records.
-type Source func(key string) form.Rec
+type Source func(key string) message.Rec
 
 // Out is what a step asks for.
 type Out struct {
-	Sends  []form.Send
-	Fresh  []string // records that became servable
-	Gone   []string // records that were withdrawn
-	Purged []uint64 // tags of holds whose purge is complete
-	Orphan bool     // the parent said no or is silent: find another
-	Steer  form.Seat
+	Sends       []message.Send
+	Fresh       []string // records that became servable
+	Gone        []string // records that were withdrawn
+	Invalidated []uint64 // tags of holds whose invalidation is complete
+	Orphan      bool     // the parent said no or is silent: find another
+	Steer       message.Replica
 }
 
 type hold struct {
-	ver  form.Ver
+	ver  message.Ver
 	till time.Duration
 }
 
 type cached struct {
-	rec  form.Rec
+	rec  message.Rec
 	till time.Duration
 }
 
@@ -74,10 +74,10 @@
 
 // Node is the state machine.
 type Node struct {
-	cfg   Config
-	part  int
-	me    form.Seat
-	epoch uint64
+	cfg       Config
+	partition int
+	me        message.Replica
+	epoch     uint64
 
 	root  bool
 	src   Source
@@ -85,13 +85,13 @@
 	term  uint64
 	held  map[string]int
 
-	parent form.Seat
-	pmark  form.Mark
-	heard  map[form.Mark]uint64 // highest number heard from each granter
+	parent message.Replica
+	pmark  message.Mark
+	heard  map[message.Mark]uint64 // highest number heard from each granter
 	till   time.Duration
 	no     uint64
 	passes uint64 // numbers sweeps
-	out    uint64 // numbers all notes to children, so that they can drop late ones
+	out    uint64 // numbers all messages to children, so that they can drop late ones
 	reqs   map[uint64]ask
 	sentAt time.Duration
 	listAt time.Duration // when our list last went out
@@ -104,7 +104,7 @@
 	stale  bool              // records are to be looked through now
 	pins   map[string]bool
 	gen    uint64
-	reign  time.Duration // when our own duty lease ended, if we were the root
+	reign  time.Duration // when our own leader lease ended, if we were the root
 	vain   time.Duration // since when a renewal is due and not answered; 0: none is
 	tickAt time.Duration // when time was last let pass
 
@@ -117,9 +117,9 @@
 
 // New makes a node without a parent.
 //
-// Example: n := purge.New(cfg, 0, me, epoch)
-func New(cfg Config, part int, me form.Seat, epoch uint64) *Node {
-	n := &Node{cfg: cfg, part: part, me: me, epoch: epoch, held: map[string]int{}, heard: map[form.Mark]uint64{}, pins: map[string]bool{}}
+// Example: n := lease.New(cfg, 0, me, epoch)
+func New(cfg Config, partition int, me message.Replica, epoch uint64) *Node {
+	n := &Node{cfg: cfg, partition: partition, me: me, epoch: epoch, held: map[string]int{}, heard: map[message.Mark]uint64{}, pins: map[string]bool{}}
 	n.clear()
 	n.objs, n.want, n.reqs = map[string]cached{}, map[string]wanted{}, map[uint64]ask{}
 	return n
@@ -130,28 +130,28 @@
 	n.Shape = n.Shape.fresh()
 }
 
-// Crown makes this node the root: src reads its records, lease is the duty lease.
+// Crown makes this node the root: src reads its records, lease is the leader lease.
 //
-// Example: n.Crown(seat.Num(), src, seat.Lease)
+// Example: n.Crown(replica.Num(), src, replica.Lease)
 func (n *Node) Crown(term uint64, src Source, lease func() time.Duration) {
 	n.clear()
 	n.gen++
 	n.root, n.term, n.src, n.lease = true, term, src, lease
 	n.held = map[string]int{}
 	n.objs, n.want, n.reqs = map[string]cached{}, map[string]wanted{}, map[uint64]ask{}
-	n.parent, n.pmark, n.till, n.stale, n.vain = form.Seat{}, form.Mark{}, 0, true, 0
+	n.parent, n.pmark, n.till, n.stale, n.vain = message.Replica{}, message.Mark{}, 0, true, 0
 }
 
-// Uncrown ends the root's part; everything it granted lapsed with its lease.
+// Uncrown ends the root's partition; everything it granted lapsed with its lease.
 //
 // Example: n.Uncrown()
 func (n *Node) Uncrown() {
 	n.clear()
 	n.gen++
-	if n.root { // what it read from its own book is the last that it knows
+	if n.root { // what it read from its own records is the last that it knows
 		n.reign = n.lease()
 		for key := range n.pins {
-			// A later owner may have brought its own records before we knew of it.
+			// A later leader may have brought its own records before we knew of it.
 			if rec := n.src(key); n.held[key] == 0 && rec.Ver.Term <= n.term {
 				n.objs[key] = cached{rec: rec, till: n.reign + n.cfg.Obj}
 			}
@@ -166,15 +166,17 @@
 // Example: if n.Root() { ... }
 func (n *Node) Root() bool { return n.root }
 
-// Parent is the seat this node renews at.
+// Parent is the replica this node renews at.
 //
 // Example: p := n.Parent()
-func (n *Node) Parent() form.Seat { return n.parent }
+func (n *Node) Parent() message.Replica { return n.parent }
 
 // Mark is this node's volume epoch towards its children.
 //
-// Example: note.Mark == n.Mark()
-func (n *Node) Mark() form.Mark { return form.Mark{Ident: n.me.Ident, Epoch: n.epoch, Term: n.term} }
+// Example: message.Mark == n.Mark()
+func (n *Node) Mark() message.Mark {
+	return message.Mark{Ident: n.me.Ident, Epoch: n.epoch, Term: n.term}
+}
 
 // Till is when this node's own volume lease ends.
 //
@@ -188,11 +190,11 @@
 
 // Last is a record whose volume lease lapsed, and when, if it was not withdrawn
 // since: the last that this node knows. It is no lease: only what may go by
-// old records while the owner can't be reached may use it, and for how long is
+// old records while the leader can't be reached may use it, and for how long is
 // its user's to bound.
 //
 // Example: if rec, at, ok := n.Last(now, "plan/now"); ok && now-at < bound { route(rec) }
-func (n *Node) Last(now time.Duration, key string) (rec form.Rec, lapsed time.Duration, ok bool) {
+func (n *Node) Last(now time.Duration, key string) (rec message.Rec, lapsed time.Duration, ok bool) {
 	c, held := n.objs[key]
 	lapsed, ok = n.Lapsed(now)
 	return c.rec, lapsed, ok && held && c.till >= lapsed && n.sweeps[key] == nil
@@ -236,19 +238,19 @@
 // known absence.
 //
 // Example: rec, ok := n.Get(now, "plan/now")
-func (n *Node) Get(now time.Duration, key string) (form.Rec, bool) {
+func (n *Node) Get(now time.Duration, key string) (message.Rec, bool) {
 	if !n.Live(now) {
-		return form.Rec{}, false
+		return message.Rec{}, false
 	}
 	if n.root {
 		if n.held[key] > 0 {
-			return form.Rec{}, false
+			return message.Rec{}, false
 		}
 		return n.src(key), true
 	}
 	c, ok := n.objs[key]
 	if !ok || now >= c.till {
-		return form.Rec{}, false
+		return message.Rec{}, false
 	}
 	return c.rec, true
 }
@@ -268,22 +270,22 @@
 	return o
 }
 
-// Hear takes a note from a parent or a child.
+// Hear takes a message from a parent or a child.
 //
-// Example: out := n.Hear(now, note)
-func (n *Node) Hear(now time.Duration, m form.Note) (o Out) {
+// Example: out := n.Hear(now, message)
+func (n *Node) Hear(now time.Duration, m message.Message) (o Out) {
 	switch m.Kind {
-	case form.Renew:
+	case message.Renew:
 		n.renewed(now, m, &o)
-	case form.Listing:
+	case message.Listing:
 		n.listing(now, m, &o)
-	case form.Connect:
+	case message.Connect:
 		if k := n.kids[kidID(m)]; k != nil && m.Mark == n.Mark() && m.Ref == k.sync {
 			k.listed = false
 		}
-	case form.Purged:
-		n.purged(now, kidID(m), m.Key, m.Ref, &o)
-	case form.Grant, form.Reconnect, form.Synced, form.Purge, form.Deny, form.Steer:
+	case message.Invalidated:
+		n.invalidated(now, kidID(m), m.Key, m.Ref, &o)
+	case message.Grant, message.Reconnect, message.Synced, message.Invalidate, message.Deny, message.Steer:
 		n.fromParent(now, m, &o)
 	}
 	return o
@@ -316,7 +318,7 @@
 				delete(s.wait, id)
 			case now-at >= n.cfg.Beat:
 				s.wait[id] = now
-				n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, &o)
+				n.tell(k, message.Message{Kind: message.Invalidate, Key: key, Ref: s.no}, &o)
 			}
 		}
 		n.swept(now, s, &o)
@@ -352,7 +354,7 @@
 		k := n.kids[id]
 		if k.ask != nil && now-k.askAt > n.cfg.Vol {
 			k.ask = nil
-			n.tell(k, form.Note{Kind: form.Deny, Why: "lease lapsed"}, o)
+			n.tell(k, message.Message{Kind: message.Deny, Why: "lease lapsed"}, o)
 		}
 		if now-k.seen > 8*n.cfg.Vol && now >= k.till && !n.owes(id) {
 			delete(n.kids, id)
--- a/control/purge/parent.go
+++ b/control/lease/parent.go
@@ -1,59 +1,59 @@
-package purge
+package lease
 
 import (
 	"fmt"
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 type kid struct {
-	id     string // identity and epoch: a child that started anew is another child
-	seat   form.Seat
-	epoch  uint64
-	till   time.Duration
-	objs   map[string]hold
-	listed bool   // on the unreachable list
-	known  bool   // went through reconnect since we know it
-	sync   uint64 // number of the Synced whose Connect clears the list
-	ask    *form.Note
-	askAt  time.Duration
-	cost   time.Duration
-	seen   time.Duration
+	id      string // identity and epoch: a child that started anew is another child
+	replica message.Replica
+	epoch   uint64
+	till    time.Duration
+	objs    map[string]hold
+	listed  bool   // on the unreachable list
+	known   bool   // went through reconnect since we know it
+	sync    uint64 // number of the Synced whose Connect clears the list
+	ask     *message.Message
+	askAt   time.Duration
+	cost    time.Duration
+	seen    time.Duration
 }
 
 // list puts a child on the unreachable list; only a Connect for a later Synced
 // takes it off.
 func (k *kid) list() { k.listed, k.sync = true, 0 }
 
-func (n *Node) tell(k *kid, note form.Note, o *Out) {
+func (n *Node) tell(k *kid, msg message.Message, o *Out) {
 	n.out++
-	note.Part, note.No, note.Num, note.Mark, note.To = n.part, n.out, k.epoch, n.Mark(), k.seat.Ident
-	o.Sends = append(o.Sends, form.Send{Addr: k.seat.Addr, Note: note})
+	msg.Partition, msg.No, msg.Num, msg.Mark, msg.To = n.partition, n.out, k.epoch, n.Mark(), k.replica.Ident
+	o.Sends = append(o.Sends, message.Send{Addr: k.replica.Addr, Message: msg})
 }
 
 // kidID tells one life of a child from another: a relay that starts anew can't
 // answer for what it granted before, so its old life's lease is waited out.
-func kidID(m form.Note) string { return fmt.Sprintf("%s#%d", m.From, m.Epoch) }
+func kidID(m message.Message) string { return fmt.Sprintf("%s#%d", m.From, m.Epoch) }
 
-func (n *Node) child(m form.Note) *kid {
+func (n *Node) child(m message.Message) *kid {
 	id := kidID(m)
 	k := n.kids[id]
 	if k == nil {
 		k = &kid{id: id, epoch: m.Epoch, objs: map[string]hold{}}
 		n.kids[id] = k
 	}
-	k.seat = form.Seat{Ident: m.From, Addr: m.Addr}
+	k.replica = message.Replica{Ident: m.From, Addr: m.Addr}
 	return k
 }
 
-func (n *Node) renewed(now time.Duration, m form.Note, o *Out) {
+func (n *Node) renewed(now time.Duration, m message.Message, o *Out) {
 	k := n.child(m)
 	k.seen, k.cost = now, time.Duration(m.Cost)
 	n.counted(now, k, n.Live(now) && n.holds(now, m.Keys))
 	if !n.Live(now) {
 		if n.root || n.parent.Ident == "" || n.parent.Ident == m.From {
-			n.tell(k, form.Note{Kind: form.Deny, Ref: m.No, Why: "no lease"}, o)
+			n.tell(k, message.Message{Kind: message.Deny, Ref: m.No, Why: "no lease"}, o)
 			return
 		}
 		if k.ask == nil {
@@ -69,23 +69,23 @@
 	for _, key := range sorted(n.sweeps) {
 		s := n.sweeps[key]
 		if _, ok := s.wait[k.id]; ok {
-			// Not renewed while it owes us a purge; told again only if the first
+			// Not renewed while it owes us an invalidation; told again only if the first
 			// may be lost, since its acknowledgement may just have been overtaken.
 			if now-s.wait[k.id] < n.cfg.Beat/4 {
 				continue
 			}
 			s.wait[k.id] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
+			n.tell(k, message.Message{Kind: message.Invalidate, Key: key, Ref: s.no}, o)
 		}
 	}
-	// Who owes a purge is renewed for a little while longer: a relay that waits
-	// for a child which is gone would else lose its whole cell's leases. The
+	// Who owes an invalidation is renewed for a little while longer: a relay that waits
+	// for a child which is gone would else lose its whole zone's leases. The
 	// bound keeps a write from waiting for ever.
 	if n.owesSince(k.id, now) > n.cfg.Vol/2 {
 		return
 	}
 	if !k.known || k.listed || m.Mark != n.Mark() {
-		n.tell(k, form.Note{Kind: form.Reconnect, Ref: m.No}, o)
+		n.tell(k, message.Message{Kind: message.Reconnect, Ref: m.No}, o)
 		return
 	}
 	n.grant(now, k, m.No, m.Keys, true, o)
@@ -100,7 +100,7 @@
 	return true
 }
 
-// owesSince is how long a child has owed a purge, 0 if it owes none.
+// owesSince is how long a child has owed an invalidation, 0 if it owes none.
 func (n *Node) owesSince(id string, now time.Duration) (d time.Duration) {
 	for _, s := range n.sweeps {
 		if _, ok := s.wait[id]; ok {
@@ -126,7 +126,7 @@
 
 // grant sends what is held; what is not is asked for and sent when it comes.
 func (n *Node) grant(now time.Duration, k *kid, ref uint64, keys []string, vol bool, o *Out) {
-	g := form.Note{Kind: form.Grant, Ref: ref}
+	g := message.Message{Kind: message.Grant, Ref: ref}
 	if vol {
 		d := n.volLen(now)
 		g.Len = int64(d)
@@ -183,8 +183,8 @@
 }
 
 // listing is the second half of a reconnect: matching records are granted,
-// the rest invalidated, and the volume lease granted, in one note.
-func (n *Node) listing(now time.Duration, m form.Note, o *Out) {
+// the rest invalidated, and the volume lease granted, in one message.
+func (n *Node) listing(now time.Duration, m message.Message, o *Out) {
 	k := n.child(m)
 	if !n.Live(now) || n.owes(k.id) || m.Mark != n.Mark() {
 		return
@@ -192,11 +192,11 @@
 	// Listed until its Connect; object leases noted earlier stay noted, since a
 	// late Listing must not make us forget what the child got meanwhile.
 	k.listed, k.known = true, true
-	s := form.Note{Kind: form.Synced, Ref: m.No, Long: int64(n.cfg.Obj)}
+	s := message.Message{Kind: message.Synced, Ref: m.No, Long: int64(n.cfg.Obj)}
 	for _, r := range m.Recs {
 		cur, ok := n.Get(now, r.Key)
 		if ok && n.sweeps[r.Key] == nil && cur.Ver == r.Ver && cur.Dead == r.Dead {
-			s.Recs = append(s.Recs, form.Rec{Key: r.Key, Ver: r.Ver, Dead: r.Dead})
+			s.Recs = append(s.Recs, message.Rec{Key: r.Key, Ver: r.Ver, Dead: r.Dead})
 			k.objs[r.Key] = hold{ver: r.Ver, till: now + n.cfg.wait(n.cfg.Obj)}
 		}
 	}
@@ -208,7 +208,7 @@
 }
 
 // replyKids serves the renewals that waited for our own lease.
-func (n *Node) replyKids(now time.Duration, o *Out) {
+func (n *Node) answerChildren(now time.Duration, o *Out) {
 	if !n.Live(now) {
 		return
 	}
--- a/control/purge/shape.go
+++ b/control/lease/shape.go
@@ -1,4 +1,4 @@
-package purge
+package lease
 
 import (
 	"maps"
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Shape is what a node measures to decide whether the tree should be deeper
@@ -18,8 +18,8 @@
 	from  time.Duration
 	// Relay tells which skipped child (static relay) a child would go through;
 	// set by the daemon from the member list.
-	Relay func(ident string) form.Seat
-	skip  map[form.Seat]*ghost
+	Relay func(ident string) message.Replica
+	skip  map[message.Replica]*ghost
 	moved time.Duration
 }
 
@@ -31,7 +31,7 @@
 }
 
 func (s Shape) fresh() Shape {
-	return Shape{cost: s.cost, Relay: s.Relay, skip: map[form.Seat]*ghost{}}
+	return Shape{cost: s.cost, Relay: s.Relay, skip: map[message.Replica]*ghost{}}
 }
 
 // Cost is RenewCost at the parent, smoothed.
@@ -39,7 +39,7 @@
 // Example: if n.Cost() > 20*time.Millisecond { look() }
 func (n *Node) Cost() time.Duration { return n.cost }
 
-// costed notes a measured renewal at the parent.
+// costed messages a measured renewal at the parent.
 func (n *Node) costed(d time.Duration) {
 	if n.cost == 0 {
 		n.cost = d
@@ -48,7 +48,7 @@
 	n.cost += (d - n.cost) / 4
 }
 
-// counted notes a child's renewal and whether it was served from here.
+// counted messages a child's renewal and whether it was served from here.
 func (n *Node) counted(now time.Duration, k *kid, local bool) {
 	n.asked++
 	if local {
@@ -57,8 +57,8 @@
 	if n.Relay == nil {
 		return
 	}
-	to := n.Relay(k.seat.Ident)
-	if to.Ident == "" || to.Ident == n.me.Ident || to.Ident == k.seat.Ident {
+	to := n.Relay(k.replica.Ident)
+	if to.Ident == "" || to.Ident == n.me.Ident || to.Ident == k.replica.Ident {
 		return
 	}
 	g := n.skip[to]
@@ -85,7 +85,7 @@
 	}
 	defer func() {
 		n.asked, n.local, n.from = 0, 0, now
-		n.skip = map[form.Seat]*ghost{}
+		n.skip = map[message.Replica]*ghost{}
 	}()
 	if n.from == 0 || now-n.moved < 2*n.cfg.Span {
 		return
@@ -98,12 +98,12 @@
 		if through > n.cost+n.cfg.Gain && n.asked < n.cfg.Most/2 && len(n.kids) <= wide {
 			n.moved = now
 			for _, id := range sorted(n.kids) {
-				n.tell(n.kids[id], form.Note{Kind: form.Steer, Hint: n.parent, Why: "join"}, o)
+				n.tell(n.kids[id], message.Message{Kind: message.Steer, Hint: n.parent, Why: "join"}, o)
 			}
 		}
 	}
 	// Split: a skipped relay would serve its children better, or we are loaded.
-	for _, to := range slices.SortedFunc(maps.Keys(n.skip), func(a, b form.Seat) int { return strings.Compare(a.Addr+a.Ident, b.Addr+b.Ident) }) {
+	for _, to := range slices.SortedFunc(maps.Keys(n.skip), func(a, b message.Replica) int { return strings.Compare(a.Addr+a.Ident, b.Addr+b.Ident) }) {
 		g := n.skip[to]
 		if g.reqs == 0 || len(g.kids) < 2 {
 			continue
@@ -115,7 +115,7 @@
 			n.moved = now
 			for _, id := range sorted(g.kids) {
 				if k := n.kids[id]; k != nil {
-					n.tell(k, form.Note{Kind: form.Steer, Hint: to, Why: "split"}, o)
+					n.tell(k, message.Message{Kind: message.Steer, Hint: to, Why: "split"}, o)
 				}
 			}
 		}
@@ -138,9 +138,9 @@
 }
 
 // relayCost is what a child would pay at the relay: by our own link to it.
-func (n *Node) relayCost(to form.Seat) time.Duration {
+func (n *Node) relayCost(to message.Replica) time.Duration {
 	for _, k := range n.kids {
-		if k.seat == to {
+		if k.replica == to {
 			return k.cost / 2
 		}
 	}
--- a/control/purge/sweep.go
+++ b/control/lease/sweep.go
@@ -1,28 +1,28 @@
-package purge
+package lease
 
 import (
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 type back struct {
-	seat form.Seat
-	ref  uint64
-	mark form.Mark
+	replica message.Replica
+	ref     uint64
+	mark    message.Mark
 }
 
 type sweep struct {
 	key  string
 	from time.Duration
 	no   uint64                   // acks carry it: one for an earlier sweep doesn't count
-	wait map[string]time.Duration // child -> when its purge was last sent
+	wait map[string]time.Duration // child -> when its invalidation was last sent
 	ups  []back
 	tags []uint64
 }
 
 // Hold stops serving a record at the root and withdraws it from the tree;
-// Out.Purged carries the tag when no valid lease on it is left below.
+// Out.Invalidated carries the tag when no valid lease on it is left below.
 //
 // Example: out := n.Hold(now, "plan/now", 17)
 func (n *Node) Hold(now time.Duration, key string, tag uint64) (o Out) {
@@ -45,7 +45,7 @@
 }
 
 // sweep drops a record here and below: children with a valid volume lease get
-// the purge and are waited for; lapsed ones go on the unreachable list.
+// the invalidation and are waited for; lapsed ones go on the unreachable list.
 func (n *Node) sweep(now time.Duration, key string, up *back, tag uint64, o *Out) {
 	if _, ok := n.objs[key]; ok {
 		delete(n.objs, key)
@@ -71,7 +71,7 @@
 				continue
 			}
 			s.wait[id] = now
-			n.tell(k, form.Note{Kind: form.Purge, Key: key, Ref: s.no}, o)
+			n.tell(k, message.Message{Kind: message.Invalidate, Key: key, Ref: s.no}, o)
 		}
 		n.sweeps[key] = s
 	}
@@ -84,7 +84,7 @@
 	n.swept(now, s, o)
 }
 
-func (n *Node) purged(now time.Duration, id, key string, ref uint64, o *Out) {
+func (n *Node) invalidated(now time.Duration, id, key string, ref uint64, o *Out) {
 	if s := n.sweeps[key]; s != nil && s.no == ref {
 		if _, ok := s.wait[id]; ok {
 			delete(s.wait, id)
@@ -100,9 +100,9 @@
 	}
 	delete(n.sweeps, s.key)
 	for _, up := range s.ups {
-		o.Sends = append(o.Sends, form.Send{Addr: up.seat.Addr, Note: form.Note{Kind: form.Purged, Part: n.part, Key: s.key, Ref: up.ref, Mark: up.mark, To: up.seat.Ident}})
+		o.Sends = append(o.Sends, message.Send{Addr: up.replica.Addr, Message: message.Message{Kind: message.Invalidated, Partition: n.partition, Key: s.key, Ref: up.ref, Mark: up.mark, To: up.replica.Ident}})
 	}
-	o.Purged = append(o.Purged, s.tags...)
+	o.Invalidated = append(o.Invalidated, s.tags...)
 	if !n.root && n.pins[s.key] {
 		if _, ok := n.Get(now, s.key); !ok {
 			n.fetch(now, s.key)
