--- a/proof/hollow/source.go
+++ b/proof/hollow/source.go
@@ -9,7 +9,7 @@
 	"sync"
 	"sync/atomic"
 
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
 )
 
 const perPage = 500
@@ -118,13 +118,13 @@
 }
 
 // configuration is a plan of the sizes asked for.
-func configuration(o Options) tariff.Plan {
-	p := tariff.Plan{ID: "first"}
+func configuration(o Options) fleetconfig.Plan {
+	p := fleetconfig.Plan{ID: "first"}
 	for i := range o.Models {
-		p.Services = append(p.Services, tariff.Service{Name: model(i), Readers: 1, Makers: 1, Slots: 16, TokenBytes: 131072, LinkMbps: 100000, Hold: 20, Switch: 2})
+		p.Services = append(p.Services, fleetconfig.Service{Name: model(i), PrefillServers: 1, DecodeServers: 1, Slots: 16, TokenBytes: 131072, LinkMbps: 100000, Hold: 20, Switch: 2})
 	}
 	for i := range o.Tenants {
-		p.Tenants = append(p.Tenants, tariff.Tenant{Name: fmt.Sprintf("tenant-%d", i), Priority: i % 10, Budget: 30000, Queue: 0.5, Services: []string{model(i % o.Models)}})
+		p.Tenants = append(p.Tenants, fleetconfig.Tenant{Name: fmt.Sprintf("tenant-%d", i), Priority: i % 10, Timeout: 30000, Queue: 0.5, Services: []string{model(i % o.Models)}})
 	}
 	for i := range o.Routes {
 		p.Routes = append(p.Routes, change(o, i, 0))
@@ -133,7 +133,7 @@
 }
 
 // change is route i as change no makes it.
-func change(o Options, i, no int) tariff.Route {
-	return tariff.Route{Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("tenant-%d.example", i%max(1, o.Tenants)), Prefix: fmt.Sprintf("/v1/%d/", i), Kind: "stream",
-		GiveUp: 30000 + no%1000, Target: 680, Gap: 26, Urgency: i % 4, Tries: 3, Sticky: true, Services: []tariff.Share{{Service: model(i % o.Models), Weight: 1}}}
+func change(o Options, i, no int) fleetconfig.Route {
+	return fleetconfig.Route{Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("tenant-%d.example", i%max(1, o.Tenants)), Prefix: fmt.Sprintf("/v1/%d/", i), Kind: "stream",
+		GiveUp: 30000 + no%1000, Target: 680, Gap: 26, Urgency: i % 4, Tries: 3, Sticky: true, Services: []fleetconfig.Share{{Service: model(i % o.Models), Weight: 1}}}
 }
--- a/proof/hollow/spec.go
+++ b/proof/hollow/spec.go
@@ -1,5 +1,5 @@
 // Package hollow runs whole fleets of daemons on one machine to find what
-// control costs at a size. Its daemons are the real ones: control/cabin with
+// control costs at a size. Its daemons are the real ones: control/daemon with
 // its state machines, timers, frames over TCP and SQLite files, and the
 // gateway that keeps a front's records wanted. What is hollow is around them:
 // the list of servers names addresses where nothing listens, and clients'
@@ -11,7 +11,7 @@
 	"fmt"
 	"time"
 
-	"mulleinmast/control/cabin"
+	"mulleinmast/control/daemon"
 )
 
 // Options are the sizes of a hollow fleet.
@@ -54,7 +54,7 @@
 	Zone    int
 	Region  int
 	Core    bool
-	Config  cabin.Config
+	Config  daemon.Config
 	List    string        // where the list of servers is asked for
 	Far     time.Duration // to daemons of other regions, one way
 	Regions int
@@ -88,9 +88,9 @@
 	}
 	for i := range out {
 		zone := i % o.Zones
-		c := cabin.Default()
+		c := daemon.Default()
 		c.Wire, c.Web = address(zone, i/o.Zones, o.Port), address(zone, i/o.Zones, o.Port+1)
-		c.Fleet, c.Cell, c.Seeds, c.Ring, c.Losses = "hollow", fmt.Sprintf("zone-%d", zone), seeds, 64, o.Losses
+		c.Fleet, c.Zone, c.Seeds, c.Ring, c.Losses = "hollow", fmt.Sprintf("zone-%d", zone), seeds, 64, o.Losses
 		c.Bounds.Plan = o.Apply
 		out[i] = Spec{Index: i, Zone: zone, Region: region(zone, o.Regions), Core: i < o.Core, List: list, Far: o.Far, Regions: o.Regions, Models: o.Models}
 		if i < o.Core {
--- a/proof/hollow/trouble.go
+++ b/proof/hollow/trouble.go
@@ -114,10 +114,10 @@
 	f.each(func(int) Command { return Command{Op: "cut", Cut: cut} })
 }
 
-// Owners tells which daemons own parts, by part.
+// Leaders tells which daemons own parts, by part.
 //
-// Example: owner := f.Owners()[0]
-func (f *Fleet) Owners() map[int]int {
+// Example: leader := f.Leaders()[0]
+func (f *Fleet) Leaders() map[int]int {
 	out := map[int]int{}
 	for _, s := range f.read().snaps {
 		for _, p := range s.Owns {
@@ -129,7 +129,7 @@
 
 // ZoneOf is a daemon's zone.
 //
-// Example: f.LoseZone(f.ZoneOf(f.Owners()[0]))
+// Example: f.LoseZone(f.ZoneOf(f.Leaders()[0]))
 func (f *Fleet) ZoneOf(index int) int { return f.specs[index].Zone }
 
 // String tells the fleet's sizes.
--- a/proof/hollow/worker.go
+++ b/proof/hollow/worker.go
@@ -14,8 +14,8 @@
 	"syscall"
 	"time"
 
-	"mulleinmast/control/tariff"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/wire/message"
 )
 
 // Command is what a process of the fleet is told.
@@ -24,7 +24,7 @@
 	Op      string
 	Specs   []Spec           // of start
 	Indexes []int            // of stop; of await and ask: daemons left out
-	Fresh   bool             // of await: readiness, and owners outside ...
+	Fresh   bool             // of await: readiness, and leaders outside ...
 	Zone    int              // ... this zone
 	Cut     map[int][]string // of cut: by daemon, the addresses it can't reach
 	Version uint64           // of await: a configuration
@@ -69,24 +69,24 @@
 // worker holds daemons in this process.
 type worker struct {
 	mu   sync.Mutex
-	list []*daemon
+	list []*hollowDaemon
 	plan sync.Map // records that were read: versions of configurations, ids of servers
 }
 
 // version of a configuration: it is long, and read once for all daemons here.
-func (w *worker) version(rec form.Rec) uint64 {
+func (w *worker) version(rec message.Rec) uint64 {
 	if v, ok := w.plan.Load(rec.Ver); ok {
 		return v.(uint64)
 	}
-	v := tariff.Open(rec).Version
+	v := fleetconfig.Open(rec).Version
 	w.plan.Store(rec.Ver, v)
 	return v
 }
 
-func (w *worker) daemons() []*daemon {
+func (w *worker) daemons() []*hollowDaemon {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return append([]*daemon(nil), w.list...)
+	return append([]*hollowDaemon(nil), w.list...)
 }
 
 func (w *worker) close() {
@@ -146,7 +146,7 @@
 	case "await":
 		r.Count = w.await(c)
 	case "ask":
-		list := slices.DeleteFunc(w.daemons(), func(d *daemon) bool { return slices.Contains(c.Indexes, d.Index) })
+		list := slices.DeleteFunc(w.daemons(), func(d *hollowDaemon) bool { return slices.Contains(c.Indexes, d.Index) })
 		ctx, done := context.WithTimeout(context.Background(), c.Wait)
 		defer done()
 		r.Code, r.Body = list[0].c.Ask(ctx, 0, c.Call, c.Body, c.Wait)
@@ -163,7 +163,7 @@
 		gone[i] = true
 	}
 	w.mu.Lock()
-	var left, off []*daemon
+	var left, off []*hollowDaemon
 	for _, d := range w.list {
 		if gone[d.Index] {
 			off = append(off, d)
@@ -184,18 +184,18 @@
 // await waits until every daemon here has what is asked for under valid
 // leases, and counts those that have it.
 func (w *worker) await(c Command) int {
-	list := slices.DeleteFunc(w.daemons(), func(d *daemon) bool { return slices.Contains(c.Indexes, d.Index) })
-	has := func(d *daemon) bool {
+	list := slices.DeleteFunc(w.daemons(), func(d *hollowDaemon) bool { return slices.Contains(c.Indexes, d.Index) })
+	has := func(d *hollowDaemon) bool {
 		switch {
 		case c.Fresh:
 			return d.c.Ready() && d.reached(c.Zone)
 		case c.Servers > 0:
 			return d.servers() >= c.Servers
 		case c.Model != "":
-			rec, ok := d.c.Read(d.c.Part(c.Model), tariff.ListKey(c.Model))
+			rec, ok := d.c.Read(d.c.Partition(c.Model), fleetconfig.ListKey(c.Model))
 			return ok && w.names(c.Model, rec, c.Mark)
 		case c.Version > 0:
-			rec, ok := d.c.Read(0, tariff.PlanKey)
+			rec, ok := d.c.Read(0, fleetconfig.PlanKey)
 			return ok && w.version(rec) >= c.Version
 		}
 		return d.c.Ready()
@@ -226,15 +226,15 @@
 
 // names tells whether a list of servers has this one in it; a list is long,
 // and read once for all daemons here.
-func (w *worker) names(model string, rec form.Rec, id string) bool {
+func (w *worker) names(model string, rec message.Rec, id string) bool {
 	type place struct {
 		model string
-		ver   form.Ver
+		ver   message.Ver
 	}
 	ids, ok := w.plan.Load(place{model, rec.Ver})
 	if !ok {
 		set := map[string]bool{}
-		for _, s := range tariff.OpenList(rec).Servers {
+		for _, s := range fleetconfig.OpenList(rec).Servers {
 			set[s.ID] = true
 		}
 		ids, _ = w.plan.LoadOrStore(place{model, rec.Ver}, set)
--- a/proof/judge/judge.go
+++ b/proof/judge/judge.go
@@ -1,4 +1,4 @@
-// Package judge joins the journals of stand-in servers, requesters, operators
+// Package judge joins the journals of stand-in servers, clients, operators
 // and watchers and names every rule that was broken. It knows the users'
 // rules, not the fleet's code; simulated runs and real processes are judged
 // alike.
@@ -9,7 +9,7 @@
 	"slices"
 	"sort"
 
-	"mulleinmast/proof/journal"
+	"mulleinmast/proof/history"
 )
 
 // Bounds are the rules' figures.
@@ -40,7 +40,7 @@
 // Rules are the checks by name.
 var Rules = []struct {
 	Name  string
-	check func([]journal.Event, Bounds, func(string, ...any))
+	check func([]history.Event, Bounds, func(string, ...any))
 }{
 	{"once", once}, {"refused", refused}, {"foreign", foreign}, {"stream", streams}, {"whole", whole}, {"final", final}, {"answered", answered}, {"told", told},
 	{"holders", holders}, {"leaving", leaving}, {"evacuated", evacuated}, {"retries", retries}, {"flood", flood},
@@ -50,8 +50,8 @@
 // All applies every rule to events in any order.
 //
 // Example: for _, b := range judge.All(events, judge.Default()) { fmt.Println(b) }
-func All(events []journal.Event, b Bounds) (out []Break) {
-	ev := append([]journal.Event(nil), events...)
+func All(events []history.Event, b Bounds) (out []Break) {
+	ev := append([]history.Event(nil), events...)
 	sort.SliceStable(ev, func(i, j int) bool { return ev[i].At < ev[j].At })
 	for _, r := range Rules {
 		n := 0
@@ -67,7 +67,7 @@
 func sec(ns int64) float64 { return float64(ns) / 1e9 }
 
 // once: a request that may run only once never runs twice.
-func once(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+func once(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	ran := map[string]string{}
 	for _, e := range ev {
 		if e.Ev != "decode" || e.Once == "" {
@@ -81,7 +81,7 @@
 }
 
 // refused: a refusal means that it was not run and never will be.
-func refused(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+func refused(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	no := map[string]bool{}
 	for _, e := range ev {
 		if e.Ev == "reply" && e.Result == "shed" && e.Request != "" {
@@ -105,17 +105,17 @@
 	}
 }
 
-// foreign: a maker never takes up the KV cache of another request.
-func foreign(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+// foreign: a decode server never takes up the KV cache of another request.
+func foreign(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
-		if e.Ev == "decode" && e.Owner != e.Request {
-			bad("%s decoded %s with the cache of %s", e.Who, e.Request, e.Owner)
+		if e.Ev == "decode" && e.Leader != e.Request {
+			bad("%s decoded %s with the cache of %s", e.Who, e.Request, e.Leader)
 		}
 	}
 }
 
-// streams: what the requester itself found wrong in a stream.
-func streams(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+// streams: what the client itself found wrong in a stream.
+func streams(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
 		if e.Ev == "reply" && e.Result == "wrong" {
 			bad("request %s: %s", e.Request, e.Why)
@@ -124,8 +124,8 @@
 }
 
 // whole: every whole reply is one ended run of that request, with its count.
-func whole(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
-	ended := map[string]journal.Event{}
+func whole(ev []history.Event, _ Bounds, bad func(string, ...any)) {
+	ended := map[string]history.Event{}
 	for _, e := range ev {
 		if e.Ev == "ended" {
 			ended[e.Run] = e
@@ -145,7 +145,7 @@
 }
 
 // final: a request gets one final reply.
-func final(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+func final(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	seen := map[string]string{}
 	for _, e := range ev {
 		if e.Ev == "reply" && e.Request != "" {
@@ -158,7 +158,7 @@
 }
 
 // answered: no request is left without a final reply.
-func answered(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+func answered(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
 		if e.Ev == "reply" && e.Result == "hung" {
 			bad("request %s at %s: no final reply %.1fs after it was sent", e.Request, e.Who, sec(e.Took))
@@ -167,7 +167,7 @@
 }
 
 // told: who is given up on is told when to come back.
-func told(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+func told(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
 		if e.Ev == "reply" && (e.Result == "shed" || e.Result == "uncertain") && e.After <= 0 {
 			bad("request %s was told %q and not when to come back", e.Request, e.Result)
@@ -176,8 +176,8 @@
 }
 
 // holders: one holder at a time, and none within the swap bound of another.
-func holders(ev []journal.Event, b Bounds, bad func(string, ...any)) {
-	by := map[string]journal.Event{}
+func holders(ev []history.Event, b Bounds, bad func(string, ...any)) {
+	by := map[string]history.Event{}
 	for _, e := range ev {
 		if e.Ev != "order" {
 			continue
@@ -190,10 +190,10 @@
 	}
 }
 
-func work(e journal.Event) bool { return e.Ev == "prefill" || e.Ev == "decode" }
+func work(e history.Event) bool { return e.Ev == "prefill" || e.Ev == "decode" }
 
 // leaving: nothing starts on a leaving server after the bound.
-func leaving(ev []journal.Event, b Bounds, bad func(string, ...any)) {
+func leaving(ev []history.Event, b Bounds, bad func(string, ...any)) {
 	since := map[string]int64{}
 	for _, e := range ev {
 		switch {
@@ -209,21 +209,21 @@
 	}
 }
 
-// evacuated: nothing starts in an evacuated cell after the bound.
-func evacuated(ev []journal.Event, b Bounds, bad func(string, ...any)) {
+// evacuated: nothing starts in an evacuated zone after the bound.
+func evacuated(ev []history.Event, b Bounds, bad func(string, ...any)) {
 	since := map[string]int64{}
-	cell := map[string]string{}
+	zone := map[string]string{}
 	for _, e := range ev {
 		switch {
 		case e.Ev == "boot":
-			cell[e.Who] = e.Cell
+			zone[e.Who] = e.Zone
 		case e.Ev == "evacuated":
-			since[e.Cell] = e.At
+			since[e.Zone] = e.At
 		case e.Ev == "returned":
-			delete(since, e.Cell)
+			delete(since, e.Zone)
 		case work(e):
-			if at, ok := since[cell[e.Who]]; ok && e.At-at > b.Evacuate {
-				bad("%s in %s got a %s %.2fs after its evacuation", e.Who, cell[e.Who], e.Ev, sec(e.At-at))
+			if at, ok := since[zone[e.Who]]; ok && e.At-at > b.Evacuate {
+				bad("%s in %s got a %s %.2fs after its evacuation", e.Who, zone[e.Who], e.Ev, sec(e.At-at))
 			}
 		}
 	}
@@ -234,7 +234,7 @@
 // tries of the window before count too. What reached a server counts, taken or
 // turned away: a prefill beyond a request's first, and a decode beyond the
 // request's prefills.
-func retries(ev []journal.Event, b Bounds, bad func(string, ...any)) {
+func retries(ev []history.Event, b Bounds, bad func(string, ...any)) {
 	read, mk := map[string]int{}, map[string]int{}
 	var first, again []int64
 	for _, e := range ev {
@@ -276,8 +276,8 @@
 
 // flood: over its own warm-up a server never works at more than half of its
 // slots.
-func flood(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
-	boot := map[string]journal.Event{}
+func flood(ev []history.Event, _ Bounds, bad func(string, ...any)) {
+	boot := map[string]history.Event{}
 	for _, e := range ev {
 		if e.Ev == "boot" {
 			boot[e.Who] = e
@@ -289,7 +289,7 @@
 }
 
 // races: of the plans on one base only one is acknowledged.
-func races(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+func races(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	won := map[uint64]string{}
 	for _, e := range ev {
 		if e.Ev != "plan" || e.Result != "taken" {
@@ -302,8 +302,8 @@
 	}
 }
 
-// refusedPlans: a refused, beaten or broken plan is never in force.
-func refusedPlans(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+// refusedPlans: a refused, in conflict or broken plan is never in force.
+func refusedPlans(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	no := map[string]string{}
 	for _, e := range ev {
 		if e.Ev == "plan" && (e.Result == "beaten" || e.Result == "broken" || e.Result == "not done") {
@@ -318,7 +318,7 @@
 }
 
 // fallsBack: no daemon goes back to an older plan, and a version is one plan.
-func fallsBack(ev []journal.Event, _ Bounds, bad func(string, ...any)) {
+func fallsBack(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	top := map[string]uint64{}
 	of := map[uint64]string{}
 	for _, e := range ev {
@@ -337,7 +337,7 @@
 }
 
 // late: an acknowledged plan is in force everywhere within the bound.
-func late(ev []journal.Event, b Bounds, bad func(string, ...any)) {
+func late(ev []history.Event, b Bounds, bad func(string, ...any)) {
 	type ack struct {
 		ver uint64
 		at  int64
@@ -357,23 +357,23 @@
 	}
 }
 
-// recovery: after everything is back ("mended"), a requester of every cell
+// recovery: after everything is back ("mended"), a client of every zone
 // gets a whole reply within the bound.
-func recovery(ev []journal.Event, b Bounds, bad func(string, ...any)) {
-	cells := map[string]bool{}
+func recovery(ev []history.Event, b Bounds, bad func(string, ...any)) {
+	zones := map[string]bool{}
 	for _, e := range ev {
-		if e.Ev == "reply" && e.Cell != "" {
-			cells[e.Cell] = true
+		if e.Ev == "reply" && e.Zone != "" {
+			zones[e.Zone] = true
 		}
 	}
 	for _, m := range ev {
 		if m.Ev != "mended" {
 			continue
 		}
-		for cell := range cells {
+		for zone := range zones {
 			asked, ok, took := 0, false, int64(0)
 			for _, e := range ev {
-				if e.Ev == "reply" && e.Cell == cell && e.At >= m.At {
+				if e.Ev == "reply" && e.Zone == zone && e.At >= m.At {
 					asked++
 					if e.Result == "ok" {
 						ok, took = true, e.At-m.At
@@ -382,7 +382,7 @@
 				}
 			}
 			if ok && took > b.Recover || !ok && asked > 0 && ev[len(ev)-1].At-m.At > b.Recover {
-				bad("%s: no whole reply within %.0fs after the machines were back (%d asked, first after %.1fs)", cell, sec(b.Recover), asked, sec(took))
+				bad("%s: no whole reply within %.0fs after the machines were back (%d asked, first after %.1fs)", zone, sec(b.Recover), asked, sec(took))
 			}
 		}
 	}
--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -5,23 +5,23 @@
 	"strings"
 	"testing"
 
-	"mulleinmast/proof/journal"
+	"mulleinmast/proof/history"
 )
 
 const one = int64(1e9)
 
 // A clean history, and for each rule the one change that breaks it.
-func clean() []journal.Event {
-	ev := []journal.Event{
-		{At: 0, Who: "m", Ev: "boot", N: 8, Cell: "a", Warm: 4 * one},
+func clean() []history.Event {
+	ev := []history.Event{
+		{At: 0, Who: "m", Ev: "boot", N: 8, Zone: "a", Warm: 4 * one},
 		{At: 1, Who: "m", Ev: "order", Holder: "x", Term: 1},
 		{At: 4 * one, Who: "m", Ev: "order", Holder: "y", Term: 2},
 		{At: 5 * one, Who: "m", Ev: "leaving"},
-		{At: 7 * one, Who: "m", Ev: "decode", Request: "r1", Owner: "r1", Run: "r1-1", Once: "k1", N: 1},
+		{At: 7 * one, Who: "m", Ev: "decode", Request: "r1", Leader: "r1", Run: "r1-1", Once: "k1", N: 1},
 		{At: 7 * one, Who: "m", Ev: "ended", Request: "r1", Run: "r1-1", Count: 3},
-		{At: 7 * one, Who: "c", Ev: "reply", Request: "r1", Run: "r1-1", Result: "ok", Count: 3, Cell: "a"},
-		{At: 8 * one, Who: "c", Ev: "reply", Request: "r2", Result: "shed", After: 1000, Cell: "a"},
-		{At: 9 * one, Who: "t", Ev: "evacuated", Cell: "a"},
+		{At: 7 * one, Who: "c", Ev: "reply", Request: "r1", Run: "r1-1", Result: "ok", Count: 3, Zone: "a"},
+		{At: 8 * one, Who: "c", Ev: "reply", Request: "r2", Result: "shed", After: 1000, Zone: "a"},
+		{At: 9 * one, Who: "t", Ev: "evacuated", Zone: "a"},
 		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p1", Base: 0, Ver: 1, Result: "taken"},
 		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p2", Base: 0, Ver: 1, Result: "beaten"},
 		{At: 3 * one, Who: "d", Ev: "serves", Plan: "p1", Ver: 1},
@@ -29,7 +29,7 @@
 		{At: 4 * one, Who: "d", Ev: "serves", Plan: "p3", Ver: 2},
 	}
 	for i := 0; i < 120; i++ {
-		ev = append(ev, journal.Event{At: one + int64(i), Who: "n", Ev: "prefill", Request: fmt.Sprint("a", i), N: 1})
+		ev = append(ev, history.Event{At: one + int64(i), Who: "n", Ev: "prefill", Request: fmt.Sprint("a", i), N: 1})
 	}
 	return ev
 }
@@ -38,11 +38,11 @@
 	if rows := All(clean(), Default()); len(rows) > 0 {
 		t.Fatalf("clean history: %v", rows)
 	}
-	plant := map[string][]journal.Event{
-		"once":         {{At: 7*one + 1, Who: "q", Ev: "decode", Request: "r9", Owner: "r9", Run: "r9-1", Once: "k1"}},
-		"refused":      {{At: 9 * one, Who: "q", Ev: "decode", Request: "r2", Owner: "r2"}},
+	plant := map[string][]history.Event{
+		"once":         {{At: 7*one + 1, Who: "q", Ev: "decode", Request: "r9", Leader: "r9", Run: "r9-1", Once: "k1"}},
+		"refused":      {{At: 9 * one, Who: "q", Ev: "decode", Request: "r2", Leader: "r2"}},
 		"refused key":  {{At: 9 * one, Who: "c", Ev: "reply", Request: "r12", Once: "k1", Result: "shed", After: 1, Took: one / 2}},
-		"foreign":      {{At: 7 * one, Who: "q", Ev: "decode", Request: "r3", Owner: "r4"}},
+		"foreign":      {{At: 7 * one, Who: "q", Ev: "decode", Request: "r3", Leader: "r4"}},
 		"stream":       {{At: 7 * one, Who: "c", Ev: "reply", Result: "wrong", Why: "piece 3 where 2 was due"}},
 		"whole":        {{At: 7 * one, Who: "c", Ev: "reply", Request: "r8", Result: "ok", Run: "r8-1", Count: 2}},
 		"final":        {{At: 9 * one, Who: "c", Ev: "reply", Request: "r2", Result: "broken"}},
@@ -50,17 +50,17 @@
 		"told":         {{At: 9 * one, Who: "c", Ev: "reply", Request: "r7", Result: "uncertain"}},
 		"holders":      {{At: 6 * one, Who: "m", Ev: "order", Holder: "z", Term: 3}},
 		"leaving":      {{At: 8*one + 2, Who: "m", Ev: "prefill", Request: "r5"}},
-		"evacuated":    {{At: 0, Who: "o", Ev: "boot", N: 8, Cell: "a"}, {At: 14*one + 1, Who: "o", Ev: "prefill", Request: "r6"}},
+		"evacuated":    {{At: 0, Who: "o", Ev: "boot", N: 8, Zone: "a"}, {At: 14*one + 1, Who: "o", Ev: "prefill", Request: "r6"}},
 		"flood":        {{At: 2 * one, Who: "m", Ev: "prefill", Request: "r7", N: 5}},
 		"plan-race":    {{At: 2 * one, Ev: "plan", Plan: "p9", Base: 1, Ver: 2, Result: "taken"}},
 		"plan-refused": {{At: 5 * one, Who: "e", Ev: "plan", Plan: "p3", Base: 2, Ver: 3, Result: "broken"}},
 		"plan-back":    {{At: 5 * one, Who: "d", Ev: "serves", Plan: "p1", Ver: 1}},
 		"plan-late":    {{At: 6 * one, Who: "e", Ev: "serves", Plan: "p1", Ver: 1}},
-		"recovery":     {{At: 9 * one, Ev: "mended"}, {At: 10 * one, Who: "c", Ev: "reply", Request: "r10", Result: "shed", After: 1, Cell: "a"}, {At: 22 * one, Ev: "stop"}},
+		"recovery":     {{At: 9 * one, Ev: "mended"}, {At: 10 * one, Who: "c", Ev: "reply", Request: "r10", Result: "shed", After: 1, Zone: "a"}, {At: 22 * one, Ev: "stop"}},
 	}
-	var many []journal.Event
+	var many []history.Event
 	for i := 0; i < 30; i++ {
-		many = append(many, journal.Event{At: 2 * one, Who: "n", Ev: "prefill", Request: "a1", N: 1})
+		many = append(many, history.Event{At: 2 * one, Who: "n", Ev: "prefill", Request: "a1", N: 1})
 	}
 	plant["retries"] = many
 	for _, r := range Rules {
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -1,4 +1,4 @@
-// Package load is the stand-in requester: it sends a mix at a rate, checks
+// Package load is the stand-in client: it sends a mix at a rate, checks
 // every stream piece by piece and writes down what came of each request.
 package load
 
@@ -16,26 +16,26 @@
 	"sync"
 	"time"
 
-	"mulleinmast/proof/journal"
+	"mulleinmast/proof/history"
 	"mulleinmast/proof/script"
-	"mulleinmast/traffic/yard"
+	"mulleinmast/traffic/serverpool"
 )
 
 // Config is one run of load.
 type Config struct {
 	Targets []string
-	Cells   []string // where requesters are
-	// Pick hands a requester of a cell a daemon; without it one of Targets.
-	Pick   func(cell string, dice int) string
-	Mix    string  // rangsit or pat
-	Rate   float64 // requests a second
-	For    time.Duration
-	Most   int // requests in all
-	Seed   int64
-	Budget time.Duration
-	Once   float64 // part of the requests that carry a once key
-	Again  bool    // send a once key again to another daemon whatever the reply
-	Swing  float64 // part of long prompts; below 0 the mix's own
+	Zones   []string // where clients are
+	// Pick hands a client of a zone a daemon; without it one of Targets.
+	Pick    func(zone string, dice int) string
+	Mix     string  // rangsit or pat
+	Rate    float64 // requests a second
+	For     time.Duration
+	Most    int // requests in all
+	Seed    int64
+	Timeout time.Duration
+	Once    float64 // part of the requests that carry a once key
+	Again   bool    // send a once key again to another daemon whatever the reply
+	Swing   float64 // part of long prompts; below 0 the mix's own
 }
 
 // Mixes names the kinds of request of each deployment.
@@ -70,8 +70,8 @@
 
 // Run sends the mix and waits for every reply.
 //
-// Example: load.Run(ctx, cfg, book)
-func Run(ctx context.Context, c Config, book *journal.Book) {
+// Example: load.Run(ctx, cfg, records)
+func Run(ctx context.Context, c Config, recorder *history.Recorder) {
 	rng := rand.New(rand.NewSource(c.Seed))
 	web := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
 	kinds := Mixes[c.Mix]
@@ -97,21 +97,21 @@
 		}
 		ten := Tenants[rng.Intn(len(Tenants))]
 		pre := rng.Intn(k.Prefixes)
-		parts := []yard.Part{{Key: fmt.Sprintf("%s-%d", k.Name, pre), Text: strings.Repeat(string(rune('a'+pre%26)), k.Shared)}, {Text: fmt.Sprintf("%d/%d ", c.Seed, i) + strings.Repeat("x", k.Own)}}
-		body := map[string]any{"model": k.Model, "tenant": ten.Name, "tokens": k.Tokens, "budget_ms": c.Budget.Milliseconds(),
+		parts := []serverpool.Part{{Key: fmt.Sprintf("%s-%d", k.Name, pre), Text: strings.Repeat(string(rune('a'+pre%26)), k.Shared)}, {Text: fmt.Sprintf("%d/%d ", c.Seed, i) + strings.Repeat("x", k.Own)}}
+		body := map[string]any{"model": k.Model, "tenant": ten.Name, "tokens": k.Tokens, "budget_ms": c.Timeout.Milliseconds(),
 			"parts": parts}
 		key := ""
 		if rng.Float64() < c.Once {
 			key = fmt.Sprintf("k%d-%d-%d", c.Seed, from.UnixNano(), i)
 			body["once"] = key
 		}
-		cell := ""
-		if len(c.Cells) > 0 {
-			cell = c.Cells[rng.Intn(len(c.Cells))]
+		zone := ""
+		if len(c.Zones) > 0 {
+			zone = c.Zones[rng.Intn(len(c.Zones))]
 		}
 		pick := func() string {
 			if c.Pick != nil {
-				return c.Pick(cell, rng.Intn(1<<20))
+				return c.Pick(zone, rng.Intn(1<<20))
 			}
 			return c.Targets[rng.Intn(len(c.Targets))]
 		}
@@ -120,13 +120,13 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			e := one(ctx, web, a, raw, script.Prompt(parts), c.Budget)
-			e.Once, e.Tenant, e.Prio, e.Mix, e.Cell = key, ten.Name, ten.Prio, k.Name, cell
-			book.Put(e)
+			e := one(ctx, web, a, raw, script.Prompt(parts), c.Timeout)
+			e.Once, e.Tenant, e.Prio, e.Mix, e.Zone = key, ten.Name, ten.Prio, k.Name, zone
+			recorder.Put(e)
 			if key != "" && c.Again {
-				e = one(ctx, web, b, raw, script.Prompt(parts), c.Budget)
-				e.Once, e.Tenant, e.Prio, e.Mix, e.Cell, e.Again = key, ten.Name, ten.Prio, k.Name, cell, true
-				book.Put(e)
+				e = one(ctx, web, b, raw, script.Prompt(parts), c.Timeout)
+				e.Once, e.Tenant, e.Prio, e.Mix, e.Zone, e.Again = key, ten.Name, ten.Prio, k.Name, zone, true
+				recorder.Put(e)
 			}
 		}()
 	}
@@ -134,11 +134,11 @@
 }
 
 // one sends a request and judges the reply by itself.
-func one(ctx context.Context, web *http.Client, to string, raw []byte, prompt uint64, budget time.Duration) (e journal.Event) {
-	ctx, done := context.WithTimeout(ctx, budget+5*time.Second)
+func one(ctx context.Context, web *http.Client, to string, raw []byte, prompt uint64, timeout time.Duration) (e history.Event) {
+	ctx, done := context.WithTimeout(ctx, timeout+5*time.Second)
 	defer done()
 	from := time.Now()
-	e = journal.Event{Who: to, Ev: "reply"}
+	e = history.Event{Who: to, Ev: "reply"}
 	defer func() { e.Took = time.Since(from).Nanoseconds() }()
 	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+"/v1/generate", bytes.NewReader(raw))
 	if err != nil {
@@ -173,7 +173,7 @@
 		return e
 	}
 	r := bufio.NewReader(res.Body)
-	see := script.Reader{Prompt: prompt, Request: e.Request}
+	see := script.Prefill{Prompt: prompt, Request: e.Request}
 	for {
 		line, err := r.ReadBytes('\n')
 		if err != nil {
@@ -182,7 +182,7 @@
 			}
 			return e
 		}
-		var p yard.Piece
+		var p serverpool.Piece
 		if err := json.Unmarshal(line, &p); err != nil {
 			e.Result, e.Why = "wrong", "piece can't be read"
 			return e
@@ -211,24 +211,24 @@
 
 // Report is what a run of load came to.
 type Report struct {
-	All     int
-	Results map[string]int
-	Sheds   map[string]int
-	P50     map[string]time.Duration // of served requests, by tenant
-	P99     map[string]time.Duration
-	Served  map[string]float64 // part served, by tenant
-	First   time.Duration      // median time to first piece
-	Refusal time.Duration      // 99th percentile of the time to a shed
+	All      int
+	Results  map[string]int
+	Refusals map[string]int
+	P50      map[string]time.Duration // of served requests, by tenant
+	P99      map[string]time.Duration
+	Served   map[string]float64 // part served, by tenant
+	First    time.Duration      // median time to first piece
+	Refusal  time.Duration      // 99th percentile of the time to a refused
 }
 
-// Sum makes a report of a requester's journal.
+// Sum makes a report of a client's journal.
 //
 // Example: fmt.Print(load.Sum(events))
-func Sum(ev []journal.Event) Report {
-	r := Report{Results: map[string]int{}, Sheds: map[string]int{}, P50: map[string]time.Duration{}, P99: map[string]time.Duration{}, Served: map[string]float64{}}
+func Sum(ev []history.Event) Report {
+	r := Report{Results: map[string]int{}, Refusals: map[string]int{}, P50: map[string]time.Duration{}, P99: map[string]time.Duration{}, Served: map[string]float64{}}
 	took := map[string][]int64{}
 	all := map[string]int{}
-	var first, shed []int64
+	var first, refused []int64
 	for _, e := range ev {
 		if e.Ev != "reply" {
 			continue
@@ -243,8 +243,8 @@
 			took[e.Tenant] = append(took[e.Tenant], e.Took)
 			first = append(first, e.First)
 		case "shed":
-			r.Sheds[e.Why]++
-			shed = append(shed, e.Took)
+			r.Refusals[e.Why]++
+			refused = append(refused, e.Took)
 		}
 	}
 	at := func(list []int64, q float64) time.Duration {
@@ -258,7 +258,7 @@
 		r.P50[t], r.P99[t] = at(list, 0.5), at(list, 0.99)
 		r.Served[t] = float64(len(list)) / float64(max(1, all[t]))
 	}
-	r.First, r.Refusal = at(first, 0.5), at(shed, 0.99)
+	r.First, r.Refusal = at(first, 0.5), at(refused, 0.99)
 	return r
 }
 
@@ -274,19 +274,19 @@
 		}
 	}
 	_, _ = fmt.Fprintf(&b, "  first piece: median %v; shed told: 99th %v\n", r.First.Round(time.Millisecond), r.Refusal.Round(time.Millisecond))
-	whys := make([]string, 0, len(r.Sheds))
-	for w := range r.Sheds {
+	whys := make([]string, 0, len(r.Refusals))
+	for w := range r.Refusals {
 		whys = append(whys, w)
 	}
 	sort.Strings(whys)
 	for _, w := range whys {
-		_, _ = fmt.Fprintf(&b, "  shed %d: %s\n", r.Sheds[w], w)
+		_, _ = fmt.Fprintf(&b, "  shed %d: %s\n", r.Refusals[w], w)
 	}
 	return b.String()
 }
 
 // Stuck sends a request, reads its first piece and then nothing for a while,
-// as a requester does whose machine hangs. It says how many bytes it could
+// as a client does whose machine hangs. It says how many bytes it could
 // still read afterwards and whether the reply was whole.
 //
 // Example: got, whole := load.Stuck(ctx, addr, body, 8*time.Second)
@@ -324,7 +324,7 @@
 		if err != nil {
 			return got, whole
 		}
-		var p yard.Piece
+		var p serverpool.Piece
 		whole = json.Unmarshal(line, &p) == nil && p.End
 	}
 }
--- a/proof/platform/platform.go
+++ b/proof/platform/platform.go
@@ -1,6 +1,6 @@
 // Package platform is the stand-in for the users' platform: it asks every
-// daemon once a second whether it is ready and hands requesters one of their
-// own cell, or of another when none there is.
+// daemon once a second whether it is ready and hands clients one of their
+// own zone, or of another when none there is.
 package platform
 
 import (
@@ -11,7 +11,7 @@
 )
 
 // Box is a daemon as the platform knows it.
-type Box struct{ Addr, Cell string }
+type Box struct{ Addr, Zone string }
 
 // Platform is the state.
 type Platform struct {
@@ -74,16 +74,16 @@
 	p.mu.Unlock()
 }
 
-// Pick hands out a daemon for a requester of a cell; dice is any number. With
+// Pick hands out a daemon for a client of a zone; dice is any number. With
 // none ready anywhere it names any daemon.
 //
-// Example: addr := p.Pick("cell-a", rng.Int())
-func (p *Platform) Pick(cell string, dice int) string {
+// Example: addr := p.Pick("zone-a", rng.Int())
+func (p *Platform) Pick(zone string, dice int) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var near []Box
 	for _, b := range p.ready {
-		if b.Cell == cell {
+		if b.Zone == zone {
 			near = append(near, b)
 		}
 	}
--- a/proof/script/script.go
+++ b/proof/script/script.go
@@ -1,5 +1,5 @@
 // Package script is the text that stand-in servers write: each piece follows
-// from the prompt, the request and the run, so that a requester tells a
+// from the prompt, the request and the run, so that a client tells a
 // foreign, skipped, repeated or spliced piece by its content.
 package script
 
@@ -8,13 +8,13 @@
 	"hash/fnv"
 	"io"
 
-	"mulleinmast/traffic/yard"
+	"mulleinmast/traffic/serverpool"
 )
 
 // Prompt is a prompt's digest.
 //
 // Example: d := script.Prompt(parts)
-func Prompt(parts []yard.Part) uint64 {
+func Prompt(parts []serverpool.Part) uint64 {
 	h := fnv.New64a()
 	for _, p := range parts {
 		_, _ = fmt.Fprintf(h, "%d:", len(p.Text))
@@ -32,8 +32,8 @@
 	return fmt.Sprintf("%012x", h.Sum64()&(1<<48-1))
 }
 
-// Reader checks a stream as a requester does, by its content.
-type Reader struct {
+// Prefill server checks a stream as a client does, by its content.
+type Prefill struct {
 	Prompt  uint64
 	Request string
 	Run     string
@@ -45,7 +45,7 @@
 // it, and broken that the stream was ended by an error piece.
 //
 // Example: end, broken, why := r.Next(piece)
-func (r *Reader) Next(p yard.Piece) (end bool, broken, why string) {
+func (r *Prefill) Next(p serverpool.Piece) (end bool, broken, why string) {
 	if r.failed {
 		return false, "", "a piece after an error piece"
 	}
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -8,35 +8,35 @@
 	"strings"
 	"time"
 
-	"mulleinmast/control/errand"
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/tariff"
-	"mulleinmast/proof/journal"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/placement"
+	"mulleinmast/proof/history"
 	"mulleinmast/proof/script"
-	"mulleinmast/traffic/dispatch"
-	"mulleinmast/traffic/yard"
+	"mulleinmast/traffic/scheduler"
+	"mulleinmast/traffic/serverpool"
 )
 
 var services = []string{"timetable", "yardnotes"}
 
-// caller is a simulated requester: one request, checked by content.
+// caller is a simulated client: one request, checked by content.
 type caller struct {
-	w      *world
-	no     int
-	n      *node
-	asked  dispatch.Asked
-	budget time.Duration
-	at     time.Duration
-	see    script.Reader
-	broken string
-	over   bool
-	again  bool
-	back   bool // came back when it was told to
-	crowd  bool // sent while requests come thick
-	after  func()
+	w       *world
+	no      int
+	n       *node
+	asked   scheduler.Asked
+	timeout time.Duration
+	at      time.Duration
+	see     script.Prefill
+	broken  string
+	over    bool
+	again   bool
+	back    bool // came back when it was told to
+	crowd   bool // sent while requests come thick
+	after   func()
 }
 
-func share(d errand.Done) (sh interlock.Share, ok bool) {
+func share(d leadercall.Done) (sh placement.Share, ok bool) {
 	return sh, d.Code == 200 && json.Unmarshal(d.Body, &sh) == nil
 }
 
@@ -52,7 +52,7 @@
 		}
 		n.in(0, func() { c.land(0) })
 	})
-	w.at(c.budget+5*time.Second, func() {
+	w.at(c.timeout+5*time.Second, func() {
 		if c.n.thawed > c.at { // its daemon's machine froze meanwhile
 			c.end("silent", "no final reply from a frozen machine", 0)
 			return
@@ -65,8 +65,8 @@
 func (c *caller) land(waited time.Duration) {
 	n := c.n
 	now := n.local()
-	rec, ok := n.source(0, tariff.PlanKey)
-	if !ok && waited < min(2*c.w.cfg.Vol(), c.budget) {
+	rec, ok := n.source(0, fleetconfig.PlanKey)
+	if !ok && waited < min(2*c.w.cfg.Vol(), c.timeout) {
 		n.early[c.no] = c
 		n.in(20*time.Millisecond, func() { c.land(waited + 20*time.Millisecond) })
 		return
@@ -81,9 +81,9 @@
 		return
 	}
 	c.see.Request = fmt.Sprintf("r%d", c.no)
-	p := tariff.Open(rec)
-	c.w.jot(journal.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
-	req, code, why := dispatch.NewSheet(rec).Take(c.asked, c.see.Request, now)
+	p := fleetconfig.Open(rec)
+	c.w.jot(history.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
+	req, code, why := scheduler.NewSheet(rec).Take(c.asked, c.see.Request, now)
 	if code != 0 {
 		c.end("broken-request", why, 0)
 		return
@@ -95,7 +95,7 @@
 }
 
 // pass brings a piece to the caller, in order.
-func (r *ride) pass(p yard.Piece) {
+func (r *ride) pass(p serverpool.Piece) {
 	w := r.n.w
 	r.last = max(w.now+w.lag(), r.last+1)
 	w.at(r.last-w.now, func() { r.c.piece(p) })
@@ -103,7 +103,7 @@
 	r.l.Taken(r.n.local(), r.req.ID, n+1)
 }
 
-func (r *ride) reply(e dispatch.End) {
+func (r *ride) respond(e scheduler.End) {
 	w := r.n.w
 	for _, c := range r.calls {
 		c.shut = true
@@ -120,7 +120,7 @@
 	})
 }
 
-func (c *caller) piece(p yard.Piece) {
+func (c *caller) piece(p serverpool.Piece) {
 	if c.over {
 		return
 	}
@@ -150,10 +150,10 @@
 	}
 	if result == "shed" {
 		kind, _, _ := strings.Cut(why, " of \"")
-		w.res.Sheds[kind]++
+		w.res.Refusals[kind]++
 	}
-	w.jot(journal.Event{Who: c.n.name, Ev: "reply", Request: c.see.Request, Run: c.see.Run, Count: c.see.N, Once: c.asked.Once, Tenant: c.asked.Tenant, Result: result, Why: why,
-		After: after, Took: int64(w.now - c.at), Cell: c.n.cell, Again: c.again})
+	w.jot(history.Event{Who: c.n.name, Ev: "reply", Request: c.see.Request, Run: c.see.Run, Count: c.see.N, Once: c.asked.Once, Tenant: c.asked.Tenant, Result: result, Why: why,
+		After: after, Took: int64(w.now - c.at), Zone: c.n.zone, Again: c.again})
 	if result == "silent" || result == "hung" {
 		if r := c.n.rides[c.see.Request]; r != nil && r.c == c {
 			n, l, id := c.n, r.l, r.req.ID
@@ -170,8 +170,8 @@
 		}
 	} else if w.o.Back && result == "shed" && after > 0 {
 		w.callers++
-		again := &caller{w: w, no: w.callers, budget: c.budget, asked: c.asked, back: true}
-		w.at(time.Duration(after)*time.Millisecond, func() { again.send(w.pick(c.n.cell)) })
+		again := &caller{w: w, no: w.callers, timeout: c.timeout, asked: c.asked, back: true}
+		w.at(time.Duration(after)*time.Millisecond, func() { again.send(w.pick(c.n.zone)) })
 	}
 }
 
@@ -193,12 +193,12 @@
 	n.early = map[int]*caller{}
 }
 
-// traffic lays out servers, operators, the platform and requesters.
+// traffic lays out servers, operators, the platform and clients.
 func (w *world) traffic() {
-	w.depots, w.lists, w.mix = map[string]*depot{}, map[string]tariff.List{}, 0.6
+	w.fakeServers, w.lists, w.mix = map[string]*fakeServer{}, map[string]fleetconfig.List{}, 0.6
 	for s, n := range w.o.Servers {
 		for i := 0; i < n; i++ {
-			w.depot(services[s], fmt.Sprintf("cell-%d", i%len(w.o.Cells)))
+			w.fakeServer(services[s], fmt.Sprintf("cell-%d", i%len(w.o.Zones)))
 		}
 	}
 	w.at(2*time.Second, w.platform)
@@ -209,12 +209,12 @@
 	}
 }
 
-func (w *world) depot(svc, cell string) *depot {
-	d := &depot{w: w, addr: fmt.Sprintf("10.1.0.%d:1", len(w.addrs)+1), svc: svc, cell: cell, cap: 4, warm: time.Second + time.Duration(w.rng.Int63n(int64(4*time.Second)))}
-	w.depots[d.addr] = d
+func (w *world) fakeServer(svc, zone string) *fakeServer {
+	d := &fakeServer{w: w, addr: fmt.Sprintf("10.1.0.%d:1", len(w.addrs)+1), svc: svc, zone: zone, cap: 4, warm: time.Second + time.Duration(w.rng.Int63n(int64(4*time.Second)))}
+	w.fakeServers[d.addr] = d
 	w.addrs = append(w.addrs, d.addr)
 	l := w.lists[svc]
-	l.Servers = append(append([]tariff.Server(nil), l.Servers...), tariff.Server{Addr: d.addr, Cell: cell, Capacity: d.cap})
+	l.Servers = append(append([]fleetconfig.Server(nil), l.Servers...), fleetconfig.Server{Addr: d.addr, Zone: zone, Capacity: d.cap})
 	w.lists[svc] = l
 	d.boot()
 	return d
@@ -227,8 +227,8 @@
 		if !n.up || n.frozen > w.now || !n.view.Live {
 			continue
 		}
-		_, a := n.source(0, tariff.PlanKey)
-		_, b := n.source(0, tariff.CellKey)
+		_, a := n.source(0, fleetconfig.PlanKey)
+		_, b := n.source(0, fleetconfig.ZoneKey)
 		if a && b {
 			w.ready = append(w.ready, n)
 		}
@@ -236,11 +236,11 @@
 	w.at(time.Second, w.platform)
 }
 
-// pick is a ready daemon, of the given cell if there is one.
-func (w *world) pick(cell string) *node {
+// pick is a ready daemon, of the given zone if there is one.
+func (w *world) pick(zone string) *node {
 	var near []*node
 	for _, n := range w.ready {
-		if n.cell == cell {
+		if n.zone == zone {
 			near = append(near, n)
 		}
 	}
@@ -268,22 +268,22 @@
 			return
 		}
 		n.in(0, func() {
-			n.ask(part, op, body, 2*w.cfg.Bounds.Plan, func(d errand.Done) { w.at(w.lag(), func() { end(d.Code, d.Body) }) })
+			n.ask(part, op, body, 2*w.cfg.Bounds.Plan, func(d leadercall.Done) { w.at(w.lag(), func() { end(d.Code, d.Body) }) })
 		})
 	})
-	w.at(10*time.Second, func() { end(errand.Uncertain, nil) })
+	w.at(10*time.Second, func() { end(leadercall.Uncertain, nil) })
 }
 
 // first sends the plan and the lists until they are taken.
 func (w *world) first() {
-	p := tariff.Plan{ID: "first"}
+	p := fleetconfig.Plan{ID: "first"}
 	for i, t := range []string{"express", "regular", "bulk"} {
-		p.Tenants = append(p.Tenants, tariff.Tenant{Name: t, Priority: 4 * i, Budget: 5000, Queue: 0.6})
+		p.Tenants = append(p.Tenants, fleetconfig.Tenant{Name: t, Priority: 4 * i, Timeout: 5000, Queue: 0.6})
 	}
 	for _, s := range services {
-		p.Services = append(p.Services, tariff.Service{Name: s, Readers: 1, Makers: 1})
+		p.Services = append(p.Services, fleetconfig.Service{Name: s, PrefillServers: 1, DecodeServers: 1})
 	}
-	w.control(w.pick(""), 0, "plan", errand.Pack(p), func(code int, rep []byte) {
+	w.control(w.pick(""), 0, "plan", leadercall.Pack(p), func(code int, rep []byte) {
 		w.judged("first", 0, code, rep)
 		if code != 200 {
 			w.at(500*time.Millisecond, w.first)
@@ -297,13 +297,13 @@
 
 // judged writes down what an operator was told.
 func (w *world) judged(id string, base uint64, code int, rep []byte) {
-	var v tariff.Verdict
+	var v fleetconfig.Verdict
 	_ = json.Unmarshal(rep, &v)
 	if v.Result == "taken" && w.o.Sabotage == "sayno" && w.rng.Intn(3) == 0 {
 		v.Result = "beaten" // told no, and it is in force
 	}
 	if v.Result != "" && code != 0 {
-		w.jot(journal.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result})
+		w.jot(history.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result})
 		w.res.Plans[v.Result]++
 	}
 }
@@ -313,13 +313,13 @@
 	l := w.lists[svc]
 	l.Version++
 	w.lists[svc] = l
-	body := errand.Pack(struct {
+	body := leadercall.Pack(struct {
 		Service string
-		List    tariff.List
+		List    fleetconfig.List
 	}{svc, l})
 	var send func(tries int)
 	send = func(tries int) {
-		w.control(w.pick(""), tariff.PartOf(svc, w.o.Parts), "servers", body, func(code int, rep []byte) {
+		w.control(w.pick(""), fleetconfig.PartitionOf(svc, w.o.Partitions), "servers", body, func(code int, rep []byte) {
 			w.trace("LIST %s version %d: %d %s; leaving %v", svc, l.Version, code, rep, leavers(l))
 			switch {
 			case code == 200:
@@ -354,16 +354,16 @@
 	}
 	pre := w.rng.Intn(4)
 	w.callers++
-	budget := time.Second + time.Duration(w.rng.Int63n(int64(3*time.Second)))
-	ms := budget.Milliseconds()
-	c := &caller{w: w, no: w.callers, budget: budget, asked: dispatch.Asked{Model: svc, Tenant: []string{"express", "regular", "bulk"}[w.rng.Intn(3)], Tokens: 3 + w.rng.Intn(4), Budget: &ms,
-		Parts: []yard.Part{{Key: "shared", Text: strings.Repeat(string(rune('a'+pre)), 150)}, {Text: fmt.Sprintf("own %d ", w.callers) + strings.Repeat("x", 50+w.rng.Intn(150))}}}}
-	cell := w.nodes[w.rng.Intn(len(w.nodes))].cell
-	to := w.pick(cell)
+	timeout := time.Second + time.Duration(w.rng.Int63n(int64(3*time.Second)))
+	ms := timeout.Milliseconds()
+	c := &caller{w: w, no: w.callers, timeout: timeout, asked: scheduler.Asked{Model: svc, Tenant: []string{"express", "regular", "bulk"}[w.rng.Intn(3)], Tokens: 3 + w.rng.Intn(4), Timeout: &ms,
+		Parts: []serverpool.Part{{Key: "shared", Text: strings.Repeat(string(rune('a'+pre)), 150)}, {Text: fmt.Sprintf("own %d ", w.callers) + strings.Repeat("x", 50+w.rng.Intn(150))}}}}
+	zone := w.nodes[w.rng.Intn(len(w.nodes))].zone
+	to := w.pick(zone)
 	if w.rng.Intn(5) < 2 {
 		c.asked.Once = fmt.Sprintf("k%d", c.no)
 		w.callers++
-		twin := &caller{w: w, no: w.callers, budget: budget, asked: c.asked, again: true}
+		twin := &caller{w: w, no: w.callers, timeout: timeout, asked: c.asked, again: true}
 		other := w.pick("")
 		if w.rng.Intn(3) == 0 { // while the first may be under way
 			w.at(w.exp(60*time.Millisecond), func() { twin.send(other) })
@@ -374,7 +374,7 @@
 	c.send(to)
 }
 
-func leavers(l tariff.List) (out []string) {
+func leavers(l fleetconfig.List) (out []string) {
 	for _, s := range l.Servers {
 		if s.Leaving {
 			out = append(out, s.Addr)
--- a/proof/sim/check.go
+++ b/proof/sim/check.go
@@ -19,19 +19,19 @@
 	Never              // its writer was told that it is not and never will be
 	Maybe              // its writer was told that nobody knows
 	Served             // a daemon used a record
-	Owning             // a daemon took itself for a part's owner
+	Owning             // a daemon took itself for a part's leader
 	Silent             // nothing was served though the fleet had long been whole
 )
 
 // Event is one line of a history.
 type Event struct {
-	At   time.Duration
-	Kind Kind
-	Node string
-	Part int
-	Key  string
-	Tag  string
-	Tags []string
+	At        time.Duration
+	Kind      Kind
+	Node      string
+	Partition int
+	Key       string
+	Tag       string
+	Tags      []string
 }
 
 // Check names the rules that a history breaks.
@@ -58,7 +58,7 @@
 			get(e.Key).never[e.Tag] = true
 		}
 	}
-	owner := map[int]Event{}
+	leader := map[int]Event{}
 	for _, e := range ev {
 		s := get(e.Key)
 		switch e.Kind {
@@ -69,10 +69,10 @@
 		case Silent:
 			out = append(out, fmt.Sprintf("%v: %s %s", e.At, e.Node, e.Tag))
 		case Owning:
-			if o, ok := owner[e.Part]; ok && o.At == e.At && o.Node != e.Node {
-				out = append(out, fmt.Sprintf("%v: %s and %s both own part %d", e.At, o.Node, e.Node, e.Part))
+			if o, ok := leader[e.Partition]; ok && o.At == e.At && o.Node != e.Node {
+				out = append(out, fmt.Sprintf("%v: %s and %s both own part %d", e.At, o.Node, e.Node, e.Partition))
 			}
-			owner[e.Part] = e
+			leader[e.Partition] = e
 		case Served:
 			in := map[string]bool{}
 			for _, t := range e.Tags {
--- a/proof/sim/depot.go
+++ b/proof/sim/fakeserver.go
@@ -7,19 +7,19 @@
 	"strings"
 	"time"
 
-	"mulleinmast/control/interlock"
-	"mulleinmast/proof/journal"
+	"mulleinmast/control/placement"
+	"mulleinmast/proof/history"
 	"mulleinmast/proof/script"
-	"mulleinmast/traffic/yard"
+	"mulleinmast/traffic/serverpool"
 )
 
-// depot is a simulated model server. It checks nothing that the fleet is to
-// check: a maker takes up whatever cache a handle leads to.
-type depot struct {
+// fakeserver is a simulated model server. It checks nothing that the fleet is to
+// check: a decode server takes up whatever cache a handle leads to.
+type fakeServer struct {
 	w        *world
 	addr     string
 	svc      string
-	cell     string
+	zone     string
 	cap      int
 	warm     time.Duration
 	up, dark bool
@@ -54,12 +54,12 @@
 
 func addrOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
-// lag is the time on the wire between a daemon and a server or a requester.
+// lag is the time on the wire between a daemon and a server or a client.
 func (w *world) lag() time.Duration { return 100*time.Microsecond + w.exp(300*time.Microsecond) }
 
-func (d *depot) jot(e journal.Event) { e.Who = d.addr; d.w.jot(e) }
+func (d *fakeServer) jot(e history.Event) { e.Who = d.addr; d.w.jot(e) }
 
-func (d *depot) boot() {
+func (d *fakeServer) boot() {
 	if d.up || d.gone {
 		return
 	}
@@ -67,21 +67,21 @@
 	d.life++
 	d.born, d.part, d.term, d.no, d.busy = d.w.now, "", 0, 0, 0
 	d.kv, d.held, d.links, d.lines = map[string]cache{}, map[uint64]bool{}, map[string]int{}, map[*line]bool{}
-	d.jot(journal.Event{Ev: "boot", N: d.cap, Cell: d.cell, Warm: int64(d.warm)})
+	d.jot(history.Event{Ev: "boot", N: d.cap, Zone: d.zone, Warm: int64(d.warm)})
 }
 
-func (d *depot) crash() {
+func (d *fakeServer) crash() {
 	d.up = false
 	d.life++
 	lines := slices.SortedFunc(maps.Keys(d.lines), func(a, b *line) int { return strings.Compare(a.a.Trip, b.a.Trip) })
 	for _, l := range lines {
 		delete(d.lines, l)
-		l.end(yard.Lost, "connection lost")
+		l.end(serverpool.Lost, "connection lost")
 	}
 }
 
 // in runs f in this life of the server.
-func (d *depot) in(t time.Duration, f func()) {
+func (d *fakeServer) in(t time.Duration, f func()) {
 	life := d.life
 	d.w.at(t*time.Duration(max(1, d.slow)), func() {
 		if d.up && d.life == life {
@@ -90,23 +90,23 @@
 	})
 }
 
-func (d *depot) usage() interlock.Usage {
+func (d *fakeServer) usage() placement.Usage {
 	if d.leaving != d.told { // the moment that the first daemon knows
 		d.told = d.leaving
-		d.jot(journal.Event{Ev: map[bool]string{true: "leaving", false: "staying"}[d.told]})
+		d.jot(history.Event{Ev: map[bool]string{true: "leaving", false: "staying"}[d.told]})
 	}
 	links := map[string]int{}
 	for a, ms := range d.links {
 		links[a] = ms
 	}
-	return interlock.Usage{Active: d.busy, Uptime: (d.w.now - d.born).Milliseconds(), Leaving: d.leaving, Warming: d.w.now-d.born < d.warm && d.w.o.Sabotage != "noramp", Links: links}
+	return placement.Usage{Active: d.busy, Uptime: (d.w.now - d.born).Milliseconds(), Leaving: d.leaving, Warming: d.w.now-d.born < d.warm && d.w.o.Sabotage != "noramp", Links: links}
 }
 
-func (d *depot) ordered(holder string, o interlock.Order) bool {
+func (d *fakeServer) ordered(holder string, o placement.Order) bool {
 	if !d.up || d.dark {
 		return false
 	}
-	d.jot(journal.Event{Ev: "order", Holder: holder, Term: o.Term, Part: o.Part, Why: o.Why})
+	d.jot(history.Event{Ev: "order", Holder: holder, Term: o.Term, Part: o.Part, Why: o.Why})
 	if o.Term < d.term || o.Term == d.term && o.No <= d.no {
 		return false
 	}
@@ -115,7 +115,7 @@
 }
 
 // enter takes a slot for a part, or says why not.
-func (d *depot) enter(part string) string {
+func (d *fakeServer) enter(part string) string {
 	switch {
 	case d.part != part:
 		return "not a " + part
@@ -126,36 +126,36 @@
 	return ""
 }
 
-func (d *depot) away(l *line, out yard.Outcome, part, why string) {
+func (d *fakeServer) away(l *line, out serverpool.Outcome, part, why string) {
 	word := "shed"
-	if out == yard.Lapsed {
+	if out == serverpool.Lapsed {
 		word = "lapsed"
 	}
-	d.jot(journal.Event{Ev: word, Part: part, Request: l.a.Trip, Why: why})
+	d.jot(history.Event{Ev: word, Part: part, Request: l.a.Trip, Why: why})
 	l.end(out, why)
 }
 
 // lets takes a call in, or says why not; a dark server says nothing.
-func (d *depot) lets(l *line, part string) bool {
+func (d *fakeServer) lets(l *line, part string) bool {
 	if !d.up {
-		l.end(yard.Lost, "connection lost")
+		l.end(serverpool.Lost, "connection lost")
 	}
 	if !d.up || d.dark {
 		return false
 	}
 	if why := d.enter(part); why != "" {
-		d.away(l, yard.Shed, part, why)
+		d.away(l, serverpool.Refused, part, why)
 		return false
 	}
 	d.lines[l] = true
 	return true
 }
 
-func (d *depot) prefill(l *line, p yard.Prefill) {
-	if !d.lets(l, interlock.Reader) {
+func (d *fakeServer) prefill(l *line, p serverpool.Prefill) {
+	if !d.lets(l, placement.Prefill) {
 		return
 	}
-	d.jot(journal.Event{Ev: "prefill", Request: p.Request, Term: p.Term, N: d.busy})
+	d.jot(history.Event{Ev: "prefill", Request: p.Request, Term: p.Term, N: d.busy})
 	t, cached := 2*time.Millisecond, 0
 	for i, c := range p.Prefix {
 		if d.held[c] {
@@ -171,7 +171,7 @@
 			d.held[c] = true
 		}
 		d.ids++
-		h := yard.Handle{ID: fmt.Sprintf("%s/%d/%d", d.addr, d.life, d.ids), Request: p.Request, Attempt: p.Attempt, Reader: d.addr, Ver: p.Ver, Cached: cached}
+		h := serverpool.Handle{ID: fmt.Sprintf("%s/%d/%d", d.addr, d.life, d.ids), Request: p.Request, Attempt: p.Attempt, PrefillServer: d.addr, Ver: p.Ver, Cached: cached}
 		d.kv[h.ID] = cache{p.Request, p.Attempt, script.Prompt(p.Parts)}
 		if d.cross {
 			for i := d.ids - 1; i > 0; i-- {
@@ -186,23 +186,23 @@
 	})
 }
 
-// twin is another maker of the same service.
-func (d *depot) twin() *depot {
+// twin is another decode server of the same service.
+func (d *fakeServer) twin() *fakeServer {
 	for _, a := range d.w.addrs {
-		if o := d.w.depots[a]; o != d && o.svc == d.svc && o.up && o.part == interlock.Maker {
+		if o := d.w.fakeServers[a]; o != d && o.svc == d.svc && o.up && o.part == placement.Decode {
 			return o
 		}
 	}
 	return nil
 }
 
-func (d *depot) decode(l *line, p yard.Decode) {
-	if !d.lets(l, interlock.Maker) {
+func (d *fakeServer) decode(l *line, p serverpool.Decode) {
+	if !d.lets(l, placement.Decode) {
 		return
 	}
-	r := d.w.depots[p.Handle.Reader]
+	r := d.w.fakeServers[p.Handle.PrefillServer]
 	link := d.link + r.link + d.w.exp(time.Millisecond)
-	if r.cell != d.cell {
+	if r.zone != d.zone {
 		link += time.Millisecond
 	}
 	d.in(link, func() {
@@ -210,18 +210,18 @@
 		if !ok || !r.up || r.dark || r.lapseAll {
 			d.busy--
 			delete(d.lines, l)
-			d.away(l, yard.Lapsed, interlock.Maker, "no such handle")
+			d.away(l, serverpool.Lapsed, placement.Decode, "no such handle")
 			return
 		}
 		d.links[r.addr] = int(link.Milliseconds())
-		d.jot(journal.Event{Ev: "decode", Request: p.Handle.Request, Owner: kv.request, Run: p.Run, Once: p.Once, Term: p.Term, N: d.busy})
+		d.jot(history.Event{Ev: "decode", Request: p.Handle.Request, Leader: kv.request, Run: p.Run, Once: p.Once, Term: p.Term, N: d.busy})
 		seen := 0
 		d.step(l, p, kv, 0, &seen)
 	})
 }
 
 // step writes one piece and goes on; a daemon that hung up ends the run.
-func (d *depot) step(l *line, p yard.Decode, kv cache, i int, seen *int) {
+func (d *fakeServer) step(l *line, p serverpool.Decode, kv cache, i int, seen *int) {
 	d.in(4*time.Millisecond+d.w.exp(4*time.Millisecond), func() {
 		done := func() {
 			d.busy--
@@ -231,16 +231,16 @@
 			done()
 			return
 		}
-		piece := yard.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: script.Text(kv.prompt, p.Handle.Request, p.Run, i)}
+		piece := serverpool.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: script.Text(kv.prompt, p.Handle.Request, p.Run, i)}
 		switch {
 		case d.drops && i == 0:
 			done()
-			l.end(yard.Lost, "stream broke off")
+			l.end(serverpool.Lost, "stream broke off")
 			return
 		case d.breaks && i == 2:
 			done()
 			if d.w.o.Sabotage == "fakeend" { // the broken stream is made to look whole
-				l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
+				l.piece(serverpool.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
 				return
 			}
 			if d.w.o.Sabotage == "splice" && d.twin() != nil { // another run goes on where this one broke
@@ -248,18 +248,18 @@
 				b.busy++
 				q := p
 				q.Run = p.Run + "-again"
-				b.jot(journal.Event{Ev: "decode", Request: p.Handle.Request, Owner: kv.request, Run: q.Run, N: b.busy})
+				b.jot(history.Event{Ev: "decode", Request: p.Handle.Request, Leader: kv.request, Run: q.Run, N: b.busy})
 				b.lines[l] = true
 				l.a.Make.Run = q.Run
 				b.splice(l, p, q.Run, kv, i, seen)
 				return
 			}
-			l.end(yard.Lost, "stream broke off")
+			l.end(serverpool.Lost, "stream broke off")
 			return
 		case i == p.Tokens:
 			done()
-			d.jot(journal.Event{Ev: "ended", Request: p.Handle.Request, Run: p.Run, Count: i})
-			l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
+			d.jot(history.Event{Ev: "ended", Request: p.Handle.Request, Run: p.Run, Count: i})
+			l.piece(serverpool.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
 			return
 		case d.skip && i == 1:
 		default:
@@ -273,16 +273,16 @@
 }
 
 // splice is the sabotage that goes on with another run under the first's name.
-func (d *depot) splice(l *line, p yard.Decode, run string, kv cache, i int, seen *int) {
+func (d *fakeServer) splice(l *line, p serverpool.Decode, run string, kv cache, i int, seen *int) {
 	d.in(5*time.Millisecond, func() {
 		if i == p.Tokens {
 			d.busy--
 			delete(d.lines, l)
-			d.jot(journal.Event{Ev: "ended", Request: p.Handle.Request, Run: p.Run, Count: i})
-			l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
+			d.jot(history.Event{Ev: "ended", Request: p.Handle.Request, Run: p.Run, Count: i})
+			l.piece(serverpool.Piece{Request: p.Handle.Request, Run: p.Run, End: true, Count: i}, seen)
 			return
 		}
-		l.piece(yard.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: script.Text(kv.prompt, p.Handle.Request, run, i)}, seen)
+		l.piece(serverpool.Piece{Request: p.Handle.Request, Run: p.Run, N: i, Text: script.Text(kv.prompt, p.Handle.Request, run, i)}, seen)
 		d.splice(l, p, run, kv, i+1, seen)
 	})
 }
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"mulleinmast/control/survey"
+	"mulleinmast/control/digest"
 	"sort"
 	"time"
 )
@@ -40,21 +40,21 @@
 // swap exchanges a core machine once the last exchange is mended: the fleet
 // bears the loss of one disk at a time.
 func (w *world) swap() {
-	for p := 0; p <= w.o.Parts; p++ {
+	for p := 0; p <= w.o.Partitions; p++ {
 		whole := false
 		for _, n := range w.nodes {
-			if !n.up || !n.parts[p].Owner(n.local()) {
+			if !n.up || !n.parts[p].Leader(n.local()) {
 				continue
 			}
-			g := n.sec(p).Seat.Group()
+			g := n.sec(p).Replica.Group()
 			whole = len(g.Next) == 0
 			for _, m := range w.nodes {
 				whole = whole && (!m.gone || !g.Has(m.ident))
 			}
-			for _, s := range g.Seats {
+			for _, s := range g.Replicas {
 				found := false
 				for _, m := range w.nodes {
-					found = found || m.up && m.ident == s.Ident && m.disk != nil && m.disk.meta[p].Set == n.sec(p).Seat.Num()
+					found = found || m.up && m.ident == s.Ident && m.disk != nil && m.disk.meta[p].LastComplete == n.sec(p).Replica.Num()
 				}
 				whole = whole && found
 			}
@@ -165,7 +165,7 @@
 		}
 		n.kill()
 		n.gone = true
-		m := w.add(n.cell, true, len(w.nodes))
+		m := w.add(n.zone, true, len(w.nodes))
 		w.at(w.exp(time.Second), m.start)
 	case "freeze":
 		was := max(n.frozen, w.now)
@@ -174,8 +174,8 @@
 		if w.o.Sabotage == "standstill" { // a clock that stops while the machine is suspended
 			n.base -= time.Duration(float64(n.frozen-was) * n.rate)
 		}
-	case "cell": // a whole cell, daemons and servers, is lost for a while
-		w.loseCell(n.cell)
+	case "cell": // a whole zone, daemons and servers, is lost for a while
+		w.loseZone(n.zone)
 	case "crash", "dark", "lapse", "cross", "break", "drop", "skip", "twice", "sluggish", "link", "roll":
 		w.serverFault(kind)
 	case "crowd":
@@ -211,7 +211,7 @@
 			n = m
 		}
 	}
-	p := w.rng.Intn(w.o.Parts + 1)
+	p := w.rng.Intn(w.o.Partitions + 1)
 	k := key(w.rng.Intn(w.o.Keys))
 	rec, ok := n.disk.recs[p][k]
 	if !ok {
@@ -229,20 +229,20 @@
 	w.back(n)
 }
 
-// copies looks whether every seat's copy equals its owner's at the end.
+// copies looks whether every replica's copy equals its leader's at the end.
 func (w *world) copies() {
-	for p := 0; p <= w.o.Parts; p++ {
+	for p := 0; p <= w.o.Partitions; p++ {
 		for _, own := range w.nodes {
-			if !own.up || !own.parts[p].Owner(own.local()) {
+			if !own.up || !own.parts[p].Leader(own.local()) {
 				continue
 			}
-			g := own.sec(p).Seat.Group()
+			g := own.sec(p).Replica.Group()
 			for _, n := range w.nodes {
-				if n.up && g.Has(n.ident) && len(survey.Differ(own.sec(p).Digs(), n.sec(p).Digs())) > 0 {
+				if n.up && g.Has(n.ident) && len(digest.Differ(own.sec(p).Digs(), n.sec(p).Digs())) > 0 {
 					w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("has a copy of part %d that differs from its owner's, %v after the last failure", p, w.o.Calm)})
 				}
 			}
-			w.res.Mended += own.sec(p).Seat.Mended
+			w.res.Mended += own.sec(p).Replica.Mended
 		}
 	}
 }
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -1,52 +1,52 @@
 package sim
 
 import (
-	"mulleinmast/control/tariff"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/wire/message"
 	"time"
 )
 
-func (n *node) send(m form.Send) {
+func (n *node) send(m message.Send) {
 	w := n.w
-	m.Note.From, m.Note.Epoch, m.Note.Addr = n.ident, n.epoch, n.addr
-	if m.Note.To == n.ident {
-		n.in(0, func() { w.hear(n, m.Note) })
+	m.Message.From, m.Message.Epoch, m.Message.Addr = n.ident, n.epoch, n.addr
+	if m.Message.To == n.ident {
+		n.in(0, func() { w.hear(n, m.Message) })
 		return
 	}
-	w.res.Notes++
-	if m.Note.Kind == form.Purge {
-		w.res.Purges++
+	w.res.Messages++
+	if m.Message.Kind == message.Invalidate {
+		w.res.Invalidations++
 	}
 	for _, to := range w.nodes {
 		if to.addr == m.Addr {
-			w.carry(n, to, m.Note)
+			w.carry(n, to, m.Message)
 		}
 	}
 }
 
-func (w *world) carry(from, to *node, m form.Note) {
+func (w *world) carry(from, to *node, m message.Message) {
 	if w.cut[[2]string{from.name, to.name}] {
 		return
 	}
-	if w.o.Sabotage == "ackpurge" && m.Kind == form.Purge {
-		w.carry(to, from, form.Note{Kind: form.Purged, Part: m.Part, Key: m.Key, Ref: m.Ref, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
+	if w.o.Sabotage == "ackpurge" && m.Kind == message.Invalidate {
+		w.carry(to, from, message.Message{Kind: message.Invalidated, Partition: m.Partition, Key: m.Key, Ref: m.Ref, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
 		return
 	}
-	if m.Kind == form.Steer {
+	if m.Kind == message.Steer {
 		w.res.Steers[m.Why]++
 	}
-	if w.o.Sabotage == "nomend" && m.Kind == form.Fill && m.Op != "" {
+	if w.o.Sabotage == "nomend" && m.Kind == message.Fill && m.Op != "" {
 		return
 	}
 	if w.o.Mutate > 0 && w.rng.Float64() < w.o.Mutate {
 		w.at(w.exp(time.Millisecond), func() { w.land(to, w.mutated(m)) })
 	}
 	// An evacuation that came again would hide what a late end of one undid.
-	if w.o.Late > 0 && m.Kind == form.Call && m.Op != "evacuate" && w.rng.Float64() < w.o.Late {
+	if w.o.Late > 0 && m.Kind == message.Call && m.Op != "evacuate" && w.rng.Float64() < w.o.Late {
 		w.at(w.exp(3*time.Second), func() { w.land(to, m) })
 	}
 	d := 100*time.Microsecond + w.exp(400*time.Microsecond)
-	if from.cell != to.cell {
+	if from.zone != to.zone {
 		d += w.o.Far
 	}
 	if (w.lame(from) || w.lame(to)) && from != to {
@@ -65,8 +65,8 @@
 	w.at(d, func() { w.land(to, m) })
 }
 
-// land hands a note over; one that waits at a frozen node is read on waking.
-func (w *world) land(to *node, m form.Note) {
+// land hands a message over; one that waits at a frozen node is read on waking.
+func (w *world) land(to *node, m message.Message) {
 	to.in(0, func() {
 		if m.To == "" || m.To == to.ident {
 			w.hear(to, m)
@@ -74,55 +74,55 @@
 	})
 }
 
-func (w *world) hear(to *node, m form.Note) {
+func (w *world) hear(to *node, m message.Message) {
 	now := to.local()
 	switch {
-	case m.Kind >= form.Hello && m.Kind <= form.Count, m.Kind == form.Found:
+	case m.Kind >= message.Hello && m.Kind <= message.Count, m.Kind == message.Found:
 		o := to.rost.Hear(now, m)
 		for _, s := range o.Sends {
 			to.send(s)
 		}
 		to.found(now, o.Found)
 		return
-	case m.Kind == form.Back:
-		to.errands(to.runs.Hear(now, m))
+	case m.Kind == message.Back:
+		to.carryCalls(to.runs.Hear(now, m))
 		return
 	}
-	p := to.parts[m.Part]
-	if w.o.Trace != nil && m.Kind < form.Ask {
-		w.trace("  %s<-%s part %d %s key=%s no=%d ref=%d len=%v mark=%v keys=%v recs=%d", to.name, m.From, m.Part, m.Kind, m.Key, m.No, m.Ref, time.Duration(m.Len), m.Mark, m.Keys, len(m.Recs))
+	p := to.parts[m.Partition]
+	if w.o.Trace != nil && m.Kind < message.Ask {
+		w.trace("  %s<-%s part %d %s key=%s no=%d ref=%d len=%v mark=%v keys=%v recs=%d", to.name, m.From, m.Partition, m.Kind, m.Key, m.No, m.Ref, time.Duration(m.Len), m.Mark, m.Keys, len(m.Recs))
 	}
-	if w.o.Trace != nil && m.Kind >= form.Ask && m.Kind < form.Hello {
-		w.trace("  %s<-%s part %d %s num=%d set=%d no=%d ref=%d group=%d recs=%d len=%v", to.name, m.From, m.Part, m.Kind, m.Num, m.Set, m.No, m.Ref, m.Group.Num, len(m.Recs), time.Duration(m.Len))
+	if w.o.Trace != nil && m.Kind >= message.Ask && m.Kind < message.Hello {
+		w.trace("  %s<-%s part %d %s num=%d set=%d no=%d ref=%d group=%d recs=%d len=%v", to.name, m.From, m.Partition, m.Kind, m.Num, m.LastComplete, m.No, m.Ref, m.Group.Num, len(m.Recs), time.Duration(m.Len))
 	}
-	if p.Section().Node.Root() {
-		w.res.RootNotes++
+	if p.Partition().Node.Root() {
+		w.res.RootMessages++
 	}
-	if w.o.Sabotage == "nonumber" && m.Kind == form.Call {
+	if w.o.Sabotage == "nonumber" && m.Kind == message.Call {
 		m.Ref = 0
 	}
-	if m.Kind == form.Call && m.Op == "changes" && w.o.Sabotage == "nobase" {
-		m.Body = rebase(m.Body, tariff.Open(w.read(to, tariff.PlanKey)).Version)
+	if m.Kind == message.Call && m.Op == "changes" && w.o.Sabotage == "nobase" {
+		m.Body = rebase(m.Body, fleetconfig.Open(w.read(to, fleetconfig.PlanKey)).Version)
 	}
-	to.carry(m.Part, p.Hear(now, m))
+	to.carry(m.Partition, p.Hear(now, m))
 }
 
-// lame tells whether a daemon's machine is slow now: the last cell's relays.
+// lame tells whether a daemon's machine is slow now: the last zone's relays.
 func (w *world) lame(n *node) bool {
-	if w.o.Lame == 0 || w.now < 15*time.Second || w.now > 55*time.Second || n.cell != w.nodes[len(w.nodes)-1].cell {
+	if w.o.Lame == 0 || w.now < 15*time.Second || w.now > 55*time.Second || n.zone != w.nodes[len(w.nodes)-1].zone {
 		return false
 	}
-	for p := 0; p <= w.o.Parts; p++ {
-		if n.view.Relay(p, n.cell).Ident == n.ident {
+	for p := 0; p <= w.o.Partitions; p++ {
+		if n.view.Relay(p, n.zone).Ident == n.ident {
 			return true
 		}
 	}
 	return false
 }
 
-// mutated is a note with one field changed, from somebody who is no member.
+// mutated is a message with one field changed, from somebody who is no member.
 // Kinds are kept: an unknown one never gets past the wire.
-func (w *world) mutated(m form.Note) form.Note {
+func (w *world) mutated(m message.Message) message.Message {
 	m.From, m.Addr = "stranger", "10.9.9.9:9"
 	n := uint64(w.rng.Int63())
 	switch w.rng.Intn(16) {
@@ -133,7 +133,7 @@
 	case 2:
 		m.Num += 1 + n%3
 	case 3:
-		m.Set = n
+		m.LastComplete = n
 	case 4:
 		m.Mark.Ident = "stranger"
 	case 5:
@@ -151,7 +151,7 @@
 	case 11:
 		m.Digs = []uint64{n}
 	case 12:
-		m.Group = form.Group{}
+		m.Group = message.Group{}
 	case 13:
 		m.Spans = nil
 	case 14:
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -3,16 +3,16 @@
 import (
 	"encoding/json"
 	"fmt"
-	"mulleinmast/control/errand"
-	"mulleinmast/control/master"
-	"mulleinmast/control/notary"
-	"mulleinmast/control/purge"
-	"mulleinmast/control/roster"
-	"mulleinmast/control/section"
-	"mulleinmast/control/survey"
-	"mulleinmast/control/tariff"
-	"mulleinmast/proof/journal"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/digest"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/membership"
+	"mulleinmast/control/partition"
+	"mulleinmast/control/quorum"
+	"mulleinmast/proof/history"
+	"mulleinmast/wire/message"
 	"time"
 )
 
@@ -20,16 +20,16 @@
 type folder struct {
 	ident string
 	epoch uint64
-	meta  map[int]notary.Meta
-	recs  map[int]map[string]form.Rec
-	sums  map[string]uint64 // by part and key, as control/archive keeps them
+	meta  map[int]quorum.Meta
+	recs  map[int]map[string]message.Rec
+	sums  map[string]uint64 // by part and key, as control/storage keeps them
 }
 
 type node struct {
 	w       *world
 	name    string
 	addr    string
-	cell    string
+	zone    string
 	disk    *folder
 	hasDisk bool
 	life    int // counts starts; old events of a past life are dropped
@@ -42,25 +42,25 @@
 	slow    time.Duration
 	slowTil time.Duration
 	busy    bool          // the disk is at work
-	pend    []notary.Save // what waits for it
+	pend    []quorum.Save // what waits for it
 
 	ident  string
 	epoch  uint64
-	parts  []*master.Master
-	guides []roster.Guide
-	rost   *roster.Roster
-	view   *roster.View
+	parts  []*leader.Controller
+	guides []membership.Guide
+	rost   *membership.Table
+	view   *membership.View
 	ticks  int
 
-	runs  *errand.Errands
-	asks  map[uint64]func(errand.Done)
+	runs  *leadercall.Calls
+	asks  map[uint64]func(leadercall.Done)
 	lanes map[string]*lane
 	rides map[string]*ride
-	early map[int]*caller     // requests that wait for the plan
-	past  map[string]form.Rec // what a sabotaged daemon goes on reading
+	early map[int]*caller        // requests that wait for the plan
+	past  map[string]message.Rec // what a sabotaged daemon goes on reading
 }
 
-func (n *node) sec(p int) *section.Section { return n.parts[p].Section() }
+func (n *node) sec(p int) *partition.Partition { return n.parts[p].Partition() }
 
 // local is a node's own monotonic time.
 func (n *node) local() time.Duration { return n.base + time.Duration(float64(n.w.now)*n.rate) }
@@ -104,7 +104,7 @@
 	now := n.local()
 	if n.hasDisk {
 		if n.disk == nil {
-			n.disk = &folder{ident: n.ident, meta: map[int]notary.Meta{}, recs: map[int]map[string]form.Rec{}, sums: map[string]uint64{}}
+			n.disk = &folder{ident: n.ident, meta: map[int]quorum.Meta{}, recs: map[int]map[string]message.Rec{}, sums: map[string]uint64{}}
 			if w.o.Sabotage == "samename" {
 				n.disk.ident = n.name
 			}
@@ -112,10 +112,10 @@
 		n.disk.epoch++
 		n.ident, n.epoch = n.disk.ident, n.disk.epoch
 	}
-	n.parts, n.guides, n.asks = nil, nil, map[uint64]func(errand.Done){}
-	n.lanes, n.rides, n.early, n.past = map[string]*lane{}, map[string]*ride{}, map[int]*caller{}, map[string]form.Rec{}
-	n.runs = errand.New(errand.Config{Try: w.cfg.Vol() / 2, Pause: w.cfg.Vol() / 32, After: w.cfg.Bounds.Plan})
-	me := form.Seat{Ident: n.ident, Addr: n.addr}
+	n.parts, n.guides, n.asks = nil, nil, map[uint64]func(leadercall.Done){}
+	n.lanes, n.rides, n.early, n.past = map[string]*lane{}, map[string]*ride{}, map[int]*caller{}, map[string]message.Rec{}
+	n.runs = leadercall.New(leadercall.Config{Try: w.cfg.Vol() / 2, Pause: w.cfg.Vol() / 32, After: w.cfg.Bounds.Plan})
+	me := message.Replica{Ident: n.ident, Addr: n.addr}
 	leases := w.cfg.Leases()
 	if w.o.Sabotage == "nowait" {
 		leases.Drift, leases.Margin = -0.6, 0
@@ -128,47 +128,47 @@
 		sess.Small = len(w.nodes) + 1
 	}
 	sess.Losses, sess.First = max(1, w.o.Losses), !w.o.Bare || n.life == 1
-	n.rost = roster.New(sess, n.member(), n.seeds())
+	n.rost = membership.New(sess, n.member(), n.seeds())
 	n.view = n.rost.View()
-	for p := 0; p <= w.o.Parts; p++ {
-		var seat *notary.Seat
+	for p := 0; p <= w.o.Partitions; p++ {
+		var replica *quorum.Replica
 		if n.hasDisk {
-			book := survey.NewBook()
+			records := digest.NewRecords()
 			for k, r := range n.disk.recs[p] {
-				if n.disk.sums[sumKey(p, k)] == survey.Print(r) { // else it is spoilt and counts as missing
-					book.Put(r)
+				if n.disk.sums[sumKey(p, k)] == digest.Print(r) { // else it is spoilt and counts as missing
+					records.Put(r)
 				}
 			}
 			meta := n.disk.meta[p]
 			if w.o.Sabotage == "forget" {
 				meta.Promised, meta.To = 0, ""
 			}
-			seat = notary.New(w.cfg.Duty(), p, me, meta, book, now, meta.Group.Num == 0 || w.o.Sabotage == "nowaitvote")
+			replica = quorum.New(w.cfg.QuorumConfig(), p, me, meta, records, now, meta.Group.Num == 0 || w.o.Sabotage == "nowaitvote")
 		}
-		tree := purge.New(leases, p, me, n.epoch)
+		tree := lease.New(leases, p, me, n.epoch)
 		p := p
-		tree.Relay = func(id string) form.Seat {
+		tree.Relay = func(id string) message.Replica {
 			if m, ok := n.view.Find(id); ok {
-				return n.view.Relay(p, m.Cell)
+				return n.view.Relay(p, m.Zone)
 			}
-			return form.Seat{}
+			return message.Replica{}
 		}
-		sec := section.New(p, me, n.epoch, seat, tree)
+		sec := partition.New(p, me, n.epoch, replica, tree)
 		if w.o.Sabotage == "nocalm" {
 			sec.Calm = func() time.Duration { return 0 }
 		}
-		s := master.New(master.Config{Works: w.works(), Keep: w.cfg.Keep()}, p, me, sec)
+		s := leader.New(leader.Config{Works: w.works(), Keep: w.cfg.Keep()}, p, me, sec)
 		n.parts = append(n.parts, s)
-		n.guides = append(n.guides, roster.Guide{Part: p, Vol: w.cfg.Vol()})
+		n.guides = append(n.guides, membership.Guide{Partition: p, Vol: w.cfg.Vol()})
 		for k := 0; k < w.o.Keys; k++ {
 			n.carry(p, s.Pin(now, key(k)))
 		}
 		if p == 0 && n.hasDisk {
-			n.carry(0, s.Pin(now, tariff.SeatKey))
+			n.carry(0, s.Pin(now, fleetconfig.ReplicaKey))
 		}
 		if p == 0 {
-			n.carry(0, s.Pin(now, tariff.PlanKey))
-			n.carry(0, s.Pin(now, tariff.CellKey))
+			n.carry(0, s.Pin(now, fleetconfig.PlanKey))
+			n.carry(0, s.Pin(now, fleetconfig.ZoneKey))
 		}
 	}
 	w.trace("%s starts as %s", n.name, n.ident)
@@ -178,10 +178,10 @@
 
 func key(k int) string { return fmt.Sprintf("plan/%d", k) }
 
-func (n *node) member() form.Member {
+func (n *node) member() message.Member {
 	empty := n.hasDisk
 	for p := range n.parts {
-		if s := n.sec(p); s.Seat != nil && s.Seat.Group().Num > 0 {
+		if s := n.sec(p); s.Replica != nil && s.Replica.Group().Num > 0 {
 			empty = false
 		}
 	}
@@ -192,7 +192,7 @@
 			}
 		}
 	}
-	return form.Member{Ident: n.ident, Epoch: n.epoch, Addr: n.addr, Cell: n.cell, Disk: n.hasDisk, Ready: true, Empty: empty}
+	return message.Member{Ident: n.ident, Epoch: n.epoch, Addr: n.addr, Zone: n.zone, Disk: n.hasDisk, Ready: true, Empty: empty}
 }
 
 // tick lets time pass at a node, as the daemon's tickers do.
@@ -202,7 +202,7 @@
 	n.ticks++
 	for p, m := range n.parts {
 		n.carry(p, m.Tick(now))
-		tree := m.Section().Node
+		tree := m.Partition().Node
 		if to := n.guides[p].Parent(now, n.view); to != tree.Parent() && !tree.Root() {
 			n.carry(p, m.Adopt(now, to))
 		}
@@ -210,14 +210,14 @@
 			n.send(m)
 		}
 	}
-	n.errands(n.runs.Tick(now, func(p int) form.Seat { return n.view.Owns[p].Seat }))
+	n.carryCalls(n.runs.Tick(now, func(p int) message.Replica { return n.view.Owns[p].Replica }))
 	if n.ticks%4 == 0 {
-		var owns []form.Own
+		var owns []message.Own
 		for p, m := range n.parts {
-			if s := m.Section(); m.Owner(now) {
-				owns = append(owns, form.Own{Part: p, Num: s.Seat.Num(), Seat: form.Seat{Ident: n.ident, Addr: n.addr}})
-			} else if s.Seat != nil && s.Seat.Hint().Num > 0 {
-				owns = append(owns, s.Seat.Hint())
+			if s := m.Partition(); m.Leader(now) {
+				owns = append(owns, message.Own{Partition: p, Num: s.Replica.Num(), Replica: message.Replica{Ident: n.ident, Addr: n.addr}})
+			} else if s.Replica != nil && s.Replica.Hint().Num > 0 {
+				owns = append(owns, s.Replica.Hint())
 			}
 		}
 		o := n.rost.Tick(now, n.member(), owns)
@@ -232,14 +232,14 @@
 }
 
 // found makes the first group, as the daemon does.
-func (n *node) found(now time.Duration, seats []form.Seat) {
-	if seats == nil {
+func (n *node) found(now time.Duration, replicas []message.Replica) {
+	if replicas == nil {
 		return
 	}
 	n.w.trace("%s takes the founding", n.name)
-	var all []notary.Save
+	var all []quorum.Save
 	for _, m := range n.parts {
-		out := m.Found(now, form.Group{Num: 1, Seats: seats})
+		out := m.Found(now, message.Group{Num: 1, Replicas: replicas})
 		all = append(all, out.Saves...)
 		for _, m := range out.Sends {
 			n.send(m)
@@ -248,20 +248,20 @@
 	n.save(all)
 }
 
-// works runs the owners' systems, as the daemon does.
+// works runs the leaders' systems, as the daemon does.
 func (n *node) works(now time.Duration) {
-	get := func(key string) (form.Rec, bool) { return n.sec(0).Node.Get(now, key) }
-	var s master.Sight
-	s.Plan, s.OkPlan = get(tariff.PlanKey)
-	s.Cells, s.OkCells = get(tariff.CellKey)
+	get := func(key string) (message.Rec, bool) { return n.sec(0).Node.Get(now, key) }
+	var s leader.Sight
+	s.Plan, s.OkPlan = get(fleetconfig.PlanKey)
+	s.Zones, s.OkZones = get(fleetconfig.ZoneKey)
 	if n.hasDisk {
-		s.Seats, s.OkSeats = get(tariff.SeatKey)
+		s.Replicas, s.OkReplicas = get(fleetconfig.ReplicaKey)
 	}
-	s.Vacant = func(seats []form.Seat) ([]form.Seat, bool) {
-		return n.rost.Vacant(now, seats, n.w.cfg.Bounds.Recover*3/2)
+	s.Vacant = func(replicas []message.Replica) ([]message.Replica, bool) {
+		return n.rost.Vacant(now, replicas, n.w.cfg.Bounds.Recover*3/2)
 	}
 	for p, m := range n.parts {
-		if !m.Owner(now) {
+		if !m.Leader(now) {
 			m.Works(now, s)
 			continue
 		}
@@ -277,7 +277,7 @@
 	}
 }
 
-func (n *node) carry(p int, o master.Out) {
+func (n *node) carry(p int, o leader.Out) {
 	if len(o.Saves) > 0 {
 		n.save(o.Saves)
 	}
@@ -301,7 +301,7 @@
 
 // save syncs after the disk's time; a crash before that loses it. What comes
 // while the disk is busy is one batch, as in the daemon.
-func (n *node) save(list []notary.Save) {
+func (n *node) save(list []quorum.Save) {
 	if !n.up { // killed by what this very step brought about
 		return
 	}
@@ -322,7 +322,7 @@
 	life := n.life
 	told := func() {
 		for _, s := range list {
-			n.carry(s.Part, n.parts[s.Part].Saved(n.local(), s.Ticket))
+			n.carry(s.Partition, n.parts[s.Partition].Saved(n.local(), s.Ticket))
 		}
 	}
 	if w.o.Sabotage == "nosync" { // says saved, and writes only much later
@@ -350,25 +350,25 @@
 func sumKey(p int, key string) string { return fmt.Sprintf("%d/%s", p, key) }
 
 // sync is what a transaction leaves behind.
-func (f *folder) sync(list []notary.Save) {
+func (f *folder) sync(list []quorum.Save) {
 	for _, s := range list {
-		f.meta[s.Part] = s.Meta
-		if f.recs[s.Part] == nil {
-			f.recs[s.Part] = map[string]form.Rec{}
+		f.meta[s.Partition] = s.Meta
+		if f.recs[s.Partition] == nil {
+			f.recs[s.Partition] = map[string]message.Rec{}
 		}
 		for _, sp := range s.Wipe {
-			for k := range f.recs[s.Part] {
-				if survey.Span(k) == sp {
-					delete(f.recs[s.Part], k)
+			for k := range f.recs[s.Partition] {
+				if digest.Span(k) == sp {
+					delete(f.recs[s.Partition], k)
 				}
 			}
 		}
 		for _, k := range s.Drop {
-			delete(f.recs[s.Part], k)
+			delete(f.recs[s.Partition], k)
 		}
 		for _, r := range s.Recs {
-			f.recs[s.Part][r.Key] = r
-			f.sums[sumKey(s.Part, r.Key)] = survey.Print(r)
+			f.recs[s.Partition][r.Key] = r
+			f.sums[sumKey(s.Partition, r.Key)] = digest.Print(r)
 		}
 	}
 }
@@ -379,21 +379,21 @@
 	p, k := w.rng.Intn(len(n.parts)), key(w.rng.Intn(w.o.Keys))
 	if r, ok := n.sec(p).Node.Get(n.local(), k); ok {
 		w.res.Reads++
-		w.note(Event{Kind: Served, Node: n.name, Part: p, Key: fmt.Sprintf("%d/%s", p, k), Tags: tags(r)})
+		w.note(Event{Kind: Served, Node: n.name, Partition: p, Key: fmt.Sprintf("%d/%s", p, k), Tags: tags(r)})
 	}
-	if rec, ok := n.source(0, tariff.PlanKey); ok && w.o.Calls > 0 {
-		p := tariff.Open(rec)
-		w.jot(journal.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
+	if rec, ok := n.source(0, fleetconfig.PlanKey); ok && w.o.Calls > 0 {
+		p := fleetconfig.Open(rec)
+		w.jot(history.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
 	}
-	w.owners()
-	if w.o.Lame > 0 && w.now > 25*time.Second && w.now < 55*time.Second && n.cell == w.nodes[len(w.nodes)-1].cell && !w.lame(n) {
+	w.leaders()
+	if w.o.Lame > 0 && w.now > 25*time.Second && w.now < 55*time.Second && n.zone == w.nodes[len(w.nodes)-1].zone && !w.lame(n) {
 		w.cost += n.sec(p).Node.Cost()
 		w.costs++
 	}
 	n.in(w.exp(w.o.Reads), n.read)
 }
 
-func tags(r form.Rec) []string {
+func tags(r message.Rec) []string {
 	var out []string
 	if !r.Dead && len(r.Val) > 0 {
 		if err := json.Unmarshal(r.Val, &out); err != nil {
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -7,28 +7,28 @@
 	"slices"
 	"time"
 
-	"mulleinmast/control/errand"
-	"mulleinmast/control/tariff"
-	"mulleinmast/proof/journal"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/proof/history"
+	"mulleinmast/wire/message"
 )
 
 func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
 
 // read is a record as a daemon has it, whatever its leases.
-func (w *world) read(n *node, key string) form.Rec {
+func (w *world) read(n *node, key string) message.Rec {
 	r, _ := n.sec(0).Node.Get(n.local(), key)
 	return r
 }
 
 // rebase is the sabotage that takes every change as if on the current plan.
 func rebase(body []byte, ver uint64) []byte {
-	var c tariff.Changes
+	var c fleetconfig.Changes
 	if json.Unmarshal(body, &c) != nil {
 		return body
 	}
 	c.Base = ver
-	return errand.Pack(c)
+	return leadercall.Pack(c)
 }
 
 // operate is what operators and the platform do through the day.
@@ -49,7 +49,7 @@
 	}
 }
 
-// moves evacuates a cell again soon after it was brought back.
+// moves evacuates a zone again soon after it was brought back.
 func (w *world) moves() {
 	if w.now < w.o.Length-6*time.Second {
 		w.evacuate()
@@ -64,16 +64,16 @@
 	if !n.up || n.frozen > w.now {
 		return
 	}
-	rec, ok := n.sec(0).Node.Get(n.local(), tariff.PlanKey)
+	rec, ok := n.sec(0).Node.Get(n.local(), fleetconfig.PlanKey)
 	if !ok {
 		return
 	}
-	base := tariff.Open(rec).Version
+	base := fleetconfig.Open(rec).Version
 	one := func(n *node, base uint64, prio int) {
 		w.tags++
 		id := fmt.Sprintf("c%d", w.tags)
-		c := tariff.Changes{ID: id, Base: base, Changes: []tariff.Change{{Op: "set-tenant", Tenant: &tariff.Tenant{Name: "regular", Priority: prio, Budget: 4000 + int(w.tags%1000), Queue: 0.6}}}}
-		w.control(n, 0, "changes", errand.Pack(c), func(code int, rep []byte) { w.judged(id, base, code, rep) })
+		c := fleetconfig.Changes{ID: id, Base: base, Changes: []fleetconfig.Change{{Op: "set-tenant", Tenant: &fleetconfig.Tenant{Name: "regular", Priority: prio, Timeout: 4000 + int(w.tags%1000), Queue: 0.6}}}}
+		w.control(n, 0, "changes", leadercall.Pack(c), func(code int, rep []byte) { w.judged(id, base, code, rep) })
 	}
 	switch w.rng.Intn(6) {
 	case 0, 1:
@@ -88,52 +88,52 @@
 	}
 }
 
-// evacuate takes a cell out, if none is, and later brings it back.
+// evacuate takes a zone out, if none is, and later brings it back.
 func (w *world) evacuate() {
-	if w.out != "" || len(w.o.Cells) < 2 {
+	if w.out != "" || len(w.o.Zones) < 2 {
 		return
 	}
-	cell := fmt.Sprintf("cell-%d", w.rng.Intn(len(w.o.Cells)))
+	zone := fmt.Sprintf("cell-%d", w.rng.Intn(len(w.o.Zones)))
 	if w.o.Moves > 0 { // again and again the same, so that a late call meets another's work
-		cell = "cell-1"
+		zone = "cell-1"
 	}
-	w.out = cell
+	w.out = zone
 	from := w.now
-	w.control(w.pick(""), 0, "evacuate", []byte(cell), func(code int, _ []byte) {
+	w.control(w.pick(""), 0, "evacuate", []byte(zone), func(code int, _ []byte) {
 		if code == 200 { // known from when it was asked, unless that took long
 			at := from
 			if w.now-from > 2*time.Second {
 				at = w.now
 			}
-			w.jot(journal.Event{At: int64(at), Ev: "evacuated", Cell: cell})
+			w.jot(history.Event{At: int64(at), Ev: "evacuated", Zone: zone})
 			w.res.Faults["evacuated"]++
 		}
-		w.at(6*time.Second+w.exp(2*time.Second), func() { w.bringBack(cell) })
+		w.at(6*time.Second+w.exp(2*time.Second), func() { w.bringBack(zone) })
 	})
 }
 
-func (w *world) bringBack(cell string) {
-	w.jot(journal.Event{Ev: "returned", Cell: cell})
-	w.control(w.pick(""), 0, "return", []byte(cell), func(code int, _ []byte) {
+func (w *world) bringBack(zone string) {
+	w.jot(history.Event{Ev: "returned", Zone: zone})
+	w.control(w.pick(""), 0, "return", []byte(zone), func(code int, _ []byte) {
 		if code != 200 {
-			w.at(300*time.Millisecond, func() { w.bringBack(cell) })
+			w.at(300*time.Millisecond, func() { w.bringBack(zone) })
 			return
 		}
 		w.out = ""
 	})
 }
 
-func (w *world) someDepot() *depot { return w.depots[w.addrs[w.rng.Intn(len(w.addrs))]] }
+func (w *world) someFakeServer() *fakeServer { return w.fakeServers[w.addrs[w.rng.Intn(len(w.addrs))]] }
 
 // leave marks a server as leaving in the platform's list, and takes it back.
 func (w *world) leave() {
-	d := w.someDepot()
+	d := w.someFakeServer()
 	if d.gone || slices.Contains(leavers(w.lists[d.svc]), d.addr) {
 		return
 	}
 	mark := func(on bool) {
 		l := w.lists[d.svc]
-		l.Servers = append([]tariff.Server(nil), l.Servers...)
+		l.Servers = append([]fleetconfig.Server(nil), l.Servers...)
 		for i := range l.Servers {
 			if l.Servers[i].Addr == d.addr {
 				l.Servers[i].Leaving = on
@@ -145,7 +145,7 @@
 	w.list(d.svc, func(ok bool) {
 		if ok { // an older list that is acknowledged late says nothing any more
 			if slices.Contains(leavers(w.lists[d.svc]), d.addr) {
-				d.jot(journal.Event{Ev: "leaving"})
+				d.jot(history.Event{Ev: "leaving"})
 				w.res.Faults["leaving"]++
 			}
 		}
@@ -154,7 +154,7 @@
 				return
 			}
 			mark(false)
-			d.jot(journal.Event{Ev: "staying"})
+			d.jot(history.Event{Ev: "staying"})
 			w.list(d.svc, nil)
 		})
 	})
@@ -162,7 +162,7 @@
 
 // selfLeave has a server say itself that it leaves.
 func (w *world) selfLeave() {
-	d := w.someDepot()
+	d := w.someFakeServer()
 	if !d.up || d.leaving || d.gone {
 		return
 	}
@@ -173,7 +173,7 @@
 
 // serverFault brings one failure of a server about, or of all.
 func (w *world) serverFault(kind string) {
-	d := w.someDepot()
+	d := w.someFakeServer()
 	heal := func(f func()) { w.at(300*time.Millisecond+w.exp(2*time.Second), f) }
 	switch kind {
 	case "crash":
@@ -186,7 +186,7 @@
 			return
 		}
 		old := w.lists[d.svc]
-		var rest []tariff.Server
+		var rest []fleetconfig.Server
 		for _, s := range old.Servers {
 			if s.Addr != d.addr {
 				rest = append(rest, s)
@@ -194,11 +194,11 @@
 		}
 		old.Servers = rest
 		w.lists[d.svc] = old
-		w.depot(d.svc, d.cell)
+		w.fakeServer(d.svc, d.zone)
 		d.gone = true
 		w.list(d.svc, func(ok bool) {
 			if ok {
-				d.jot(journal.Event{Ev: "leaving"})
+				d.jot(history.Event{Ev: "leaving"})
 			}
 			w.at(3*time.Second, func() {
 				if d.up {
@@ -211,12 +211,12 @@
 		heal(func() { d.dark = false })
 	case "lapse": // every handle is gone at once
 		for _, a := range w.addrs {
-			w.depots[a].kv = map[string]cache{}
-			w.depots[a].lapseAll = true
+			w.fakeServers[a].kv = map[string]cache{}
+			w.fakeServers[a].lapseAll = true
 		}
 		heal(func() {
 			for _, a := range w.addrs {
-				w.depots[a].lapseAll = false
+				w.fakeServers[a].lapseAll = false
 			}
 		})
 	case "cross":
@@ -243,16 +243,16 @@
 	}
 }
 
-// loseCell kills every daemon and server of a cell; they come back later.
-func (w *world) loseCell(cell string) {
+// loseCell kills every daemon and server of a zone; they come back later.
+func (w *world) loseZone(zone string) {
 	for _, n := range w.nodes {
-		if n.cell == cell && n.up {
+		if n.zone == zone && n.up {
 			n.kill()
 			w.at(3*time.Second+w.exp(2*time.Second), n.start)
 		}
 	}
 	for _, a := range w.addrs {
-		if d := w.depots[a]; d.cell == cell && d.up {
+		if d := w.fakeServers[a]; d.zone == zone && d.up {
 			d.crash()
 			w.at(3*time.Second+w.exp(2*time.Second), d.boot)
 		}
@@ -265,7 +265,7 @@
 		return
 	}
 	for _, a := range w.addrs {
-		d := w.depots[a]
+		d := w.fakeServers[a]
 		d.dark, d.lapseAll, d.cross, d.breaks, d.drops, d.skip, d.twice, d.slow, d.link = false, false, false, false, false, false, false, 1, 0
 		back := time.Duration(0)
 		if w.o.Sabotage == "lateback" {
@@ -274,5 +274,5 @@
 		}
 		w.at(back, d.boot)
 	}
-	w.jot(journal.Event{Ev: "mended"})
+	w.jot(history.Event{Ev: "mended"})
 }
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -3,65 +3,65 @@
 import (
 	"time"
 
-	"mulleinmast/proof/journal"
+	"mulleinmast/proof/history"
 )
 
 // Options shape a run.
 type Options struct {
-	Seed     int64
-	Cells    []int // daemons in each cell; the first of each has a disk
-	Disks    int   // daemons with a disk in each cell, if more than one
-	Losses   int   // of them that may be lost at once, if more than one
-	Bare     bool  // the seeds have no disk, and the platform tells a first start from others
-	Parts    int   // beside the configuration part
-	Length   time.Duration
-	Calm     time.Duration      // at the end nothing fails any more
-	Faults   map[string]float64 // mean faults of each kind in a run
-	Writes   time.Duration      // mean time between writes
-	Reads    time.Duration      // mean time between a daemon's reads
-	Keys     int
-	Drift    float64         // how far clocks really run apart
-	Sabotage string          // a fault put in on purpose, to prove the checker
-	Clean    bool            // the network loses, delays and doubles nothing
-	Flat     bool            // no relays: every daemon renews at the owner
-	Calls    time.Duration   // mean time between requests; 0: no servers and no requests
-	Servers  []int           // model servers of each service
-	Orders   time.Duration   // mean time between operators' and the platform's calls
-	Swaps    []time.Duration // when a core machine is exchanged for an empty one
-	Moves    time.Duration   // mean time until a cell that was brought back is evacuated again; 0: only by Orders
-	Late     float64         // part of the calls to owners that come a second time, seconds later
-	Far      time.Duration   // more between cells, one way
-	Lame     time.Duration   // more to and from one relay, from 15 s to 55 s
-	Back     bool            // who is shed comes back when told to, once
-	Static   bool            // the tree is not reshaped by load and cost
-	Mutate   float64         // part of the notes that come a second time with one field changed, as from a stranger
-	Trace    func(string)
+	Seed       int64
+	Zones      []int // daemons in each zone; the first of each has a disk
+	Disks      int   // daemons with a disk in each zone, if more than one
+	Losses     int   // of them that may be lost at once, if more than one
+	Bare       bool  // the seeds have no disk, and the platform tells a first start from others
+	Partitions int   // beside the configuration part
+	Length     time.Duration
+	Calm       time.Duration      // at the end nothing fails any more
+	Faults     map[string]float64 // mean faults of each kind in a run
+	Writes     time.Duration      // mean time between writes
+	Reads      time.Duration      // mean time between a daemon's reads
+	Keys       int
+	Drift      float64         // how far clocks really run apart
+	Sabotage   string          // a fault put in on purpose, to prove the checker
+	Clean      bool            // the network loses, delays and doubles nothing
+	Flat       bool            // no relays: every daemon renews at the leader
+	Calls      time.Duration   // mean time between requests; 0: no servers and no requests
+	Servers    []int           // model servers of each service
+	Orders     time.Duration   // mean time between operators' and the platform's calls
+	Swaps      []time.Duration // when a core machine is exchanged for an empty one
+	Moves      time.Duration   // mean time until a zone that was brought back is evacuated again; 0: only by Orders
+	Late       float64         // part of the calls to leaders that come a second time, seconds later
+	Far        time.Duration   // more between zones, one way
+	Lame       time.Duration   // more to and from one relay, from 15 s to 55 s
+	Back       bool            // who is refused comes back when told to, once
+	Static     bool            // the tree is not reshaped by load and cost
+	Mutate     float64         // part of the messages that come a second time with one field changed, as from a stranger
+	Trace      func(string)
 }
 
 // Result is what a run came to.
 type Result struct {
 	History                  []Event
-	Journal                  []journal.Event
+	Journal                  []history.Event
 	Broken                   []string
 	Yes, Never, Maybe, Reads int
-	Notes, Purges            int
-	RootNotes                int             // notes into owners
-	Gap                      time.Duration   // longest time without an owner of part 0
+	Messages, Invalidations  int
+	RootMessages             int             // messages into leaders
+	Gap                      time.Duration   // longest time without a leader of part 0
 	Waits                    []time.Duration // time from asking for a write to yes
 	Faults                   map[string]int
 	Recs, Mended             int
 	Returned, Helped         int            // requests that came back when told to, and those served then
 	Served, Sent             map[string]int // requests by tenant, in crowds
-	Steers                   map[string]int // notes that moved a daemon in the tree, by why
+	Steers                   map[string]int // messages that moved a daemon in the tree, by why
 	Renewal                  time.Duration  // mean time of a renewal of a lease while a relay was lame
-	Results, Sheds, Plans    map[string]int // requests by result and by why shed, operators' calls
+	Results, Refusals, Plans map[string]int // requests by result and by why refused, operators' calls
 }
 
 // Default is a run with every kind of failure.
 //
 // Example: sim.Run(sim.Default(1))
 func Default(seed int64) Options {
-	return Options{Seed: seed, Cells: []int{3, 3, 1}, Parts: 1, Length: 40 * time.Second, Calm: 14 * time.Second, Keys: 3,
+	return Options{Seed: seed, Zones: []int{3, 3, 1}, Partitions: 1, Length: 40 * time.Second, Calm: 14 * time.Second, Keys: 3,
 		Writes: 250 * time.Millisecond, Reads: 60 * time.Millisecond, Drift: 0.02,
 		Faults: map[string]float64{"kill": 2, "all": 0.15, "wipe": 0.4, "cut": 1.5, "oneway": 1, "alone": 1, "freeze": 2, "slow": 1, "stall": 0.5, "ackkill": 1}}
 }
@@ -77,7 +77,7 @@
 	"freezes": only(map[string]float64{"freeze": 12, "kill": 1}),
 	"rangsit": func(seed int64) Options {
 		o := Default(seed)
-		o.Cells, o.Reads = []int{4, 3, 3}, 100*time.Millisecond
+		o.Zones, o.Reads = []int{4, 3, 3}, 100*time.Millisecond
 		return o
 	},
 	"traffic": calls([]int{4, 3, 3}, []int{7, 5}, map[string]float64{"kill": 2, "freeze": 1, "cut": 0.7, "oneway": 0.5, "alone": 0.7, "wipe": 0.3, "stall": 0.5, "ackkill": 1,
@@ -87,26 +87,26 @@
 	"lost":   calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"drop": 10, "break": 4, "crash": 6, "dark": 3, "crowd": 1}),
 	"cells":  calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"cell": 1, "kill": 1, "freeze": 1, "crowd": 1, "swing": 1}),
 	"reboot": calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"all": 1.5, "kill": 4, "ackkill": 3, "freeze": 3}),
-	// A cell is evacuated and brought back all the time, and calls come a second
-	// time seconds later, under the same owner or the next.
+	// A zone is evacuated and brought back all the time, and calls come a second
+	// time seconds later, under the same leader or the next.
 	"late": func(seed int64) Options {
 		o := calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"kill": 3, "freeze": 2, "alone": 1})(seed)
 		o.Late, o.Moves = 0.8, 200*time.Millisecond
 		return o
 	},
 	// The whole core is killed again and again and back at once, beside other
-	// trouble, with writes all the time: owners are elected while leases under
+	// trouble, with writes all the time: leaders are elected while leases under
 	// the ones before still stand.
 	"early": func(seed int64) Options {
 		o := Default(seed)
-		o.Cells, o.Writes, o.Reads = []int{4, 3, 3}, 40*time.Millisecond, 20*time.Millisecond
+		o.Zones, o.Writes, o.Reads = []int{4, 3, 3}, 40*time.Millisecond, 20*time.Millisecond
 		o.Faults = map[string]float64{"core": 8, "kill": 3, "freeze": 2, "alone": 1, "ackkill": 0.2}
 		return o
 	},
-	// Five seats over three cells, and a founder without a disk.
+	// Five replicas over three zones, and a founder without a disk.
 	"five": func(seed int64) Options {
 		o := Default(seed)
-		o.Cells, o.Disks, o.Losses, o.Bare = []int{4, 3, 3}, 2, 2, true
+		o.Zones, o.Disks, o.Losses, o.Bare = []int{4, 3, 3}, 2, 2, true
 		return o
 	},
 	// Many records, so that few are written anew after one is spoilt.
@@ -126,22 +126,22 @@
 	},
 }
 
-// calls is a whole fleet with servers, requesters, operators and a platform.
-func calls(cells []int, servers []int, f map[string]float64) func(int64) Options {
+// calls is a whole fleet with servers, clients, operators and a platform.
+func calls(zones []int, servers []int, f map[string]float64) func(int64) Options {
 	return func(seed int64) Options {
-		return Options{Seed: seed, Cells: cells, Parts: 2, Length: 56 * time.Second, Calm: 24 * time.Second, Keys: 1, Writes: time.Second, Reads: 250 * time.Millisecond, Drift: 0.02,
+		return Options{Seed: seed, Zones: zones, Partitions: 2, Length: 56 * time.Second, Calm: 24 * time.Second, Keys: 1, Writes: time.Second, Reads: 250 * time.Millisecond, Drift: 0.02,
 			Calls: 45 * time.Millisecond, Servers: servers, Orders: time.Second, Faults: f}
 	}
 }
 
-// Tree is a healthy fleet of three far cells in which the relays of one cell
+// Tree is a healthy fleet of three far zones in which the relays of one zone
 // become slow for a while: the paper's inequalities ask for a join, and for a
 // split once they are well again.
 //
 // Example: r := sim.Run(sim.Tree(1, false)); r.Steers["join"] > 0
 func Tree(seed int64, static bool) Options {
 	o := Default(seed)
-	o.Cells, o.Faults, o.Length, o.Calm, o.Clean = []int{6, 6, 6}, nil, 130*time.Second, time.Second, true
+	o.Zones, o.Faults, o.Length, o.Calm, o.Clean = []int{6, 6, 6}, nil, 130*time.Second, time.Second, true
 	o.Far, o.Lame, o.Static = 40*time.Millisecond, 90*time.Millisecond, static
 	return o
 }
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -7,9 +7,9 @@
 	"container/heap"
 	"fmt"
 	"math/rand"
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/tariff"
-	"mulleinmast/proof/journal"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/proof/history"
 	"mulleinmast/proof/judge"
 	"time"
 )
@@ -57,7 +57,7 @@
 
 type world struct {
 	o     Options
-	cfg   cabin.Config
+	cfg   daemon.Config
 	rng   *rand.Rand
 	now   time.Duration
 	q     queue
@@ -71,30 +71,30 @@
 	owned time.Duration
 	calm  bool
 
-	depots  map[string]*depot
-	addrs   []string // of depots, in order
-	lists   map[string]tariff.List
-	callers int
-	out     string // the cell that is evacuated
-	ready   []*node
-	crowd   time.Duration // until when requests come thick
-	mix     float64
-	cost    time.Duration
-	costs   int
+	fakeServers map[string]*fakeServer
+	addrs       []string // of depots, in order
+	lists       map[string]fleetconfig.List
+	callers     int
+	out         string // the zone that is evacuated
+	ready       []*node
+	crowd       time.Duration // until when requests come thick
+	mix         float64
+	cost        time.Duration
+	costs       int
 }
 
 // Run makes one run.
 //
 // Example: r := sim.Run(sim.Default(42)); len(r.Broken) == 0
 func Run(o Options) Result {
-	w := &world{o: o, cfg: cabin.Default(), rng: rand.New(rand.NewSource(o.Seed)), cut: map[[2]string]bool{}}
-	w.cfg.Parts, w.cfg.Test = o.Parts, true
-	w.res.Served, w.res.Sent, w.res.Steers, w.res.Faults, w.res.Results, w.res.Sheds, w.res.Plans = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
+	w := &world{o: o, cfg: daemon.Default(), rng: rand.New(rand.NewSource(o.Seed)), cut: map[[2]string]bool{}}
+	w.cfg.Partitions, w.cfg.Test = o.Partitions, true
+	w.res.Served, w.res.Sent, w.res.Steers, w.res.Faults, w.res.Results, w.res.Refusals, w.res.Plans = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	if o.Sabotage == "drift" {
 		o.Drift, w.o.Drift = 0.5, 0.5
 	}
 	i := 0
-	for c, n := range o.Cells {
+	for c, n := range o.Zones {
 		for j := 0; j < n; j++ {
 			w.add(fmt.Sprintf("cell-%d", c), j < max(1, o.Disks), i)
 			i++
@@ -125,8 +125,8 @@
 	return w.res
 }
 
-func (w *world) add(cell string, disk bool, i int) *node {
-	n := &node{w: w, name: fmt.Sprintf("n%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1), cell: cell, hasDisk: disk,
+func (w *world) add(zone string, disk bool, i int) *node {
+	n := &node{w: w, name: fmt.Sprintf("n%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1), zone: zone, hasDisk: disk,
 		rate: 1 + (w.rng.Float64()-0.5)*w.o.Drift, base: time.Duration(w.rng.Int63n(int64(time.Hour)))}
 	w.nodes = append(w.nodes, n)
 	return n
@@ -147,7 +147,7 @@
 }
 
 // jot writes a line of the journal that the judge of real runs reads too.
-func (w *world) jot(e journal.Event) {
+func (w *world) jot(e history.Event) {
 	if e.At == 0 {
 		e.At = int64(w.now)
 	}
@@ -160,13 +160,13 @@
 	}
 }
 
-// owners notes every daemon that takes itself for an owner at this moment.
-func (w *world) owners() {
-	for p := 0; p <= w.o.Parts; p++ {
+// leaders messages every daemon that takes itself for a leader at this moment.
+func (w *world) leaders() {
+	for p := 0; p <= w.o.Partitions; p++ {
 		any := false
 		for _, n := range w.nodes {
-			if n.up && p < len(n.parts) && n.frozen <= w.now && n.parts[p].Owner(n.local()) {
-				w.note(Event{Kind: Owning, Node: n.name, Part: p})
+			if n.up && p < len(n.parts) && n.frozen <= w.now && n.parts[p].Leader(n.local()) {
+				w.note(Event{Kind: Owning, Node: n.name, Partition: p})
 				any = true
 			}
 		}
@@ -195,10 +195,10 @@
 					w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("serves no part %d, %v after the last failure (lease %d ms, parent %s, live %v, owner %v)", p, w.o.Calm, v.Left, v.Parent.Addr, n.view.Live, n.view.Owns[p])})
 					continue
 				}
-				w.note(Event{Kind: Served, Node: n.name, Part: p, Key: fmt.Sprintf("%d/%s", p, key(k)), Tags: tags(r)})
+				w.note(Event{Kind: Served, Node: n.name, Partition: p, Key: fmt.Sprintf("%d/%s", p, key(k)), Tags: tags(r)})
 			}
-			if s := n.sec(p); s.Seat != nil {
-				w.res.Recs = max(w.res.Recs, s.Seat.Book().Size())
+			if s := n.sec(p); s.Replica != nil {
+				w.res.Recs = max(w.res.Recs, s.Replica.Records().Size())
 			}
 		}
 	}
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -42,8 +42,8 @@
 // Runs that broke a rule once.
 func TestSeedsThatBrokeARule(t *testing.T) {
 	for name, seeds := range map[string][]int64{
-		"kills":   {568},      // a core machine was killed just after it had stood with a ballot above the owner's
-		"rangsit": {120, 262}, // a daemon steered to an owner, or a relay, stayed there under the next one
+		"kills":   {568},      // a core machine was killed just after it had stood with a term above the leader's
+		"rangsit": {120, 262}, // a daemon steered to a leader, or a relay, stayed there under the next one
 		"servers": {151},      // a server killed and back between two polls
 		"traffic": {2, 60},
 	} {
@@ -60,14 +60,14 @@
 func TestEachSabotageIsCaught(t *testing.T) {
 	for what, x := range map[string]struct{ scenario, rule string }{
 		"nosync":       {"kills", "without"},         // says saved before it is on disk
-		"ackpurge":     {"cuts", "without"},          // a purge is acknowledged and never done
+		"ackpurge":     {"cuts", "without"},          // an invalidation is acknowledged and never done
 		"drift":        {"cuts", ""},                 // clocks run further apart than the bound
 		"nowait":       {"cuts", ""},                 // a granter doesn't wait a lease out
 		"nowaitvote":   {"early", ""},                // a restarted voter promises at once
-		"nocalm":       {"early", "without"},         // an owner that is elected early writes at once
+		"nocalm":       {"early", "without"},         // a leader that is elected early writes at once
 		"standstill":   {"freezes", ""},              // the clock stops while its machine is suspended
 		"nomend":       {"rot", "copy"},              // copies are not compared
-		"double":       {"servers", "once:"},         // a decode goes to two makers
+		"double":       {"servers", "once:"},         // a decode goes to two decode servers
 		"noclaim":      {"servers", "once:"},         // a once key is not claimed first
 		"lostisshed":   {"lost", "refused:"},         // a decode that was lost is taken for turned away
 		"nofit":        {"servers", "foreign:"},      // any handle that comes back is believed
@@ -75,7 +75,7 @@
 		"splice":       {"servers", "stream:"},       // another run goes on where one broke
 		"fakeend":      {"servers", "whole:"},        // a broken stream gets an end piece
 		"stale":        {"servers", "leaving:"},      // records are believed for ever: leaving servers
-		"evacuatelate": {"servers", "evacuated:"},    // the same with evacuated cells
+		"evacuatelate": {"servers", "evacuated:"},    // the same with evacuated zones
 		"lapsed":       {"traffic", "plan-late:"},    // leases are never looked at
 		"fallback":     {"servers", "plan-back:"},    // a daemon goes back to the plan before
 		"nobase":       {"servers", "plan-race:"},    // a plan's base is not looked at
@@ -104,7 +104,7 @@
 	}
 }
 
-// Notes of every kind, one field changed and from somebody who is no member,
+// Messages of every kind, one field changed and from somebody who is no member,
 // break no rule and stop no daemon.
 func TestStrangersBreakNothing(t *testing.T) {
 	for _, name := range []string{"storm", "swaps", "traffic"} {
@@ -147,8 +147,8 @@
 	}
 }
 
-// Where a cell's relays are slow the paper's inequality joins their children to
-// the owner, and once they are well a split brings them back; both keep the
+// Where a zone's relays are slow the paper's inequality joins their children to
+// the leader, and once they are well a split brings them back; both keep the
 // rules and make renewals cheaper than the static tree's.
 func TestTheTreeIsReshapedByCost(t *testing.T) {
 	static, moving := Run(Tree(1, true)), Run(Tree(1, false))
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -3,21 +3,21 @@
 import (
 	"time"
 
-	"mulleinmast/control/errand"
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/master"
-	"mulleinmast/control/tariff"
-	"mulleinmast/traffic/desk"
-	"mulleinmast/traffic/dispatch"
-	"mulleinmast/traffic/yard"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/placement"
+	"mulleinmast/traffic/nativeapi"
+	"mulleinmast/traffic/scheduler"
+	"mulleinmast/traffic/serverpool"
+	"mulleinmast/wire/message"
 )
 
-// The daemon's side of traffic: what traffic/desk and control/cabin do over
+// The daemon's side of traffic: what traffic/nativeapi and control/daemon do over
 // HTTP is done here over simulated calls, with the same machines.
 
 type lane struct {
-	*dispatch.Lane
+	*scheduler.Lane
 	part   int
 	asking bool
 	pins   map[string]bool
@@ -27,7 +27,7 @@
 type ride struct {
 	n     *node
 	l     *lane
-	req   dispatch.Request
+	req   scheduler.Request
 	c     *caller
 	calls map[int]*call
 	last  time.Duration // when the last thing sent to the caller lands
@@ -40,7 +40,7 @@
 }
 
 // works is the holders' config, sabotaged or not.
-func (w *world) works() interlock.Config {
+func (w *world) works() placement.Config {
 	c := w.cfg.Works()
 	switch w.o.Sabotage {
 	case "noramp":
@@ -52,15 +52,15 @@
 }
 
 // source reads as traffic does, under valid leases.
-func (n *node) source(part int, key string) (form.Rec, bool) {
+func (n *node) source(part int, key string) (message.Rec, bool) {
 	r, ok := n.sec(part).Node.Get(n.local(), key)
 	switch n.w.o.Sabotage {
 	case "stale", "evacuatelate", "fallback":
-		// What was read once is believed for ever: of the servers, of the cells,
+		// What was read once is believed for ever: of the servers, of the zones,
 		// and now and then of the plan.
 		old, had := n.past[key]
-		if had && !old.Dead && (n.w.o.Sabotage == "stale" && part > 0 || n.w.o.Sabotage == "evacuatelate" && (part > 0 || key == tariff.CellKey) ||
-			n.w.o.Sabotage == "fallback" && key == tariff.PlanKey && n.w.rng.Intn(4) == 0) {
+		if had && !old.Dead && (n.w.o.Sabotage == "stale" && part > 0 || n.w.o.Sabotage == "evacuatelate" && (part > 0 || key == fleetconfig.ZoneKey) ||
+			n.w.o.Sabotage == "fallback" && key == fleetconfig.PlanKey && n.w.rng.Intn(4) == 0) {
 			return old, true
 		}
 		if had && !old.Dead && n.w.o.Sabotage == "fallback" {
@@ -77,8 +77,8 @@
 	return r, ok
 }
 
-// errands carries out what a step of the calls to owners asks for.
-func (n *node) errands(o errand.Out) {
+// calls carries out what a step of the calls to leaders asks for.
+func (n *node) carryCalls(o leadercall.Out) {
 	for _, m := range o.Sends {
 		n.send(m)
 	}
@@ -90,30 +90,30 @@
 	}
 }
 
-// ask calls the owner of a part.
-func (n *node) ask(part int, op string, body []byte, budget time.Duration, then func(errand.Done)) {
+// ask calls the leader of a part.
+func (n *node) ask(part int, op string, body []byte, timeout time.Duration, then func(leadercall.Done)) {
 	now := n.local()
-	no, o := n.runs.Start(now, n.view.Owns[part].Seat, part, op, body, now+budget, op == "want")
+	no, o := n.runs.Start(now, n.view.Owns[part].Replica, part, op, body, now+timeout, op == "want")
 	if then != nil {
 		n.asks[no] = then
 	}
-	n.errands(o)
+	n.carryCalls(o)
 }
 
 func (n *node) lane(svc string) *lane {
 	if l := n.lanes[svc]; l != nil {
 		return l
 	}
-	cfg := desk.Config(n.w.cfg)
+	cfg := nativeapi.Config(n.w.cfg)
 	if n.w.o.Sabotage == "noretrybound" {
 		cfg.Retry, cfg.Most = 100, 20
 	}
 	if n.w.o.Sabotage == "noafter" {
 		cfg.Back, cfg.Queue.Floor = 0, 0
 	}
-	p := tariff.PartOf(svc, n.w.o.Parts)
+	p := fleetconfig.PartitionOf(svc, n.w.o.Partitions)
 	l := &lane{part: p, pins: map[string]bool{}}
-	l.Lane = dispatch.New(cfg, svc, p, n.source, func() uint64 { return n.view.Owns[p].Num })
+	l.Lane = scheduler.New(cfg, svc, p, n.source, func() uint64 { return n.view.Owns[p].Num })
 	n.lanes[svc] = l
 	n.beat(l)
 	return l
@@ -138,7 +138,7 @@
 	}
 	l.asking = true
 	at := n.local()
-	n.ask(l.part, "want", errand.Pack(l.Want()), n.w.works().Share/4, func(d errand.Done) {
+	n.ask(l.part, "want", leadercall.Pack(l.Want()), n.w.works().Share/4, func(d leadercall.Done) {
 		l.asking = false
 		if sh, ok := share(d); ok {
 			if s := n.w.o.Sabotage; s == "stale" || s == "evacuatelate" { // no slot is ever given back
@@ -152,11 +152,11 @@
 }
 
 // do carries out what a lane asks for.
-func (n *node) do(l *lane, o dispatch.Out) {
+func (n *node) do(l *lane, o scheduler.Out) {
 	for _, a := range o.Acts {
 		r := n.rides[a.Trip]
-		body := errand.Pack(master.ClaimCall{Key: a.Key, Claim: errand.Claim{Request: a.Trip, Daemon: n.addr, State: a.State}})
-		if a.Kind == dispatch.Settle {
+		body := leadercall.Pack(leader.ClaimCall{Key: a.Key, Claim: leadercall.Claim{Request: a.Trip, Daemon: n.addr, State: a.State}})
+		if a.Kind == scheduler.Settle {
 			n.ask(l.part, "unclaim", body, n.w.cfg.Bounds.Recover, nil)
 			continue
 		}
@@ -164,25 +164,25 @@
 			continue
 		}
 		switch a.Kind {
-		case dispatch.Claim:
+		case scheduler.Claim:
 			if n.w.o.Sabotage == "noclaim" {
 				n.in(0, func() { n.do(l, l.Claimed(n.local(), a.Trip, 200, nil)) })
 				continue
 			}
-			n.ask(l.part, "claim", body, min(n.w.cfg.Bounds.Plan, r.req.Due-n.local()), func(d errand.Done) {
+			n.ask(l.part, "claim", body, min(n.w.cfg.Bounds.Plan, r.req.Due-n.local()), func(d leadercall.Done) {
 				n.do(l, l.Claimed(n.local(), a.Trip, d.Code, d.Body))
 			})
-		case dispatch.Prefill, dispatch.Decode:
+		case scheduler.Prefill, scheduler.Decode:
 			n.call(r, a)
-		case dispatch.Cut:
+		case scheduler.Cut:
 			if c := r.calls[a.No]; c != nil {
 				c.shut = true
 			}
-		case dispatch.Pass:
+		case scheduler.Pass:
 			r.pass(a.Piece)
-		case dispatch.Reply:
+		case scheduler.Response:
 			delete(n.rides, a.Trip)
-			r.reply(a.End)
+			r.respond(a.End)
 		}
 	}
 	if o.Kick {
@@ -191,9 +191,9 @@
 }
 
 // call dials a server, looks a last time, and sends.
-func (n *node) call(r *ride, a dispatch.Act) {
+func (n *node) call(r *ride, a scheduler.Act) {
 	w := n.w
-	d := w.depots[a.Addr]
+	d := w.fakeServers[a.Addr]
 	c := &call{}
 	r.calls[a.No] = c
 	dial := w.lag()
@@ -204,15 +204,15 @@
 		switch {
 		case c.shut:
 		case !d.up:
-			n.outcome(r, a, c, yard.NotSent, "no connection")
+			n.outcome(r, a, c, serverpool.NotSent, "no connection")
 		case d.dark: // no word, ever
 		case !r.l.Standing(n.local(), a) && w.o.Sabotage != "nolook":
-			n.outcome(r, a, c, yard.Barred, "")
-		case a.Kind == dispatch.Prefill:
+			n.outcome(r, a, c, serverpool.Barred, "")
+		case a.Kind == scheduler.Prefill:
 			w.at(w.lag(), func() { d.prefill(n.line(r, a, c), a.Read) })
 		default:
 			w.at(w.lag(), func() { d.decode(n.line(r, a, c), a.Make) })
-			if w.o.Sabotage == "double" { // sent to a second maker as well
+			if w.o.Sabotage == "double" { // sent to a second decode server as well
 				if b := d.twin(); b != nil {
 					w.at(w.lag(), func() { b.decode(n.line(r, a, &call{shut: true}), a.Make) })
 				}
@@ -222,16 +222,16 @@
 }
 
 // outcome gives the lane the end of a call.
-func (n *node) outcome(r *ride, a dispatch.Act, c *call, out yard.Outcome, why string) {
+func (n *node) outcome(r *ride, a scheduler.Act, c *call, out serverpool.Outcome, why string) {
 	if c.shut {
 		return
 	}
 	c.shut = true
-	if n.w.o.Sabotage == "lostisshed" && out == yard.Lost {
-		out = yard.Shed
+	if n.w.o.Sabotage == "lostisshed" && out == serverpool.Lost {
+		out = serverpool.Refused
 	}
-	if a.Kind == dispatch.Prefill {
-		n.do(r.l, r.l.Handed(n.local(), a.Trip, a.No, yard.Handle{}, out, why))
+	if a.Kind == scheduler.Prefill {
+		n.do(r.l, r.l.Handed(n.local(), a.Trip, a.No, serverpool.Handle{}, out, why))
 		return
 	}
 	n.do(r.l, r.l.Made(n.local(), a.Trip, a.No, out, why))
@@ -243,11 +243,11 @@
 	n    *node
 	life int
 	r    *ride
-	a    dispatch.Act
+	a    scheduler.Act
 	c    *call
 }
 
-func (n *node) line(r *ride, a dispatch.Act, c *call) *line { return &line{n, n.life, r, a, c} }
+func (n *node) line(r *ride, a scheduler.Act, c *call) *line { return &line{n, n.life, r, a, c} }
 
 // open tells whether the daemon still listens.
 func (l *line) open() bool { return !l.c.shut && l.n.up && l.n.life == l.life }
@@ -268,21 +268,21 @@
 	})
 }
 
-func (l *line) end(out yard.Outcome, why string) {
+func (l *line) end(out serverpool.Outcome, why string) {
 	l.back(func() { l.n.outcome(l.r, l.a, l.c, out, why) })
 }
 
-func (l *line) handle(h yard.Handle) {
+func (l *line) handle(h serverpool.Handle) {
 	l.back(func() {
 		l.c.shut = true
 		if l.n.w.o.Sabotage == "nofit" { // whatever handle comes back is believed
-			h.Request, h.Attempt, h.Reader, h.Ver = l.a.Trip, l.a.No, l.a.Addr, l.a.Read.Ver
+			h.Request, h.Attempt, h.PrefillServer, h.Ver = l.a.Trip, l.a.No, l.a.Addr, l.a.Read.Ver
 		}
-		l.n.do(l.r.l, l.r.l.Handed(l.n.local(), l.a.Trip, l.a.No, h, yard.OK, ""))
+		l.n.do(l.r.l, l.r.l.Handed(l.n.local(), l.a.Trip, l.a.No, h, serverpool.OK, ""))
 	})
 }
 
-func (l *line) piece(p yard.Piece, seen *int) {
+func (l *line) piece(p serverpool.Piece, seen *int) {
 	l.back(func() {
 		if l.n.w.o.Sabotage == "nocount" { // numbers are made to fit
 			p.N = *seen
@@ -295,15 +295,15 @@
 	})
 }
 
-// poll and order speak to a server as the owner does.
-func (n *node) poll(m *master.Master, term uint64, key string) {
+// poll and order speak to a server as the leader does.
+func (n *node) poll(m *leader.Controller, term uint64, key string) {
 	w := n.w
-	d := w.depots[addrOf(key)]
-	told := func(u interlock.Usage, ok bool) { m.Polled(n.local(), term, key, u, ok) }
+	d := w.fakeServers[addrOf(key)]
+	told := func(u placement.Usage, ok bool) { m.Polled(n.local(), term, key, u, ok) }
 	life := n.life
 	w.at(w.lag(), func() {
 		if d == nil || !d.up || d.dark {
-			n.in(2*w.works().Poll, func() { told(interlock.Usage{}, false) })
+			n.in(2*w.works().Poll, func() { told(placement.Usage{}, false) })
 			return
 		}
 		u := d.usage()
@@ -315,9 +315,9 @@
 	})
 }
 
-func (n *node) order(m *master.Master, ord interlock.Order) {
+func (n *node) order(m *leader.Controller, ord placement.Order) {
 	w := n.w
-	d := w.depots[ord.Addr]
+	d := w.fakeServers[ord.Addr]
 	n.in(w.lag(), func() {
 		if d == nil || !d.up || d.dark || !m.MayOrder(n.local(), ord.Term) && w.o.Sabotage != "noswap" {
 			m.Ordered(n.local(), ord, false)
--- a/proof/sim/write.go
+++ b/proof/sim/write.go
@@ -3,20 +3,20 @@
 import (
 	"encoding/json"
 	"fmt"
-	"mulleinmast/control/purge"
-	"mulleinmast/control/section"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/partition"
+	"mulleinmast/wire/message"
 )
 
-// write asks some daemon that takes itself for the owner to append a tag.
+// write asks some daemon that takes itself for the leader to append a tag.
 func (w *world) write() {
 	if !w.calm {
 		w.at(w.exp(w.o.Writes), w.write)
 	}
-	p, k := w.rng.Intn(w.o.Parts+1), key(w.rng.Intn(w.o.Keys))
+	p, k := w.rng.Intn(w.o.Partitions+1), key(w.rng.Intn(w.o.Keys))
 	var own []*node
 	for _, n := range w.nodes {
-		if n.up && n.frozen <= w.now && n.parts[p].Owner(n.local()) {
+		if n.up && n.frozen <= w.now && n.parts[p].Leader(n.local()) {
 			own = append(own, n)
 		}
 	}
@@ -29,18 +29,18 @@
 	w.tags++
 	tag, at := fmt.Sprintf("w%d", w.tags), w.now
 	name := fmt.Sprintf("%d/%s", p, k)
-	w.note(Event{Kind: Asked, Node: n.name, Part: p, Key: name, Tag: tag})
-	then := func(r section.Result) {
-		e := Event{Node: n.name, Part: p, Key: name, Tag: tag}
+	w.note(Event{Kind: Asked, Node: n.name, Partition: p, Key: name, Tag: tag})
+	then := func(r partition.Result) {
+		e := Event{Node: n.name, Partition: p, Key: name, Tag: tag}
 		switch r.Fate {
-		case section.Done:
+		case partition.Done:
 			e.Kind = Yes
 			w.res.Yes++
 			w.res.Waits = append(w.res.Waits, w.now-at)
 			if !w.calm && w.rng.Float64() < w.o.Faults["ackkill"]/40 {
 				w.fault("ackkill", n)
 			}
-		case section.NotOwner, section.Unchanged:
+		case partition.NotLeader, partition.Unchanged:
 			e.Kind = Never
 			w.res.Never++
 		default:
@@ -49,8 +49,8 @@
 		}
 		w.note(e)
 	}
-	n.carry(p, n.parts[p].Do(n.local(), section.Job{Keys: []string{k}, Make: func(read purge.Source) ([]form.Rec, any) {
+	n.carry(p, n.parts[p].Do(n.local(), partition.Job{Keys: []string{k}, Make: func(read lease.Source) ([]message.Rec, any) {
 		val, _ := json.Marshal(append(tags(read(k)), tag))
-		return []form.Rec{{Key: k, Val: val}}, nil
+		return []message.Rec{{Key: k, Val: val}}, nil
 	}}, then))
 }
--- a/proof/standin/client/load.go
+++ b/proof/standin/client/load.go
@@ -128,7 +128,7 @@
 	return m
 }
 
-// check notes bytes that came on an idle connection.
+// check messages bytes that came on an idle connection.
 func (l *Load) check(c *client) bool {
 	b, open := c.line.unasked()
 	if b != "" {
--- a/proof/standin/fleet/fleet.go
+++ b/proof/standin/fleet/fleet.go
@@ -18,7 +18,7 @@
 
 	"github.com/zeebo/errs"
 
-	"mulleinmast/control/cabin"
+	"mulleinmast/control/daemon"
 	"mulleinmast/proof/standin/entry"
 	"mulleinmast/proof/standin/record"
 	"mulleinmast/proof/standin/rules"
@@ -203,7 +203,7 @@
 	return Error.Wrap(m.Run(f.Program, []string{"-say"}, []string{variable + "=" + f.settings(m)}, filepath.Join(f.Dir, m.Name+".log")))
 }
 
-// begin notes that trouble begins.
+// begin messages that trouble begins.
 func (f *Fleet) begin(m *Machine, what string, planned bool) {
 	t := &record.Trouble{Daemon: m.Name, Core: m.Core, What: what, From: f.log.Now(), Planned: planned}
 	f.log.Do(func(a *record.All) { a.Troubles = append(a.Troubles, t) })
@@ -340,7 +340,7 @@
 // State asks a daemon by the product's own interface.
 //
 // Example: st, ok := f.State(m)
-func (f *Fleet) State(m *Machine) (st cabin.State, ok bool) {
+func (f *Fleet) State(m *Machine) (st daemon.State, ok bool) {
 	res, err := f.web.Get(fmt.Sprintf("http://%s:%d/v1/state", m.IP, firstPort+1))
 	if err != nil {
 		return st, false
@@ -350,12 +350,12 @@
 	return st, err == nil && res.StatusCode == http.StatusOK && json.Unmarshal(b, &st) == nil
 }
 
-// Owner finds the daemon that holds a part.
+// Leader finds the daemon that holds a part.
 //
-// Example: m := f.Owner(0)
-func (f *Fleet) Owner(part int) *Machine {
+// Example: m := f.Leader(0)
+func (f *Fleet) Leader(partition int) *Machine {
 	for _, m := range f.Core() {
-		if st, ok := f.State(m); ok && part < len(st.Parts) && st.Parts[part].Mine {
+		if st, ok := f.State(m); ok && partition < len(st.Partitions) && st.Partitions[partition].Mine {
 			return m
 		}
 	}
--- a/proof/standin/scene/orders.go
+++ b/proof/standin/scene/orders.go
@@ -105,7 +105,7 @@
 // race: two operators send on top of the same version, and invalid ones come
 // between.
 func race(ctx context.Context, w *World) {
-	won, beaten := 0, 0
+	won, conflict := 0, 0
 	for i := range 6 {
 		on := w.Op.Now()
 		var wait sync.WaitGroup
@@ -128,7 +128,7 @@
 			case 200:
 				won++
 			case 412:
-				beaten++
+				conflict++
 			default:
 				w.Fail("a change in a race: %d", c.Status)
 			}
@@ -137,9 +137,9 @@
 			w.Fail("an invalid configuration (kind %d): %d", i%operator.Kinds, c.Status)
 		}
 	}
-	w.Say("%d changes won, %d were beaten", won, beaten)
-	if won != 6 || beaten != 6 {
-		w.Fail("of two racing changes one wins: %d won, %d beaten", won, beaten)
+	w.Say("%d changes won, %d were beaten", won, conflict)
+	if won != 6 || conflict != 6 {
+		w.Fail("of two racing changes one wins: %d won, %d beaten", won, conflict)
 	}
 	w.Served(ctx, int(w.Rate))
 }
--- a/proof/standin/scene/scene_test.go
+++ b/proof/standin/scene/scene_test.go
@@ -11,10 +11,10 @@
 func build(t *testing.T) string {
 	t.Helper()
 	dir := t.TempDir()
-	if out, err := exec.Command("go", "build", "-o", dir+"/", "mulleinmast/cmd/signalbox").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "mulleinmast/cmd/mulleinmast").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	return filepath.Join(dir, "signalbox")
+	return filepath.Join(dir, "mulleinmast")
 }
 
 // play has a scene end without a broken rule; at least a part of the tries is
--- a/proof/standin/scene/scenes.go
+++ b/proof/standin/scene/scenes.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
 	"mulleinmast/proof/standin/fleet"
 	"mulleinmast/proof/standin/record"
 	"mulleinmast/proof/standin/server"
@@ -20,7 +20,7 @@
 
 // Scenes are what can be brought about.
 var Scenes = map[string]Scene{
-	"calm": calm, "roll": roll, "kill-owner": killOwner, "freeze-owner": freezeOwner, "lost-disk": lostDisk, "seeds": seeds, "end": closing,
+	"calm": calm, "roll": roll, "kill-owner": killLeader, "freeze-owner": freezeLeader, "lost-disk": lostDisk, "seeds": seeds, "end": closing,
 	"release": release, "crash": crash, "dark": dark, "garble": garble, "lapse": lapse, "stale-list": staleList, "pressed": pressed, "cold": cold,
 	"evacuate": evacuate, "config": config, "race": race, "storm": storm,
 }
@@ -59,8 +59,8 @@
 // roll: daemons are stopped by SIGTERM and started again, one after another.
 func roll(ctx context.Context, w *World) {
 	list := w.Fleet.Machines()
-	if w.Short { // the owner of the configuration and two others
-		list = slices.Compact([]*fleet.Machine{w.Fleet.Owner(0), list[len(list)-1], list[0]})
+	if w.Short { // the leader of the configuration and two others
+		list = slices.Compact([]*fleet.Machine{w.Fleet.Leader(0), list[len(list)-1], list[0]})
 	}
 	for _, m := range list {
 		if m == nil {
@@ -82,18 +82,18 @@
 	}
 }
 
-// killOwner: the owners of the configuration and of a service are killed.
-func killOwner(ctx context.Context, w *World) {
-	for part := range 3 {
-		m := w.Fleet.Owner(part)
+// killOwner: the leaders of the configuration and of a service are killed.
+func killLeader(ctx context.Context, w *World) {
+	for partition := range 3 {
+		m := w.Fleet.Leader(partition)
 		if m == nil {
-			w.Fail("part %d has no owner", part)
+			w.Fail("part %d has no owner", partition)
 			return
 		}
 		from := time.Now()
 		w.Fleet.Kill(m)
-		w.Until(ctx, w.Bounds.Recovery, "another owner", func() bool { return w.Fleet.Owner(part) != nil })
-		w.Say("part %d: another owner %.1fs after the kill of %s", part, time.Since(from).Seconds(), m.Name)
+		w.Until(ctx, w.Bounds.Recovery, "another owner", func() bool { return w.Fleet.Leader(partition) != nil })
+		w.Say("part %d: another owner %.1fs after the kill of %s", partition, time.Since(from).Seconds(), m.Name)
 		w.Served(ctx, int(w.Rate/2))
 		if err := w.Fleet.Up(m); err != nil {
 			w.Fail("%v", err)
@@ -106,9 +106,9 @@
 	}
 }
 
-// freezeOwner: the owner of the configuration stands still for a while.
-func freezeOwner(ctx context.Context, w *World) {
-	m := w.Fleet.Owner(0)
+// freezeOwner: the leader of the configuration stands still for a while.
+func freezeLeader(ctx context.Context, w *World) {
+	m := w.Fleet.Leader(0)
 	if m == nil {
 		w.Fail("the configuration has no owner")
 		return
@@ -119,7 +119,7 @@
 			if o == m {
 				continue
 			}
-			if st, ok := w.Fleet.State(o); ok && st.Parts[0].Mine {
+			if st, ok := w.Fleet.State(o); ok && st.Partitions[0].Mine {
 				return true
 			}
 		}
@@ -139,10 +139,10 @@
 	return w.Op.Patch(ctx, ch, w.Op.Now())
 }
 
-// lostDisk: the owner is killed right after an acknowledgement, and its disk is
+// lostDisk: the leader is killed right after an acknowledgement, and its disk is
 // lost.
 func lostDisk(ctx context.Context, w *World) {
-	m := w.Fleet.Owner(0)
+	m := w.Fleet.Leader(0)
 	if m == nil {
 		w.Fail("the configuration has no owner")
 		return
@@ -295,7 +295,7 @@
 }
 
 // pressed: prompts grow long, so that servers are ordered to the reading side,
-// and the owner that orders them is killed.
+// and the leader that orders them is killed.
 func pressed(ctx context.Context, w *World) {
 	long := w.menu(w.Routes[2:3])
 	long[0].In, long[0].Out, long[0].Shared = 9000, 2, nil
@@ -303,7 +303,7 @@
 	orders := func() int { return w.Log.Count(func(a *record.All) int { return len(a.Orders) }) }
 	w.Until(ctx, 20*time.Second, "a server is ordered to read", func() bool { return orders() > 0 })
 	before := orders()
-	if m := w.Fleet.Owner(tariff.PartOf("gen", 8)); m != nil {
+	if m := w.Fleet.Leader(fleetconfig.PartitionOf("gen", 8)); m != nil {
 		w.Fleet.Kill(m)
 		w.Served(ctx, int(w.Rate/2))
 		if err := w.Fleet.Up(m); err != nil {
--- a/proof/standin/scene/world.go
+++ b/proof/standin/scene/world.go
@@ -72,18 +72,18 @@
 	stop    []func()
 }
 
-// Say notes something seen.
+// Say messages something seen.
 //
-// Example: w.Say("a new owner after %v", took)
+// Example: w.Say("a new leader after %v", took)
 func (w *World) Say(how string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.notes = append(w.notes, fmt.Sprintf("%6.2fs ", w.Log.Now().Seconds())+fmt.Sprintf(how, args...))
 }
 
-// Fail notes something that should not have been.
+// Fail messages something that should not have been.
 //
-// Example: w.Fail("no owner after %v", limit)
+// Example: w.Fail("no leader after %v", limit)
 func (w *World) Fail(how string, args ...any) {
 	w.Say("FAILED "+how, args...)
 	w.mu.Lock()
@@ -315,7 +315,7 @@
 	w.Log.Count(func(a *record.All) int {
 		for _, x := range a.Arrivals {
 			switch {
-			case x.Out == record.Ran && x.Owner != "":
+			case x.Out == record.Ran && x.Leader != "":
 				out["handed over"]++
 			case x.Out == record.Ran && x.After > 0:
 				out["gone on with"]++
--- a/proof/standin/server/server.go
+++ b/proof/standin/server/server.go
@@ -279,7 +279,7 @@
 	defer func() {
 		gone()
 		_ = c.Close()
-		for range in { // its reader ends with the connection
+		for range in { // its prefill server ends with the connection
 		}
 		s.mu.Lock()
 		delete(s.conns, c)
--- a/proof/standin/server/server_test.go
+++ b/proof/standin/server/server_test.go
@@ -114,7 +114,7 @@
 	var owner string
 	b.log.Count(func(a *record.All) int {
 		for _, x := range a.Arrivals {
-			owner += x.Out + x.Owner + " "
+			owner += x.Out + x.Leader + " "
 		}
 		return 0
 	})
--- a/proof/track/scenario.go
+++ b/proof/track/scenario.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"mulleinmast/control/errand"
-	"mulleinmast/control/tariff"
-	"mulleinmast/proof/journal"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/proof/history"
 	"mulleinmast/proof/judge"
 	"mulleinmast/proof/load"
 )
@@ -29,14 +29,14 @@
 	Failed bool
 }
 
-// Say notes something seen.
+// Say messages something seen.
 //
-// Example: r.Say("owner back after %v", took)
+// Example: r.Say("leader back after %v", took)
 func (r *Report) Say(how string, args ...any) { r.Notes = append(r.Notes, fmt.Sprintf(how, args...)) }
 
-// Fail notes something that should not have been.
+// Fail messages something that should not have been.
 //
-// Example: r.Fail("no owner after %v", limit)
+// Example: r.Fail("no leader after %v", limit)
 func (r *Report) Fail(how string, args ...any) {
 	r.Failed = true
 	r.Say("FAILED "+how, args...)
@@ -62,7 +62,7 @@
 // Example: rep := f.Play(ctx, track.Scenarios["calm"], cfg)
 func (f *Fleet) Play(ctx context.Context, s Scenario, c load.Config) *Report {
 	r := &Report{}
-	var ev []journal.Event
+	var ev []history.Event
 	var wg sync.WaitGroup
 	with, stop := context.WithCancel(ctx)
 	f.Plat.Check()
@@ -107,7 +107,7 @@
 // back waits until every daemon is ready and every service is served.
 func (f *Fleet) back(ctx context.Context, r *Report, limit time.Duration, what string) {
 	from := time.Now()
-	f.Book.Put(journal.Event{Ev: "mended"}) // the machines are back: from here the clock runs
+	f.Recorder.Put(history.Event{Ev: "mended"}) // the machines are back: from here the clock runs
 	if !Until(ctx, limit, func() bool { return f.Ready() == f.alive() && f.Serving() }) {
 		r.Fail("%s: %d of %d daemons ready, serving %v after %v", what, f.Ready(), f.alive(), f.Serving(), limit)
 		return
@@ -178,9 +178,9 @@
 }
 
 // change sends a named change of one tenant's budget and reports the verdict.
-func (f *Fleet) change(addr, id string, base uint64, budget int) (int, tariff.Verdict) {
-	code, b := f.Call("POST", addr, "/v1/plan/changes", tariff.Changes{ID: id, Base: base, Changes: []tariff.Change{
-		{Op: "set-tenant", Tenant: &tariff.Tenant{Name: "regular", Priority: 4, Budget: budget, Queue: 0.6}}}})
+func (f *Fleet) change(addr, id string, base uint64, timeout int) (int, fleetconfig.Verdict) {
+	code, b := f.Call("POST", addr, "/v1/plan/changes", fleetconfig.Changes{ID: id, Base: base, Changes: []fleetconfig.Change{
+		{Op: "set-tenant", Tenant: &fleetconfig.Tenant{Name: "regular", Priority: 4, Timeout: timeout, Queue: 0.6}}}})
 	return code, f.told(id, base, code, b)
 }
 
@@ -195,10 +195,10 @@
 		for ctx.Err() == nil {
 			asked := time.Now().UnixNano()
 			code, b := f.Call("GET", p.Addr, "/readyz", nil)
-			var w errand.Word
+			var w leadercall.Word
 			if code == 200 && json.Unmarshal(b, &w) == nil && w.Plan != "" {
 				looks.Add(1)
-				f.Book.Put(journal.Event{At: asked, Who: p.Name, Ev: "serves", Plan: w.Plan, Ver: w.Version})
+				f.Recorder.Put(history.Event{At: asked, Who: p.Name, Ev: "serves", Plan: w.Plan, Ver: w.Version})
 			}
 			wait(ctx, 40*time.Millisecond)
 		}
@@ -239,8 +239,8 @@
 	if !ok {
 		return false
 	}
-	for _, part := range me.Parts {
-		own := f.Owner(part.Part)
+	for _, partition := range me.Partitions {
+		own := f.Leader(partition.Partition)
 		if own == nil {
 			return false
 		}
@@ -248,8 +248,8 @@
 		if !ok {
 			return false
 		}
-		g := st.Parts[part.Part].Group
-		if len(g.Next) > 0 || !g.Has(me.Me.Ident) || part.Set != st.Parts[part.Part].Set {
+		g := st.Partitions[partition.Partition].Group
+		if len(g.Next) > 0 || !g.Has(me.Me.Ident) || partition.Set != st.Partitions[partition.Partition].Set {
 			return false
 		}
 	}
@@ -285,7 +285,7 @@
 
 // Told counts the explained requests of all daemons whose end has this reason.
 //
-// Example: n := f.Told("the requester takes no pieces")
+// Example: n := f.Told("the client takes no pieces")
 func (f *Fleet) Told(why string) int {
 	n := 0
 	for _, p := range f.Daemons {
--- a/proof/track/scene_core.go
+++ b/proof/track/scene_core.go
@@ -8,10 +8,10 @@
 	"syscall"
 	"time"
 
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
 )
 
-// cores is what befalls the core, cells and disks.
+// cores is what befalls the core, zones and disks.
 var cores = map[string]Scenario{
 	"cut-core": func(ctx context.Context, f *Fleet, r *Report) {
 		d := f.disks()
@@ -35,10 +35,10 @@
 		f.back(ctx, r, 12*time.Second, "a single machine cut off for 4s")
 	},
 	"lost-cell": func(ctx context.Context, f *Fleet, r *Report) {
-		cell := f.Daemons[0].Cell
+		zone := f.Daemons[0].Zone
 		var out []*Proc
-		for _, p := range append(append([]*Proc(nil), f.Daemons...), f.Depots...) {
-			if p.Cell == cell {
+		for _, p := range append(append([]*Proc(nil), f.Daemons...), f.FakeServers...) {
+			if p.Zone == zone {
 				out = append(out, p)
 				f.Signal(p, syscall.SIGKILL)
 			}
@@ -46,14 +46,14 @@
 		for _, p := range out {
 			<-p.done
 		}
-		f.back(ctx, r, 12*time.Second, cell+" lost whole")
+		f.back(ctx, r, 12*time.Second, zone+" lost whole")
 		for _, p := range out {
 			_ = f.Up(p)
 		}
-		f.back(ctx, r, 20*time.Second, cell+" back")
+		f.back(ctx, r, 20*time.Second, zone+" back")
 	},
 	"stall-disk": func(ctx context.Context, f *Fleet, r *Report) {
-		p := f.Owner(0)
+		p := f.Leader(0)
 		f.Call("POST", p.Addr, "/test/stall?for=1500ms", nil)
 		v, _ := f.version(f.Daemons[0])
 		from := time.Now()
@@ -64,13 +64,13 @@
 		f.back(ctx, r, 12*time.Second, "owner's disk stalled")
 	},
 	"disk-full": func(ctx context.Context, f *Fleet, r *Report) {
-		p := f.Owner(0)
+		p := f.Leader(0)
 		f.Call("POST", p.Addr, "/test/full?on=1", nil)
 		big := func(id string, base uint64, n int) (int, uint64) { // needs room in the file
 			plan := f.Plan(id, base)
 			for k := 0; k < n; k++ { // names that don't shrink when they are packed
 				name := fmt.Sprintf("%x", sha256.Sum256(fmt.Appendf(nil, "%s-%d", id, k)))
-				plan.Tenants = append(plan.Tenants, tariff.Tenant{Name: name, Priority: k % 10, Budget: 1000, Queue: 0.5})
+				plan.Tenants = append(plan.Tenants, fleetconfig.Tenant{Name: name, Priority: k % 10, Timeout: 1000, Queue: 0.5})
 			}
 			code, b := f.Call("PUT", f.Daemons[1].Addr, "/v1/plan", plan)
 			return code, f.told(id, base, code, b).Version
@@ -126,7 +126,7 @@
 				r.Fail("%s serves plan %d with a majority of the disks lost (it was %d)", p.Name, now, v)
 			}
 		}
-		code, b := f.Call("POST", f.Daemons[1].Addr, "/v1/plan/changes", tariff.Changes{ID: "none", Base: v, Changes: []tariff.Change{{Op: "drop-tenant", Name: "bulk"}}})
+		code, b := f.Call("POST", f.Daemons[1].Addr, "/v1/plan/changes", fleetconfig.Changes{ID: "none", Base: v, Changes: []fleetconfig.Change{{Op: "drop-tenant", Name: "bulk"}}})
 		if code != 503 && code != 504 {
 			r.Fail("a change with a majority of the disks lost: %d %s", code, b)
 		}
@@ -144,7 +144,7 @@
 			for _, p := range f.disks() {
 				seeds = append(seeds, p.Wire)
 			}
-			p, err := f.Add(old.Cell, true, append(seeds, fmt.Sprintf("127.0.0.1:%d", f.base+len(f.Daemons))))
+			p, err := f.Add(old.Zone, true, append(seeds, fmt.Sprintf("127.0.0.1:%d", f.base+len(f.Daemons))))
 			if err != nil {
 				r.Fail("%v", err)
 				return
@@ -156,16 +156,16 @@
 			r.Say("%s exchanged for the empty %s", old.Name, p.Name)
 		}
 		f.back(ctx, r, 20*time.Second, "all core machines exchanged")
-		// And one more fault: the new owner is killed. Its own config names seeds
+		// And one more fault: the new leader is killed. Its own config names seeds
 		// of which most are gone; its groups name the living.
-		if p := f.Owner(0); p != nil {
+		if p := f.Leader(0); p != nil {
 			f.Kill(p)
 			_ = f.Up(p)
 			f.back(ctx, r, 12*time.Second, "an exchanged core machine killed and restarted")
 		}
 		// A daemon without a disk that knows only the old seeds says so, and
 		// joins with seeds of which one lives, disk or not.
-		last := f.Daemons[f.Layout.Cells[0]-1]
+		last := f.Daemons[f.Layout.Zones[0]-1]
 		f.Kill(last)
 		_ = f.Up(last)
 		if !Until(ctx, 5*time.Second, func() bool {
--- a/proof/track/scene_daemon.go
+++ b/proof/track/scene_daemon.go
@@ -12,18 +12,18 @@
 var daemons = map[string]Scenario{
 	"calm": func(context.Context, *Fleet, *Report) {},
 	"kill-owner": func(ctx context.Context, f *Fleet, r *Report) {
-		for part := 0; part < 2; part++ {
-			p := f.Owner(part)
+		for partition := 0; partition < 2; partition++ {
+			p := f.Leader(partition)
 			if p == nil {
-				r.Fail("part %d has no owner", part)
+				r.Fail("part %d has no owner", partition)
 				return
 			}
 			f.Kill(p)
 			from := time.Now()
-			if !Until(ctx, 12*time.Second, func() bool { return f.Owner(part) != nil }) {
-				r.Fail("no new owner of part %d", part)
+			if !Until(ctx, 12*time.Second, func() bool { return f.Leader(partition) != nil }) {
+				r.Fail("no new owner of part %d", partition)
 			}
-			r.Say("part %d: new owner %.1fs after kill -9 of %s", part, time.Since(from).Seconds(), p.Name)
+			r.Say("part %d: new owner %.1fs after kill -9 of %s", partition, time.Since(from).Seconds(), p.Name)
 			_ = f.Up(p)
 			f.back(ctx, r, 12*time.Second, "owner restarted")
 		}
@@ -46,7 +46,7 @@
 		r.Say("plan %d acknowledged just before, %d in force after", verdict.Version, got)
 	},
 	"lost-disk": func(ctx context.Context, f *Fleet, r *Report) {
-		p := f.Owner(0)
+		p := f.Leader(0)
 		v, _ := f.version(f.Daemons[0])
 		code, verdict := f.change(p.Addr, "before-loss", v, 9100)
 		f.Kill(p)
@@ -66,7 +66,7 @@
 	},
 	"freeze-owner": func(ctx context.Context, f *Fleet, r *Report) {
 		for i := 0; i < 2; i++ {
-			p := f.Owner(i)
+			p := f.Leader(i)
 			if p == nil {
 				r.Fail("part %d has no owner", i)
 				return
@@ -91,7 +91,7 @@
 	},
 	"suspend": func(ctx context.Context, f *Fleet, r *Report) {
 		// As after a suspend: the clock is far on, no timer has fired yet.
-		for i, p := range []*Proc{f.Owner(0), f.Owner(1), f.Daemons[len(f.Daemons)-1]} {
+		for i, p := range []*Proc{f.Leader(0), f.Leader(1), f.Daemons[len(f.Daemons)-1]} {
 			if p == nil {
 				r.Fail("no owner to suspend")
 				return
@@ -110,7 +110,7 @@
 	"roll": func(ctx context.Context, f *Fleet, r *Report) { f.roll(ctx, r, nil, "restarted") },
 	"versions": func(ctx context.Context, f *Fleet, r *Report) {
 		if f.Old == "" {
-			r.Fail("needs -old, a folder with another build's signalbox")
+			r.Fail("needs -old, a folder with another build's mulleinmast")
 			return
 		}
 		f.roll(ctx, r, func(p *Proc) { p.old = true }, "moved to the other build")
--- a/proof/track/scene_plan.go
+++ b/proof/track/scene_plan.go
@@ -6,57 +6,57 @@
 	"sync"
 	"time"
 
-	"mulleinmast/control/tariff"
-	"mulleinmast/proof/journal"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/proof/history"
 )
 
 // plans is what operators do.
 var plans = map[string]Scenario{
 	"evacuate": func(ctx context.Context, f *Fleet, r *Report) {
-		cell := "cell-b"
-		if code, b := f.Call("POST", f.Daemons[1].Addr, "/v1/cells/"+cell+"/evacuate", nil); code != 200 {
+		zone := "cell-b"
+		if code, b := f.Call("POST", f.Daemons[1].Addr, "/v1/cells/"+zone+"/evacuate", nil); code != 200 {
 			r.Fail("evacuate: %d %s", code, b)
 			return
 		}
-		f.Book.Put(journal.Event{Ev: "evacuated", Cell: cell})
+		f.Recorder.Put(history.Event{Ev: "evacuated", Zone: zone})
 		wait(ctx, 2*time.Second)
-		if p := f.Owner(0); p != nil { // an owner fails over in the middle of it
+		if p := f.Leader(0); p != nil { // a leader fails over in the middle of it
 			f.Kill(p)
 			_ = f.Up(p)
 		}
 		wait(ctx, 6*time.Second)
-		f.Book.Put(journal.Event{Ev: "returned", Cell: cell})
-		if code, b := f.Call("POST", f.Daemons[2].Addr, "/v1/cells/"+cell+"/return", nil); code != 200 {
+		f.Recorder.Put(history.Event{Ev: "returned", Zone: zone})
+		if code, b := f.Call("POST", f.Daemons[2].Addr, "/v1/cells/"+zone+"/return", nil); code != 200 {
 			r.Fail("return: %d %s", code, b)
 		}
-		f.back(ctx, r, 12*time.Second, cell+" evacuated under load, an owner killed meanwhile, and returned")
+		f.back(ctx, r, 12*time.Second, zone+" evacuated under load, an owner killed meanwhile, and returned")
 	},
 	"leaving": func(ctx context.Context, f *Fleet, r *Report) {
 		svc := f.Layout.Order[0]
-		list := append([]tariff.Server(nil), f.Svc[svc]...)
+		list := append([]fleetconfig.Server(nil), f.Svc[svc]...)
 		list[0].Leaving = true
-		if code, b := f.Call("PUT", f.Daemons[3].Addr, "/v1/services/"+svc+"/servers", tariff.List{Servers: list}); code != 200 {
+		if code, b := f.Call("PUT", f.Daemons[3].Addr, "/v1/services/"+svc+"/servers", fleetconfig.List{Servers: list}); code != 200 {
 			r.Fail("list: %d %s", code, b)
 			return
 		}
-		f.Book.Put(journal.Event{Ev: "leaving", Who: list[0].Addr})
-		last := f.Depots[len(f.Depots)-1] // another one says so itself
+		f.Recorder.Put(history.Event{Ev: "leaving", Who: list[0].Addr})
+		last := f.FakeServers[len(f.FakeServers)-1] // another one says so itself
 		f.Call("POST", last.Addr, "/fault", map[string]any{"leaving": true})
-		f.Book.Put(journal.Event{Ev: "leaving", Who: last.Addr})
+		f.Recorder.Put(history.Event{Ev: "leaving", Who: last.Addr})
 		wait(ctx, 7*time.Second)
-		f.Book.Put(journal.Event{Ev: "staying", Who: list[0].Addr})
-		f.Book.Put(journal.Event{Ev: "staying", Who: last.Addr})
+		f.Recorder.Put(history.Event{Ev: "staying", Who: list[0].Addr})
+		f.Recorder.Put(history.Event{Ev: "staying", Who: last.Addr})
 		f.Call("POST", last.Addr, "/fault", map[string]any{})
 		_ = f.Servers(f.Daemons[3].Addr)
 	},
 	"plans": func(ctx context.Context, f *Fleet, r *Report) {
 		v, _ := f.version(f.Daemons[0])
-		beaten, won := 0, 0
+		conflict, won := 0, 0
 		for i := 0; i < 12; i++ {
 			// Two operators send a change on the same base at the same time.
 			var wg sync.WaitGroup
 			var codes [2]int
-			var got [2]tariff.Verdict
+			var got [2]fleetconfig.Verdict
 			for k := 0; k < 2; k++ {
 				wg.Add(1)
 				go func() {
@@ -72,7 +72,7 @@
 				case 200:
 					yes, won, v = yes+1, won+1, got[k].Version
 				case 409:
-					beaten++
+					conflict++
 				}
 			}
 			if yes > 1 {
@@ -80,7 +80,7 @@
 			}
 			if i == 6 { // a broken one is refused whole
 				bad := f.Plan("broken", v)
-				bad.Tenants = append(bad.Tenants, bad.Tenants[0], tariff.Tenant{Name: "x y", Priority: 12})
+				bad.Tenants = append(bad.Tenants, bad.Tenants[0], fleetconfig.Tenant{Name: "x y", Priority: 12})
 				code, b := f.Call("PUT", f.Daemons[4].Addr, "/v1/plan", bad)
 				if verdict := f.told("broken", v, code, b); code != 400 || len(verdict.Faults) < 4 {
 					r.Fail("broken plan: %d %s", code, b)
@@ -89,7 +89,7 @@
 			if i == 8 { // and a large one is taken
 				big := f.Plan("large", v)
 				for k := 0; k < 3000; k++ {
-					big.Tenants = append(big.Tenants, tariff.Tenant{Name: fmt.Sprintf("tenant-%d", k), Priority: k % 10, Budget: 1000, Queue: 0.5})
+					big.Tenants = append(big.Tenants, fleetconfig.Tenant{Name: fmt.Sprintf("tenant-%d", k), Priority: k % 10, Timeout: 1000, Queue: 0.5})
 				}
 				code, b := f.Call("PUT", f.Daemons[5].Addr, "/v1/plan", big)
 				if v = f.told("large", v, code, b).Version; code != 200 {
@@ -97,9 +97,9 @@
 				}
 			}
 		}
-		r.Say("%d changes won, %d were beaten", won, beaten)
-		if won < 6 || beaten < 6 {
-			r.Fail("too few races: %d won, %d beaten", won, beaten)
+		r.Say("%d changes won, %d were beaten", won, conflict)
+		if won < 6 || conflict < 6 {
+			r.Fail("too few races: %d won, %d beaten", won, conflict)
 		}
 	},
 	"plans-kills": func(ctx context.Context, f *Fleet, r *Report) {
@@ -110,7 +110,7 @@
 				continue
 			}
 			_, got := f.change(f.Daemons[1].Addr, fmt.Sprintf("kill-%d", i), v, 7000+i)
-			if p := f.Owner(0); p != nil { // right after the acknowledgement
+			if p := f.Leader(0); p != nil { // right after the acknowledgement
 				f.Kill(p)
 				// An operator's call meanwhile gets a prompt, truthful reply.
 				from := time.Now()
--- a/proof/track/scene_server.go
+++ b/proof/track/scene_server.go
@@ -14,7 +14,7 @@
 // servers is what befalls servers and traffic.
 var servers = map[string]Scenario{
 	"servers-roll": func(ctx context.Context, f *Fleet, r *Report) {
-		for i, p := range f.Depots {
+		for i, p := range f.FakeServers {
 			if i%3 == 0 {
 				f.Kill(p)
 				wait(ctx, 300*time.Millisecond)
@@ -26,13 +26,13 @@
 	},
 	"servers-bad": func(ctx context.Context, f *Fleet, r *Report) {
 		for _, fault := range []map[string]any{{"lapse": true}, {"foreign": true}, {"break": 3}, {"skip": true}, {"deaf": true}, {"slow": 5}, {"link_ns": 200000000}} {
-			for i, p := range f.Depots {
+			for i, p := range f.FakeServers {
 				if i%4 == 1 || fault["lapse"] == true || fault["foreign"] == true {
 					f.Call("POST", p.Addr, "/fault", fault)
 				}
 			}
 			wait(ctx, 1200*time.Millisecond)
-			for _, p := range f.Depots {
+			for _, p := range f.FakeServers {
 				f.Call("POST", p.Addr, "/fault", map[string]any{})
 			}
 			wait(ctx, 300*time.Millisecond)
@@ -40,7 +40,7 @@
 		f.back(ctx, r, 20*time.Second, "handles lapsed and foreign, streams broken and gapped, servers deaf and slow, links slow")
 	},
 	"slow-readers": func(ctx context.Context, f *Fleet, r *Report) {
-		for _, p := range f.Depots {
+		for _, p := range f.FakeServers {
 			f.Call("POST", p.Addr, "/fault", map[string]any{"fast": true})
 		}
 		var wg sync.WaitGroup
@@ -56,7 +56,7 @@
 				}
 			}()
 		}
-		// Their streams are broken off and their makers freed long before the budget.
+		// Their streams are broken off and their decode servers freed long before the budget.
 		if !Until(ctx, 10*time.Second, func() bool { return f.Told("the requester takes no pieces") >= 8 }) {
 			r.Fail("%d of 8 stuck requesters were broken off after 10s", f.Told("the requester takes no pieces"))
 		}
@@ -65,12 +65,12 @@
 		if n := whole.Load(); n > 0 {
 			r.Fail("%d of the broken streams looked whole", n)
 		}
-		for _, p := range f.Depots {
+		for _, p := range f.FakeServers {
 			f.Call("POST", p.Addr, "/fault", map[string]any{})
 		}
 	},
 	"crowd": func(ctx context.Context, f *Fleet, r *Report) {
-		ev := f.Load(ctx, load.Config{Rate: 500, For: 5 * time.Second, Seed: 99, Budget: 3 * time.Second, Swing: -1})
+		ev := f.Load(ctx, load.Config{Rate: 500, For: 5 * time.Second, Seed: 99, Timeout: 3 * time.Second, Swing: -1})
 		sum := load.Sum(ev)
 		for _, t := range load.Tenants {
 			r.Say("crowd: %s served %.2f, median %v, 99th %v", t.Name, sum.Served[t.Name], sum.P50[t.Name].Round(time.Millisecond), sum.P99[t.Name].Round(time.Millisecond))
@@ -82,7 +82,7 @@
 	},
 	"swing": func(ctx context.Context, f *Fleet, r *Report) {
 		for i, part := range []float64{1, 0, 1} {
-			ev := f.Load(ctx, load.Config{Rate: 420, For: 16 * time.Second, Seed: int64(50 + i), Budget: 4 * time.Second, Swing: part})
+			ev := f.Load(ctx, load.Config{Rate: 420, For: 16 * time.Second, Seed: int64(50 + i), Timeout: 4 * time.Second, Swing: part})
 			sum := load.Sum(ev)
 			r.Say("swing to %.0f long: %v, first piece median %v, %d shifts of part so far", part, sum.Results, sum.First.Round(time.Millisecond), f.Story("(shift)"))
 		}
--- a/proof/track/track.go
+++ b/proof/track/track.go
@@ -18,9 +18,9 @@
 	"syscall"
 	"time"
 
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/tariff"
-	"mulleinmast/proof/journal"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/proof/history"
 	"mulleinmast/proof/judge"
 	"mulleinmast/proof/load"
 	"mulleinmast/proof/platform"
@@ -29,7 +29,7 @@
 // Layout is a deployment.
 type Layout struct {
 	Name     string
-	Cells    []int // daemons in each cell; the first of each has a disk
+	Zones    []int // daemons in each zone; the first of each has a disk
 	Services map[string]int
 	Order    []string
 }
@@ -47,7 +47,7 @@
 	Name string
 	Addr string // web address
 	Wire string
-	Cell string
+	Zone string
 	Data string
 	args []string
 	bin  string
@@ -59,20 +59,20 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	Dir     string
-	Layout  Layout
-	Daemons []*Proc
-	Depots  []*Proc
-	Svc     map[string][]tariff.Server
-	Book    *journal.Book
-	base    int
-	bin     string
-	web     *http.Client
-	Plat    *platform.Platform
-	Old     string // folder of another build's programs, for the scenario that mixes them
-	plans   int
-	mu      sync.Mutex
-	files   []string
+	Dir         string
+	Layout      Layout
+	Daemons     []*Proc
+	FakeServers []*Proc
+	Svc         map[string][]fleetconfig.Server
+	Recorder    *history.Recorder
+	base        int
+	bin         string
+	web         *http.Client
+	Plat        *platform.Platform
+	Old         string // folder of another build's programs, for the scenario that mixes them
+	plans       int
+	mu          sync.Mutex
+	files       []string
 }
 
 // Start starts a layout's daemons and servers and waits for nothing.
@@ -82,18 +82,18 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
-	f := &Fleet{Dir: dir, Layout: l, Svc: map[string][]tariff.Server{}, base: base, bin: bin, web: &http.Client{Timeout: 10 * time.Second}}
+	f := &Fleet{Dir: dir, Layout: l, Svc: map[string][]fleetconfig.Server{}, base: base, bin: bin, web: &http.Client{Timeout: 10 * time.Second}}
 	f.Plat = platform.New(f.boxes)
-	book, err := journal.Open(filepath.Join(dir, "track.jsonl"))
+	recorder, err := history.Open(filepath.Join(dir, "track.jsonl"))
 	if err != nil {
 		return nil, err
 	}
-	f.Book, f.files = book, []string{filepath.Join(dir, "track.jsonl")}
+	f.Recorder, f.files = recorder, []string{filepath.Join(dir, "track.jsonl")}
 	i := 0
 	var seeds []string
-	for c, n := range l.Cells {
+	for c, n := range l.Zones {
 		for j := 0; j < n; j++ {
-			p := &Proc{Name: fmt.Sprintf("box-%d", i), Wire: fmt.Sprintf("127.0.0.1:%d", base+i), Addr: fmt.Sprintf("127.0.0.1:%d", base+100+i), Cell: fmt.Sprintf("cell-%c", 'a'+c), bin: "signalbox"}
+			p := &Proc{Name: fmt.Sprintf("box-%d", i), Wire: fmt.Sprintf("127.0.0.1:%d", base+i), Addr: fmt.Sprintf("127.0.0.1:%d", base+100+i), Zone: fmt.Sprintf("cell-%c", 'a'+c), bin: "mulleinmast"}
 			if j == 0 {
 				p.Data = filepath.Join(dir, p.Name)
 				seeds = append(seeds, p.Wire)
@@ -111,12 +111,12 @@
 	d := 0
 	for _, svc := range l.Order {
 		for k := 0; k < l.Services[svc]; k++ {
-			p := &Proc{Name: fmt.Sprintf("depot-%d", d), Addr: fmt.Sprintf("127.0.0.1:%d", base+200+d), Cell: fmt.Sprintf("cell-%c", 'a'+k%len(l.Cells)), bin: "depot"}
+			p := &Proc{Name: fmt.Sprintf("depot-%d", d), Addr: fmt.Sprintf("127.0.0.1:%d", base+200+d), Zone: fmt.Sprintf("cell-%c", 'a'+k%len(l.Zones)), bin: "fakeserver"}
 			j := filepath.Join(dir, p.Name+".jsonl")
 			f.files = append(f.files, j)
-			p.args = []string{"-addr", p.Addr, "-cell", p.Cell, "-capacity", "8", "-journal", j}
-			f.Depots = append(f.Depots, p)
-			f.Svc[svc] = append(f.Svc[svc], tariff.Server{Addr: p.Addr, Cell: p.Cell, Capacity: 8})
+			p.args = []string{"-addr", p.Addr, "-cell", p.Zone, "-capacity", "8", "-journal", j}
+			f.FakeServers = append(f.FakeServers, p)
+			f.Svc[svc] = append(f.Svc[svc], fleetconfig.Server{Addr: p.Addr, Zone: p.Zone, Capacity: 8})
 			if err := f.Up(p); err != nil {
 				return f, err
 			}
@@ -131,13 +131,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.Daemons {
-		out = append(out, platform.Box{Addr: p.Addr, Cell: p.Cell})
+		out = append(out, platform.Box{Addr: p.Addr, Zone: p.Zone})
 	}
 	return out
 }
 
 func (f *Fleet) daemonArgs(p *Proc, seeds []string) {
-	p.args = []string{"-fleet", f.Layout.Name, "-wire", p.Wire, "-web", p.Addr, "-cell", p.Cell, "-seeds", strings.Join(seeds, ","), "-test-switches"}
+	p.args = []string{"-fleet", f.Layout.Name, "-wire", p.Wire, "-web", p.Addr, "-cell", p.Zone, "-seeds", strings.Join(seeds, ","), "-test-switches"}
 	if p.Data != "" {
 		p.args = append(p.args, "-data", p.Data)
 	}
@@ -146,10 +146,10 @@
 // Add makes a new daemon, with an empty folder if disk is set, seeded by the
 // given wire addresses.
 //
-// Example: p, err := f.Add("cell-a", true, seeds)
-func (f *Fleet) Add(cell string, disk bool, seeds []string) (*Proc, error) {
+// Example: p, err := f.Add("zone-a", true, seeds)
+func (f *Fleet) Add(zone string, disk bool, seeds []string) (*Proc, error) {
 	i := len(f.Daemons)
-	p := &Proc{Name: fmt.Sprintf("box-%d", i), Wire: fmt.Sprintf("127.0.0.1:%d", f.base+i), Addr: fmt.Sprintf("127.0.0.1:%d", f.base+100+i), Cell: cell, bin: "signalbox"}
+	p := &Proc{Name: fmt.Sprintf("box-%d", i), Wire: fmt.Sprintf("127.0.0.1:%d", f.base+i), Addr: fmt.Sprintf("127.0.0.1:%d", f.base+100+i), Zone: zone, bin: "mulleinmast"}
 	if disk {
 		p.Data = filepath.Join(f.Dir, p.Name)
 	}
@@ -175,7 +175,7 @@
 // Run starts a program as this process; env is added to our own variables and
 // its output to a file. It ends with us at the latest.
 //
-// Example: err := p.Run("bin/signalbox", nil, []string{"A=1"}, "run/box-1.log")
+// Example: err := p.Run("bin/mulleinmast", nil, []string{"A=1"}, "run/box-1.log")
 func (p *Proc) Run(program string, args, env []string, log string) error {
 	p.log = log
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -236,10 +236,10 @@
 //
 // Example: defer f.Stop()
 func (f *Fleet) Stop() {
-	for _, p := range append(append([]*Proc(nil), f.Daemons...), f.Depots...) {
+	for _, p := range append(append([]*Proc(nil), f.Daemons...), f.FakeServers...) {
 		f.Signal(p, syscall.SIGKILL)
 	}
-	for _, p := range append(append([]*Proc(nil), f.Daemons...), f.Depots...) {
+	for _, p := range append(append([]*Proc(nil), f.Daemons...), f.FakeServers...) {
 		if p.done != nil {
 			<-p.done
 		}
@@ -302,20 +302,20 @@
 // State dumps a daemon.
 //
 // Example: st, ok := f.State(f.Daemons[0])
-func (f *Fleet) State(p *Proc) (st cabin.State, ok bool) {
+func (f *Fleet) State(p *Proc) (st daemon.State, ok bool) {
 	code, b := f.Call("GET", p.Addr, "/v1/state", nil)
 	return st, code == 200 && json.Unmarshal(b, &st) == nil
 }
 
-// Owner finds the daemon that holds a part.
+// Leader finds the daemon that holds a part.
 //
-// Example: p := f.Owner(0)
-func (f *Fleet) Owner(part int) *Proc {
+// Example: p := f.Leader(0)
+func (f *Fleet) Leader(partition int) *Proc {
 	for _, p := range f.Daemons {
 		if p.Data == "" {
 			continue
 		}
-		if st, ok := f.State(p); ok && part < len(st.Parts) && st.Parts[part].Mine {
+		if st, ok := f.State(p); ok && partition < len(st.Partitions) && st.Partitions[partition].Mine {
 			return p
 		}
 	}
@@ -325,13 +325,13 @@
 // Plan is the stand-in plan of the layout.
 //
 // Example: f.Call("PUT", addr, "/v1/plan", f.Plan("id", 0))
-func (f *Fleet) Plan(id string, base uint64) tariff.Plan {
-	p := tariff.Plan{ID: id, Base: base}
+func (f *Fleet) Plan(id string, base uint64) fleetconfig.Plan {
+	p := fleetconfig.Plan{ID: id, Base: base}
 	for _, t := range load.Tenants {
-		p.Tenants = append(p.Tenants, tariff.Tenant{Name: t.Name, Priority: t.Prio, Budget: 10000, Queue: 0.6})
+		p.Tenants = append(p.Tenants, fleetconfig.Tenant{Name: t.Name, Priority: t.Prio, Timeout: 10000, Queue: 0.6})
 	}
 	for _, s := range f.Layout.Order {
-		p.Services = append(p.Services, tariff.Service{Name: s, Readers: 1, Makers: 1})
+		p.Services = append(p.Services, fleetconfig.Service{Name: s, PrefillServers: 1, DecodeServers: 1})
 	}
 	return p
 }
@@ -341,14 +341,14 @@
 // Example: err := f.Servers(f.Daemons[0].Addr)
 func (f *Fleet) Servers(addr string) error {
 	for svc, list := range f.Svc {
-		if code, b := f.Call("PUT", addr, "/v1/services/"+svc+"/servers", tariff.List{Servers: list}); code != 200 {
+		if code, b := f.Call("PUT", addr, "/v1/services/"+svc+"/servers", fleetconfig.List{Servers: list}); code != 200 {
 			return fmt.Errorf("servers of %s: %d %s", svc, code, b)
 		}
 	}
 	return nil
 }
 
-// Serving tells whether every service has a reader and a maker up.
+// Serving tells whether every service has a prefill server and a decode server up.
 //
 // Example: track.Until(ctx, limit, f.Serving)
 func (f *Fleet) Serving() bool {
@@ -358,8 +358,8 @@
 		if !ok {
 			continue
 		}
-		for _, part := range st.Parts {
-			for _, r := range part.Server {
+		for _, partition := range st.Partitions {
+			for _, r := range partition.Server {
 				if r.Status == "up" && r.To == "" && (r.Part == "maker" || len(r.Pairs) > 0) {
 					if seen[r.Service] == nil {
 						seen[r.Service] = map[string]bool{}
@@ -388,9 +388,9 @@
 			if code, b := f.Call("GET", p.Addr, "/readyz", nil); code != 200 {
 				st, _ := f.State(p)
 				why += fmt.Sprintf("\n%s %s: %d %s", p.Name, p.Wire, code, b)
-				if len(st.Parts) > 0 {
-					n := st.Parts[0].Node
-					why += fmt.Sprintf("  members %d, owner of part 0 %v, parent %v, lease %d ms", len(st.Members), st.Parts[0].Owner, n.Parent, n.Left)
+				if len(st.Partitions) > 0 {
+					n := st.Partitions[0].Node
+					why += fmt.Sprintf("  members %d, owner of part 0 %v, parent %v, lease %d ms", len(st.Members), st.Partitions[0].Leader, n.Parent, n.Left)
 				}
 			}
 		}
@@ -412,42 +412,42 @@
 }
 
 // told writes down what an operator was told of a plan.
-func (f *Fleet) told(id string, base uint64, code int, body []byte) (v tariff.Verdict) {
+func (f *Fleet) told(id string, base uint64, code int, body []byte) (v fleetconfig.Verdict) {
 	_ = json.Unmarshal(body, &v)
 	if code != 0 {
-		f.Book.Put(journal.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result})
+		f.Recorder.Put(history.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result})
 	}
 	return v
 }
 
-// Load runs a mix against daemons and returns the requesters' journal.
+// Load runs a mix against daemons and returns the clients' journal.
 //
 // Example: ev := f.Load(ctx, load.Config{Rate: 50, For: 10 * time.Second})
-func (f *Fleet) Load(ctx context.Context, c load.Config) []journal.Event {
+func (f *Fleet) Load(ctx context.Context, c load.Config) []history.Event {
 	f.mu.Lock()
 	f.plans++
-	path := filepath.Join(f.Dir, fmt.Sprintf("carrier-%d.jsonl", f.plans))
+	path := filepath.Join(f.Dir, fmt.Sprintf("loadgen-%d.jsonl", f.plans))
 	f.files = append(f.files, path)
 	f.mu.Unlock()
 	c.Mix = f.Layout.Name
 	if c.Targets == nil {
 		c.Pick = f.Plat.Pick
-		for i := range f.Layout.Cells {
-			c.Cells = append(c.Cells, fmt.Sprintf("cell-%c", 'a'+i))
+		for i := range f.Layout.Zones {
+			c.Zones = append(c.Zones, fmt.Sprintf("cell-%c", 'a'+i))
 		}
 	}
 	if c.Most == 0 {
 		c.Most = 100000
 	}
-	if c.Budget == 0 {
-		c.Budget = 10 * time.Second
+	if c.Timeout == 0 {
+		c.Timeout = 10 * time.Second
 	}
-	book, err := journal.Open(path)
+	recorder, err := history.Open(path)
 	if err != nil {
 		panic(err)
 	}
-	load.Run(ctx, c, book)
-	ev, err := journal.Read(path)
+	load.Run(ctx, c, recorder)
+	ev, err := history.Read(path)
 	if err != nil {
 		panic(err)
 	}
@@ -458,11 +458,11 @@
 //
 // Example: rows := f.Verdict()
 func (f *Fleet) Verdict() ([]judge.Break, int) {
-	var all []journal.Event
+	var all []history.Event
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.files {
-		ev, err := journal.Read(p)
+		ev, err := history.Read(p)
 		if err != nil {
 			return []judge.Break{{Rule: "journal", What: err.Error()}}, 0
 		}
--- a/proof/track/track_test.go
+++ b/proof/track/track_test.go
@@ -15,7 +15,7 @@
 func build(t *testing.T) string {
 	t.Helper()
 	bin := filepath.Join(os.TempDir(), "mulleinmast-test-bin")
-	cmd := exec.Command("go", "build", "-o", bin+"/", "mulleinmast/cmd/signalbox", "mulleinmast/cmd/depot")
+	cmd := exec.Command("go", "build", "-o", bin+"/", "mulleinmast/cmd/mulleinmast", "mulleinmast/cmd/fakeserver")
 	if out, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
--- a/style_test.go
+++ b/style_test.go
@@ -12,19 +12,19 @@
 	"testing"
 )
 
-// The house's words, and what they stand for elsewhere. They hold where the
-// code was written in them.
-var words = map[string]string{"deadline": "budget", "timer": "wakeup", "client": "requester", "health": "status", "admit": "take", "peer": "partner",
-	"refuse": "shed", "zone": "cell", "settings": "config", "answer": "reply"}
-
-// The users have since asked for the field's own terms wherever the house's
-// words hide them. New folders speak these alone, and a folder that is renamed
-// joins the list: a tree that mixes both would be read by nobody.
-var standard = []string{"platform/", "proof/hollow/", "traffic/board/", "traffic/forward/", "traffic/gateway/", "traffic/route/", "proof/standin/"}
-
-// What the house's words hide, for those folders.
-var plain = map[string]string{"budget": "deadline", "wakeup": "timer", "requester": "client", "partner": "peer", "shed": "refuse", "cell": "zone",
-	"reply": "answer or response", "berth": "server record", "waybill": "ledger", "parley": "call", "yard": "servers"}
+// withdrawn are the words of an earlier vocabulary that hid the field's own
+// terms, with the term that stands in their place. No identifier uses them.
+var withdrawn = map[string]string{
+	"budget": "deadline or timeout", "wakeup": "timer", "requester": "client", "requesters": "clients", "partner": "peer",
+	"shed": "refuse", "sheds": "refusals", "cell": "zone", "cells": "zones", "reply": "answer or response", "replies": "responses",
+	"berth": "server record", "berths": "server records", "waybill": "attempt ledger", "parley": "call", "yard": "server pool",
+	"seat": "replica", "seats": "replicas", "ballot": "term", "ballots": "terms", "duty": "leadership", "notary": "quorum",
+	"cabin": "daemon", "roster": "membership", "survey": "digest", "archive": "storage", "tariff": "fleet configuration",
+	"interlock": "placement", "regulator": "clock", "daybook": "event log", "telegraph": "transport", "errand": "call",
+	"errands": "calls", "depot": "fake server", "depots": "fake servers", "carrier": "load generator", "signalbox": "daemon",
+	"testtrack": "lab", "enquiry": "query", "maker": "decode server", "makers": "decode servers", "readers": "prefill servers",
+	"purge": "invalidation", "purged": "invalidated", "purges": "invalidations", "beaten": "conflict",
+}
 
 var humps = regexp.MustCompile(`[A-Z]?[a-z]+|[A-Z]+`)
 
@@ -67,6 +67,13 @@
 				t.Errorf("%s: %d lines, not a small module", path, lines)
 			}
 		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			if id, ok := n.(*ast.Ident); ok && id.Obj != nil {
+				word(t, path, id)
+			}
+			return true
+		})
+		word(t, path, file.Name)
 		for _, d := range file.Decls {
 			switch d := d.(type) {
 			case *ast.FuncDecl:
@@ -95,18 +102,12 @@
 	}
 }
 
-// word names a type, field or function that uses another's word for ours.
+// word fails an identifier that uses a withdrawn word.
 func word(t *testing.T, path string, name *ast.Ident) {
 	t.Helper()
-	vocabulary := words
-	for _, dir := range standard {
-		if strings.HasPrefix(path, dir) {
-			vocabulary = plain
-		}
-	}
 	for _, w := range humps.FindAllString(name.Name, -1) {
-		if ours, ok := vocabulary[strings.ToLower(w)]; ok {
-			t.Errorf("%s: %s says %q, the word here is %q", path, name.Name, w, ours)
+		if term, ok := withdrawn[strings.ToLower(w)]; ok {
+			t.Errorf("%s: %s says %q, the term here is %q", path, name.Name, w, term)
 		}
 	}
 }
--- a/traffic/waybill/waybill.go
+++ b/traffic/attempt/attempt.go
@@ -1,6 +1,6 @@
-// Package waybill is the ledger of one request: each attempt and what is known
+// Package ledger is the ledger of one request: each attempt and what is known
 // of it. The next move is a pure function of the ledger.
-package waybill
+package attempt
 
 import "time"
 
@@ -12,11 +12,11 @@
 const (
 	Open    Known = iota // no outcome yet
 	NotSent              // nothing reached the server
-	Shed                 // the server said that it did not and will not run it
+	Refused              // the server said that it did not and will not run it
 	Handle               // a prefill ended and left a handle
 	Lapsed               // a decode was turned away: its handle is gone or not ours
 	Lost                 // sent, and no word
-	First                // a piece has gone out to the requester, more may come
+	First                // a piece has gone out to the client, more may come
 	Ended                // the whole reply has gone out
 )
 
@@ -24,7 +24,7 @@
 
 // String names what is known.
 //
-// Example: waybill.Lost.String() == "lost"
+// Example: attempt.Lost.String() == "lost"
 func (k Known) String() string { return names[k] }
 
 // Phase is the half of the work that an attempt did.
@@ -38,7 +38,7 @@
 
 // String names the phase.
 //
-// Example: waybill.Decode.String() == "decode"
+// Example: attempt.Decode.String() == "decode"
 func (p Phase) String() string { return [...]string{"prefill", "decode"}[p] }
 
 // Attempt is one line of the ledger.
@@ -55,8 +55,8 @@
 // The moves.
 const (
 	Wait      Move = iota // an attempt is open
-	DoPrefill             // find a reader
-	DoDecode              // hand over to a maker
+	DoPrefill             // find a prefill server
+	DoDecode              // hand over to a decode server
 	Refuse                // final: not run and never will be
 	Unsure                // final: may have run
 	Break                 // final: abort the stream
@@ -65,7 +65,7 @@
 
 // String names the move.
 //
-// Example: waybill.Refuse.String() == "shed"
+// Example: attempt.Refuse.String() == "refused"
 func (m Move) String() string {
 	return [...]string{"wait", "prefill", "decode", "shed", "uncertain", "break", "finish"}[m]
 }
@@ -79,14 +79,14 @@
 
 // Add opens an attempt.
 //
-// Example: l.Add(waybill.Prefill, "127.0.0.1:9000")
+// Example: l.Add(attempt.Prefill, "127.0.0.1:9000")
 func (l *Ledger) Add(p Phase, server string) {
 	l.Attempts = append(l.Attempts, Attempt{Phase: p, Server: server})
 }
 
 // Learn says what became of the last attempt.
 //
-// Example: l.Learn(waybill.Shed, "503")
+// Example: l.Learn(attempt.Refused, "503")
 func (l *Ledger) Learn(k Known, why string) {
 	a := &l.Attempts[len(l.Attempts)-1]
 	a.Known, a.Why = k, why
@@ -94,7 +94,7 @@
 
 // Ran tells whether the request may have run anywhere.
 //
-// Example: if !l.Ran() { shed() }
+// Example: if !l.Ran() { refused() }
 func (l Ledger) Ran() bool {
 	for _, a := range l.Attempts {
 		if a.Phase == Decode && (a.Known == Open || a.Known == Lost || a.Known == First || a.Known == Ended) {
@@ -106,7 +106,7 @@
 
 // Tries counts the attempts of a phase.
 //
-// Example: l.Tries(waybill.Decode)
+// Example: l.Tries(attempt.Decode)
 func (l Ledger) Tries(p Phase) int {
 	n := 0
 	for _, a := range l.Attempts {
@@ -119,7 +119,7 @@
 
 // Tried tells whether a server had an attempt of this phase.
 //
-// Example: if l.Tried(waybill.Prefill, addr) { avoid(addr) }
+// Example: if l.Tried(attempt.Prefill, addr) { avoid(addr) }
 func (l Ledger) Tried(p Phase, addr string) bool {
 	for _, a := range l.Attempts {
 		if a.Phase == p && a.Server == addr {
@@ -154,7 +154,7 @@
 		return Finish, false
 	case First:
 		return Break, false
-	case NotSent, Shed:
+	case NotSent, Refused:
 		return l.or(DoDecode, l.Tries(Decode) < l.Most), true
 	case Lapsed:
 		return l.or(DoPrefill, l.Tries(Prefill) < l.Most), true
@@ -182,7 +182,7 @@
 
 // Undo takes the last attempt back: nothing went out, so it was none.
 //
-// Example: if out == yard.Barred { l.Undo() }
+// Example: if out == serverpool.Barred { l.Undo() }
 func (l *Ledger) Undo() { l.Attempts = l.Attempts[:len(l.Attempts)-1] }
 
 // steps is how finely a Bucket tells time within its window.
--- a/traffic/waybill/waybill_test.go
+++ b/traffic/attempt/attempt_test.go
@@ -1,4 +1,4 @@
-package waybill
+package attempt
 
 import (
 	"testing"
@@ -25,9 +25,9 @@
 				if again {
 					tries++
 				}
-				p, outs := Prefill, []Known{NotSent, Shed, Handle, Lost}
+				p, outs := Prefill, []Known{NotSent, Refused, Handle, Lost}
 				if m == DoDecode {
-					p, outs = Decode, []Known{NotSent, Shed, Lapsed, Lost, First, Ended}
+					p, outs = Decode, []Known{NotSent, Refused, Lapsed, Lost, First, Ended}
 					if l.Attempts[len(l.Attempts)-1].Phase == Prefill && l.Attempts[len(l.Attempts)-1].Known != Handle {
 						t.Fatal("a decode without a handle")
 					}
--- a/traffic/board/board.go
+++ b/traffic/board/board.go
@@ -12,14 +12,14 @@
 	"slices"
 	"time"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Config holds the bounds of the board.
 type Config struct {
 	Beat time.Duration // between two tellings
 	Old  time.Duration // a telling counts for so long
-	Most int           // notes of kept prompts in one telling
+	Most int           // messages of kept prompts in one telling
 	Keep float64       // part of a server's memory that is taken to be kept
 	Size int           // prompts remembered
 }
@@ -36,8 +36,8 @@
 	uses map[uint64]Use
 }
 
-// note is a Kept with the daemon that told it, which need not be told again.
-type note struct {
+// message is a Kept with the daemon that told it, which need not be told again.
+type loadReport struct {
 	Kept
 	from string
 }
@@ -59,9 +59,9 @@
 	head   bool
 	next   time.Duration
 
-	news  []Kept // of our own, not yet told to our head
-	pass  []Kept // for the other heads: of this zone
-	spill []note // for the daemons of this zone
+	news  []Kept       // of our own, not yet told to our head
+	pass  []Kept       // for the other heads: of this zone
+	spill []loadReport // for the daemons of this zone
 
 	clocks map[uint64]float64           // tokens that each server had to keep, so far
 	memory map[uint64]float64           // tokens that it can keep
@@ -88,7 +88,7 @@
 	return h.Sum64()
 }
 
-// Begin notes work sent to a server from here; End takes it off with the signs
+// Begin messages work sent to a server from here; End takes it off with the signs
 // turned round.
 //
 // Example: b.Begin(id, 1460, 0)
@@ -106,7 +106,7 @@
 // mark is what became of a daemon's own calls to a server.
 type mark struct{ good, bad time.Duration }
 
-// Came notes the end of a call to a server: with an answer of any kind, or
+// Came messages the end of a call to a server: with an answer of any kind, or
 // without a word.
 //
 // Example: b.Came(now, id, false)
@@ -153,7 +153,7 @@
 	return u.Bad > 0 && u.Bad >= u.Good
 }
 
-// Paused notes the time between two events of an answer.
+// Paused messages the time between two events of an answer.
 //
 // Example: b.Paused(id, 42*time.Millisecond)
 func (b *Board) Paused(server uint64, d time.Duration) {
@@ -205,7 +205,7 @@
 	return sum
 }
 
-// Keeps notes from here that a server read or took up a prompt; tokens are
+// Keeps messages from here that a server read or took up a prompt; tokens are
 // those that it had to keep anew.
 //
 // Example: b.Keeps(prefix, id, 1460)
@@ -275,11 +275,11 @@
 // Head is the daemon of a zone that sums for it: alike by all who see the same
 // members.
 //
-// Example: seat := board.Head(view.Members, "north")
-func Head(members []form.Member, zone string) (best form.Member) {
+// Example: replica := board.Head(view.Members, "north")
+func Head(members []message.Member, zone string) (best message.Member) {
 	top := uint64(0)
 	for _, m := range members {
-		if m.Cell != zone {
+		if m.Zone != zone {
 			continue
 		}
 		if w := Name("head", m.Addr); best.Ident == "" || w > top {
@@ -292,17 +292,17 @@
 // Tick tells what is due.
 //
 // Example: for _, s := range b.Tick(now, view.Me, view.Members) { send(s) }
-func (b *Board) Tick(now time.Duration, me form.Member, members []form.Member) (out []form.Send) {
+func (b *Board) Tick(now time.Duration, me message.Member, members []message.Member) (out []message.Send) {
 	if now < b.next {
 		return nil
 	}
 	b.next = now + b.cfg.Beat
-	head := Head(members, me.Cell)
+	head := Head(members, me.Zone)
 	b.head = head.Ident == me.Ident || head.Ident == ""
 	own := b.marked(now)
 	b.told = own
 	if !b.head {
-		out = append(out, b.sheet(head, Sheet{From: me.Ident, Zone: me.Cell, Kind: leaf, Uses: flat(own), Kept: b.most(&b.news)}))
+		out = append(out, b.sheet(head, Sheet{From: me.Ident, Zone: me.Zone, Kind: leaf, Uses: flat(own), Kept: b.most(&b.news)}))
 		b.pass, b.spill = nil, nil
 		return out
 	}
@@ -318,7 +318,7 @@
 	news := b.most(&b.news)
 	pass := append(b.most(&b.pass), news...)
 	for _, k := range news {
-		b.spill = append(b.spill, note{k, me.Ident})
+		b.spill = append(b.spill, loadReport{k, me.Ident})
 	}
 	spill := b.spill[:min(len(b.spill), b.cfg.Most)]
 	b.spill = nil
@@ -330,21 +330,21 @@
 		}
 		merge(all, h.uses)
 	}
-	zones := map[string]bool{me.Cell: true}
+	zones := map[string]bool{me.Zone: true}
 	for _, m := range members {
 		switch {
 		case m.Ident == me.Ident:
-		case m.Cell == me.Cell:
-			out = append(out, b.sheet(m, Sheet{From: me.Ident, Zone: me.Cell, Kind: whole, Uses: flat(all), Kept: but(spill, m.Ident)}))
-		case !zones[m.Cell]:
-			zones[m.Cell] = true
-			out = append(out, b.sheet(Head(members, m.Cell), Sheet{From: me.Ident, Zone: me.Cell, Kind: zonal, Uses: flat(sum), Kept: pass}))
+		case m.Zone == me.Zone:
+			out = append(out, b.sheet(m, Sheet{From: me.Ident, Zone: me.Zone, Kind: whole, Uses: flat(all), Kept: but(spill, m.Ident)}))
+		case !zones[m.Zone]:
+			zones[m.Zone] = true
+			out = append(out, b.sheet(Head(members, m.Zone), Sheet{From: me.Ident, Zone: me.Zone, Kind: zonal, Uses: flat(sum), Kept: pass}))
 		}
 	}
 	return out
 }
 
-// most takes so many notes as one telling holds; what is over is let go, since
+// most takes so many messages as one telling holds; what is over is let go, since
 // it says only where something may be found.
 func (b *Board) most(list *[]Kept) []Kept {
 	out := *list
@@ -352,12 +352,12 @@
 	return out[:min(len(out), b.cfg.Most)]
 }
 
-func (b *Board) sheet(to form.Member, s Sheet) form.Send {
+func (b *Board) sheet(to message.Member, s Sheet) message.Send {
 	body, err := s.MarshalMsg(nil)
 	if err != nil {
 		panic(err) // our own types always pack
 	}
-	return form.Send{Addr: to.Addr, Note: form.Note{Kind: form.Board, To: to.Ident, Body: body}}
+	return message.Send{Addr: to.Addr, Message: message.Message{Kind: message.Board, To: to.Ident, Body: body}}
 }
 
 func flat(m map[uint64]Use) []Use {
@@ -377,8 +377,8 @@
 
 // Hear takes another daemon's telling; one that can't be read is passed over.
 //
-// Example: b.Hear(now, note)
-func (b *Board) Hear(now time.Duration, n form.Note) {
+// Example: b.Hear(now, message)
+func (b *Board) Hear(now time.Duration, n message.Message) {
 	var s Sheet
 	if rest, err := s.UnmarshalMsg(n.Body); err != nil || len(rest) > 0 {
 		return
@@ -406,11 +406,11 @@
 // spread has what was told told on to the daemons of this zone.
 func (b *Board) spread(s Sheet) {
 	for _, k := range s.Kept {
-		b.spill = append(b.spill, note{k, s.From})
+		b.spill = append(b.spill, loadReport{k, s.From})
 	}
 }
 
-func but(list []note, ident string) (out []Kept) {
+func but(list []loadReport, ident string) (out []Kept) {
 	for _, n := range list {
 		if n.from != ident {
 			out = append(out, n.Kept)
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -5,26 +5,26 @@
 	"strconv"
 	"time"
 
-	"mulleinmast/control/interlock"
-	"mulleinmast/traffic/waybill"
+	"mulleinmast/control/placement"
+	"mulleinmast/traffic/attempt"
 )
 
 // Board tells what all daemons together have under way at servers and which
 // prompts servers keep. What it says may be old or lacking: it makes a choice
 // better, never safe.
 type Board interface {
-	// Begin notes work sent from here; with the signs turned round, its end.
+	// Begin messages work sent from here; with the signs turned round, its end.
 	Begin(server string, tokens, writing int)
 	// Load is what is under way at a server from all daemons: prompt tokens to
 	// be read, answers being written, and the pause between their events of late.
 	Load(now time.Duration, server string) (tokens, writing int, pause time.Duration)
-	// Paused notes the time between two events of an answer.
+	// Paused messages the time between two events of an answer.
 	Paused(server string, d time.Duration)
-	// Came notes the end of a call: with an answer of any kind, or without a word.
+	// Came messages the end of a call: with an answer of any kind, or without a word.
 	Came(now time.Duration, server string, answered bool)
 	// Down tells whether a server most likely answers nobody.
 	Down(now time.Duration, server string) bool
-	// Keeps notes that a server read or took up a prompt, and how many tokens
+	// Keeps messages that a server read or took up a prompt, and how many tokens
 	// it had to keep anew.
 	Keeps(prefix uint64, server string, tokens int)
 	// Has tells whether a server most likely keeps a prompt's shared parts.
@@ -71,7 +71,7 @@
 // candidates are the servers of a part that may get the request now: not tried
 // before, not shy, failing that, shy ones; one that warms up only as far as the
 // daemons together may use it.
-func (l *Lane) candidates(now time.Duration, t *trip, part string, phase waybill.Phase) []Server {
+func (l *Lane) candidates(now time.Duration, t *trip, part string, phase attempt.Phase) []Server {
 	var good, shy []Server
 	for _, s := range l.rows {
 		switch {
@@ -118,7 +118,7 @@
 }
 
 // options weighs the servers of a part for reading the prompt at a pace.
-func (l *Lane) options(now time.Duration, t *trip, part string, phase waybill.Phase, pace float64) []option {
+func (l *Lane) options(now time.Duration, t *trip, part string, phase attempt.Phase, pace float64) []option {
 	list := l.candidates(now, t, part, phase)
 	tokens, key := shared(t.Parts)
 	tokens = min(tokens, t.In)
@@ -139,7 +139,7 @@
 		}
 		load, writing, pause := l.board.Load(now, s.Key)
 		o.wait, o.busy, o.pause = ms(load, pace), writing, pause
-		if over := writing - s.Slots; over >= 0 && part == interlock.Maker {
+		if over := writing - s.Slots; over >= 0 && part == placement.Decode {
 			o.wait += time.Duration(over+1) * t.Aim / time.Duration(max(1, s.Slots))
 		}
 		o.took = ms(o.unread, pace)
@@ -202,13 +202,13 @@
 // choose weighs reading apart against a server that reads and writes, and
 // where; a handle that is there already leaves only the second half to choose.
 func (l *Lane) choose(now time.Duration, t *trip, apart bool) (m Move, ok bool) {
-	makers := l.options(now, t, interlock.Maker, waybill.Decode, l.pace/2)
+	decodeServers := l.options(now, t, placement.Decode, attempt.Decode, l.pace/2)
 	if t.handle != nil {
-		best, _ := l.second(t, makers, t.handle.Server, 0, 0)
+		best, _ := l.second(t, decodeServers, t.handle.Server, 0, 0)
 		return Move{Kind: Write, To: best.Server, Handle: t.handle}, best.Key != ""
 	}
 	lowest := 0.0
-	for _, o := range makers {
+	for _, o := range decodeServers {
 		if c := late(o.wait+o.took, t.Aim) + o.costs + l.stall(o) + l.slow(o); !ok || c < lowest {
 			m, ok, lowest, t.unread = Move{Kind: Write, To: o.Server}, true, c, o.unread
 		}
@@ -216,8 +216,8 @@
 	if !apart {
 		return m, ok
 	}
-	for _, o := range l.options(now, t, interlock.Reader, waybill.Prefill, l.pace) {
-		best, c := l.second(t, makers, o.Server, o.wait+o.took, o.costs)
+	for _, o := range l.options(now, t, placement.Prefill, attempt.Prefill, l.pace) {
+		best, c := l.second(t, decodeServers, o.Server, o.wait+o.took, o.costs)
 		if best.Key != "" && (!ok || c < lowest) {
 			m, ok, lowest, t.unread = Move{Kind: Read, To: o.Server}, true, c, o.unread
 		}
@@ -246,9 +246,9 @@
 
 // second picks the writing server for a prompt that was read at a server after
 // some time and at some cost.
-func (l *Lane) second(t *trip, makers []option, from Server, after time.Duration, costs float64) (best option, lowest float64) {
+func (l *Lane) second(t *trip, decodeServers []option, from Server, after time.Duration, costs float64) (best option, lowest float64) {
 	w := l.cfg.Weights
-	for _, o := range makers {
+	for _, o := range decodeServers {
 		c := costs + w.Moved*float64(t.In)/1000
 		if o.Zone != from.Zone {
 			c = costs + w.Moved*w.Apart*float64(t.In)/1000
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/tariff"
-	"mulleinmast/traffic/waybill"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/placement"
+	"mulleinmast/traffic/attempt"
+	"mulleinmast/wire/message"
 )
 
 // stat is what this daemon knows of a server by its own requests.
@@ -22,10 +22,10 @@
 
 // Lane is the state machine of one service on one daemon.
 type Lane struct {
-	cfg  Config
-	svc  string
-	part int
-	src  Source
+	cfg       Config
+	svc       string
+	partition int
+	src       Source
 
 	board Board
 
@@ -34,9 +34,9 @@
 	until   time.Duration
 	rows    map[string]Server
 	keys    []string // of the list of this version
-	servers []tariff.Server
+	servers []fleetconfig.Server
 	records map[string]record
-	listed  form.Ver
+	listed  message.Ver
 	stats   map[string]*stat
 	pace    float64       // tokens read in a ms, measured
 	aim     time.Duration // the shortest aim of any request
@@ -46,17 +46,17 @@
 	warm    Warm
 	spacing map[string]time.Duration // between sends to a warming server; below 0: none
 
-	bucket waybill.Bucket
+	bucket attempt.Bucket
 	trips  map[string]*trip
 	n      Counts
 }
 
 // New makes a lane for a service whose records stand in the given part.
 //
-// Example: l := forward.New(cfg, "timetable", 3, cabin, board)
-func New(cfg Config, svc string, part int, src Source, board Board) *Lane {
-	return &Lane{cfg: cfg, svc: svc, part: part, src: src, board: board, rows: map[string]Server{}, crew: crew{seen: map[string]time.Duration{}}, spacing: map[string]time.Duration{}, stats: map[string]*stat{}, pace: cfg.Pace,
-		bucket: waybill.Bucket{Rate: cfg.Retry, Window: cfg.Window}, trips: map[string]*trip{}}
+// Example: l := forward.New(cfg, "timetable", 3, daemon, board)
+func New(cfg Config, svc string, partition int, src Source, board Board) *Lane {
+	return &Lane{cfg: cfg, svc: svc, partition: partition, src: src, board: board, rows: map[string]Server{}, crew: crew{seen: map[string]time.Duration{}}, spacing: map[string]time.Duration{}, stats: map[string]*stat{}, pace: cfg.Pace,
+		bucket: attempt.Bucket{Rate: cfg.Retry, Window: cfg.Window}, trips: map[string]*trip{}}
 }
 
 // Counts are the lane's numbers so far.
@@ -82,10 +82,10 @@
 
 // Keys lists the records that the lane reads, for its user to keep wanted.
 //
-// Example: for _, k := range l.Keys() { cabin.Pin(part, k) }
+// Example: for _, k := range l.Keys() { daemon.Pin(part, k) }
 func (l *Lane) Keys() []string {
-	list := tariff.ListKey(l.svc)
-	rec, ok := l.src.Read(l.part, list)
+	list := fleetconfig.ListKey(l.svc)
+	rec, ok := l.src.Read(l.partition, list)
 	if !ok {
 		return []string{list}
 	}
@@ -94,13 +94,13 @@
 }
 
 // list reads a list of servers, once a version.
-func (l *Lane) list(rec form.Rec) []tariff.Server {
+func (l *Lane) list(rec message.Rec) []fleetconfig.Server {
 	if l.keys == nil || l.listed != rec.Ver {
-		l.servers = tariff.OpenList(rec).Servers
+		l.servers = fleetconfig.OpenList(rec).Servers
 		l.keys, l.listed = []string{rec.Key}, rec.Ver
 		known := make(map[string]record, len(l.servers))
 		for _, s := range l.servers {
-			key := tariff.BerthKey(l.svc, s.Key())
+			key := fleetconfig.ServerRecordKey(l.svc, s.Key())
 			l.keys = append(l.keys, key)
 			if r, ok := l.records[key]; ok {
 				known[key] = r
@@ -113,17 +113,17 @@
 
 // record is a server's record as it was read.
 type record struct {
-	ver form.Ver
-	interlock.Berth
+	ver message.Ver
+	placement.ServerRecord
 	ok bool
 }
 
 // record reads a server's record, once a version.
-func (l *Lane) record(rec form.Rec) record {
+func (l *Lane) record(rec message.Rec) record {
 	r, known := l.records[rec.Key]
 	if !known || r.ver != rec.Ver || rec.Dead == r.ok {
 		r = record{ver: rec.Ver}
-		r.Berth, r.ok = interlock.OpenBerth(rec)
+		r.ServerRecord, r.ok = placement.OpenServerRecord(rec)
 		l.records[rec.Key] = r
 	}
 	return r
@@ -132,28 +132,28 @@
 // look makes the table of servers anew if a record changed or a lease lapsed;
 // it tells whether all that it needs stands under valid leases now.
 func (l *Lane) look(now time.Duration) bool {
-	gen := [2]uint64{l.src.Gen(0), l.src.Gen(l.part)}
+	gen := [2]uint64{l.src.Gen(0), l.src.Gen(l.partition)}
 	if gen == l.gen && now < l.until {
 		return true
 	}
-	l.until = min(l.src.Until(0), l.src.Until(l.part))
+	l.until = min(l.src.Until(0), l.src.Until(l.partition))
 	if l.whole && gen == l.gen && now < l.until {
 		return true
 	}
 	l.gen, l.whole = gen, false
 	clear(l.rows)
-	listed, okList := l.src.Read(l.part, tariff.ListKey(l.svc))
-	cells, okCells := l.src.Read(0, tariff.CellKey)
-	if !okList || !okCells || now >= l.until {
+	listed, okList := l.src.Read(l.partition, fleetconfig.ListKey(l.svc))
+	zones, okZones := l.src.Read(0, fleetconfig.ZoneKey)
+	if !okList || !okZones || now >= l.until {
 		l.until = 0
 		return false
 	}
-	out := tariff.Cells(cells)
+	out := fleetconfig.Zones(zones)
 	for i, s := range l.list(listed) {
-		if s.Leaving || out[s.Cell] {
+		if s.Leaving || out[s.Zone] {
 			continue
 		}
-		rec, ok := l.src.Read(l.part, l.keys[i+1])
+		rec, ok := l.src.Read(l.partition, l.keys[i+1])
 		if !ok {
 			continue
 		}
@@ -161,10 +161,10 @@
 		if s.Part != "" && s.Part != b.Part { // by the platform's word it doesn't play its part yet
 			continue
 		}
-		if !b.ok || b.To != "" || b.Status != interlock.Up && b.Status != interlock.Warming {
+		if !b.ok || b.To != "" || b.Status != placement.Up && b.Status != placement.Warming {
 			continue
 		}
-		l.rows[s.Key()] = Server{Key: s.Key(), Addr: s.Addr, Zone: s.Cell, Part: b.Part, Slots: s.Capacity, Warming: b.Status == interlock.Warming}
+		l.rows[s.Key()] = Server{Key: s.Key(), Addr: s.Addr, Zone: s.Zone, Part: b.Part, Slots: s.Capacity, Warming: b.Status == placement.Warming}
 	}
 	for key, st := range l.stats {
 		if _, ok := l.rows[key]; !ok && st.open == 0 && now-st.seenAt > 10*l.cfg.Window {
@@ -192,7 +192,7 @@
 func (l *Lane) Strain(now time.Duration, key string) (read, write float64) {
 	tokens, _, pause := l.board.Load(now, key)
 	pace := l.pace
-	if l.rows[key].Part != interlock.Reader {
+	if l.rows[key].Part != placement.Prefill {
 		pace /= 2
 	}
 	if l.aim > 0 {
--- a/traffic/forward/look_test.go
+++ b/traffic/forward/look_test.go
@@ -4,15 +4,15 @@
 	"testing"
 	"time"
 
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/placement"
 )
 
 // Leases that lapse and come back change no record, so Gen stays as it was: the
 // servers are read again all the same, as they were dropped in between.
 func TestServersComeBackWithTheLeases(t *testing.T) {
 	now := time.Second
-	src := &records{now: &now, until: 2 * time.Second, gen: 1, list: []tariff.Server{{ID: "a", Addr: "10.0.0.1:1", Cell: "z", Capacity: 8}}, part: map[string]string{"a": interlock.Maker}}
+	src := &records{now: &now, until: 2 * time.Second, gen: 1, list: []fleetconfig.Server{{ID: "a", Addr: "10.0.0.1:1", Zone: "z", Capacity: 8}}, part: map[string]string{"a": placement.Decode}}
 	l := New(Config{Window: time.Second}, "s", 1, src, nil)
 	for i, x := range []struct {
 		now, until time.Duration
--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -13,9 +13,9 @@
 
 	"pgregory.net/rapid"
 
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/tariff"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/placement"
+	"mulleinmast/wire/message"
 )
 
 // records stands for the daemon's leased records.
@@ -23,7 +23,7 @@
 	now   *time.Duration
 	until time.Duration
 	gen   uint64
-	list  []tariff.Server
+	list  []fleetconfig.Server
 	out   map[string]bool
 	part  map[string]string
 	held  bool // the list is being written
@@ -32,41 +32,41 @@
 func (r *records) Gen(int) uint64          { return r.gen }
 func (r *records) Until(int) time.Duration { return r.until }
 
-func (r *records) Read(part int, key string) (form.Rec, bool) {
+func (r *records) Read(partition int, key string) (message.Rec, bool) {
 	if *r.now >= r.until {
-		return form.Rec{}, false
+		return message.Rec{}, false
 	}
-	pack := func(v any) (form.Rec, bool) {
+	pack := func(v any) (message.Rec, bool) {
 		b, err := json.Marshal(v)
 		if err != nil {
 			panic(err)
 		}
 		h := fnv.New64a() // as in the fleet, no two values of a record share a version
 		_, _ = h.Write(b)
-		return form.Rec{Key: key, Ver: form.Ver{Term: 1, Seq: h.Sum64()}, Val: b}, true
+		return message.Rec{Key: key, Ver: message.Ver{Term: 1, Seq: h.Sum64()}, Val: b}, true
 	}
 	switch {
-	case part == 0 && key == tariff.CellKey:
-		return form.Rec{Key: key, Val: tariff.PackCells(r.out)}, true
-	case key == tariff.ListKey("s"):
+	case partition == 0 && key == fleetconfig.ZoneKey:
+		return message.Rec{Key: key, Val: fleetconfig.PackZones(r.out)}, true
+	case key == fleetconfig.ListKey("s"):
 		if r.held {
-			return form.Rec{}, false
+			return message.Rec{}, false
 		}
-		return pack(tariff.List{Servers: r.list})
+		return pack(fleetconfig.List{Servers: r.list})
 	}
 	for _, s := range r.list {
-		if key == tariff.BerthKey("s", s.Key()) && r.part[s.ID] != "" {
-			return pack(interlock.Berth{Addr: s.Addr, Cell: s.Cell, Cap: s.Capacity, Part: r.part[s.ID], Status: interlock.Up})
+		if key == fleetconfig.ServerRecordKey("s", s.Key()) && r.part[s.ID] != "" {
+			return pack(placement.ServerRecord{Addr: s.Addr, Zone: s.Zone, Cap: s.Capacity, Part: r.part[s.ID], Status: placement.Up})
 		}
 	}
-	return form.Rec{Key: key, Dead: true}, true
+	return message.Rec{Key: key, Dead: true}, true
 }
 
 // may tells whether a request may be sent there now.
 func (r *records) may(key, part string) bool {
 	for _, s := range r.list {
 		if s.ID == key {
-			return *r.now < r.until && !r.held && !s.Leaving && !r.out[s.Cell] && r.part[key] == part
+			return *r.now < r.until && !r.held && !s.Leaving && !r.out[s.Zone] && r.part[key] == part
 		}
 	}
 	return false
@@ -107,7 +107,7 @@
 	reads   int           // that arrived and were not turned away
 	away    int           // reads that were turned away
 	tried   map[string]bool
-	handles map[string]string // by id: kept, sent (it may have been taken), turned (a maker turned it away)
+	handles map[string]string // by id: kept, sent (it may have been taken), turned (a decode server turned it away)
 	over    bool
 }
 
@@ -137,8 +137,8 @@
 	n := rapid.IntRange(1, 8).Draw(t, "servers")
 	for i := range n {
 		id := fmt.Sprint("i-", i)
-		m.r.list = append(m.r.list, tariff.Server{ID: id, Addr: fmt.Sprint("10.0.0.", i, ":1"), Cell: fmt.Sprint("zone-", i%2), Capacity: 4})
-		m.r.part[id] = []string{interlock.Maker, interlock.Reader}[i%2]
+		m.r.list = append(m.r.list, fleetconfig.Server{ID: id, Addr: fmt.Sprint("10.0.0.", i, ":1"), Zone: fmt.Sprint("zone-", i%2), Capacity: 4})
+		m.r.part[id] = []string{placement.Decode, placement.Prefill}[i%2]
 	}
 	m.l = New(cfg, "s", 3, m.r, m.board)
 	return m
@@ -170,7 +170,7 @@
 			t.Fatalf("%s: waits until %v at %v, due %v", j.ID, next.Until, m.now, j.Due)
 		}
 	case Read, Write:
-		part := map[Kind]string{Read: interlock.Reader, Write: interlock.Maker}[next.Kind]
+		part := map[Kind]string{Read: placement.Prefill, Write: placement.Decode}[next.Kind]
 		at := part + next.To.Key
 		switch {
 		case j.ran && !j.Repeat:
@@ -258,7 +258,7 @@
 		}
 		return
 	}
-	if part := map[Kind]string{Read: interlock.Reader, Write: interlock.Maker}[mv.Kind]; !m.r.may(mv.To.Key, part) {
+	if part := map[Kind]string{Read: placement.Prefill, Write: placement.Decode}[mv.Kind]; !m.r.may(mv.To.Key, part) {
 		t.Fatalf("%s: the last look lets it go to %s, which may not get it", j.ID, mv.To.Key)
 	}
 	m.now += rapid.SampledFrom([]time.Duration{0, time.Millisecond, 300 * time.Millisecond}).Draw(t, "takes")
@@ -271,7 +271,7 @@
 
 func (m *model) read(j *journey, mv Move) {
 	t := m.t
-	j.tried[interlock.Reader+mv.To.Key] = true
+	j.tried[placement.Prefill+mv.To.Key] = true
 	out := rapid.SampledFrom([]Outcome{OK, OK, OK, NotSent, Full, Moved, Lost}).Draw(t, "read")
 	h := Handle{ID: fmt.Sprint("h-", j.ID, "-", mv.No), Call: j.ID, No: mv.No, Server: mv.To, Tokens: 1000}
 	switch out {
@@ -299,7 +299,7 @@
 
 func (m *model) write(j *journey, mv Move) {
 	t := m.t
-	j.tried[interlock.Maker+mv.To.Key] = true
+	j.tried[placement.Decode+mv.To.Key] = true
 	all := []Outcome{OK, OK, NotSent, Full, Moved, Lost, Lost}
 	if mv.Handle != nil {
 		all = append(all, Gone)
@@ -336,9 +336,9 @@
 	case 0:
 		s.Leaving = !s.Leaving
 	case 1:
-		m.r.out[s.Cell] = !m.r.out[s.Cell]
+		m.r.out[s.Zone] = !m.r.out[s.Zone]
 	case 2:
-		m.r.part[s.ID] = rapid.SampledFrom([]string{interlock.Reader, interlock.Maker, ""}).Draw(t, "part")
+		m.r.part[s.ID] = rapid.SampledFrom([]string{placement.Prefill, placement.Decode, ""}).Draw(t, "part")
 	case 3:
 		m.r.held = !m.r.held
 	case 4:
@@ -409,7 +409,7 @@
 
 // Whatever happens to servers, records and calls: a request that may have run
 // is not sent again unless it may be repeated, it is refused only if it can't
-// have run, a handle goes to one maker and is freed if none got it, a stream is
+// have run, a handle goes to one decode server and is freed if none got it, a stream is
 // taken up elsewhere only if it may be, and every request ends.
 func TestWhateverHappensToARequest(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -489,7 +489,7 @@
 	})
 }
 
-// A maker that turned the request away did not take up its memory: that is
+// A decode server that turned the request away did not take up its memory: that is
 // given to the next one, or freed.
 func TestMemoryThatWasTurnedAwayIsNotForgotten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/traffic/forward/shape.go
+++ b/traffic/forward/shape.go
@@ -8,8 +8,8 @@
 import (
 	"time"
 
-	"mulleinmast/traffic/waybill"
-	"mulleinmast/wire/form"
+	"mulleinmast/traffic/attempt"
+	"mulleinmast/wire/message"
 )
 
 // Part is one part of a prompt: its key and its length in tokens.
@@ -41,7 +41,7 @@
 type Config struct {
 	Zone     string
 	Retry    float64       // second sends over first ones in every Window
-	Window   time.Duration // see waybill.Bucket
+	Window   time.Duration // see attempt.Bucket
 	Slack    int           // second sends beyond that, of all daemons
 	Patience time.Duration // that a request waits for leases and servers
 	Shy      time.Duration // a server that failed is passed by this long
@@ -54,11 +54,11 @@
 // Source reads records under valid leases.
 type Source interface {
 	// Read serves a record of a part.
-	Read(part int, key string) (form.Rec, bool)
+	Read(partition int, key string) (message.Rec, bool)
 	// Gen counts the changes of what a part serves.
-	Gen(part int) uint64
+	Gen(partition int) uint64
 	// Until is when the first of a part's leases lapses.
-	Until(part int) time.Duration
+	Until(partition int) time.Duration
 }
 
 // Server is a model server as the records name it now.
@@ -147,7 +147,7 @@
 	Model   string            `json:"model"`
 	Result  string            `json:"result"`
 	Why     string            `json:"why,omitempty"`
-	Ledger  []waybill.Attempt `json:"ledger"`
+	Ledger  []attempt.Attempt `json:"ledger"`
 	Choice  []string          `json:"choice,omitempty"`
 	Took    int64             `json:"took_ms"`
 }
