--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -5,17 +5,17 @@
 	"hash/fnv"
 	"time"
 
-	"mulleinmast/traffic/waybill"
+	"mulleinmast/traffic/attempt"
 )
 
 // trip is one request on its way.
 type trip struct {
 	Call
 	at     time.Duration
-	led    waybill.Ledger
+	led    attempt.Ledger
 	dice   uint64
 	no     int
-	phase  waybill.Phase
+	phase  attempt.Phase
 	to     Server
 	sentAt time.Duration
 	handle *Handle
@@ -38,7 +38,7 @@
 func (l *Lane) Begin(now time.Duration, c Call) Move {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(c.ID))
-	t := &trip{Call: c, at: now, led: waybill.Ledger{Once: !c.Repeat, Most: max(1, c.Tries)}, dice: h.Sum64()}
+	t := &trip{Call: c, at: now, led: attempt.Ledger{Once: !c.Repeat, Most: max(1, c.Tries)}, dice: h.Sum64()}
 	l.trips[c.ID] = t
 	if c.Aim > 0 && (l.aim == 0 || c.Aim < l.aim) {
 		l.aim = c.Aim
@@ -56,7 +56,7 @@
 
 // next derives the next move from the ledger.
 func (l *Lane) next(now time.Duration, t *trip) Move {
-	if n := len(t.led.Attempts); n > 0 && t.led.Attempts[n-1].Known == waybill.Ended {
+	if n := len(t.led.Attempts); n > 0 && t.led.Attempts[n-1].Known == attempt.Ended {
 		return l.finish(now, t, Done, "") // even if its time is up by now
 	}
 	if now >= t.Due {
@@ -65,11 +65,11 @@
 	if n := len(t.led.Attempts); n > 0 {
 		last := t.led.Attempts[n-1]
 		switch {
-		case last.Known == waybill.First && !(t.Resume && t.Repeat):
+		case last.Known == attempt.First && !(t.Resume && t.Repeat):
 			return l.finish(now, t, Break, last.Why)
-		case last.Known == waybill.Lost && last.Phase == waybill.Decode && !t.Repeat:
+		case last.Known == attempt.Lost && last.Phase == attempt.Decode && !t.Repeat:
 			return l.finish(now, t, Unknown, last.Why)
-		case last.Known == waybill.NotSent && n > 2*t.most():
+		case last.Known == attempt.NotSent && n > 2*t.most():
 			return l.end(now, t, last.Why)
 		}
 	}
@@ -102,7 +102,7 @@
 
 // pick chooses between reading apart and a server that does both, and where.
 func (l *Lane) pick(now time.Duration, t *trip) (Move, bool) {
-	apart := t.Split && t.In > 0 && !t.begun && !t.After && t.led.Tries(waybill.Prefill) < t.most()
+	apart := t.Split && t.In > 0 && !t.begun && !t.After && t.led.Tries(attempt.Prefill) < t.most()
 	if t.taken { // another reading counts, and so does the writing after it
 		apart = apart && t.arrive+1 < t.most() && l.bucket.Has(now)
 	}
@@ -119,13 +119,13 @@
 	}
 	switch {
 	case m.Kind == Read:
-		t.phase = waybill.Prefill
+		t.phase = attempt.Prefill
 		l.board.Begin(m.To.Key, t.unread, 0)
 	case m.Handle != nil:
-		t.phase, t.unread = waybill.Decode, 0
+		t.phase, t.unread = attempt.Decode, 0
 		l.board.Begin(m.To.Key, 0, 1)
 	default:
-		t.phase = waybill.Decode
+		t.phase = attempt.Decode
 		l.board.Begin(m.To.Key, t.unread, 1)
 	}
 	if t.again {
@@ -159,13 +159,13 @@
 	return min(9, t.Urgency)
 }
 
-// came notes the end of the call under way.
+// came messages the end of the call under way.
 func (l *Lane) came(now time.Duration, t *trip, out Outcome) {
 	st := l.stat(t.to.Key)
 	st.open--
 	st.seenAt = now
 	l.was(t)
-	if t.phase == waybill.Decode {
+	if t.phase == attempt.Decode {
 		l.board.Begin(t.to.Key, 0, -1)
 	}
 	if out == NotSent && t.again { // nothing arrived
@@ -193,7 +193,7 @@
 	}
 }
 
-// keeps notes that the server under way has the prompt now.
+// keeps messages that the server under way has the prompt now.
 func (l *Lane) keeps(t *trip, tokens int) {
 	if n, key := shared(t.Parts); n > 0 {
 		l.board.Keeps(key, t.to.Key, tokens)
@@ -211,7 +211,7 @@
 	return l.next(now, t)
 }
 
-var known = map[Outcome]waybill.Known{NotSent: waybill.NotSent, Full: waybill.Shed, Moved: waybill.Shed, Gone: waybill.Lapsed, Lost: waybill.Lost}
+var known = map[Outcome]attempt.Known{NotSent: attempt.NotSent, Full: attempt.Refused, Moved: attempt.Refused, Gone: attempt.Lapsed, Lost: attempt.Lost}
 
 // ReadDone takes the end of a reading call.
 //
@@ -237,7 +237,7 @@
 	if out == OK {
 		t.handle = &h
 		l.keeps(t, unread)
-		t.led.Learn(waybill.Handle, "")
+		t.led.Learn(attempt.Handle, "")
 		return l.next(now, t)
 	}
 	t.led.Learn(known[out], why)
@@ -250,8 +250,8 @@
 // Example: l.Began(now, id)
 func (l *Lane) Began(now time.Duration, id string) {
 	t := l.trips[id]
-	if t.led.Attempts[len(t.led.Attempts)-1].Known == waybill.Open {
-		t.led.Learn(waybill.First, "")
+	if t.led.Attempts[len(t.led.Attempts)-1].Known == attempt.Open {
+		t.led.Learn(attempt.First, "")
 		fresh := t.unread
 		if t.handle != nil {
 			fresh = t.In
@@ -304,9 +304,9 @@
 	last := &t.led.Attempts[len(t.led.Attempts)-1]
 	switch {
 	case out == OK:
-		t.led.Learn(waybill.Ended, "")
-	case last.Known == waybill.First:
-		t.led.Learn(waybill.First, why)
+		t.led.Learn(attempt.Ended, "")
+	case last.Known == attempt.First:
+		t.led.Learn(attempt.First, why)
 		if t.Resume && t.Repeat {
 			l.n.Resumed++
 		}
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -7,38 +7,38 @@
 	"sync/atomic"
 	"time"
 
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/placement"
 	"mulleinmast/traffic/board"
 	"mulleinmast/traffic/forward"
 	"mulleinmast/traffic/route"
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // lane is one service's shard: the machine under its lock.
 type lane struct {
 	mu sync.Mutex
 	*forward.Lane
-	part   int
-	pinned map[string]bool
-	strain atomic.Pointer[map[string]interlock.Strain] // by server, as keep saw it
+	partition int
+	pinned    map[string]bool
+	strain    atomic.Pointer[map[string]placement.Strain] // by server, as keep saw it
 }
 
 // sheet is the plan in force, made ready for look-ups.
 type sheet struct {
 	gen   uint64
 	until time.Duration
-	ver   form.Ver
+	ver   message.Ver
 	table *route.Table
-	plan  tariff.Plan
+	plan  fleetconfig.Plan
 	least int             // the urgency of the least urgent route
 	split map[string]bool // services whose servers have two halves
 }
 
 // Gateway serves clients.
 type Gateway struct {
-	c    *cabin.Cabin
+	c    *daemon.Daemon
 	eng  Engines
 	cfg  forward.Config
 	mu   sync.Mutex
@@ -54,7 +54,7 @@
 // New makes a gateway on a daemon.
 //
 // Example: g := gateway.New(c, engines)
-func New(c *cabin.Cabin, eng Engines) *Gateway {
+func New(c *daemon.Daemon, eng Engines) *Gateway {
 	g := &Gateway{c: c, eng: eng, cfg: Config(c.Cfg), list: map[string]*lane{}, board: board.New(BoardConfig(c.Cfg))}
 	eng.Told(g.told)
 	c.Hint, c.Strain = g.hint, g.strain
@@ -64,8 +64,8 @@
 // Config is a lane's bounds, as ratios to those in the daemon's config.
 //
 // Example: l := forward.New(gateway.Config(cfg), svc, part, source)
-func Config(c cabin.Config) forward.Config {
-	return forward.Config{Zone: c.Cell, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: c.Vol() * 5 / 4,
+func Config(c daemon.Config) forward.Config {
+	return forward.Config{Zone: c.Zone, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: c.Vol() * 5 / 4,
 		Shy: c.Bounds.Plan / 2, Turned: c.Bounds.Plan / 8, Back: c.Vol() / 4, Pace: 50,
 		Weights: forward.Weights{Far: 0.0023, Again: 0.05, Moved: 0.0022, Apart: 3, Miss: 0.05, Cold: 0.05, Stall: 0.3}}
 }
@@ -73,31 +73,31 @@
 // BoardConfig is the board's bounds, as ratios to those in the daemon's config.
 //
 // Example: b := board.New(gateway.BoardConfig(cfg))
-func BoardConfig(c cabin.Config) board.Config {
+func BoardConfig(c daemon.Config) board.Config {
 	beat := c.Bounds.Plan / 8
 	return board.Config{Beat: beat, Old: 5 * beat, Most: 128, Keep: 0.7, Size: 1 << 14}
 }
 
 // source reads the records that requests are routed by.
-type source struct{ *cabin.Cabin }
+type source struct{ *daemon.Daemon }
 
 // Read serves a record under valid leases, or for a while after they lapsed.
 //
-// Example: rec, ok := source.Read(0, tariff.PlanKey)
-func (s source) Read(part int, key string) (form.Rec, bool) { return s.Last(part, key) }
+// Example: rec, ok := source.Read(0, fleetconfig.PlanKey)
+func (s source) Read(partition int, key string) (message.Rec, bool) { return s.Last(partition, key) }
 
 // Until is when that ends.
 //
 // Example: if now < source.Until(p) { route() }
-func (s source) Until(part int) time.Duration { return s.LastUntil(part) }
+func (s source) Until(partition int) time.Duration { return s.LastUntil(partition) }
 
-// notes is the board as one service's lane sees it.
+// messages is the board as one service's lane sees it.
 type notes struct {
 	g   *Gateway
 	svc string
 }
 
-// Begin notes work sent from here.
+// Begin messages work sent from here.
 //
 // Example: n.Begin(server, 1460, 0)
 func (n notes) Begin(server string, tokens, writing int) {
@@ -119,7 +119,7 @@
 	return u.Tokens, u.Writing, pause
 }
 
-// Paused notes the time between two events.
+// Paused messages the time between two events.
 //
 // Example: n.Paused(server, 42*time.Millisecond)
 func (n notes) Paused(server string, d time.Duration) {
@@ -128,7 +128,7 @@
 	n.g.board.Paused(board.Name(n.svc, server), d)
 }
 
-// Came notes the end of a call.
+// Came messages the end of a call.
 //
 // Example: n.Came(now, server, true)
 func (n notes) Came(now time.Duration, server string, answered bool) {
@@ -146,7 +146,7 @@
 	return n.g.board.Down(now, board.Name(n.svc, server))
 }
 
-// Keeps notes that a server has a prompt.
+// Keeps messages that a server has a prompt.
 //
 // Example: n.Keeps(prefix, server, 1460)
 func (n notes) Keeps(prefix uint64, server string, tokens int) {
@@ -167,15 +167,15 @@
 // strain tells the servers' holder how hard one of them is pressed. The holder
 // asks under its part's lock, and a lane reads that part under its own: what
 // keep last saw is told, without the lane's lock.
-func (g *Gateway) strain(svc, key string) interlock.Strain {
+func (g *Gateway) strain(svc, key string) placement.Strain {
 	if all := g.lane(svc).strain.Load(); all != nil {
 		return (*all)[key]
 	}
-	return interlock.Strain{}
+	return placement.Strain{}
 }
 
 // hint takes another daemon's telling.
-func (g *Gateway) hint(n form.Note) {
+func (g *Gateway) hint(n message.Message) {
 	g.bmu.Lock()
 	defer g.bmu.Unlock()
 	g.board.Hear(g.c.Now(), n)
@@ -234,15 +234,15 @@
 }
 
 // measure takes what changes all the time: the fleet, and the servers' strain.
-func (g *Gateway) measure(l *lane, svc tariff.Service) {
+func (g *Gateway) measure(l *lane, svc fleetconfig.Service) {
 	l.mu.Lock()
 	g.fleet(l)
 	l.Warm(forward.Warm{Rate: svc.ColdRate, Over: g.c.Cfg.Warm.Over, Slack: g.c.Cfg.Warm.Slack})
 	servers := l.Servers()
-	strain := make(map[string]interlock.Strain, len(servers))
+	strain := make(map[string]placement.Strain, len(servers))
 	for _, s := range servers {
 		read, write := l.Strain(g.c.Now(), s.Key)
-		strain[s.Key] = interlock.Strain{Read: read, Write: write}
+		strain[s.Key] = placement.Strain{Read: read, Write: write}
 	}
 	l.mu.Unlock()
 	l.strain.Store(&strain)
@@ -265,7 +265,7 @@
 	}
 	l.mu.Unlock()
 	for _, k := range fresh {
-		g.c.Pin(l.part, k)
+		g.c.Pin(l.partition, k)
 	}
 }
 
@@ -274,8 +274,8 @@
 	defer g.mu.Unlock()
 	l := g.list[svc]
 	if l == nil {
-		p := g.c.Part(svc)
-		l = &lane{part: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, source{g.c}, notes{g, svc})}
+		p := g.c.Partition(svc)
+		l = &lane{partition: p, pinned: map[string]bool{}, Lane: forward.New(g.cfg, svc, p, source{g.c}, notes{g, svc})}
 		g.fleet(l)
 		g.list[svc] = l
 	}
@@ -306,7 +306,7 @@
 		return s, true
 	}
 	until := g.c.LastUntil(0)
-	rec, ok := g.c.Last(0, tariff.PlanKey)
+	rec, ok := g.c.Last(0, fleetconfig.PlanKey)
 	if !ok || rec.Dead {
 		return nil, false
 	}
--- a/traffic/gateway/gateway_test.go
+++ b/traffic/gateway/gateway_test.go
@@ -14,12 +14,12 @@
 	"testing"
 	"time"
 
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/daybook"
-	"mulleinmast/control/errand"
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/master"
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leader"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/control/placement"
 	"mulleinmast/traffic/forward"
 )
 
@@ -149,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg := cabin.Default()
+	cfg := daemon.Default()
 	cfg.Wire, cfg.Web = "", ""
 	for _, at := range []*string{&cfg.Wire, &cfg.Web} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -160,7 +160,7 @@
 		_ = ln.Close()
 	}
 	cfg.Seeds, cfg.Data, cfg.Losses, cfg.Bounds.Plan, cfg.Retry.Slack = []string{cfg.Wire}, dir, 0, 500*time.Millisecond, 1000
-	c, err := cabin.Open(cfg, daybook.New(64, io.Discard))
+	c, err := daemon.Open(cfg, eventlog.New(64, io.Discard))
 	if err != nil {
 		return nil, err
 	}
@@ -168,33 +168,33 @@
 	ctx := context.Background()
 	go func() { _ = g.Run(ctx) }()
 	go func() { _ = c.Run(ctx) }()
-	p := tariff.Plan{ID: "first", Tenants: []tariff.Tenant{}, Services: []tariff.Service{{Name: "one", Readers: 1, Makers: 1, TokenBytes: 10}}}
-	for _, r := range []tariff.Route{{Kind: tariff.Safe}, {Kind: tariff.Unsafe}, {Kind: tariff.Stream}, {Name: "resume", Kind: tariff.Stream, Resume: true}} {
+	p := fleetconfig.Plan{ID: "first", Tenants: []fleetconfig.Tenant{}, Services: []fleetconfig.Service{{Name: "one", PrefillServers: 1, DecodeServers: 1, TokenBytes: 10}}}
+	for _, r := range []fleetconfig.Route{{Kind: fleetconfig.Safe}, {Kind: fleetconfig.Unsafe}, {Kind: fleetconfig.Stream}, {Name: "resume", Kind: fleetconfig.Stream, Resume: true}} {
 		if r.Name == "" {
 			r.Name = r.Kind
 		}
-		r.Host, r.Prefix, r.GiveUp, r.Target, r.Tries, r.Services = "h.example", "/"+r.Name+"/", 5000, 400, 3, []tariff.Share{{Service: "one", Weight: 1}}
+		r.Host, r.Prefix, r.GiveUp, r.Target, r.Tries, r.Services = "h.example", "/"+r.Name+"/", 5000, 400, 3, []fleetconfig.Share{{Service: "one", Weight: 1}}
 		p.Routes = append(p.Routes, r)
 	}
-	body, err := tariff.Pack(p)
+	body, err := fleetconfig.Pack(p)
 	if err != nil {
 		return nil, err
 	}
-	list := tariff.List{Version: 1}
-	for i, part := range []string{interlock.Maker, interlock.Maker, interlock.Maker, interlock.Reader, interlock.Reader} {
-		list.Servers = append(list.Servers, tariff.Server{ID: fmt.Sprint("i-", i), Addr: fmt.Sprint("10.0.0.", i+1, ":1"), Cell: cfg.Cell, Capacity: 8, Part: part})
+	list := fleetconfig.List{Version: 1}
+	for i, part := range []string{placement.Decode, placement.Decode, placement.Decode, placement.Prefill, placement.Prefill} {
+		list.Servers = append(list.Servers, fleetconfig.Server{ID: fmt.Sprint("i-", i), Addr: fmt.Sprint("10.0.0.", i+1, ":1"), Zone: cfg.Zone, Capacity: 8, Part: part})
 	}
 	if code, rep := c.Ask(ctx, 0, "plan", body, 20*time.Second); code != 200 {
 		return nil, fmt.Errorf("plan: %d %s", code, rep)
 	}
-	if code, rep := c.Ask(ctx, c.Part("one"), "servers", errand.Pack(master.ServersCall{Service: "one", List: list}), 20*time.Second); code != 200 {
+	if code, rep := c.Ask(ctx, c.Partition("one"), "servers", leadercall.Pack(leader.ServersCall{Service: "one", List: list}), 20*time.Second); code != 200 {
 		return nil, fmt.Errorf("servers: %d %s", code, rep)
 	}
 	limit := time.After(20 * time.Second)
 	for {
 		n := 0
 		for _, x := range list.Servers {
-			if rec, ok := c.Last(c.Part("one"), tariff.BerthKey("one", x.ID)); ok && !rec.Dead {
+			if rec, ok := c.Last(c.Partition("one"), fleetconfig.ServerRecordKey("one", x.ID)); ok && !rec.Dead {
 				n++
 			}
 		}
@@ -222,7 +222,7 @@
 	g.eng = f
 	l := g.lane("one")
 	l.mu.Lock()
-	l.Lane = forward.New(g.cfg, "one", l.part, source{g.c}, notes{g, "one"})
+	l.Lane = forward.New(g.cfg, "one", l.partition, source{g.c}, notes{g, "one"})
 	g.fleet(l)
 	l.mu.Unlock()
 	requests++
--- a/traffic/gateway/run.go
+++ b/traffic/gateway/run.go
@@ -61,7 +61,7 @@
 		go g.eng.Free(h)
 	}
 	if m.Kind != forward.Done {
-		g.c.Book.Note("request", "%s: %s: %s", c.ID, m.Kind, m.Why)
+		g.c.Events.Record("request", "%s: %s: %s", c.ID, m.Kind, m.Why)
 	}
 	switch m.Kind {
 	case forward.Refuse:
--- a/traffic/desk/ride.go
+++ b/traffic/nativeapi/ride.go
@@ -1,4 +1,4 @@
-package desk
+package nativeapi
 
 import (
 	"context"
@@ -6,29 +6,29 @@
 	"sync"
 	"time"
 
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/errand"
-	"mulleinmast/traffic/dispatch"
-	"mulleinmast/traffic/yard"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/traffic/scheduler"
+	"mulleinmast/traffic/serverpool"
 )
 
 // ride is the HTTP side of one trip: acts come in, calls go out.
 type ride struct {
-	d   *Desk
+	d   *API
 	l   *lane
-	req dispatch.Request
+	req scheduler.Request
 	ctx context.Context
 	rc  *http.ResponseController
 
 	mu    sync.Mutex
-	acts  []dispatch.Act
+	acts  []scheduler.Act
 	wake  chan struct{}
 	calls map[int]context.CancelFunc
-	ahead chan struct{} // pieces handed on that the requester has not taken
+	ahead chan struct{} // pieces handed on that the client has not taken
 }
 
 // put adds an act; it never waits.
-func (r *ride) put(a dispatch.Act) {
+func (r *ride) put(a scheduler.Act) {
 	r.mu.Lock()
 	r.acts = append(r.acts, a)
 	r.mu.Unlock()
@@ -38,7 +38,7 @@
 	}
 }
 
-func (r *ride) get() []dispatch.Act {
+func (r *ride) get() []scheduler.Act {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := r.acts
@@ -54,11 +54,11 @@
 	}
 }
 
-// unblock ends a write that the requester doesn't take.
+// unblock ends a write that the client doesn't take.
 func (r *ride) unblock() { _ = r.rc.SetWriteDeadline(time.Unix(1, 0)) }
 
 // ride sees a request through to its final reply.
-func (d *Desk) ride(w http.ResponseWriter, q *http.Request, l *lane, req dispatch.Request) {
+func (d *API) ride(w http.ResponseWriter, q *http.Request, l *lane, req scheduler.Request) {
 	ctx, done := context.WithCancel(q.Context())
 	defer done()
 	r := &ride{d: d, l: l, req: req, ctx: ctx, rc: http.NewResponseController(w), wake: make(chan struct{}, 1), calls: map[int]context.CancelFunc{}, ahead: make(chan struct{}, Config(d.c.Cfg).Ahead)}
@@ -69,7 +69,7 @@
 	l.mu.Lock()
 	l.rides[req.ID] = r
 	l.mu.Unlock()
-	d.step(l, func(now time.Duration) dispatch.Out { return l.Take(now, req) })
+	d.step(l, func(now time.Duration) scheduler.Out { return l.Take(now, req) })
 	gone := ctx.Done()
 	pieces := 0
 	for {
@@ -77,17 +77,17 @@
 		case <-r.wake:
 		case <-gone:
 			gone = nil
-			d.step(l, func(now time.Duration) dispatch.Out { return l.Gone(now, req.ID) })
+			d.step(l, func(now time.Duration) scheduler.Out { return l.Gone(now, req.ID) })
 		}
 		for _, a := range r.get() {
 			switch a.Kind {
-			case dispatch.Claim:
+			case scheduler.Claim:
 				go r.claim(a)
-			case dispatch.Prefill:
+			case scheduler.Prefill:
 				go r.prefill(a)
-			case dispatch.Decode:
+			case scheduler.Decode:
 				go r.decode(a)
-			case dispatch.Pass:
+			case scheduler.Pass:
 				if r.pass(w, a.Piece, pieces == 0) {
 					pieces++
 					n := pieces
@@ -99,21 +99,21 @@
 				case <-r.ahead:
 				default:
 				}
-			case dispatch.Reply:
-				r.reply(w, a.End, pieces > 0)
+			case scheduler.Response:
+				r.respond(w, a.End, pieces > 0)
 				return
 			}
 		}
 	}
 }
 
-// pass writes a piece to the requester.
-func (r *ride) pass(w http.ResponseWriter, p yard.Piece, first bool) bool {
+// pass writes a piece to the client.
+func (r *ride) pass(w http.ResponseWriter, p serverpool.Piece, first bool) bool {
 	if first {
 		w.Header().Set("Content-Type", "application/x-ndjson")
 		w.WriteHeader(http.StatusOK)
 	}
-	if _, err := w.Write(append(errand.Pack(p), '\n')); err != nil {
+	if _, err := w.Write(append(leadercall.Pack(p), '\n')); err != nil {
 		return false
 	}
 	return r.rc.Flush() == nil
@@ -121,27 +121,27 @@
 
 // reply is the final word. A stream that broke off is ended by an error piece
 // and a cut connection, so that it can't look whole.
-func (r *ride) reply(w http.ResponseWriter, e dispatch.End, begun bool) {
+func (r *ride) respond(w http.ResponseWriter, e scheduler.End, begun bool) {
 	switch {
 	case e.Result == "finish":
 	case e.Result == "gone" || begun || e.Result == "break":
 		if begun && !e.Stuck {
-			_, _ = w.Write(append(errand.Pack(yard.Piece{Request: r.req.ID, N: -1, Error: e.Why}), '\n'))
+			_, _ = w.Write(append(leadercall.Pack(serverpool.Piece{Request: r.req.ID, N: -1, Error: e.Why}), '\n'))
 			_ = r.rc.Flush()
 		}
 		if e.Result == "break" {
-			r.d.c.Book.Note("stream", "%s: broke off: %s", r.req.ID, e.Why)
+			r.d.c.Events.Record("stream", "%s: broke off: %s", r.req.ID, e.Why)
 		}
 		panic(http.ErrAbortHandler)
 	case e.Result == "duplicate":
-		cabin.Reply(w, e.Code, e.Word)
+		daemon.Respond(w, e.Code, e.Word)
 	default:
-		cabin.Reply(w, e.Code, errand.Word{Result: e.Result, Why: e.Why, After: max(1, e.After.Milliseconds())})
+		daemon.Respond(w, e.Code, leadercall.Word{Result: e.Result, Why: e.Why, After: max(1, e.After.Milliseconds())})
 	}
 }
 
 // call makes a context for a call to a server that the machine may cut.
-func (r *ride) call(a dispatch.Act) (context.Context, func()) {
+func (r *ride) call(a scheduler.Act) (context.Context, func()) {
 	ctx, stop := context.WithTimeout(r.ctx, a.Wait)
 	r.mu.Lock()
 	r.calls[a.No] = stop
@@ -155,7 +155,7 @@
 }
 
 // may is the last look before the first byte.
-func (r *ride) may(a dispatch.Act) func() bool {
+func (r *ride) may(a scheduler.Act) func() bool {
 	return func() bool {
 		r.l.mu.Lock()
 		defer r.l.mu.Unlock()
@@ -163,20 +163,20 @@
 	}
 }
 
-func (r *ride) prefill(a dispatch.Act) {
+func (r *ride) prefill(a scheduler.Act) {
 	ctx, done := r.call(a)
 	defer done()
 	hd, out, why := r.d.c.Hands.Prefill(ctx, a.Addr, a.Read, r.may(a))
-	r.d.step(r.l, func(now time.Duration) dispatch.Out { return r.l.Handed(now, a.Trip, a.No, hd, out, why) })
+	r.d.step(r.l, func(now time.Duration) scheduler.Out { return r.l.Handed(now, a.Trip, a.No, hd, out, why) })
 }
 
-func (r *ride) decode(a dispatch.Act) {
+func (r *ride) decode(a scheduler.Act) {
 	ctx, done := r.call(a)
 	defer done()
 	st, out, why := r.d.c.Hands.Decode(ctx, a.Addr, a.Make, r.may(a))
-	if out == yard.OK {
+	if out == serverpool.OK {
 		defer st.Close()
-		out = yard.Lost
+		out = serverpool.Lost
 		for {
 			p, err := st.Next()
 			if err != nil {
@@ -188,25 +188,25 @@
 			case <-ctx.Done():
 				return // cut: the machine knows
 			}
-			r.d.step(r.l, func(now time.Duration) dispatch.Out { return r.l.Piece(now, a.Trip, a.No, p) })
+			r.d.step(r.l, func(now time.Duration) scheduler.Out { return r.l.Piece(now, a.Trip, a.No, p) })
 			if p.End {
 				return
 			}
 		}
 	}
-	r.d.step(r.l, func(now time.Duration) dispatch.Out { return r.l.Made(now, a.Trip, a.No, out, why) })
+	r.d.step(r.l, func(now time.Duration) scheduler.Out { return r.l.Made(now, a.Trip, a.No, out, why) })
 }
 
-// claim takes the once key at the owner before anything is sent.
-func (r *ride) claim(a dispatch.Act) {
+// claim takes the once key at the leader before anything is sent.
+func (r *ride) claim(a scheduler.Act) {
 	d := r.d
-	budget := min(d.c.Cfg.Bounds.Plan, r.req.Due-d.c.Now())
-	code, rep := d.c.Ask(d.ctx, r.l.part, "claim", d.claim(a), budget)
-	r.d.step(r.l, func(now time.Duration) dispatch.Out { return r.l.Claimed(now, a.Trip, code, rep) })
+	timeout := min(d.c.Cfg.Bounds.Plan, r.req.Due-d.c.Now())
+	code, rep := d.c.Ask(d.ctx, r.l.partition, "claim", d.claim(a), timeout)
+	r.d.step(r.l, func(now time.Duration) scheduler.Out { return r.l.Claimed(now, a.Trip, code, rep) })
 }
 
 // settleClaim writes what became of a claimed request; it is tried for long,
-// since a key that was shed and stays claimed can't be used again.
-func (d *Desk) settleClaim(l *lane, a dispatch.Act) {
-	d.c.Ask(d.ctx, l.part, "unclaim", d.claim(a), d.c.Cfg.Bounds.Recover)
+// since a key that was refused and stays claimed can't be used again.
+func (d *API) settleClaim(l *lane, a scheduler.Act) {
+	d.c.Ask(d.ctx, l.partition, "unclaim", d.claim(a), d.c.Cfg.Bounds.Recover)
 }
--- a/traffic/desk/show.go
+++ b/traffic/nativeapi/show.go
@@ -1,4 +1,4 @@
-package desk
+package nativeapi
 
 import (
 	"fmt"
@@ -7,45 +7,45 @@
 	"net/http"
 	"slices"
 
-	"mulleinmast/control/cabin"
-	"mulleinmast/control/errand"
-	"mulleinmast/traffic/dispatch"
+	"mulleinmast/control/daemon"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/traffic/scheduler"
 )
 
 // tell keeps a request's story for the query shell.
-func (d *Desk) tell(s dispatch.Story) {
+func (d *API) tell(s scheduler.Story) {
 	d.mu.Lock()
 	d.stories[d.told%explained] = s
 	d.told++
 	d.mu.Unlock()
 }
 
-func (d *Desk) why(w http.ResponseWriter, r *http.Request) {
+func (d *API) why(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("request")
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := []dispatch.Story{}
+	list := []scheduler.Story{}
 	for i := max(0, d.told-explained); i < d.told; i++ {
 		if s := d.stories[i%explained]; id == "all" || s.Request == id {
 			list = append(list, s)
 		}
 	}
 	if len(list) == 0 {
-		cabin.Reply(w, 404, errand.Word{Result: "not known", Why: "this daemon has no such request among its last " + fmt.Sprint(explained)})
+		daemon.Respond(w, 404, leadercall.Word{Result: "not known", Why: "this daemon has no such request among its last " + fmt.Sprint(explained)})
 		return
 	}
-	cabin.Reply(w, 200, list)
+	daemon.Respond(w, 200, list)
 }
 
-// numbers sums the lanes' counts, and why requests were shed.
-func (d *Desk) numbers() (map[string]int64, map[string]int64) {
-	var n dispatch.Counts
+// numbers sums the lanes' counts, and why requests were refused.
+func (d *API) numbers() (map[string]int64, map[string]int64) {
+	var n scheduler.Counts
 	why := map[string]int64{}
 	for l := range d.all() {
 		l.mu.Lock()
 		c := l.Counts()
 		l.mu.Unlock()
-		n.First, n.Retries, n.Served, n.Sheds = n.First+c.First, n.Retries+c.Retries, n.Served+c.Served, n.Sheds+c.Sheds
+		n.First, n.Retries, n.Served, n.Refusals = n.First+c.First, n.Retries+c.Retries, n.Served+c.Served, n.Refusals+c.Refusals
 		n.Unsure, n.Broken, n.Dups, n.Gone = n.Unsure+c.Unsure, n.Broken+c.Broken, n.Dups+c.Dups, n.Gone+c.Gone
 		n.Wasted, n.Hits, n.Reads = n.Wasted+c.Wasted, n.Hits+c.Hits, n.Reads+c.Reads
 		for k, v := range c.Why {
@@ -55,19 +55,19 @@
 	if early := d.early.Load(); early > 0 {
 		why["before a lane"] = early
 	}
-	return map[string]int64{"first_tries": n.First, "retries": n.Retries, "served": n.Served, "shed": n.Sheds + d.early.Load(), "uncertain": n.Unsure,
+	return map[string]int64{"first_tries": n.First, "retries": n.Retries, "served": n.Served, "shed": n.Refusals + d.early.Load(), "uncertain": n.Unsure,
 		"broken": n.Broken, "duplicates": n.Dups, "gone": n.Gone, "bad": d.bad.Load(), "wasted_prefills": n.Wasted,
 		"prefix_parts_held": n.Hits, "prefix_parts": n.Reads, "open": d.open.Load()}, why
 }
 
 // all iterates over the lanes.
-func (d *Desk) all() iter.Seq[*lane] {
+func (d *API) all() iter.Seq[*lane] {
 	return func(yield func(*lane) bool) {
 		d.lanes.Range(func(_, v any) bool { return yield(v.(*lane)) })
 	}
 }
 
-func (d *Desk) more() map[string]any {
+func (d *API) more() map[string]any {
 	queues := map[string]any{}
 	for l := range d.all() {
 		l.mu.Lock()
@@ -80,18 +80,18 @@
 }
 
 // metrics prints the numbers as plain lines that the usual collectors read.
-func (d *Desk) metrics(w http.ResponseWriter, _ *http.Request) {
+func (d *API) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	n, why := d.numbers()
 	for _, k := range slices.Sorted(maps.Keys(n)) {
-		_, _ = fmt.Fprintf(w, "signalbox_%s %d\n", k, n[k])
+		_, _ = fmt.Fprintf(w, "mulleinmast_%s %d\n", k, n[k])
 	}
 	for _, k := range slices.Sorted(maps.Keys(why)) {
-		_, _ = fmt.Fprintf(w, "signalbox_sheds{why=%q} %d\n", k, why[k])
+		_, _ = fmt.Fprintf(w, "mulleinmast_sheds{why=%q} %d\n", k, why[k])
 	}
 	st := d.c.State()
 	mine, left := 0, int64(0)
-	for _, p := range st.Parts {
+	for _, p := range st.Partitions {
 		if p.Mine {
 			mine++
 		}
@@ -99,6 +99,6 @@
 			left++
 		}
 	}
-	_, _ = fmt.Fprintf(w, "signalbox_members %d\nsignalbox_parts_owned %d\nsignalbox_volume_leases %d\nsignalbox_plan_version %d\nsignalbox_wire_sent %d\nsignalbox_wire_got %d\nsignalbox_wire_lost %d\n",
+	_, _ = fmt.Fprintf(w, "mulleinmast_members %d\nsignalbox_parts_owned %d\nsignalbox_volume_leases %d\nsignalbox_plan_version %d\nsignalbox_wire_sent %d\nsignalbox_wire_got %d\nsignalbox_wire_lost %d\n",
 		len(st.Members), mine, left, st.Plan, st.Wire[0], st.Wire[1], st.Wire[2])
 }
--- a/traffic/route/route.go
+++ b/traffic/route/route.go
@@ -5,35 +5,35 @@
 import (
 	"slices"
 
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
 )
 
 // Table is a plan's routes ready for look-ups; it doesn't change and may be
 // used by many at once.
 type Table struct {
 	hosts map[string]*host
-	names map[string]*tariff.Route
+	names map[string]*fleetconfig.Route
 }
 
 // host holds the routes of one host.
 type host struct {
 	lengths  []int // of its prefixes, in bytes; each once, the longest first
-	prefixes map[string]*tariff.Route
+	prefixes map[string]*fleetconfig.Route
 }
 
 // New lays out the routes of a plan; do it once a version.
 //
-// Example: t := route.New(tariff.Open(rec))
-func New(plan tariff.Plan) *Table {
-	t := &Table{hosts: map[string]*host{}, names: make(map[string]*tariff.Route, len(plan.Routes))}
+// Example: t := route.New(fleetconfig.Open(rec))
+func New(plan fleetconfig.Plan) *Table {
+	t := &Table{hosts: map[string]*host{}, names: make(map[string]*fleetconfig.Route, len(plan.Routes))}
 	routes := slices.Clone(plan.Routes)
 	for i := range routes {
 		r := &routes[i]
 		t.names[r.Name] = r
-		at := tariff.Host(r.Host)
+		at := fleetconfig.Host(r.Host)
 		h := t.hosts[at]
 		if h == nil {
-			h = &host{prefixes: map[string]*tariff.Route{}}
+			h = &host{prefixes: map[string]*fleetconfig.Route{}}
 			t.hosts[at] = h
 		}
 		h.prefixes[r.Prefix] = r
@@ -53,8 +53,8 @@
 // as it came, without the query. The route must not be changed.
 //
 // Example: r, ok := t.Match(req.Host, req.URL.EscapedPath())
-func (t *Table) Match(hostPort, path string) (*tariff.Route, bool) {
-	h := t.hosts[tariff.Host(hostPort)]
+func (t *Table) Match(hostPort, path string) (*fleetconfig.Route, bool) {
+	h := t.hosts[fleetconfig.Host(hostPort)]
 	if h == nil {
 		return nil, false
 	}
@@ -72,21 +72,21 @@
 // Named finds a route by its name.
 //
 // Example: r, ok := t.Named("r-7yd4a3h")
-func (t *Table) Named(name string) (*tariff.Route, bool) {
+func (t *Table) Named(name string) (*fleetconfig.Route, bool) {
 	r, ok := t.names[name]
 	return r, ok
 }
 
 // Len is the number of routes.
 //
-// Example: route.New(tariff.Plan{}).Len() == 0
+// Example: route.New(fleetconfig.Plan{}).Len() == 0
 func (t *Table) Len() int { return len(t.names) }
 
 // Pick chooses a service by the weights of the route; the same dice, any 64
 // bits, give the same service. A route without a weight above 0 gives none.
 //
 // Example: svc := route.Pick(r, rand.Uint64())
-func Pick(r *tariff.Route, dice uint64) string {
+func Pick(r *fleetconfig.Route, dice uint64) string {
 	sum := 0.0
 	for _, s := range r.Services {
 		sum += max(0, s.Weight)
--- a/traffic/route/route_test.go
+++ b/traffic/route/route_test.go
@@ -7,13 +7,13 @@
 
 	"pgregory.net/rapid"
 
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
 )
 
-func plan(places ...string) (p tariff.Plan) {
+func plan(places ...string) (p fleetconfig.Plan) {
 	for i, s := range places {
 		host, prefix, _ := strings.Cut(s, "/")
-		p.Routes = append(p.Routes, tariff.Route{Name: fmt.Sprint("r", i), Host: host, Prefix: "/" + prefix})
+		p.Routes = append(p.Routes, fleetconfig.Route{Name: fmt.Sprint("r", i), Host: host, Prefix: "/" + prefix})
 	}
 	return p
 }
@@ -53,7 +53,7 @@
 			want := ""
 			size := -1
 			for _, r := range p.Routes {
-				if tariff.Host(r.Host) == tariff.Host(host) && strings.HasPrefix(at, r.Prefix) && len(r.Prefix) > size {
+				if fleetconfig.Host(r.Host) == fleetconfig.Host(host) && strings.HasPrefix(at, r.Prefix) && len(r.Prefix) > size {
 					want, size = r.Name, len(r.Prefix)
 				}
 			}
@@ -66,7 +66,7 @@
 }
 
 func TestPickFollowsTheWeights(t *testing.T) {
-	r := &tariff.Route{Services: []tariff.Share{{Service: "zero"}, {Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "last"}}}
+	r := &fleetconfig.Route{Services: []fleetconfig.Share{{Service: "zero"}, {Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "last"}}}
 	const step = 1 << 50
 	got := map[string]int{}
 	for dice := uint64(0); dice < 1<<63; dice += step {
@@ -79,7 +79,7 @@
 	if s := Pick(r, 1<<64-1); s != "b" {
 		t.Errorf("the highest dice: %q", s)
 	}
-	if s := Pick(&tariff.Route{}, 7); s != "" {
+	if s := Pick(&fleetconfig.Route{}, 7); s != "" {
 		t.Errorf("no service: %q", s)
 	}
 }
--- a/traffic/dispatch/call.go
+++ b/traffic/scheduler/call.go
@@ -1,20 +1,20 @@
-package dispatch
+package scheduler
 
 import (
 	"fmt"
 	"time"
 
-	"mulleinmast/control/interlock"
+	"mulleinmast/control/placement"
+	"mulleinmast/traffic/attempt"
+	"mulleinmast/traffic/serverpool"
 	"mulleinmast/traffic/slots"
-	"mulleinmast/traffic/waybill"
-	"mulleinmast/traffic/yard"
 )
 
 // send opens the attempt for which a slot was given, if its ground stands.
 func (l *Lane) send(now time.Duration, t *trip, addr string, o *Out) {
-	part := interlock.Reader
+	part := placement.Prefill
 	if t.side == slots.Make {
-		part = interlock.Maker
+		part = placement.Decode
 	}
 	b, ok := l.standing(now, addr, part)
 	if ok && t.again && !l.bucket.Take(now) {
@@ -42,23 +42,23 @@
 	t.limit = now + half
 	a := Act{Trip: t.ID, No: t.no, Addr: addr, Wait: half}
 	if t.side == slots.Read {
-		t.led.Add(waybill.Prefill, addr)
-		t.choice = append(t.choice, fmt.Sprintf("reader %s (%s, %s) holds %d of %d prompt parts", addr, b.Cell, b.Status, t.deep[addr], len(t.chain)))
-		t.cell = b.Cell
+		t.led.Add(attempt.Prefill, addr)
+		t.choice = append(t.choice, fmt.Sprintf("reader %s (%s, %s) holds %d of %d prompt parts", addr, b.Zone, b.Status, t.deep[addr], len(t.chain)))
+		t.zone = b.Zone
 		t.pairs = map[string]bool{}
 		for _, m := range b.Pairs {
 			t.pairs[m] = true
 		}
 		a.Kind = Prefill
-		t.ver = l.berths[addr].ver.String()
-		a.Read = yard.Prefill{Request: t.ID, Attempt: t.no, Term: l.term(), Ver: t.ver, Parts: t.Parts, Prefix: t.chain, Budget: (t.Due - now).Milliseconds()}
+		t.ver = l.serverRecords[addr].ver.String()
+		a.Read = serverpool.Prefill{Request: t.ID, Attempt: t.no, Term: l.term(), Ver: t.ver, Parts: t.Parts, Prefix: t.chain, Timeout: (t.Due - now).Milliseconds()}
 	} else {
-		t.led.Add(waybill.Decode, addr)
-		t.choice = append(t.choice, fmt.Sprintf("maker %s, paired with %s", addr, t.handle.Reader))
+		t.led.Add(attempt.Decode, addr)
+		t.choice = append(t.choice, fmt.Sprintf("maker %s, paired with %s", addr, t.handle.PrefillServer))
 		t.run = fmt.Sprintf("%s-%d", t.ID, t.no)
 		a.Kind = Decode
 		a.Wait = t.Due - now
-		a.Make = yard.Decode{Handle: t.handle, Term: l.term(), Run: t.run, Tokens: t.Tokens, Once: t.Once, Budget: (t.Due - now).Milliseconds()}
+		a.Make = serverpool.Decode{Handle: t.handle, Term: l.term(), Run: t.run, Tokens: t.Tokens, Once: t.Once, Timeout: (t.Due - now).Milliseconds()}
 	}
 	l.act(o, a)
 }
@@ -81,14 +81,14 @@
 }
 
 // free gives the slot of the attempt back, and passes a server by that failed.
-func (l *Lane) free(now time.Duration, t *trip, out yard.Outcome) {
-	bad := out == yard.Lost || out == yard.NotSent
+func (l *Lane) free(now time.Duration, t *trip, out serverpool.Outcome) {
+	bad := out == serverpool.Lost || out == serverpool.NotSent
 	switch {
 	case bad:
 		l.shy[t.addr] = now + l.cfg.Shy
-	case out == yard.Shed:
+	case out == serverpool.Refused:
 		l.shy[t.addr] = now + l.cfg.Turned
-	case out == yard.OK:
+	case out == serverpool.OK:
 		delete(l.shy, t.addr)
 	}
 	l.q.Done(now, t.side, t.Prio, t.addr, bad)
@@ -108,47 +108,47 @@
 
 // came finds the trip that an outcome is for, unless there is nothing more to
 // do: a stray one, or a call that the last look stopped.
-func (l *Lane) came(now time.Duration, id string, no int, out yard.Outcome, o *Out) *trip {
+func (l *Lane) came(now time.Duration, id string, no int, out serverpool.Outcome, o *Out) *trip {
 	t := l.open(id, no)
 	if t == nil {
 		return nil
 	}
 	l.look(now)
-	if out == yard.Barred {
+	if out == serverpool.Barred {
 		l.barred(now, t, o)
 		return nil
 	}
 	return t
 }
 
-// Handed takes a reader's reply, or its silence.
+// Handed takes a prefill server's reply, or its silence.
 //
-// Example: out := l.Handed(now, id, no, handle, yard.OK, "")
-func (l *Lane) Handed(now time.Duration, id string, no int, hd yard.Handle, out yard.Outcome, why string) (o Out) {
+// Example: out := l.Handed(now, id, no, handle, serverpool.OK, "")
+func (l *Lane) Handed(now time.Duration, id string, no int, hd serverpool.Handle, out serverpool.Outcome, why string) (o Out) {
 	t := l.came(now, id, no, out, &o)
 	if t == nil {
 		return o
 	}
-	if out == yard.OK {
-		// The handle is bound to this request, attempt, reader and record.
+	if out == serverpool.OK {
+		// The handle is bound to this request, attempt, prefill server and record.
 		if why = hd.Fit(id, no, t.addr, t.ver); why != "" {
-			out = yard.Lapsed
+			out = serverpool.Lapsed
 		}
 	}
 	switch out {
-	case yard.OK:
+	case serverpool.OK:
 		t.handle = hd
-		t.led.Learn(waybill.Handle, "")
+		t.led.Learn(attempt.Handle, "")
 		l.n.Reads += int64(len(t.chain))
 		l.n.Hits += int64(hd.Cached)
 		l.seen.Note(t.chain, t.addr)
-	case yard.NotSent:
-		t.led.Learn(waybill.NotSent, why)
+	case serverpool.NotSent:
+		t.led.Learn(attempt.NotSent, why)
 		l.seen.Forget(t.addr)
-	case yard.Shed:
-		t.led.Learn(waybill.Shed, why)
+	case serverpool.Refused:
+		t.led.Learn(attempt.Refused, why)
 	default:
-		t.led.Learn(waybill.Lost, why)
+		t.led.Learn(attempt.Lost, why)
 	}
 	l.free(now, t, out)
 	l.next(now, t, &o)
@@ -156,11 +156,11 @@
 	return o
 }
 
-// Made takes the end of a call to a maker that streamed nothing more: it
+// Made takes the end of a call to a decode server that streamed nothing more: it
 // turned the request away, or its stream broke off.
 //
-// Example: out := l.Made(now, id, no, yard.Shed, "full")
-func (l *Lane) Made(now time.Duration, id string, no int, out yard.Outcome, why string) (o Out) {
+// Example: out := l.Made(now, id, no, serverpool.Refused, "full")
+func (l *Lane) Made(now time.Duration, id string, no int, out serverpool.Outcome, why string) (o Out) {
 	t := l.came(now, id, no, out, &o)
 	if t == nil {
 		return o
@@ -170,28 +170,28 @@
 	return o
 }
 
-func (l *Lane) made(now time.Duration, t *trip, out yard.Outcome, why string, o *Out) {
+func (l *Lane) made(now time.Duration, t *trip, out serverpool.Outcome, why string, o *Out) {
 	switch {
 	case t.stage == streaming:
-		t.led.Learn(waybill.First, why)
-		out = yard.Lost
-	case out == yard.NotSent:
-		t.led.Learn(waybill.NotSent, why)
-	case out == yard.Shed:
-		t.led.Learn(waybill.Shed, why)
-	case out == yard.Lapsed:
-		t.led.Learn(waybill.Lapsed, why)
+		t.led.Learn(attempt.First, why)
+		out = serverpool.Lost
+	case out == serverpool.NotSent:
+		t.led.Learn(attempt.NotSent, why)
+	case out == serverpool.Refused:
+		t.led.Learn(attempt.Refused, why)
+	case out == serverpool.Lapsed:
+		t.led.Learn(attempt.Lapsed, why)
 	default:
-		t.led.Learn(waybill.Lost, why)
+		t.led.Learn(attempt.Lost, why)
 	}
 	l.free(now, t, out)
 	l.next(now, t, o)
 }
 
-// Piece takes one piece of a maker's stream; one that doesn't fit ends it.
+// Piece takes one piece of a decode server's stream; one that doesn't fit ends it.
 //
 // Example: out := l.Piece(now, id, no, piece)
-func (l *Lane) Piece(now time.Duration, id string, no int, p yard.Piece) (o Out) {
+func (l *Lane) Piece(now time.Duration, id string, no int, p serverpool.Piece) (o Out) {
 	t := l.open(id, no)
 	if t == nil || t.side != slots.Make {
 		return o
@@ -199,7 +199,7 @@
 	if why := p.Fit(id, t.run, t.sent); why != "" {
 		l.act(&o, Act{Trip: id, Kind: Cut, No: no})
 		l.look(now)
-		l.made(now, t, yard.Lost, why, &o)
+		l.made(now, t, serverpool.Lost, why, &o)
 		l.settle(now, &o)
 		return o
 	}
@@ -212,16 +212,16 @@
 	t.sent++
 	l.act(&o, Act{Trip: id, Kind: Pass, No: no, Piece: p})
 	if p.End {
-		t.led.Learn(waybill.Ended, "")
+		t.led.Learn(attempt.Ended, "")
 		l.look(now)
-		l.free(now, t, yard.OK)
+		l.free(now, t, serverpool.OK)
 		l.next(now, t, &o)
 		l.settle(now, &o)
 	}
 	return o
 }
 
-// Taken tells that the requester took pieces, so many so far.
+// Taken tells that the client took pieces, so many so far.
 //
 // Example: l.Taken(now, id, 3)
 func (l *Lane) Taken(now time.Duration, id string, n int) {
--- a/traffic/dispatch/end.go
+++ b/traffic/scheduler/end.go
@@ -1,16 +1,16 @@
-package dispatch
+package scheduler
 
 import (
 	"fmt"
 	"strings"
 	"time"
 
+	"mulleinmast/traffic/attempt"
+	"mulleinmast/traffic/serverpool"
 	"mulleinmast/traffic/slots"
-	"mulleinmast/traffic/waybill"
-	"mulleinmast/traffic/yard"
 )
 
-// Gone tells that the requester went away.
+// Gone tells that the client went away.
 //
 // Example: out := l.Gone(now, id)
 func (l *Lane) Gone(now time.Duration, id string) (o Out) {
@@ -38,9 +38,9 @@
 	case calling, streaming:
 		l.act(o, Act{Trip: t.ID, Kind: Cut, No: t.no})
 		if t.stage == streaming {
-			t.led.Learn(waybill.First, why)
+			t.led.Learn(attempt.First, why)
 		} else {
-			t.led.Learn(waybill.Lost, why)
+			t.led.Learn(attempt.Lost, why)
 		}
 		l.q.Done(now, t.side, t.Prio, t.addr, false)
 	}
@@ -67,11 +67,11 @@
 		if now >= t.limit || now >= t.Due {
 			l.act(o, Act{Trip: t.ID, Kind: Cut, No: t.no})
 			if t.side == slots.Read {
-				t.led.Learn(waybill.Lost, "no reply in time")
-				l.free(now, t, yard.Lost)
+				t.led.Learn(attempt.Lost, "no reply in time")
+				l.free(now, t, serverpool.Lost)
 				l.next(now, t, o)
 			} else {
-				l.made(now, t, yard.Lost, "no first piece in time", o)
+				l.made(now, t, serverpool.Lost, "no first piece in time", o)
 			}
 		}
 	case streaming:
@@ -91,7 +91,7 @@
 }
 
 // final makes the last move.
-func (l *Lane) final(now time.Duration, t *trip, move waybill.Move, o *Out) {
+func (l *Lane) final(now time.Duration, t *trip, move attempt.Move, o *Out) {
 	kind := t.why // a few fixed words, to count by
 	if t.why == "" && len(t.led.Attempts) > 0 {
 		last := t.led.Attempts[len(t.led.Attempts)-1]
@@ -102,26 +102,26 @@
 		e.After = l.cfg.Back
 	}
 	switch move {
-	case waybill.Finish:
+	case attempt.Finish:
 		e.Code, e.Why = 200, ""
 		l.n.Served++
 		if t.led.Once {
 			l.act(o, Act{Trip: t.ID, Kind: Settle, Key: t.key(), State: "done"})
 		}
-	case waybill.Break:
+	case attempt.Break:
 		l.n.Broken++
-	case waybill.Unsure:
+	case attempt.Unsure:
 		l.n.Unsure++
 		e.Code, e.Why = 502, "it may have run: "+t.why
-	case waybill.Refuse:
+	case attempt.Refuse:
 		e.Code = 503
 		if strings.HasPrefix(t.why, "this tenant") {
 			e.Code = 429
 		}
-		l.n.Sheds++
+		l.n.Refusals++
 		l.n.Why[kind]++
 		for _, a := range t.led.Attempts {
-			if a.Known == waybill.Handle {
+			if a.Known == attempt.Handle {
 				l.n.Wasted++
 			}
 		}
@@ -137,5 +137,5 @@
 func (l *Lane) end(now time.Duration, t *trip, e End, o *Out) {
 	delete(l.trips, t.ID)
 	e.Story = Story{Request: t.ID, Tenant: t.Tenant, Model: t.Model, Result: e.Result, Why: e.Why, Ledger: t.led.Attempts, Choice: t.choice, Took: (now - t.at).Milliseconds()}
-	l.act(o, Act{Trip: t.ID, Kind: Reply, End: e})
+	l.act(o, Act{Trip: t.ID, Kind: Response, End: e})
 }
--- a/traffic/dispatch/lane.go
+++ b/traffic/scheduler/lane.go
@@ -1,59 +1,59 @@
-package dispatch
+package scheduler
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"mulleinmast/control/interlock"
-	"mulleinmast/control/tariff"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/placement"
+	"mulleinmast/traffic/attempt"
+	"mulleinmast/traffic/serverpool"
 	"mulleinmast/traffic/slots"
-	"mulleinmast/traffic/waybill"
-	"mulleinmast/traffic/yard"
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Lane is one service's queue, routes and trips on one daemon; its user holds
 // the lock.
 type Lane struct {
-	cfg  Config
-	svc  string
-	part int
-	src  Source
-	term func() uint64
-
-	q      *slots.Queue
-	ack    uint64
-	bucket waybill.Bucket
-	seen   *yard.Prefixes
-	shy    map[string]time.Duration
-	rows   map[string]interlock.Berth // servers that may get new work now
-	trips  map[string]*trip
-	sheet  *Sheet
-	list   roll
-	berths map[string]parsed
-	n      Counts
+	cfg       Config
+	svc       string
+	partition int
+	src       Source
+	term      func() uint64
+
+	q             *slots.Queue
+	ack           uint64
+	bucket        attempt.Bucket
+	seen          *serverpool.Prefixes
+	shy           map[string]time.Duration
+	rows          map[string]placement.ServerRecord // servers that may get new work now
+	trips         map[string]*trip
+	sheet         *Sheet
+	list          roll
+	serverRecords map[string]parsed
+	n             Counts
 }
 
 type parsed struct {
-	ver   form.Ver
-	berth interlock.Berth
-	ok    bool
+	ver          message.Ver
+	serverRecord placement.ServerRecord
+	ok           bool
 }
 
 // roll is a service's list made ready for look-ups.
 type roll struct {
-	ver form.Ver
-	by  map[string]tariff.Server
+	ver message.Ver
+	by  map[string]fleetconfig.Server
 }
 
 // New makes a service's lane; src reads records under valid leases, term is
-// the ballot of the part's owner as far as known.
+// the term of the part's leader as far as known.
 //
-// Example: l := dispatch.New(cfg, "timetable", 3, cabin.Read, term)
-func New(cfg Config, svc string, part int, src Source, term func() uint64) *Lane {
-	return &Lane{cfg: cfg, svc: svc, part: part, src: src, term: term, q: slots.New(cfg.Queue), bucket: waybill.Bucket{Rate: cfg.Retry, Window: cfg.Window},
-		seen: yard.NewPrefixes(cfg.Prefixes), shy: map[string]time.Duration{}, rows: map[string]interlock.Berth{}, trips: map[string]*trip{}, berths: map[string]parsed{}, n: Counts{Why: map[string]int64{}}}
+// Example: l := scheduler.New(cfg, "timetable", 3, daemon.Read, term)
+func New(cfg Config, svc string, partition int, src Source, term func() uint64) *Lane {
+	return &Lane{cfg: cfg, svc: svc, partition: partition, src: src, term: term, q: slots.New(cfg.Queue), bucket: attempt.Bucket{Rate: cfg.Retry, Window: cfg.Window},
+		seen: serverpool.NewPrefixes(cfg.Prefixes), shy: map[string]time.Duration{}, rows: map[string]placement.ServerRecord{}, trips: map[string]*trip{}, serverRecords: map[string]parsed{}, n: Counts{Why: map[string]int64{}}}
 }
 
 // Service is the lane's service.
@@ -63,11 +63,11 @@
 
 // Keys are the records that the lane reads, for the daemon to keep cached.
 //
-// Example: for _, k := range l.Keys() { cabin.Pin(part, k) }
+// Example: for _, k := range l.Keys() { daemon.Pin(part, k) }
 func (l *Lane) Keys() []string {
-	keys := []string{tariff.ListKey(l.svc)}
+	keys := []string{fleetconfig.ListKey(l.svc)}
 	for _, a := range slices.Sorted(maps.Keys(l.list.by)) {
-		keys = append(keys, tariff.BerthKey(l.svc, a))
+		keys = append(keys, fleetconfig.ServerRecordKey(l.svc, a))
 	}
 	return keys
 }
@@ -96,18 +96,18 @@
 // Example: if !l.Fresh(now) { ask() }
 func (l *Lane) Fresh(now time.Duration) bool { return l.q.Valid(now) }
 
-// Want is what the owner is told: what waits, what is in flight, what failed.
+// Want is what the leader is told: what waits, what is in flight, what failed.
 //
-// Example: share, at, ok := cabin.Share(ctx, part, l.Want(), limit)
-func (l *Lane) Want() interlock.Want {
+// Example: share, at, ok := daemon.Share(ctx, part, l.Want(), limit)
+func (l *Lane) Want() placement.Want {
 	r := l.q.Report()
-	return interlock.Want{Service: l.svc, Ack: l.ack, Read: r.Read, Make: r.Make, Held: r.Held, Fails: r.Fails, Like: r.Like}
+	return placement.Want{Service: l.svc, Ack: l.ack, Read: r.Read, Make: r.Make, Held: r.Held, Fails: r.Fails, Like: r.Like}
 }
 
 // Shared takes a share, counted from when it was asked for.
 //
 // Example: out := l.Shared(now, share, askedAt)
-func (l *Lane) Shared(now time.Duration, s interlock.Share, at time.Duration) (o Out) {
+func (l *Lane) Shared(now time.Duration, s placement.Share, at time.Duration) (o Out) {
 	l.ack = s.No
 	l.look(now)
 	l.q.Share(now, s.Slots, at+time.Duration(s.Len))
@@ -135,10 +135,10 @@
 // none.
 func (l *Lane) look(now time.Duration) {
 	clear(l.rows)
-	if rec, ok := l.src(l.part, tariff.ListKey(l.svc)); ok {
+	if rec, ok := l.src(l.partition, fleetconfig.ListKey(l.svc)); ok {
 		l.listed(rec)
 		for a := range l.list.by {
-			if b, ok := l.berth(a); ok {
+			if b, ok := l.serverRecord(a); ok {
 				l.rows[a] = b
 			}
 		}
@@ -150,41 +150,41 @@
 	}
 }
 
-func (l *Lane) listed(rec form.Rec) roll {
+func (l *Lane) listed(rec message.Rec) roll {
 	if l.list.by == nil || l.list.ver != rec.Ver {
-		l.list = roll{ver: rec.Ver, by: map[string]tariff.Server{}}
-		for _, s := range tariff.OpenList(rec).Servers {
+		l.list = roll{ver: rec.Ver, by: map[string]fleetconfig.Server{}}
+		for _, s := range fleetconfig.OpenList(rec).Servers {
 			l.list.by[s.Addr] = s
 		}
 	}
 	return l.list
 }
 
-// berth is a server's record if it may get new work now: both leases valid,
-// listed, in a part, not leaving, not excluded, its cell in service.
-func (l *Lane) berth(addr string) (b interlock.Berth, ok bool) {
-	rec, ok := l.src(l.part, tariff.BerthKey(l.svc, addr))
+// server record is a server's record if it may get new work now: both leases valid,
+// listed, in a part, not leaving, not excluded, its zone in service.
+func (l *Lane) serverRecord(addr string) (b placement.ServerRecord, ok bool) {
+	rec, ok := l.src(l.partition, fleetconfig.ServerRecordKey(l.svc, addr))
 	if !ok {
 		return b, false
 	}
-	p, known := l.berths[addr]
+	p, known := l.serverRecords[addr]
 	if !known || p.ver != rec.Ver {
 		p.ver = rec.Ver
-		p.berth, p.ok = interlock.OpenBerth(rec)
-		l.berths[addr] = p
+		p.serverRecord, p.ok = placement.OpenServerRecord(rec)
+		l.serverRecords[addr] = p
 	}
-	b = p.berth
-	if !p.ok || b.To != "" || b.Status != interlock.Up && b.Status != interlock.Warming {
+	b = p.serverRecord
+	if !p.ok || b.To != "" || b.Status != placement.Up && b.Status != placement.Warming {
 		return b, false
 	}
-	list, ok := l.src(l.part, tariff.ListKey(l.svc))
+	list, ok := l.src(l.partition, fleetconfig.ListKey(l.svc))
 	if !ok {
 		return b, false
 	}
 	in, ok := l.listed(list).by[addr]
-	cells, okCells := l.src(0, tariff.CellKey)
-	plan, okPlan := l.src(0, tariff.PlanKey)
-	if !ok || in.Leaving || !okCells || !okPlan || !cells.Dead && tariff.Cells(cells)[b.Cell] {
+	zones, okZones := l.src(0, fleetconfig.ZoneKey)
+	plan, okPlan := l.src(0, fleetconfig.PlanKey)
+	if !ok || in.Leaving || !okZones || !okPlan || !zones.Dead && fleetconfig.Zones(zones)[b.Zone] {
 		return b, false
 	}
 	if l.sheet == nil || l.sheet.Ver != plan.Ver {
@@ -195,8 +195,8 @@
 
 // standing tells whether the record and the share that work on a server rests
 // on stand now.
-func (l *Lane) standing(now time.Duration, addr, part string) (interlock.Berth, bool) {
-	b, ok := l.berth(addr)
+func (l *Lane) standing(now time.Duration, addr, part string) (placement.ServerRecord, bool) {
+	b, ok := l.serverRecord(addr)
 	return b, ok && b.Part == part && l.q.Valid(now)
 }
 
@@ -204,9 +204,9 @@
 //
 // Example: if !l.Standing(now, act) { return Barred }
 func (l *Lane) Standing(now time.Duration, a Act) bool {
-	part := interlock.Reader
+	part := placement.Prefill
 	if a.Kind == Decode {
-		part = interlock.Maker
+		part = placement.Decode
 	}
 	t := l.trips[a.Trip]
 	if t == nil || t.stage != calling || t.no != a.No || now >= t.Due {
--- a/traffic/dispatch/pick.go
+++ b/traffic/scheduler/pick.go
@@ -1,9 +1,9 @@
-package dispatch
+package scheduler
 
 import (
-	"mulleinmast/control/interlock"
+	"mulleinmast/control/placement"
+	"mulleinmast/traffic/attempt"
 	"mulleinmast/traffic/slots"
-	"mulleinmast/traffic/waybill"
 )
 
 // dice is chance from the request's own identity, so that daemons don't herd.
@@ -18,17 +18,17 @@
 // pick chooses among free servers for the side that the trip waits for.
 func (l *Lane) pick(t *trip, free []string) string {
 	if t.side == slots.Read {
-		return l.reader(t, free)
+		return l.pickPrefill(t, free)
 	}
-	return l.maker(t, free)
+	return l.pickDecode(t, free)
 }
 
-// reader is the one that holds most of the prompt; random among equals.
-func (l *Lane) reader(t *trip, free []string) string {
+// prefill server is the one that holds most of the prompt; random among equals.
+func (l *Lane) pickPrefill(t *trip, free []string) string {
 	best, top, n := "", -1, uint64(0)
 	for _, a := range free {
 		b, ok := l.rows[a]
-		if !ok || b.Part != interlock.Reader || len(b.Pairs) == 0 || t.led.Tried(waybill.Prefill, a) || l.avoids(a) {
+		if !ok || b.Part != placement.Prefill || len(b.Pairs) == 0 || t.led.Tried(attempt.Prefill, a) || l.avoids(a) {
 			continue
 		}
 		switch {
@@ -43,15 +43,15 @@
 	return best
 }
 
-// maker is one that the reader is paired with, in its cell if there is one.
-func (l *Lane) maker(t *trip, free []string) string {
+// decode server is one that the prefill server is paired with, in its zone if there is one.
+func (l *Lane) pickDecode(t *trip, free []string) string {
 	best, n, near := "", uint64(0), false
 	for _, a := range free {
 		b, ok := l.rows[a]
-		if !ok || b.Part != interlock.Maker || !t.pairs[a] || t.led.Tried(waybill.Decode, a) || l.avoids(a) {
+		if !ok || b.Part != placement.Decode || !t.pairs[a] || t.led.Tried(attempt.Decode, a) || l.avoids(a) {
 			continue
 		}
-		same := b.Cell == t.cell
+		same := b.Zone == t.zone
 		switch {
 		case best == "" || same && !near:
 			best, n, near = a, 1, same
--- a/traffic/dispatch/sheet.go
+++ b/traffic/scheduler/sheet.go
@@ -1,29 +1,29 @@
-package dispatch
+package scheduler
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"mulleinmast/control/tariff"
-	"mulleinmast/traffic/yard"
-	"mulleinmast/wire/form"
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/traffic/serverpool"
+	"mulleinmast/wire/message"
 )
 
 // Sheet is a plan made ready for look-ups.
 type Sheet struct {
-	Ver     form.Ver
+	Ver     message.Ver
 	plan    uint64
-	tenants map[string]tariff.Tenant
+	tenants map[string]fleetconfig.Tenant
 	out     map[string]map[string]bool // service -> servers that it excludes
 }
 
 // NewSheet reads the plan in force; do it once a version.
 //
-// Example: s := dispatch.NewSheet(rec)
-func NewSheet(rec form.Rec) *Sheet {
-	p := tariff.Open(rec)
-	s := &Sheet{Ver: rec.Ver, plan: p.Version, tenants: map[string]tariff.Tenant{}, out: map[string]map[string]bool{}}
+// Example: s := scheduler.NewSheet(rec)
+func NewSheet(rec message.Rec) *Sheet {
+	p := fleetconfig.Open(rec)
+	s := &Sheet{Ver: rec.Ver, plan: p.Version, tenants: map[string]fleetconfig.Tenant{}, out: map[string]map[string]bool{}}
 	for _, t := range p.Tenants {
 		s.tenants[t.Name] = t
 	}
@@ -36,14 +36,14 @@
 	return s
 }
 
-// Asked is what a requester sends.
+// Asked is what a client sends.
 type Asked struct {
-	Model  string      `json:"model"`
-	Tenant string      `json:"tenant"`
-	Parts  []yard.Part `json:"parts"`
-	Tokens int         `json:"tokens"`
-	Once   string      `json:"once,omitempty"`
-	Budget *int64      `json:"budget_ms,omitempty"`
+	Model   string            `json:"model"`
+	Tenant  string            `json:"tenant"`
+	Parts   []serverpool.Part `json:"parts"`
+	Tokens  int               `json:"tokens"`
+	Once    string            `json:"once,omitempty"`
+	Timeout *int64            `json:"budget_ms,omitempty"`
 }
 
 // Take checks a request against the plan; code is 0 if it may go on.
@@ -60,12 +60,12 @@
 	if len(ten.Services) > 0 && !slices.Contains(ten.Services, q.Model) {
 		return r, 403, fmt.Sprintf("model: tenant %q may not use %q", q.Tenant, q.Model)
 	}
-	budget := time.Duration(ten.Budget) * time.Millisecond
-	if q.Budget != nil {
-		budget = time.Duration(*q.Budget) * time.Millisecond
+	timeout := time.Duration(ten.Timeout) * time.Millisecond
+	if q.Timeout != nil {
+		timeout = time.Duration(*q.Timeout) * time.Millisecond
 	}
 	if q.Tokens == 0 {
 		q.Tokens = 16
 	}
-	return Request{ID: id, Tenant: q.Tenant, Model: q.Model, Prio: ten.Priority, Part: ten.Queue, Due: now + budget, Tokens: q.Tokens, Once: q.Once, Parts: q.Parts}, 0, ""
+	return Request{ID: id, Tenant: q.Tenant, Model: q.Model, Prio: ten.Priority, Part: ten.Queue, Due: now + timeout, Tokens: q.Tokens, Once: q.Once, Parts: q.Parts}, 0, ""
 }
--- a/traffic/dispatch/trip.go
+++ b/traffic/scheduler/trip.go
@@ -1,11 +1,11 @@
-package dispatch
+package scheduler
 
 import (
 	"time"
 
+	"mulleinmast/traffic/attempt"
+	"mulleinmast/traffic/serverpool"
 	"mulleinmast/traffic/slots"
-	"mulleinmast/traffic/waybill"
-	"mulleinmast/traffic/yard"
 )
 
 type stage uint8
@@ -22,9 +22,9 @@
 	Request
 	at    time.Duration
 	stage stage
-	led   waybill.Ledger
+	led   attempt.Ledger
 	chain []uint64
-	deep  map[string]int // prompt parts that each reader holds
+	deep  map[string]int // prompt parts that each prefill server holds
 	wait  *slots.Wait
 	side  slots.Side
 	seen  time.Duration // when it last could have gone somewhere
@@ -35,12 +35,12 @@
 	addr   string
 	limit  time.Duration // it is given up then
 	run    string
-	ver    string // of the reader's record
-	handle yard.Handle
+	ver    string // of the prefill server's record
+	handle serverpool.Handle
 	pairs  map[string]bool
-	cell   string // of the reader
+	zone   string // of the prefill server
 
-	sent, taken int // pieces handed on, and taken by the requester
+	sent, taken int // pieces handed on, and taken by the client
 	takenAt     time.Duration
 
 	choice []string
@@ -57,7 +57,7 @@
 //
 // Example: out := l.Take(now, req)
 func (l *Lane) Take(now time.Duration, r Request) (o Out) {
-	t := &trip{Request: r, at: now, seen: now, chain: yard.Chain(r.Parts), led: waybill.Ledger{Once: r.Once != "", Most: l.cfg.Most}}
+	t := &trip{Request: r, at: now, seen: now, chain: serverpool.Chain(r.Parts), led: attempt.Ledger{Once: r.Once != "", Most: l.cfg.Most}}
 	l.trips[r.ID] = t
 	l.look(now)
 	if r.Once != "" {
@@ -69,7 +69,7 @@
 	return o
 }
 
-// Claimed takes the owner's word on a once key: its code and body.
+// Claimed takes the leader's word on a once key: its code and body.
 //
 // Example: out := l.Claimed(now, id, 200, nil)
 func (l *Lane) Claimed(now time.Duration, id string, code int, body []byte) (o Out) {
@@ -87,7 +87,7 @@
 		l.end(now, t, End{Result: "duplicate", Code: 409, Word: body}, &o)
 	default:
 		// This request was not and will not be run, but whether its key ran before
-		// is not known: so it isn't "shed".
+		// is not known: so it isn't "refused".
 		l.n.Unsure++
 		l.act(&o, Act{Trip: id, Kind: Settle, Key: t.key(), State: "shed"})
 		l.end(now, t, End{Result: "uncertain", Code: 504, Why: "the once key could not be claimed, whether it ran before is not known; ask again with the same key", After: l.cfg.Back}, &o)
@@ -107,7 +107,7 @@
 			if t == nil || t.stage != queued {
 				panic("a ticket for " + k.ID + ", which doesn't wait")
 			}
-			if k.Shed {
+			if k.Refused {
 				t.why, t.after = k.Why, k.After
 				l.final(now, t, t.led.End(), o)
 				continue
@@ -120,7 +120,7 @@
 // next makes the ledger's next move.
 func (l *Lane) next(now time.Duration, t *trip, o *Out) {
 	move, again := t.led.Next()
-	if move != waybill.DoPrefill && move != waybill.DoDecode {
+	if move != attempt.DoPrefill && move != attempt.DoDecode {
 		l.final(now, t, move, o)
 		return
 	}
@@ -136,7 +136,7 @@
 	}
 	t.side = slots.Read
 	like := ""
-	if move == waybill.DoDecode {
+	if move == attempt.DoDecode {
 		t.side = slots.Make
 	} else {
 		t.deep = l.seen.Depth(t.chain)
--- a/traffic/yard/prefix.go
+++ b/traffic/serverpool/prefix.go
@@ -1,4 +1,4 @@
-package yard
+package serverpool
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 
 // Chain hashes a prompt's parts cumulatively: entry i stands for parts 0..i.
 //
-// Example: c := yard.Chain(parts); len(c) == len(parts)
+// Example: c := serverpool.Chain(parts); len(c) == len(parts)
 func Chain(parts []Part) []uint64 {
 	h := fnv.New64a()
 	out := make([]uint64, len(parts))
@@ -23,7 +23,7 @@
 	return out
 }
 
-// Prefixes remembers which readers hold which prefix; its user holds the lock.
+// Prefixes remembers which prefill servers hold which prefix; its user holds the lock.
 type Prefixes struct {
 	most int
 	at   map[uint64][]string
@@ -32,12 +32,12 @@
 
 // NewPrefixes makes a memory of at most so many prefixes.
 //
-// Example: p := yard.NewPrefixes(65536)
+// Example: p := serverpool.NewPrefixes(65536)
 func NewPrefixes(most int) *Prefixes { return &Prefixes{most: most, at: map[uint64][]string{}} }
 
-// Note remembers that a reader now holds every prefix of the chain.
+// Message remembers that a prefill server now holds every prefix of the chain.
 //
-// Example: p.Note(chain, addr)
+// Example: p.Message(chain, addr)
 func (p *Prefixes) Note(chain []uint64, addr string) {
 	for _, c := range chain {
 		list, known := p.at[c]
@@ -54,7 +54,7 @@
 	}
 }
 
-// Depth tells how many leading parts each reader holds.
+// Depth tells how many leading parts each prefill server holds.
 //
 // Example: if p.Depth(chain)[addr] > 0 { prefer(addr) }
 func (p *Prefixes) Depth(chain []uint64) map[string]int {
@@ -69,7 +69,7 @@
 	return out
 }
 
-// Forget drops a reader that lost its caches.
+// Forget drops a prefill server that lost its caches.
 //
 // Example: p.Forget(addr)
 func (p *Prefixes) Forget(addr string) {
--- a/traffic/yard/yard.go
+++ b/traffic/serverpool/serverpool.go
@@ -1,6 +1,6 @@
-// Package yard speaks to the model servers over HTTP and knows the shapes of
-// what is said; it remembers which reader holds which prefix.
-package yard
+// Package server pool speaks to the model servers over HTTP and knows the shapes of
+// what is said; it remembers which prefill server holds which prefix.
+package serverpool
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 	"net/http"
 	"time"
 
-	"mulleinmast/control/interlock"
+	"mulleinmast/control/placement"
 )
 
 // Outcome is how a call to a server went.
@@ -24,7 +24,7 @@
 const (
 	OK Outcome = iota
 	NotSent
-	Shed
+	Refused
 	Lapsed
 	Lost
 	Barred // not sent: its ground was gone at the last look
@@ -37,7 +37,7 @@
 
 // NewHands makes a caller with a connection pool of its own.
 //
-// Example: h := yard.NewHands(300 * time.Millisecond)
+// Example: h := serverpool.NewHands(300 * time.Millisecond)
 func NewHands(dial time.Duration) *Hands {
 	return &Hands{web: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
@@ -100,14 +100,14 @@
 	_ = json.Unmarshal(body, &word)
 	switch word.Result {
 	case "shed":
-		return nil, Shed, word.Why
+		return nil, Refused, word.Why
 	case "lapsed":
 		return nil, Lapsed, word.Why
 	}
 	return nil, Lost, fmt.Sprintf("status %d", res.StatusCode)
 }
 
-// Prefill has a reader read the prompt.
+// Prefill has a prefill server read the prompt.
 //
 // Example: hd, out, why := h.Prefill(ctx, "127.0.0.1:9000", p, standing)
 func (h *Hands) Prefill(ctx context.Context, addr string, p Prefill, may func() bool) (hd Handle, out Outcome, why string) {
@@ -122,7 +122,7 @@
 	return hd, OK, ""
 }
 
-// Decode has a maker take up the cache and stream the reply.
+// Decode has a decode server take up the cache and stream the reply.
 //
 // Example: stream, out, why := h.Decode(ctx, "127.0.0.1:9001", d, standing)
 func (h *Hands) Decode(ctx context.Context, addr string, d Decode, may func() bool) (*Stream, Outcome, string) {
@@ -163,7 +163,7 @@
 // Usage polls a server.
 //
 // Example: u, err := h.Usage(ctx, "127.0.0.1:9000")
-func (h *Hands) Usage(ctx context.Context, addr string) (u interlock.Usage, err error) {
+func (h *Hands) Usage(ctx context.Context, addr string) (u placement.Usage, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/usage", nil)
 	if err != nil {
 		return u, err
@@ -183,9 +183,9 @@
 // Order tells a server its part.
 //
 // Example: err := h.Order(ctx, order, holder, stillOwner)
-func (h *Hands) Order(ctx context.Context, o interlock.Order, holder string, may func() bool) error {
+func (h *Hands) Order(ctx context.Context, o placement.Order, holder string, may func() bool) error {
 	res, out, why := h.post(ctx, "http://"+o.Addr+"/order", struct {
-		interlock.Order
+		placement.Order
 		Holder string `json:"holder"`
 	}{o, holder}, may)
 	if out != OK {
--- a/traffic/yard/yard_test.go
+++ b/traffic/serverpool/serverpool_test.go
@@ -1,4 +1,4 @@
-package yard
+package serverpool
 
 import (
 	"context"
--- a/traffic/yard/shape.go
+++ b/traffic/serverpool/shape.go
@@ -1,4 +1,4 @@
-package yard
+package serverpool
 
 import "fmt"
 
@@ -8,7 +8,7 @@
 	Key  string `json:"key,omitempty"`
 }
 
-// Prefill is the order to a reader.
+// Prefill is the order to a prefill server.
 type Prefill struct {
 	Request string   `json:"request"`
 	Attempt int      `json:"attempt"`
@@ -16,37 +16,37 @@
 	Ver     string   `json:"ver"`
 	Parts   []Part   `json:"parts"`
 	Prefix  []uint64 `json:"prefix"`
-	Budget  int64    `json:"budget_ms"`
+	Timeout int64    `json:"budget_ms"`
 }
 
-// Handle is what a reader leaves behind; it is bound to request and attempt.
+// Handle is what a prefill server leaves behind; it is bound to request and attempt.
 type Handle struct {
-	ID      string `json:"handle"`
-	Request string `json:"request"`
-	Attempt int    `json:"attempt"`
-	Reader  string `json:"reader"`
-	Ver     string `json:"ver"`
-	Cached  int    `json:"cached"` // prompt parts that it held already
+	ID            string `json:"handle"`
+	Request       string `json:"request"`
+	Attempt       int    `json:"attempt"`
+	PrefillServer string `json:"reader"`
+	Ver           string `json:"ver"`
+	Cached        int    `json:"cached"` // prompt parts that it held already
 }
 
 // Fit tells whether the handle is the one that this attempt was to leave.
 //
 // Example: if why := hd.Fit("req-1", 1, "10.0.0.1:9000", "3.7"); why != "" { failed(why) }
-func (h Handle) Fit(req string, attempt int, reader, ver string) string {
-	if h.Request != req || h.Attempt != attempt || h.Reader != reader || h.Ver != ver || h.ID == "" {
-		return fmt.Sprintf("handle of %q/%d at %q where %q/%d at %q was due", h.Request, h.Attempt, h.Reader, req, attempt, reader)
+func (h Handle) Fit(req string, attempt int, prefillServer, ver string) string {
+	if h.Request != req || h.Attempt != attempt || h.PrefillServer != prefillServer || h.Ver != ver || h.ID == "" {
+		return fmt.Sprintf("handle of %q/%d at %q where %q/%d at %q was due", h.Request, h.Attempt, h.PrefillServer, req, attempt, prefillServer)
 	}
 	return ""
 }
 
-// Decode is the order to a maker.
+// Decode is the order to a decode server.
 type Decode struct {
-	Handle Handle `json:"kv"`
-	Term   uint64 `json:"term"`
-	Run    string `json:"run"`
-	Tokens int    `json:"tokens"`
-	Once   string `json:"once,omitempty"`
-	Budget int64  `json:"budget_ms"`
+	Handle  Handle `json:"kv"`
+	Term    uint64 `json:"term"`
+	Run     string `json:"run"`
+	Tokens  int    `json:"tokens"`
+	Once    string `json:"once,omitempty"`
+	Timeout int64  `json:"budget_ms"`
 }
 
 // Piece is one line of a reply.
--- a/traffic/slots/slots.go
+++ b/traffic/slots/slots.go
@@ -1,6 +1,6 @@
 // Package slots is a daemon's queue for one service: requests wait for a slot
-// on a reader or a maker, the urgent first, and take one only under the shares
-// that the owner gave this daemon.
+// on a prefill server or a decode server, the urgent first, and take one only under the shares
+// that the leader gave this daemon.
 package slots
 
 import (
@@ -33,11 +33,11 @@
 
 // Ticket is a slot, or the word that there will be none.
 type Ticket struct {
-	ID    string
-	Addr  string
-	Shed  bool
-	Why   string
-	After time.Duration // when to come back
+	ID      string
+	Addr    string
+	Refused bool
+	Why     string
+	After   time.Duration // when to come back
 }
 
 // Config bounds a queue.
@@ -91,7 +91,7 @@
 	return out
 }
 
-// Put queues a request, or sheds it or a less urgent one. One that comes
+// Put queues a request, or refuses it or a less urgent one. One that comes
 // again keeps its place.
 //
 // Example: q.Put(now, w, 0.5)
@@ -110,21 +110,21 @@
 		}
 	}
 	if w.Side == Read && float64(same) >= part*float64(q.cfg.Most) {
-		q.shed(now, w, "this tenant's part of the queue is full", ahead)
+		q.refuse(now, w, "this tenant's part of the queue is full", ahead)
 		return
 	}
 	if est := time.Duration(ahead) * q.pace[w.Side]; now+est >= w.Due {
-		q.shed(now, w, "its budget would end in the queue", ahead)
+		q.refuse(now, w, "its budget would end in the queue", ahead)
 		return
 	}
 	if len(q.list) >= q.cfg.Most {
 		worst := q.list[len(q.list)-1]
 		if !less(w, worst) || worst.Prio == w.Prio {
-			q.shed(now, w, "the queue is full", ahead)
+			q.refuse(now, w, "the queue is full", ahead)
 			return
 		}
 		q.list = q.list[:len(q.list)-1]
-		q.shed(now, worst, "displaced by a more urgent request", len(q.list))
+		q.refuse(now, worst, "displaced by a more urgent request", len(q.list))
 	}
 	at := sort.Search(len(q.list), func(i int) bool { return less(w, q.list[i]) })
 	q.list = append(q.list, nil)
@@ -133,8 +133,8 @@
 	q.Turn(now)
 }
 
-func (q *Queue) shed(now time.Duration, w *Wait, why string, ahead int) {
-	q.out = append(q.out, Ticket{ID: w.ID, Shed: true, Why: why, After: q.After(w.Side, ahead)})
+func (q *Queue) refuse(now time.Duration, w *Wait, why string, ahead int) {
+	q.out = append(q.out, Ticket{ID: w.ID, Refused: true, Why: why, After: q.After(w.Side, ahead)})
 }
 
 // After is when to come back, from the queue and its pace.
@@ -144,7 +144,7 @@
 	return min(max(q.cfg.Floor, time.Duration(ahead+1)*q.pace[s]), q.cfg.Ceil)
 }
 
-// Drop takes a request out whose requester went away.
+// Drop takes a request out whose client went away.
 //
 // Example: q.Drop(w)
 func (q *Queue) Drop(w *Wait) {
@@ -156,7 +156,7 @@
 	}
 }
 
-// Turn gives out the free slots in order and sheds what ran out of budget.
+// Turn gives out the free slots in order and refuses what ran out of budget.
 //
 // Example: q.Turn(now)
 func (q *Queue) Turn(now time.Duration) {
@@ -203,7 +203,7 @@
 	}
 	q.list = rest
 	for _, w := range late {
-		q.shed(now, w, "its budget would end in the queue", len(rest))
+		q.refuse(now, w, "its budget would end in the queue", len(rest))
 	}
 }
 
@@ -252,7 +252,7 @@
 // Example: if !q.Valid(now) { giveBack() }
 func (q *Queue) Valid(now time.Duration) bool { return now < q.till }
 
-// Report is what the owner wants to know.
+// Report is what the leader wants to know.
 type Report struct {
 	Read, Make [10]int
 	Held       map[string]int
--- a/traffic/slots/slots_test.go
+++ b/traffic/slots/slots_test.go
@@ -18,7 +18,7 @@
 	q.Put(0, wait("low", Read, 8, time.Hour), 1)
 	q.Put(0, wait("mid", Read, 4, time.Hour), 1)
 	q.Put(0, wait("top", Read, 0, time.Hour), 1)
-	if k := q.Tickets(); len(k) != 1 || k[0].ID != "low" || !k[0].Shed || k[0].After < time.Second {
+	if k := q.Tickets(); len(k) != 1 || k[0].ID != "low" || !k[0].Refused || k[0].After < time.Second {
 		t.Errorf("the least urgent was not displaced: %+v", k)
 	}
 	q.Share(1, map[string]int{"a": 1}, time.Minute)
@@ -70,7 +70,7 @@
 				}
 			}
 			for _, k := range q.Tickets() {
-				if k.Shed {
+				if k.Refused {
 					continue
 				}
 				if held[k.Addr]++; held[k.Addr] > share[k.Addr] || now >= till {
--- a/wire/form/form.go
+++ b/wire/message/message.go
@@ -1,6 +1,6 @@
-// Package form holds the shapes that daemons send one another: one Note with
-// a kind and the fields this kind uses, framed by wire/telegraph.
-package form
+// Package form holds the shapes that daemons send one another: one Message with
+// a kind and the fields this kind uses, framed by wire/transport.
+package message
 
 import "fmt"
 
@@ -14,36 +14,36 @@
 	Short   = 2
 )
 
-// Kind says what a Note is.
+// Kind says what a Message is.
 type Kind uint8
 
-// The kinds of notes.
+// The kinds of messages.
 const (
 	KindNone Kind = iota
 	// leases
-	Renew     // child asks for a volume lease and for records
-	Grant     // parent grants them
-	Reconnect // parent asks for the child's list
-	Listing   // child sends keys and versions
-	Synced    // parent confirms the matching ones and grants the volume lease
-	Connect   // child is done
-	Purge     // parent withdraws a record
-	Purged    // child (and all below it) dropped it
-	Deny      // parent can't serve; look elsewhere
-	Steer     // parent names a better parent (join, split, return)
-	// ballots and writes
+	Renew       // child asks for a volume lease and for records
+	Grant       // parent grants them
+	Reconnect   // parent asks for the child's list
+	Listing     // child sends keys and versions
+	Synced      // parent confirms the matching ones and grants the volume lease
+	Connect     // child is done
+	Invalidate  // parent withdraws a record
+	Invalidated // child (and all below it) dropped it
+	Deny        // parent can't serve; look elsewhere
+	Steer       // parent names a better parent (join, split, return)
+	// terms and writes
 	Ask
 	Promise
 	Refuse
 	Fill
 	Filled
-	Unfit // voter isn't at this ballot's state: here are its digests
+	Unfit // voter isn't at this term's state: here are its digests
 	Accept
 	Accepted
 	Support
-	Void // a candidate gave this ballot up before it was won
+	Void // a candidate gave this term up before it was won
 	Supported
-	// roster
+	// membership table
 	Hello
 	Welcome
 	Gossip
@@ -53,7 +53,7 @@
 	Call
 	Back
 	// formation
-	Found // these seats make the first group
+	Found // these replicas make the first group
 	// hints
 	Board // what is under way at servers, and what they keep
 	kindEnd
@@ -65,7 +65,7 @@
 
 // String names a kind.
 //
-// Example: form.Purge.String() == "purge"
+// Example: message.Invalidation.String() == "invalidation"
 func (k Kind) String() string {
 	if int(k) < len(kindNames) {
 		return kindNames[k]
@@ -75,11 +75,11 @@
 
 // Known tells whether k is a kind of this version.
 //
-// Example: form.Kind(200).Known() == false
+// Example: message.Kind(200).Known() == false
 func (k Kind) Known() bool { return k > KindNone && k < kindEnd }
 
-// Ver is a record's version: the ballot of the owner that wrote it and a
-// number that owner counts up. No two writes share one.
+// Ver is a record's version: the term of the leader that wrote it and a
+// number that leader counts up. No two writes share one.
 type Ver struct {
 	Term uint64 `msg:"t"`
 	Seq  uint64 `msg:"s"`
@@ -95,7 +95,7 @@
 // Example: Ver{3, 7}.String() == "3.7"
 func (v Ver) String() string { return fmt.Sprintf("%d.%d", v.Term, v.Seq) }
 
-// Rec is one record of a part. A Dead record is cached absence.
+// Rec is one record of a partition. A Dead record is cached absence.
 type Rec struct {
 	Key  string `msg:"k"`
 	Ver  Ver    `msg:"v"`
@@ -103,25 +103,25 @@
 	Dead bool   `msg:"d,omitempty"`
 }
 
-// Seat is a daemon's identity and wire address.
-type Seat struct {
+// Replica is a daemon's identity and wire address.
+type Replica struct {
 	Ident string `msg:"i"`
 	Addr  string `msg:"a"`
 }
 
-// Group is a part's voters; while Next is set a majority of both is needed.
+// Group is a partition's voters; while Next is set a majority of both is needed.
 type Group struct {
-	Num   uint64 `msg:"n"`
-	Seats []Seat `msg:"s"`
-	Next  []Seat `msg:"x,omitempty"`
+	Num      uint64    `msg:"n"`
+	Replicas []Replica `msg:"s" json:"Seats"`
+	Next     []Replica `msg:"x,omitempty"`
 }
 
 // Has tells whether an identity has a vote in the group.
 //
-// Example: Group{Seats: []Seat{{Ident: "a"}}}.Has("a") == true
-func (g Group) Has(id string) bool { return has(g.Seats, id) || has(g.Next, id) }
+// Example: Group{Replicas: []Replica{{Ident: "a"}}}.Has("a") == true
+func (g Group) Has(id string) bool { return has(g.Replicas, id) || has(g.Next, id) }
 
-func has(list []Seat, id string) bool {
+func has(list []Replica, id string) bool {
 	for _, s := range list {
 		if s.Ident == id {
 			return true
@@ -130,11 +130,11 @@
 	return false
 }
 
-// All lists every seat of the group once.
+// All lists every replica of the group once.
 //
-// Example: len(Group{Seats: three, Next: oneChanged}.All()) == 4
-func (g Group) All() []Seat {
-	out := append([]Seat(nil), g.Seats...)
+// Example: len(Group{Replicas: three, Next: oneChanged}.All()) == 4
+func (g Group) All() []Replica {
+	out := append([]Replica(nil), g.Replicas...)
 	for _, s := range g.Next {
 		if !has(out, s.Ident) {
 			out = append(out, s)
@@ -148,10 +148,10 @@
 //
 // Example: g.Quorum(func(id string) bool { return id != "c" })
 func (g Group) Quorum(yes func(string) bool) bool {
-	return most(g.Seats, yes) && (len(g.Next) == 0 || most(g.Next, yes))
+	return most(g.Replicas, yes) && (len(g.Next) == 0 || most(g.Next, yes))
 }
 
-func most(list []Seat, yes func(string) bool) bool {
+func most(list []Replica, yes func(string) bool) bool {
 	n := 0
 	for _, s := range list {
 		if yes(s.Ident) {
@@ -162,7 +162,7 @@
 }
 
 // Mark is the volume epoch: the granter's identity, its epoch and, for an
-// owner, its ballot.
+// leader, its term.
 type Mark struct {
 	Ident string `msg:"i"`
 	Epoch uint64 `msg:"e"`
@@ -175,34 +175,34 @@
 	Epoch uint64 `msg:"e" json:"epoch"`
 	Addr  string `msg:"a" json:"addr"`
 	Web   string `msg:"w" json:"web"`
-	Cell  string `msg:"c" json:"cell"`
+	Zone  string `msg:"c" json:"cell"`
 	Disk  bool   `msg:"d" json:"disk"`
 	Ready bool   `msg:"r" json:"ready"`
 	Empty bool   `msg:"m" json:"empty"`
 	Build string `msg:"b" json:"build"`
 }
 
-// Own says that a daemon claims the duty of a part.
+// Own says that a daemon claims the leadership of a partition.
 type Own struct {
-	Part int    `msg:"p" json:"part"`
-	Num  uint64 `msg:"n" json:"num"`
-	Seat Seat   `msg:"s" json:"seat"`
+	Partition int     `msg:"p" json:"part"`
+	Num       uint64  `msg:"n" json:"num"`
+	Replica   Replica `msg:"s" json:"seat"`
 }
 
-// Note is everything one daemon can say to another.
-type Note struct {
-	Kind  Kind   `msg:"k"`
-	Fleet string `msg:"fl,omitempty"`
-	Part  int    `msg:"p,omitempty"`
-	From  string `msg:"f,omitempty"`
-	Epoch uint64 `msg:"e,omitempty"`
-	Addr  string `msg:"a,omitempty"`
-	To    string `msg:"to,omitempty"`
-
-	No  uint64 `msg:"n,omitempty"`
-	Ref uint64 `msg:"r,omitempty"`
-	Num uint64 `msg:"u,omitempty"`
-	Set uint64 `msg:"st,omitempty"`
+// Message is everything one daemon can say to another.
+type Message struct {
+	Kind      Kind   `msg:"k"`
+	Fleet     string `msg:"fl,omitempty"`
+	Partition int    `msg:"p,omitempty"`
+	From      string `msg:"f,omitempty"`
+	Epoch     uint64 `msg:"e,omitempty"`
+	Addr      string `msg:"a,omitempty"`
+	To        string `msg:"to,omitempty"`
+
+	No           uint64 `msg:"n,omitempty"`
+	Ref          uint64 `msg:"r,omitempty"`
+	Num          uint64 `msg:"u,omitempty"`
+	LastComplete uint64 `msg:"st,omitempty"`
 
 	Mark Mark   `msg:"m,omitempty"`
 	Key  string `msg:"ky,omitempty"`
@@ -216,7 +216,7 @@
 	Group Group    `msg:"g,omitempty"`
 	Digs  []uint64 `msg:"dg,omitempty"`
 	Spans []int    `msg:"sp,omitempty"`
-	Hint  Seat     `msg:"h,omitempty"`
+	Hint  Replica  `msg:"h,omitempty"`
 
 	Self    Member   `msg:"me,omitempty"`
 	Members []Member `msg:"ms,omitempty"`
@@ -230,8 +230,8 @@
 	Wire int `msg:"wv,omitempty"` // highest version of frames that the sender reads; none: 1
 }
 
-// Send is a note and the address it goes to.
+// Send is a message and the address it goes to.
 type Send struct {
-	Addr string
-	Note Note
+	Addr    string
+	Message Message
 }
--- a/wire/telegraph/spoken.go
+++ b/wire/transport/spoken.go
@@ -1,7 +1,7 @@
-package telegraph
+package transport
 
 import (
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // spoken is what one connection's frames said so far, as both ends know it: the
@@ -9,7 +9,7 @@
 // A short frame leaves them out.
 type spoken struct {
 	any  bool
-	base form.Note // Fleet, From, Epoch, Addr and To only
+	base message.Message // Fleet, From, Epoch, Addr and To only
 }
 
 // Marks of a short frame, shorter than any identity: no addressee, and an
@@ -21,7 +21,7 @@
 )
 
 // pack makes the next frame of a connection, a short one if that is understood.
-func (s *spoken) pack(n form.Note, short bool) (b []byte, err error) {
+func (s *spoken) pack(n message.Message, short bool) (b []byte, err error) {
 	was := n
 	defer func() {
 		if err == nil { // else nothing of it goes out
@@ -30,8 +30,8 @@
 	}()
 	if !short || !s.any || n.Fleet != s.base.Fleet || n.From != s.base.From || n.Epoch != s.base.Epoch || n.Addr != s.base.Addr ||
 		n.To == nobody || n.Mark.Ident == senders || n.Mark.Ident == addressee {
-		n.Wire = form.Short
-		return pack(n, form.Version)
+		n.Wire = message.Short
+		return pack(n, message.Version)
 	}
 	to := n.To
 	switch to {
@@ -49,15 +49,15 @@
 		}
 	}
 	n.Fleet, n.From, n.Epoch, n.Addr, n.Wire = "", "", 0, "", 0
-	return pack(n, form.Short)
+	return pack(n, message.Short)
 }
 
-// lengthen gives a short frame's note what it left out.
-func (s *spoken) lengthen(n *form.Note) error {
+// lengthen gives a short frame's message what it left out.
+func (s *spoken) lengthen(n *message.Message) error {
 	if !s.any {
 		return Error.New("a short frame before any whole one")
 	}
-	n.Fleet, n.From, n.Epoch, n.Addr, n.Wire = s.base.Fleet, s.base.From, s.base.Epoch, s.base.Addr, form.Short
+	n.Fleet, n.From, n.Epoch, n.Addr, n.Wire = s.base.Fleet, s.base.From, s.base.Epoch, s.base.Addr, message.Short
 	switch n.To {
 	case "":
 		n.To = s.base.To
@@ -74,7 +74,7 @@
 }
 
 // keep remembers what a frame said.
-func (s *spoken) keep(n form.Note) {
+func (s *spoken) keep(n message.Message) {
 	s.any = true
-	s.base = form.Note{Fleet: n.Fleet, From: n.From, Epoch: n.Epoch, Addr: n.Addr, To: n.To}
+	s.base = message.Message{Fleet: n.Fleet, From: n.From, Epoch: n.Epoch, Addr: n.Addr, To: n.To}
 }
--- a/wire/telegraph/telegraph.go
+++ b/wire/transport/transport.go
@@ -1,8 +1,8 @@
-// Package telegraph carries notes between daemons: msgp in frames over TCP.
-// A frame is a version byte, a length and the note. A bad frame closes its
-// connection. Sending never blocks: a full or broken line drops notes, and the
+// Package transport carries messages between daemons: msgp in frames over TCP.
+// A frame is a version byte, a length and the message. A bad frame closes its
+// connection. Sending never blocks: a full or broken line drops messages, and the
 // machines above ask again.
-package telegraph
+package transport
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 
 	"github.com/zeebo/errs"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
 // Error is the class of this package's errors.
@@ -27,17 +27,17 @@
 
 const (
 	head   = 5
-	depth  = 4096     // notes that wait for one address, at most
+	depth  = 4096     // messages that wait for one address, at most
 	buffer = 4 << 10  // of a connection, each way; longer frames go round it
 	trust  = 64 << 10 // bytes made room for at a frame's word
 )
 
-// Pack makes a frame of a note.
+// Pack makes a frame of a message.
 //
-// Example: b, err := telegraph.Pack(note)
-func Pack(n form.Note) ([]byte, error) { return pack(n, form.Version) }
+// Example: b, err := transport.Pack(message)
+func Pack(n message.Message) ([]byte, error) { return pack(n, message.Version) }
 
-func pack(n form.Note, version byte) ([]byte, error) {
+func pack(n message.Message, version byte) ([]byte, error) {
 	b := make([]byte, head, head+256+n.Msgsize()/4)
 	b, err := n.MarshalMsg(b)
 	if err != nil {
@@ -51,23 +51,23 @@
 	return b, nil
 }
 
-// Read takes one note off a stream.
+// Read takes one message off a stream.
 //
-// Example: note, err := telegraph.Read(conn)
-func Read(r io.Reader) (form.Note, error) {
+// Example: message, err := transport.Read(conn)
+func Read(r io.Reader) (message.Message, error) {
 	var s spoken
 	n, _, err := s.read(r)
 	return n, err
 }
 
-// read takes a note off this connection and gives the length of its frame.
-func (s *spoken) read(r io.Reader) (n form.Note, whole int, err error) {
+// read takes a message off this connection and gives the length of its frame.
+func (s *spoken) read(r io.Reader) (n message.Message, whole int, err error) {
 	var h [head]byte
 	if _, err = io.ReadFull(r, h[:]); err != nil {
 		return n, 0, err
 	}
-	if h[0] != form.Version && h[0] != form.Short {
-		return n, 0, Error.New("frame of wire version %d, expected %d or %d", h[0], form.Version, form.Short)
+	if h[0] != message.Version && h[0] != message.Short {
+		return n, 0, Error.New("frame of wire version %d, expected %d or %d", h[0], message.Version, message.Short)
 	}
 	size := int(binary.BigEndian.Uint32(h[1:]))
 	if size > Most {
@@ -97,7 +97,7 @@
 	if !n.Kind.Known() {
 		return n, 0, Error.New("note of unknown kind %d", n.Kind)
 	}
-	if h[0] == form.Short {
+	if h[0] == message.Short {
 		if err := s.lengthen(&n); err != nil {
 			return n, 0, err
 		}
@@ -109,13 +109,13 @@
 // Line is this daemon's end of the wire.
 type Line struct {
 	Fleet string
-	Me    form.Seat
+	Me    message.Replica
 	Epoch uint64
-	Hear  func(form.Note)
+	Hear  func(message.Message)
 	Bad   func(from string, err error)
-	// Cut is a switch for tests: notes to and from these addresses are lost.
+	// Cut is a switch for tests: messages to and from these addresses are lost.
 	Cut atomic.Pointer[map[string]bool]
-	// Far is another: notes to an address are that long on their way.
+	// Far is another: messages to an address are that long on their way.
 	Far func(addr string) time.Duration
 
 	Sent, Got, Lost atomic.Int64
@@ -125,18 +125,18 @@
 	mu    sync.Mutex
 	outs  map[string]*queue
 	heard map[string]time.Time // when an address last showed that it reads short frames
-	held  int                  // steps under way whose notes go out together
+	held  int                  // steps under way whose messages go out together
 	ctx   context.Context
 }
 
 // queue is what waits for one address.
 type queue struct {
 	mu   sync.Mutex
-	list []form.Note
+	list []message.Message
 	wake chan struct{}
 }
 
-func (q *queue) put(n form.Note) bool {
+func (q *queue) put(n message.Message) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.list) >= depth {
@@ -147,7 +147,7 @@
 }
 
 // take empties the queue; spare is room from before, if it isn't much.
-func (q *queue) take(spare []form.Note) []form.Note {
+func (q *queue) take(spare []message.Message) []message.Message {
 	clear(spare)
 	if cap(spare) > 32 {
 		spare = nil
@@ -236,8 +236,8 @@
 	}
 }
 
-func (l *Line) take(n form.Note, size int) {
-	if n.Wire >= form.Short {
+func (l *Line) take(n message.Message, size int) {
+	if n.Wire >= message.Short {
 		l.mu.Lock()
 		l.heard[n.Addr] = time.Now()
 		l.mu.Unlock()
@@ -266,14 +266,14 @@
 	return m != nil && ((*m)[addr] || (*m)["*"])
 }
 
-// Send puts a note on the line to an address.
+// Send puts a message on the line to an address.
 //
-// Example: line.Send(form.Send{Addr: "127.0.0.1:7001", Note: note})
-func (l *Line) Send(s form.Send) {
+// Example: line.Send(message.Send{Addr: "127.0.0.1:7001", Message: message})
+func (l *Line) Send(s message.Send) {
 	if l.cut(s.Addr) {
 		return
 	}
-	s.Note.Fleet, s.Note.From, s.Note.Epoch, s.Note.Addr = l.Fleet, l.Me.Ident, l.Epoch, l.Me.Addr
+	s.Message.Fleet, s.Message.From, s.Message.Epoch, s.Message.Addr = l.Fleet, l.Me.Ident, l.Epoch, l.Me.Addr
 	l.mu.Lock()
 	if l.ctx == nil {
 		l.mu.Unlock()
@@ -290,7 +290,7 @@
 	if l.Far != nil {
 		if d := l.Far(s.Addr); d > 0 {
 			time.AfterFunc(d, func() {
-				if q.put(s.Note) {
+				if q.put(s.Message) {
 					l.Sent.Add(1)
 					q.ring()
 				}
@@ -298,7 +298,7 @@
 			return
 		}
 	}
-	if !q.put(s.Note) {
+	if !q.put(s.Message) {
 		l.Lost.Add(1)
 		return
 	}
@@ -308,7 +308,7 @@
 	}
 }
 
-// Together runs a step whose notes to one address go out in one write.
+// Together runs a step whose messages to one address go out in one write.
 //
 // Example: line.Together(func() { tickAll() })
 func (l *Line) Together(step func()) {
@@ -347,7 +347,7 @@
 	defer shut()
 	dial := net.Dialer{Timeout: 300 * time.Millisecond}
 	var fail time.Time
-	var list []form.Note
+	var list []message.Message
 	for {
 		select {
 		case <-ctx.Done():
--- a/wire/telegraph/telegraph_test.go
+++ b/wire/transport/transport_test.go
@@ -1,4 +1,4 @@
-package telegraph
+package transport
 
 import (
 	"bytes"
@@ -7,12 +7,12 @@
 	"strings"
 	"testing"
 
-	"mulleinmast/wire/form"
+	"mulleinmast/wire/message"
 )
 
-func sample() form.Note {
-	return form.Note{Kind: form.Listing, Fleet: "f", Part: 3, From: "a", Epoch: 2, Addr: "10.0.0.1:1", To: "b", No: 7, Mark: form.Mark{Ident: "b", Epoch: 1, Term: 9},
-		Recs: []form.Rec{{Key: "plan/now", Ver: form.Ver{Term: 4, Seq: 2}, Val: []byte("x")}}, Keys: []string{"k"}, Group: form.Group{Num: 1, Seats: []form.Seat{{Ident: "a", Addr: "q"}}}}
+func sample() message.Message {
+	return message.Message{Kind: message.Listing, Fleet: "f", Partition: 3, From: "a", Epoch: 2, Addr: "10.0.0.1:1", To: "b", No: 7, Mark: message.Mark{Ident: "b", Epoch: 1, Term: 9},
+		Recs: []message.Rec{{Key: "plan/now", Ver: message.Ver{Term: 4, Seq: 2}, Val: []byte("x")}}, Keys: []string{"k"}, Group: message.Group{Num: 1, Replicas: []message.Replica{{Ident: "a", Addr: "q"}}}}
 }
 
 func TestBadFramesAreNamed(t *testing.T) {
