Connections between daemons end after a lease of silence and are made anew

Cause: after a cut the system sent the held bytes again more and more rarely, up to as long after the cut as it had lasted; meanwhile a daemon that was in touch again routed by its last records. Ruled out: a lease that was served too long (all were by last records), a leader that did not step down.

Change: TCP_USER_TIMEOUT of one volume lease on each connection that is made, half of it for a new one to come up, keep-alive probes on both ends. The write deadline alone never fired, as a cut leaves room in the buffers for long.

TestADeafConnectionIsMadeAnew (the peer's end drops all by a socket filter) failed before: 'after the first fell deaf: no connection within 4s'; now 0.48 s with a Dead of 0.2 s.

--- /dev/null
+++ b/wire/transport/deaf_test.go
@@ -0,0 +1,84 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mulleinmast/wire/message"
+)
+
+// deafen has the system drop all that comes for one end of a connection, as a
+// cut or a loss of power does: nothing is confirmed and nothing is reset.
+func deafen(t *testing.T, c net.Conn) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	var bad error
+	if err := raw.Control(func(fd uintptr) {
+		bad = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop[0]})
+	}); err != nil || bad != nil {
+		t.Fatal(err, bad)
+	}
+}
+
+// A peer that is cut off without a word is spoken to on a new connection after
+// Dead, not when the system gives the old one up: that takes as long again as
+// the cut did, or a quarter of an hour.
+func TestADeafConnectionIsMadeAnew(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	came := make(chan net.Conn, 64)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			came <- c
+		}
+	}()
+	const dead = 200 * time.Millisecond
+	l := &Line{Fleet: "f", Me: message.Replica{Ident: "a", Addr: "127.0.0.1:1"}, Dead: dead, Hear: func(message.Message) {}}
+	if err := l.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { _ = l.Serve(ctx) }()
+	beat := time.NewTicker(dead / 8)
+	defer beat.Stop()
+	limit := time.After(20 * dead)
+	// next is the next connection that a note comes on.
+	next := func(what string) net.Conn {
+		for {
+			select {
+			case c := <-came:
+				if n, err := Read(c); err != nil || n.Key != "k" {
+					t.Fatalf("%s: %v %v", what, n, err)
+				}
+				return c
+			case <-beat.C:
+				l.Send(message.Send{Addr: ln.Addr().String(), Message: message.Message{Kind: message.Renew, Key: "k"}})
+			case <-limit:
+				t.Fatalf("%s: no connection within %v", what, 20*dead)
+			}
+		}
+	}
+	first := next("first")
+	defer func() { _ = first.Close() }()
+	deafen(t, first)
+	at := time.Now()
+	second := next("after the first fell deaf")
+	defer func() { _ = second.Close() }()
+	t.Logf("spoken to again after %v", time.Since(at).Round(time.Millisecond))
+}
--- a/wire/transport/transport.go
+++ b/wire/transport/transport.go
@@ -117,6 +117,9 @@
 	Cut atomic.Pointer[map[string]bool]
 	// Far is another: messages to an address are that long on their way.
 	Far func(addr string) time.Duration
+	// Dead is how long a peer's machine may say nothing to what was sent to it:
+	// its connection is closed then and made anew. None: a second.
+	Dead time.Duration
 
 	Sent, Got, Lost atomic.Int64
 	Tally
@@ -195,6 +198,7 @@
 			}
 			return Error.Wrap(err)
 		}
+		l.watch(c)
 		go l.read(ctx, c)
 	}
 }
@@ -345,7 +349,7 @@
 		}
 	}
 	defer shut()
-	dial := net.Dialer{Timeout: 300 * time.Millisecond}
+	dial := l.dialer()
 	var fail time.Time
 	var list []message.Message
 	for {
