Connections between daemons are given up when nobody acknowledges what was sent

A write succeeds into the socket's buffer, so its deadline of 2 s says nothing. Ruled out: the tree (each asks the owner itself), the owner's election (none), the list of seeds.

Now what stays unacknowledged for a session's length ends its connection, and the next message makes a new one.

Test: the option on the dialled socket, failing first with 'given up after 0 ms, expected 1.2s'.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -123,7 +123,7 @@
 			}
 		}
 	}
-	c.Line = &transport.Line{Fleet: cfg.Fleet, Me: c.me, Epoch: c.epoch, Hear: c.hear, Bad: func(from string, err error) { c.Events.Trouble("wire", "%s: %v", from, err) }}
+	c.Line = &transport.Line{Fleet: cfg.Fleet, Me: c.me, Epoch: c.epoch, Dead: cfg.Sessions().Session, Hear: c.hear, Bad: func(from string, err error) { c.Events.Trouble("wire", "%s: %v", from, err) }}
 	if err := c.Line.Listen(cfg.Wire); err != nil {
 		c.close()
 		return nil, InUse.Wrap(err)
--- a/wire/transport/transport.go
+++ b/wire/transport/transport.go
@@ -8,13 +8,16 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/sys/unix"
 
 	"mulleinmast/wire/message"
 )
@@ -117,6 +120,11 @@
 	Cut atomic.Pointer[map[string]bool]
 	// Far is another: messages to an address are that long on their way.
 	Far func(addr string) time.Duration
+	// Dead is how long what was sent may stay unacknowledged by the other
+	// machine before its connection is given up; 0: as long as the kernel
+	// retries. It doubles its pauses, so that a connection which outlasts a
+	// silent cut stays mute for up to the cut's own length after it has healed.
+	Dead time.Duration
 
 	Sent, Got, Lost atomic.Int64
 	Tally
@@ -333,6 +341,21 @@
 	step()
 }
 
+// dialer makes the connections to others.
+func (l *Line) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: 300 * time.Millisecond}
+	if l.Dead > 0 {
+		d.Control = func(_, _ string, raw syscall.RawConn) error {
+			var fault error
+			err := raw.Control(func(fd uintptr) {
+				fault = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.Dead.Milliseconds()))
+			})
+			return errors.Join(err, fault)
+		}
+	}
+	return d
+}
+
 func (l *Line) write(ctx context.Context, addr string, q *queue) {
 	var conn net.Conn
 	var w *bufio.Writer
@@ -345,7 +368,7 @@
 		}
 	}
 	defer shut()
-	dial := net.Dialer{Timeout: 300 * time.Millisecond}
+	dial := l.dialer()
 	var fail time.Time
 	var list []message.Message
 	for {
--- a/wire/transport/transport_test.go
+++ b/wire/transport/transport_test.go
@@ -4,8 +4,12 @@
 	"bytes"
 	"encoding/binary"
 	"math/rand"
+	"net"
 	"strings"
 	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"mulleinmast/wire/message"
 )
@@ -58,3 +62,33 @@
 		t.Error("no mutation was refused")
 	}
 }
+
+// A connection whose bytes nobody acknowledges is given up after Dead: the
+// kernel doubles its pauses between retries, so that one which outlasted a cut
+// of seven seconds would be mute for six more after it has healed.
+func TestAnUnacknowledgedConnectionIsGivenUp(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	for _, dead := range []time.Duration{0, 1200 * time.Millisecond} {
+		line := &Line{Dead: dead}
+		c, err := line.dialer().Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, fault := 0, error(nil)
+		if err := raw.Control(func(fd uintptr) { got, fault = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }); err != nil || fault != nil {
+			t.Fatal(err, fault)
+		}
+		if got != int(dead.Milliseconds()) {
+			t.Errorf("given up after %d ms, expected %v", got, dead)
+		}
+		_ = c.Close()
+	}
+}
