The servers' lists don't wait for a plan that is being written

The log of the owner: from 9.5 s to 26.6 s the list was asked for every 0.6 s and thrown away, since the plan could not be read: it is withdrawn during each write, and 25 changes came one after the other.

Now only a service that has no server left waits for the plan.

Test: a list is handed on while the plan can't be read; failing first with '0 lists handed on, expected 1'.

--- a/control/daemon/source.go
+++ b/control/daemon/source.go
@@ -66,13 +66,14 @@
 		c.Events.Record("source", "%v", err)
 		return
 	}
-	rec, ok := c.Read(0, fleetconfig.PlanKey)
-	if !ok {
-		return
-	}
-	for _, svc := range c.plans.Open(rec).Services {
-		if _, ok := got[svc.Name]; !ok {
-			got[svc.Name] = nil
+	// While a plan is being written, which in a row of changes is nearly always,
+	// it can't be read: a service that has no server any more waits for it, the
+	// lists don't.
+	if rec, ok := c.Read(0, fleetconfig.PlanKey); ok {
+		for _, svc := range c.plans.Open(rec).Services {
+			if _, ok := got[svc.Name]; !ok {
+				got[svc.Name] = nil
+			}
 		}
 	}
 	var wait sync.WaitGroup
