--- a/wire/transport/deaf.go
+++ b/wire/transport/deaf.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -14,42 +15,38 @@
 // it holds, and made anew; what was on it is asked for again by those above.
 
 const (
-	usualDead  = time.Second
+	usualDial  = 300 * time.Millisecond
 	dialRatio  = 0.5 // of Dead: a new connection comes up
 	probeRatio = 4   // of Dead: an idle connection's other end is asked whether it is there
 	probes     = 3   // unanswered ones that end it
 )
 
-func (l *Line) dead() time.Duration {
-	if l.Dead > 0 {
-		return l.Dead
-	}
-	return usualDead
-}
-
-func (l *Line) alive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: probeRatio * l.dead(), Interval: l.dead(), Count: probes}
-}
-
 // dialer makes connections to other daemons.
-func (l *Line) dialer() net.Dialer {
-	dead := int(l.dead().Milliseconds())
-	return net.Dialer{
-		Timeout:         time.Duration(float64(l.dead()) * dialRatio),
-		KeepAliveConfig: l.alive(),
+func (l *Line) dialer() *net.Dialer {
+	if l.Dead == 0 {
+		return &net.Dialer{Timeout: usualDial}
+	}
+	return &net.Dialer{
+		Timeout:         time.Duration(float64(l.Dead) * dialRatio),
+		KeepAliveConfig: l.probed(),
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return raw.Control(func(fd uintptr) {
-				// Without it all works, if slower: a connection is worth more.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, dead)
+			var fault error
+			err := raw.Control(func(fd uintptr) {
+				fault = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(l.Dead.Milliseconds()))
 			})
+			return errors.Join(err, fault)
 		},
 	}
 }
 
+func (l *Line) probed() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeRatio * l.Dead, Interval: l.Dead, Count: probes}
+}
+
 // watch has the end of a connection seen that was taken, where the other end's
 // machine is gone without a word.
 func (l *Line) watch(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetKeepAliveConfig(l.alive())
+	if t, ok := c.(*net.TCPConn); ok && l.Dead > 0 {
+		_ = t.SetKeepAliveConfig(l.probed())
 	}
 }
--- a/wire/transport/transport.go
+++ b/wire/transport/transport.go
@@ -118,7 +118,8 @@
 	// Far is another: messages to an address are that long on their way.
 	Far func(addr string) time.Duration
 	// Dead is how long a peer's machine may say nothing to what was sent to it:
-	// its connection is closed then and made anew. None: a second.
+	// its connection is closed then and made anew; 0: as long as the kernel
+	// retries.
 	Dead time.Duration
 
 	Sent, Got, Lost atomic.Int64
