Tests known to fail may land if KNOWN-RED.txt lists them, three at most

Without the file that is plain go test: no test is passed over, and there is no such file now. With it, the run of `go test -json` passes when nothing failed but the listed tests, by their exact names (PACKAGE.TEST, parts with /); each is printed with its cause and issue, and one that passes is told. Turned away: more than three lines, a pattern or package for a name, a line without cause or issue, a listed test that wasn't run. It fails whatever is listed where a package doesn't build, fails outside its tests, stops in the middle of them (a panic of a listed test hides the rest) or doesn't end; a test whose listed part fails is not excused if it says something of its own.

TestOnlyListedTestsArePassedOver runs the script over a module of its own for each of these.

--- /dev/null
+++ b/proof/knownred/gotest.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs go test with the arguments given, in the module it is called from. Where
+# KNOWN-RED.txt stands at its root, the tests listed there may fail, and no others.
+set -euo pipefail
+if [ ! -e KNOWN-RED.txt ]; then
+  exec go test "$@"
+fi
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+go build -C "$(dirname "$0")" -o "$work/knownred" .
+status=0
+go test -json "$@" >"$work/run" || status=$?
+"$work/knownred" -list KNOWN-RED.txt -module "$(go list -m)" -status "$status" <"$work/run"
--- /dev/null
+++ b/proof/knownred/knownred_test.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestListIsReadOrTurnedAway(t *testing.T) {
+	entries, err := ParseList("a/b.TestOne, slow, and unfair, issue 3\nroot.TestTwo/part, late, issue 4\n")
+	if err != nil || len(entries) != 2 || entries[0] != (Entry{"a/b.TestOne", "slow, and unfair", "issue 3"}) {
+		t.Errorf("read as %+v: %v", entries, err)
+	}
+	for name, text := range map[string]string{
+		"no issue":        "a.TestOne, slow\n",
+		"empty cause":     "a.TestOne, , issue 3\n",
+		"no package":      "TestOne, slow, issue 3\n",
+		"pattern":         "a.Test*, slow, issue 3\n",
+		"a whole package": "a/b, slow, issue 3\n",
+		"twice":           "a.TestOne, slow, issue 3\na.TestOne, slow, issue 3\n",
+		"empty line":      "a.TestOne, slow, issue 3\n\n",
+		"four": "a.TestA, x, issue 1\na.TestB, x, issue 1\na.TestC, x, issue 1\n" +
+			"a.TestD, x, issue 1\n",
+	} {
+		if entries, err := ParseList(text); err == nil {
+			t.Errorf("%s: taken as %v", name, entries)
+		}
+	}
+}
+
+// fixture is a module of its own with one test that fails, one with a part that
+// fails and one that does what the line says.
+const fixture = `package inner
+
+import "testing"
+
+func TestGood(t *testing.T) {}
+func TestRed(t *testing.T)  { t.Error("as ever") }
+func TestParts(t *testing.T) {
+	t.Run("good", func(t *testing.T) {})
+	t.Run("red", func(t *testing.T) { t.Error("as ever") })
+	OWN
+}
+func TestOther(t *testing.T) { OTHER }
+func TestLast(t *testing.T)  {}
+`
+
+const listed = "inner.TestRed, counts twice, issue 7\ninner.TestParts/red, late, issue 8\n"
+
+// runFixture runs gotest.sh over the fixture and tells what it printed and
+// whether it passed.
+func runFixture(t *testing.T, list, own, other string) (string, bool) {
+	t.Helper()
+	script, err := filepath.Abs("gotest.sh")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"go.mod":              "module fixture\n\ngo 1.26.0\n",
+		"inner/inner_test.go": strings.NewReplacer("OWN", own, "OTHER", other).Replace(fixture),
+		"KNOWN-RED.txt":       list,
+	} {
+		if text == "" {
+			continue
+		}
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cmd := exec.Command("bash", script, "-count=1", "./...")
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	return string(out), err == nil
+}
+
+func TestOnlyListedTestsArePassedOver(t *testing.T) {
+	for _, c := range []struct {
+		name, list, own, other string
+		pass                   bool
+		says                   []string
+	}{
+		{"all listed", listed, "", "", true,
+			[]string{"KNOWN RED: inner.TestRed: counts twice (issue 7)", "KNOWN RED: inner.TestParts/red: late (issue 8)", "--- PASS: TestLast"}},
+		{"no list", "", "", "", false, []string{"--- FAIL: TestRed"}},
+		{"one not listed", strings.SplitAfter(listed, "\n")[0], "", "", false, []string{"NOT PASSED OVER: inner.TestParts/red"}},
+		{"another fails", listed, "", `t.Error("new")`, false, []string{"NOT PASSED OVER: inner.TestOther"}},
+		{"a listed part's whole fails by itself", listed, `t.Error("of its own")`, "", false, []string{"NOT PASSED OVER: inner.TestParts"}},
+		{"a listed test ends the others, too", listed + "inner.TestOther, panics, issue 9\n", "", `panic("new")`, false,
+			[]string{"NOT PASSED OVER: fixture/inner stopped in the middle of its tests"}},
+		{"the tests don't build", listed, "", `nothing()`, false, []string{"doesn't build", "inner.TestRed is listed and wasn't run"}},
+		{"a listed test passes", listed + "inner.TestGood, was slow, issue 9\n", "", "", true,
+			[]string{"LISTED BUT PASSES: inner.TestGood: take it off the list (issue 9)"}},
+		{"a listed test is gone", listed + "inner.TestGone, was slow, issue 9\n", "", "", false,
+			[]string{"inner.TestGone is listed and wasn't run"}},
+		{"too many", listed + "inner.TestA, x, issue 1\ninner.TestB, x, issue 1\n", "", "", false, []string{"4 tests are listed, 3 at most"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			out, pass := runFixture(t, c.list, c.own, c.other)
+			if pass != c.pass {
+				t.Errorf("passed: %v", pass)
+			}
+			for _, line := range c.says {
+				if !strings.Contains(out, line) {
+					t.Errorf("doesn't say %q:\n%s", line, out)
+				}
+			}
+		})
+	}
+}
+
+func TestARunThatIsCutShortDoesNotPass(t *testing.T) {
+	for name, run := range map[string]string{
+		"nothing":     "",
+		"no end":      `{"Action":"start","Package":"m/inner"}`,
+		"strange":     `{"Action":"start","Package":"m/inner"}` + "\nsignal: killed\n" + `{"Action":"pass","Package":"m/inner"}`,
+		"not by test": `{"Action":"start","Package":"m/inner"}` + "\n" + `{"Action":"fail","Package":"m/inner"}`,
+	} {
+		var out strings.Builder
+		judge := NewJudge(nil, "m", &out)
+		if err := judge.Follow(strings.NewReader(run)); err != nil {
+			t.Fatal(err)
+		}
+		if judge.Verdict(1) || judge.Verdict(0) {
+			t.Errorf("%s: passed:\n%s", name, &out)
+		}
+	}
+}
--- /dev/null
+++ b/proof/knownred/list.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxEntries is how many failing tests may land at once.
+const maxEntries = 3
+
+// Entry is one test that is known to fail: its name, as PACKAGE.TEST with the
+// package's path inside the module, why it fails, and the issue to mend it by.
+type Entry struct{ Test, Cause, Issue string }
+
+// ParseList reads the list of known failures: a line each, with the test before
+// the first comma and the issue behind the last one.
+// Example: ParseList("control/lease.TestLate, drift counted twice, issue 12\n")
+func ParseList(text string) ([]Entry, error) {
+	var entries []Entry
+	seen := map[string]bool{}
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		first, last := strings.Index(line, ","), strings.LastIndex(line, ",")
+		if first < 0 || first == last {
+			return nil, fmt.Errorf("%q: not a test, its cause and the issue, with commas between", line)
+		}
+		entry := Entry{strings.TrimSpace(line[:first]), strings.TrimSpace(line[first+1 : last]), strings.TrimSpace(line[last+1:])}
+		_, test, named := strings.Cut(entry.Test, ".")
+		switch {
+		case !named || !strings.HasPrefix(test, "Test") || strings.ContainsAny(entry.Test, " *"):
+			return nil, fmt.Errorf("%q: not PACKAGE.TEST by its exact name", entry.Test)
+		case entry.Cause == "" || entry.Issue == "":
+			return nil, fmt.Errorf("%s: no cause or no issue", entry.Test)
+		case seen[entry.Test]:
+			return nil, fmt.Errorf("%s: stands twice", entry.Test)
+		}
+		seen[entry.Test] = true
+		entries = append(entries, entry)
+	}
+	if len(entries) > maxEntries {
+		return nil, fmt.Errorf("%d tests are listed, %d at most may be", len(entries), maxEntries)
+	}
+	return entries, nil
+}
