--- a/control/fleetconfig/fleetconfig.go
+++ b/control/fleetconfig/fleetconfig.go
@@ -20,7 +20,7 @@
 	"mulleinmast/wire/message"
 )
 
-//go:generate go run github.com/tinylib/msgp -tests=false -io=false -file . -o fleetconfig_gen.go
+//go:generate go tool msgp -tests=false -io=false -file . -o fleetconfig_gen.go
 //msgp:tag json
 //msgp:replace json.RawMessage with:[]byte
 //msgp:ignore Faults Verdict Change Changes Server List PlanReader list draft
--- a/control/partition/calm_test.go
+++ b/control/partition/calm_test.go
@@ -22,8 +22,7 @@
 		meta := quorum.Meta{Promised: 4, To: me.Ident, ToEpoch: 1, Tried: 4, LastComplete: 4, Group: message.Group{Num: 1, Replicas: []message.Replica{me}}}
 		s := New(1, me, 2, quorum.New(cfg, 1, me, meta, records, 0, false), lease.New(lease.Config{Vol: vol, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: vol / 3}, 1, me, 2))
 		var now time.Duration
-		var sync func(o Out) Out
-		sync = func(o Out) (all Out) {
+		sync := func(o Out) (all Out) {
 			all = o
 			for len(o.Saves) > 0 {
 				p := s.Saved(now, o.Saves[0].Ticket)
--- a/control/partition/partition_test.go
+++ b/control/partition/partition_test.go
@@ -22,8 +22,7 @@
 	node := lease.New(lease.Config{Vol: vol, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: vol / 3}, 1, me, 1)
 	s := New(1, me, 1, replica, node)
 	var now time.Duration
-	var sync func(o Out) Out
-	sync = func(o Out) Out {
+	sync := func(o Out) Out {
 		for len(o.Saves) > 0 {
 			save := o.Saves[0]
 			o.Saves = o.Saves[1:]
--- a/control/placement/placement_test.go
+++ b/control/placement/placement_test.go
@@ -99,10 +99,9 @@
 		serverRecords := map[string]ServerRecord{}
 		drive(h, l, 0, 12*time.Second, serverRecords, idle)
 		type box struct {
-			share  Share
-			till   time.Duration
-			held   map[string]int
-			latest Share
+			share Share
+			till  time.Duration
+			held  map[string]int
 		}
 		boxes := map[string]*box{}
 		now := 12 * time.Second
--- a/control/storage/storage_test.go
+++ b/control/storage/storage_test.go
@@ -55,7 +55,6 @@
 func TestStrangeFolders(t *testing.T) {
 	dir := t.TempDir()
 	a := open(t, dir)
-	id := a.Ident
 	if _, err := a.db.Exec("update meta set v='9' where k='format'"); err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +73,7 @@
 	// Damage: set aside, and the daemon is a new one with no vote.
 	hurt := t.TempDir()
 	a = open(t, hurt)
-	id = a.Ident
+	id := a.Ident
 	a.Close()
 	path := filepath.Join(hurt, "state.db")
 	if err := os.WriteFile(path, []byte("this is no database, not at all, by no means"), 0o600); err != nil {
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"mulleinmast/control/daemon"
@@ -188,31 +187,3 @@
 //
 // Example: defer empty{}.Close()
 func (empty) Close() {}
-
-// client counts what became of requests.
-type client struct{ served, other *atomic.Int64 }
-
-// Begin counts an answer.
-//
-// Example: w.Begin(200, nil)
-func (w client) Begin(int, http.Header) { w.served.Add(1) }
-
-// Pass takes everything.
-//
-// Example: w.Pass(b) == true
-func (w client) Pass([]byte) bool { return true }
-
-// Refuse counts a request that was not served.
-//
-// Example: w.Refuse(503, time.Second, "why")
-func (w client) Refuse(int, time.Duration, string) { w.other.Add(1) }
-
-// Fail counts a request that was not served.
-//
-// Example: w.Fail(502, "why")
-func (w client) Fail(int, string) { w.other.Add(1) }
-
-// Break counts a request that was not served.
-//
-// Example: w.Break()
-func (w client) Break() { w.other.Add(1) }
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -49,14 +49,6 @@
 	}
 }
 
-// moves evacuates a zone again soon after it was brought back.
-func (w *world) moves() {
-	if w.now < w.o.Length-6*time.Second {
-		w.evacuate()
-		w.at(w.exp(w.o.Moves), w.moves)
-	}
-}
-
 // change sends a named change; at times two operators at once on one base, an
 // old base, or a broken one.
 func (w *world) change() {
--- a/traffic/board/sheet.go
+++ b/traffic/board/sheet.go
@@ -1,6 +1,6 @@
 package board
 
-//go:generate go run github.com/tinylib/msgp -tests=false
+//go:generate go tool msgp -tests=false
 
 // Use is what daemons have under way at one server.
 type Use struct {
--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -127,7 +127,6 @@
 	no    int
 	begun []time.Duration            // requests
 	extra []time.Duration            // arrivals after a request's first
-	first int                        // requests that had a first send
 	check func(m *model, j *journey) // of a finished request
 }
 
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -45,7 +45,6 @@
 	list map[string]*lane
 	plan atomic.Pointer[sheet]
 	open atomic.Int64
-	book storyBook
 
 	bmu   sync.Mutex
 	board *board.Board
--- a/traffic/gateway/story.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package gateway
-
-// storyBook keeps the last requests for the query shell.
-type storyBook struct{}
--- a/wire/message/message.go
+++ b/wire/message/message.go
@@ -4,7 +4,7 @@
 
 import "fmt"
 
-//go:generate go run github.com/tinylib/msgp -tests=false
+//go:generate go tool msgp -tests=false
 
 // Version is the version of the wire format; a frame says it in its first byte.
 // A frame of version Short leaves out what the frames before it on its
