Accepted changes are remembered by the thousand, in pages beside the plan's record

Cause: the ids of accepted changes stood in the plan's own record, 64 of them, so a change that came again after more than 64 others was refused, and every daemon fetched the ids with each change.

Change: 256 records taken/00 to taken/ff of 32 entries of 16 bytes (digest of the call, version it became). Ids in records of the build before are read, and move into the pages with the next change.

Seen failing with a memory of 64: "change 1 sent again: {Result:beaten Version:15000}" (TestAnAcceptedChangeIsKnownAfterThousands).

Tests changed: TestNumbers and the operator's stand-in judge by Decide in place of Judge, since what is remembered no longer stands in the plan; TestMutatedCalls expects the page beside the plan (two records, not one); TestPackedCalls keeps records by key.

--- a/control/fleetconfig/fleetconfig.go
+++ b/control/fleetconfig/fleetconfig.go
@@ -11,6 +11,7 @@
 	"hash/fnv"
 	"net/netip"
 	"regexp"
+	"slices"
 	"sort"
 	"strings"
 	"unicode/utf8"
@@ -36,7 +37,6 @@
 const (
 	MostTenants  = 20000
 	MostServices = 5000
-	keepIDs      = 64
 )
 
 var name = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$`)
@@ -85,8 +85,9 @@
 	// version in force. 0: the next version is one more. None is kept.
 	Number uint64 `json:"number,omitempty"`
 	// Raw is what else the operator sent, an object of further fields.
-	Raw  json.RawMessage `json:"raw,omitempty"`
-	Past []Past          `json:"past,omitempty"`
+	Raw json.RawMessage `json:"raw,omitempty"`
+	// Past is what a build before this one remembered; see Taken.
+	Past []Past `json:"past,omitempty"`
 }
 
 // Past remembers an accepted id, so that a resent plan gets the same reply.
@@ -220,12 +221,13 @@
 	Faults  []string `json:"faults,omitempty"`
 }
 
-// Judge decides about a next plan against the one in force. It returns the
-// record's value when the plan is taken.
+// Judge decides about a next plan against the one in force, which is taken
+// again; what was taken before it is for Decide. It returns the record's value
+// when the plan is taken.
 //
 // Example: val, verdict := fleetconfig.Judge(cur, "id-1", 4, func(p Plan) (Plan, Faults) { return p.With(c) })
 func Judge(cur Plan, id string, base uint64, next func(Plan) (Plan, Faults)) ([]byte, Verdict) {
-	for _, p := range cur.Past {
+	for _, p := range slices.Concat(cur.Past, []Past{{ID: cur.ID, Version: cur.Version}}) {
 		if p.ID == id && id != "" {
 			return nil, Verdict{Result: "taken", Version: p.Version}
 		}
@@ -244,10 +246,7 @@
 	if p.Number > 0 {
 		p.Version, p.Number = p.Number, 0
 	}
-	p.Past = append(append([]Past(nil), cur.Past...), Past{id, p.Version})
-	if len(p.Past) > keepIDs {
-		p.Past = p.Past[len(p.Past)-keepIDs:]
-	}
+	p.Past = nil // see Taken
 	b, err := Record(p)
 	if err != nil {
 		return nil, Verdict{Result: "broken", Version: cur.Version, Faults: []string{err.Error()}}
--- a/control/fleetconfig/route_test.go
+++ b/control/fleetconfig/route_test.go
@@ -66,7 +66,7 @@
 		p.Number = number
 		return func(Plan) (Plan, Faults) { return p, p.Check() }
 	}
-	cur := Plan{}
+	s := &shelf{held: map[string]message.Rec{}}
 	for i, x := range []struct {
 		id     string
 		base   uint64
@@ -75,20 +75,20 @@
 		ver    uint64
 	}{{"a", 0, 5, "taken", 5}, {"b", 5, 5, "broken", 5}, {"c", 5, 4, "broken", 5}, {"d", 4, 9, "beaten", 5}, {"e", 5, 12, "taken", 12},
 		{"f", 12, 0, "taken", 13}, {"a", 0, 5, "taken", 5}, {"e", 5, 12, "taken", 12}, {"g", 0, 14, "beaten", 13}} {
-		val, v := Judge(cur, x.id, x.base, to(routed(), x.number))
+		recs, v := Decide(s.read, new(PlanReader), x.id, x.base, x.number, to(routed(), x.number))
 		if v.Result != x.result || v.Version != x.ver || (v.Result == "broken") != (len(v.Faults) == 1) {
 			t.Errorf("%d: %+v, expected %s %d", i, v, x.result, x.ver)
 		}
-		if val != nil {
-			cur = Open(message.Rec{Val: val})
-			if cur.Version != x.ver || cur.Number != 0 {
-				t.Errorf("%d: version %d, number %d in force", i, cur.Version, cur.Number)
-			}
+		for _, r := range recs {
+			s.held[r.Key] = r
+		}
+		if cur := Open(s.read(PlanKey)); len(recs) > 0 && (cur.Version != x.ver || cur.Number != 0) {
+			t.Errorf("%d: version %d, number %d in force", i, cur.Version, cur.Number)
 		}
 	}
 	bad := routed()
 	bad.Routes[0].GiveUp = 0
-	if _, v := Judge(cur, "z", 13, to(bad, 13)); len(v.Faults) != 2 {
+	if _, v := Judge(Open(s.read(PlanKey)), "z", 13, to(bad, 13)); len(v.Faults) != 2 {
 		t.Errorf("a broken plan with an old number: %v", v.Faults)
 	}
 }
--- /dev/null
+++ b/control/fleetconfig/taken_test.go
@@ -0,0 +1,154 @@
+package fleetconfig
+
+import (
+	"fmt"
+	"testing"
+
+	"mulleinmast/wire/message"
+)
+
+// shelf holds the records of a part, as its leader reads and writes them.
+type shelf struct {
+	held  map[string]message.Rec
+	plans PlanReader
+	seq   uint64
+	bytes int // of the records of the last write
+}
+
+func (s *shelf) read(key string) message.Rec {
+	if r, ok := s.held[key]; ok {
+		return r
+	}
+	return message.Rec{Key: key, Dead: true}
+}
+
+func (s *shelf) change(id string, base, number uint64) Verdict {
+	p := good()
+	p.ID, p.Number = id, number
+	recs, v := Decide(s.read, &s.plans, id, base, number, func(Plan) (Plan, Faults) { return p, p.Check() })
+	s.bytes = 0
+	for _, r := range recs {
+		s.seq++
+		r.Ver = message.Ver{Term: 1, Seq: s.seq}
+		s.held[r.Key] = r
+		s.bytes += len(r.Val)
+	}
+	return v
+}
+
+// A change that was accepted is acknowledged again with thousands of others in
+// between, and one that was beaten stays beaten; neither comes into force.
+func TestAnAcceptedChangeIsKnownAfterThousands(t *testing.T) {
+	s := &shelf{held: map[string]message.Rec{}}
+	const changes = 5000
+	version := func(i uint64) uint64 { return 3 * i }
+	for i := uint64(1); i <= changes; i++ {
+		if v := s.change(fmt.Sprint("c", i), version(i-1), version(i)); v.Result != "taken" || v.Version != version(i) {
+			t.Fatalf("change %d: %+v", i, v)
+		}
+		if v := s.change(fmt.Sprint("rival", i), version(i-1), version(i)); v.Result != "beaten" {
+			t.Fatalf("a second change on version %d: %+v", version(i-1), v)
+		}
+		if s.bytes != 0 {
+			t.Fatalf("a beaten change wrote %d bytes", s.bytes)
+		}
+	}
+	for _, i := range []uint64{1, 2, 31, 32, 33, 64, 65, 200, 900, changes - 1, changes} {
+		if v := s.change(fmt.Sprint("c", i), version(i-1), version(i)); v.Result != "taken" || v.Version != version(i) || s.bytes != 0 {
+			t.Errorf("change %d sent again: %+v, %d bytes written", i, v, s.bytes)
+		}
+		if v := s.change(fmt.Sprint("rival", i), version(i-1), version(i)); v.Result != "beaten" {
+			t.Errorf("rival %d sent again: %+v", i, v)
+		}
+	}
+	if p := Open(s.read(PlanKey)); p.Version != version(changes) || len(p.Past) != 0 {
+		t.Errorf("version %d is in force, with %d ids in its record", p.Version, len(p.Past))
+	}
+}
+
+// The memory has a bound, and so has each write of it.
+func TestTheMemoryOfChangesIsBounded(t *testing.T) {
+	held := map[string]message.Rec{}
+	read := func(key string) message.Rec { return held[key] }
+	total, most := 0, 0
+	for i := range uint64(2*takenPages*takenOnPage + 5) {
+		taken := OpenTaken(read)
+		for _, r := range taken.Add(Past{ID: fmt.Sprint(i), Version: i + 1}) {
+			held[r.Key], most = r, max(most, len(r.Val))
+		}
+	}
+	for _, r := range held {
+		total += len(r.Val)
+	}
+	if bound := takenHead + takenOnPage*takenBytes; most > bound || len(held) > takenPages || total > takenPages*bound {
+		t.Errorf("%d records of %d bytes, the longest of %d", len(held), total, most)
+	}
+	taken, known := OpenTaken(read), 0
+	for i := range uint64(2*takenPages*takenOnPage + 5) {
+		if version, ok := taken.Find(fmt.Sprint(i), 0); ok && version == i+1 {
+			known++
+		} else if i > takenPages*takenOnPage+takenOnPage+5 {
+			t.Fatalf("%d of the last is forgotten", i)
+		}
+	}
+	if known < (takenPages-1)*takenOnPage {
+		t.Errorf("%d are known", known)
+	}
+}
+
+// What a build before this one kept in the plan's record is known, and moves
+// into the pages with the next change.
+func TestOlderMemoryMoves(t *testing.T) {
+	s := &shelf{held: map[string]message.Rec{}}
+	old := good()
+	old.ID, old.Version = "o64", 64
+	for i := range uint64(64) {
+		old.Past = append(old.Past, Past{ID: fmt.Sprint("o", i+1), Version: i + 1})
+	}
+	val, err := Record(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.held[PlanKey] = message.Rec{Key: PlanKey, Ver: message.Ver{Term: 1, Seq: 1}, Val: val}
+	known := func(when string) {
+		t.Helper()
+		for i := range uint64(64) {
+			if v := s.change(fmt.Sprint("o", i+1), i, 0); v.Result != "taken" || v.Version != i+1 {
+				t.Errorf("%s: %d: %+v", when, i+1, v)
+			}
+		}
+	}
+	known("before")
+	s.seq = 1
+	if v := s.change("new", 64, 0); v.Result != "taken" || v.Version != 65 {
+		t.Fatal(v)
+	}
+	known("after")
+}
+
+// A record that isn't a page, or a page that is lost, is none, and stops nothing.
+func TestADamagedPageIsNone(t *testing.T) {
+	held := map[string]message.Rec{}
+	read := func(key string) message.Rec { return held[key] }
+	add := func(id string, version uint64) {
+		taken := OpenTaken(read)
+		for _, r := range taken.Add(Past{ID: id, Version: version}) {
+			held[r.Key] = r
+		}
+	}
+	for i := range uint64(3 * takenOnPage) {
+		add(fmt.Sprint(i), i+1)
+	}
+	delete(held, takenKeys[0])
+	held[takenKeys[1]] = message.Rec{Key: takenKeys[1], Val: []byte("short")}
+	add("next", 500)
+	taken := OpenTaken(read)
+	for id, want := range map[string]bool{"0": false, "40": false, "70": true, "next": true} {
+		if _, ok := taken.Find(id, 0); ok != want {
+			t.Errorf("%s is known: %v", id, ok)
+		}
+	}
+	if _, ok := taken.Find("next", 501); ok {
+		t.Error("an id with another number is known")
+	}
+}
--- /dev/null
+++ b/control/leader/cost_test.go
@@ -0,0 +1,52 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/leadercall"
+	"mulleinmast/wire/message"
+)
+
+// A change costs each replica its plan and one small record more, however many
+// changes came before; what daemons keep of the plan doesn't grow.
+func TestWhatAChangeCosts(t *testing.T) {
+	a := open(t, 0, nil)
+	plan := fleetconfig.Plan{ID: "p", Number: 1, Tenants: []fleetconfig.Tenant{}, Services: []fleetconfig.Service{{Name: "m", PrefillServers: 1, DecodeServers: 1}}}
+	for i := range 60 {
+		plan.Routes = append(plan.Routes, fleetconfig.Route{Name: fmt.Sprint("r", i), Host: fmt.Sprintf("h%d.example", i), Prefix: "/", Kind: fleetconfig.Safe, GiveUp: 5000, Services: []fleetconfig.Share{{Service: "m", Weight: 1}}})
+	}
+	no := uint64(0)
+	call := func(op string, body []byte) (group, daemons int) {
+		no++
+		if code, w := a.call("p", no, no, op, body); code != 200 {
+			t.Fatalf("%s %d: %d %s", op, no, code, w)
+		}
+		for _, r := range a.last {
+			m := message.Message{Recs: []message.Rec{r}}
+			group += m.Msgsize()
+			if r.Key == fleetconfig.PlanKey {
+				daemons += m.Msgsize()
+			}
+		}
+		return group, daemons
+	}
+	call("plan", leadercall.Pack(plan))
+	mean := func(n int) (group, daemons int) {
+		for range n {
+			r := plan.Routes[0]
+			r.GiveUp += int(no % 2)
+			g, d := call("changes", leadercall.Pack(fleetconfig.Changes{ID: fmt.Sprintf("%032x", no*0x9E3779B97F4A7C15), Base: no, Number: no + 1, Changes: []fleetconfig.Change{{Op: "set-route", Route: &r}}}))
+			group, daemons = group+g, daemons+d
+		}
+		return group / n, daemons / n
+	}
+	_, first := mean(8)
+	mean(100)
+	group, daemons := mean(400)
+	t.Logf("a change: %d bytes to each replica, %d of them to each daemon, who had %d at first", group, daemons, first)
+	if daemons > first+first/20 || group-daemons > 800 {
+		t.Errorf("a change costs %d bytes a replica and %d a daemon, who had %d at first", group, daemons, first)
+	}
+}
--- a/control/leader/job.go
+++ b/control/leader/job.go
@@ -95,16 +95,10 @@
 		return partition.Job{}, f.List[0]
 	}
 	return partition.Job{Keys: []string{fleetconfig.PlanKey}, Make: func(read lease.Source) ([]message.Rec, any) {
-		cur := plans.Open(read(fleetconfig.PlanKey))
-		id, base, next := whole.ID, whole.Base, func(fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return whole, whole.Check() }
 		if op == "changes" {
-			id, base, next = named.ID, named.Base, func(p fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return p.With(named) }
+			return fleetconfig.Decide(read, plans, named.ID, named.Base, named.Number, func(p fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return p.With(named) })
 		}
-		val, verdict := fleetconfig.Judge(cur, id, base, next)
-		if val == nil {
-			return nil, verdict
-		}
-		return []message.Rec{{Key: fleetconfig.PlanKey, Val: val}}, verdict
+		return fleetconfig.Decide(read, plans, whole.ID, whole.Base, whole.Number, func(fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return whole, whole.Check() })
 	}}, ""
 }
 
--- a/control/leader/job_test.go
+++ b/control/leader/job_test.go
@@ -20,11 +20,12 @@
 		"claim":   leadercall.Pack(ClaimCall{Key: "t/k", Claim: leadercall.Claim{Request: "r", State: "claimed"}}),
 		"unclaim": leadercall.Pack(ClaimCall{Key: "t/k", Claim: leadercall.Claim{Request: "r", State: "shed"}}),
 	}
+	writes := map[string]int{"plan": 2, "changes": 2} // with what is remembered of it
 	none := func(key string) message.Rec { return message.Rec{Key: key, Dead: true} }
 	for op, good := range bodies {
 		if j, fault := job(new(fleetconfig.PlanReader), "", op, good); fault != "" {
 			t.Errorf("%s: %s", op, fault)
-		} else if recs, word := j.Make(none); len(recs) != 1 && op != "seat" {
+		} else if recs, word := j.Make(none); len(recs) != max(1, writes[op]) && op != "seat" {
 			t.Errorf("%s: wrote %v, said %v", op, recs, word)
 		}
 		broken := 0
--- a/control/leader/once_test.go
+++ b/control/leader/once_test.go
@@ -26,6 +26,7 @@
 	records map[string]message.Rec // what the disk holds
 	meta    quorum.Meta
 	back    []message.Message
+	last    []message.Rec // of the last save
 }
 
 // open makes a leader out of what the disk of another holds, or of nothing.
@@ -60,6 +61,7 @@
 func (a *office) carry(o Out) {
 	for _, s := range o.Saves {
 		a.meta = s.Meta
+		a.last = s.Recs
 		for _, r := range s.Recs {
 			a.records[r.Key] = r
 		}
--- a/control/leader/plan_test.go
+++ b/control/leader/plan_test.go
@@ -14,15 +14,21 @@
 	plan := fleetconfig.Plan{ID: "p", Number: 4, Tenants: []fleetconfig.Tenant{}, Services: []fleetconfig.Service{{Name: "m", PrefillServers: 1, DecodeServers: 1}},
 		Routes: []fleetconfig.Route{{Name: "r", Host: "h", Prefix: "/", Kind: fleetconfig.Safe, GiveUp: 5, Services: []fleetconfig.Share{{Service: "m", Weight: 1}}}}}
 	drop := fleetconfig.Changes{ID: "c", Base: 4, Number: 9, Changes: []fleetconfig.Change{{Op: "drop-route", Name: "r"}}}
-	cur := message.Rec{Key: fleetconfig.PlanKey, Dead: true}
+	held := map[string]message.Rec{}
+	read := func(key string) message.Rec {
+		if r, ok := held[key]; ok {
+			return r
+		}
+		return message.Rec{Key: key, Dead: true}
+	}
 	do := func(op string, body []byte) (fleetconfig.Verdict, string) {
 		j, fault := job(new(fleetconfig.PlanReader), "", op, body)
 		if fault != "" {
 			return fleetconfig.Verdict{}, fault
 		}
-		recs, word := j.Make(func(string) message.Rec { return cur })
+		recs, word := j.Make(read)
 		for _, r := range recs {
-			cur = r
+			held[r.Key] = r
 		}
 		return word.(fleetconfig.Verdict), ""
 	}
@@ -37,7 +43,7 @@
 			t.Fatal(err)
 		}
 		for _, b := range [][]byte{body, leadercall.Pack(x.body)} { // the second is the first sent again
-			if v, fault := do(x.op, b); fault != "" || v.Result != "taken" || v.Version != x.ver || len(fleetconfig.Open(cur).Routes) != x.left {
+			if v, fault := do(x.op, b); fault != "" || v.Result != "taken" || v.Version != x.ver || len(fleetconfig.Open(read(fleetconfig.PlanKey)).Routes) != x.left {
 				t.Errorf("%d: %+v %s", i, v, fault)
 			}
 		}
