Orders that nothing orders are carried out once, also as another call and when held up

Cause: an evacuation (or its end) was known by the number of its call between daemons only. Sent again by its operator as another call after it had been undone, it was carried out again; so was a try that a cut held up and that was never carried out before, and a request whose caller had hung up while the daemon stood still.

Ruled out: time of day in the record (clocks step by seconds); acknowledging without doing (a new order would be acknowledged and not in force).

Change: the order itself is remembered for 1.25 times ack-within-ms beside the call's number, in the same record. One that was taken and undone since gets 503 and the time left; then it is a new order. A leader that takes over counts what it finds from its own beginning; the leader that sees one lapse takes it out. A try is carried out only on the version that the leader told that very call, so one that was held up finds another version.

Tests changed: job's callers pass ask{} where they passed an empty name. None is eased.

--- a/control/daemon/config.go
+++ b/control/daemon/config.go
@@ -318,6 +318,12 @@
 // Example: c.Keep() == 20*time.Minute for a recovery bound of 12 s
 func (c Config) Keep() time.Duration { return 100 * c.Bounds.Recover }
 
+// Again is for how long after it was taken an operator may send an order again:
+// as long as it waits for an acknowledgement, and what a try may be held up.
+//
+// Example: c.Again() == 5*time.Second for an acknowledgement within 4 s
+func (c Config) Again() time.Duration { return fraction(c.Ack, 1.25) }
+
 // Sessions is the config of the membership table.
 //
 // Example: r := membership.New(c.Sessions(), me, c.Seeds)
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -163,7 +163,7 @@
 			}
 			return message.Replica{}
 		}
-		m := leader.New(leader.Config{Works: cfg.Works(), Keep: cfg.Keep()}, p, c.me, partition.New(p, c.me, c.epoch, replica, node))
+		m := leader.New(leader.Config{Works: cfg.Works(), Keep: cfg.Keep(), Again: cfg.Again()}, p, c.me, partition.New(p, c.me, c.epoch, replica, node))
 		c.shards = append(c.shards, &shard{partition: p, Controller: m, guide: membership.Guide{Partition: p, Vol: cfg.Vol()}})
 	}
 	c.Pin(0, fleetconfig.PlanKey)
--- a/control/leader/job.go
+++ b/control/leader/job.go
@@ -41,9 +41,8 @@
 // Example: leader.OnceKey("express/k-17") == "once/express/k-17"
 func OnceKey(key string) string { return "once/" + key }
 
-// job turns a call into a write; fault says what is wrong with its body. call
-// names it over all its tries, see onceOnly.
-func job(plans *fleetconfig.PlanReader, call, op string, body []byte) (j partition.Job, fault string) {
+// job turns a call into a write; fault says what is wrong with its body.
+func job(plans *fleetconfig.PlanReader, by ask, op string, body []byte) (j partition.Job, fault string) {
 	read := func(to any) bool {
 		if err := json.Unmarshal(body, to); err != nil {
 			fault = err.Error()
@@ -54,17 +53,17 @@
 	case "plan", "changes":
 		return planJob(plans, op, body)
 	case "evacuate", "return":
-		return onceOnly(call, zoneJob(op, string(body))), ""
+		return by.onceOnly(op+"/"+string(body), zoneJob(op, string(body))), ""
 	case "seat":
 		var in ReplicaCall
 		if read(&in) {
-			j = onceOnly(call, replicaJob(in))
+			j = by.onceOnly("", replicaJob(in))
 		}
 	case "servers":
 		var in ServersCall
 		if read(&in) {
 			if j = listJob(in); in.List.Version == 0 {
-				j = onceOnly(call, j)
+				j = by.onceOnly("", j)
 			}
 		}
 	case "claim", "unclaim":
--- a/control/leader/job_test.go
+++ b/control/leader/job_test.go
@@ -23,7 +23,7 @@
 	writes := map[string]int{"plan": 2, "changes": 2} // with what is remembered of it
 	none := func(key string) message.Rec { return message.Rec{Key: key, Dead: true} }
 	for op, good := range bodies {
-		if j, fault := job(new(fleetconfig.PlanReader), "", op, good); fault != "" {
+		if j, fault := job(new(fleetconfig.PlanReader), ask{}, op, good); fault != "" {
 			t.Errorf("%s: %s", op, fault)
 		} else if recs, word := j.Make(none); len(recs) != max(1, writes[op]) && op != "seat" {
 			t.Errorf("%s: wrote %v, said %v", op, recs, word)
@@ -33,7 +33,7 @@
 			for _, x := range []byte{0, '"', '}', '-', '9', 'x', good[i] ^ 1} {
 				b := append([]byte(nil), good...)
 				b[i] = x
-				j, fault := job(new(fleetconfig.PlanReader), "", op, b)
+				j, fault := job(new(fleetconfig.PlanReader), ask{}, op, b)
 				if fault != "" {
 					broken++
 					continue
@@ -52,7 +52,7 @@
 			t.Errorf("%s: only %d of %d mutations were named broken", op, broken, 7*len(good))
 		}
 	}
-	if _, fault := job(new(fleetconfig.PlanReader), "", "evict", nil); fault == "" {
+	if _, fault := job(new(fleetconfig.PlanReader), ask{}, "evict", nil); fault == "" {
 		t.Error("an unknown call has no fault")
 	}
 }
@@ -68,7 +68,7 @@
 		return message.Rec{Key: key, Dead: true}
 	}
 	do := func(op string, in any) leadercall.Word {
-		j, _ := job(new(fleetconfig.PlanReader), "", op, leadercall.Pack(in))
+		j, _ := job(new(fleetconfig.PlanReader), ask{}, op, leadercall.Pack(in))
 		out, word := j.Make(read)
 		for _, r := range out {
 			recs[r.Key] = r
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -25,6 +25,7 @@
 type Config struct {
 	Works placement.Config
 	Keep  time.Duration // once keys are kept this long
+	Again time.Duration // for how long a caller may send an order again
 }
 
 // Line is something for the ring.
@@ -71,6 +72,7 @@
 
 	plans  fleetconfig.PlanReader
 	holder *placement.Holder
+	orders orders
 	wants  map[string][2]uint64 // life and number of a daemon's last report for a service
 	dirty  bool
 	seen   [2]message.Ver // plan and zones that the holder works by
@@ -82,7 +84,7 @@
 //
 // Example: m := leader.New(cfg, 3, me, partition.New(3, me, epoch, replica, node))
 func New(cfg Config, number int, me message.Replica, sec *partition.Partition) *Controller {
-	return &Controller{cfg: cfg, partition: number, me: me, sec: sec, acts: map[uint64]func(partition.Result){}, wants: map[string][2]uint64{}, dirty: true}
+	return &Controller{cfg: cfg, partition: number, me: me, sec: sec, orders: orders{again: cfg.Again, at: map[string]time.Duration{}}, acts: map[uint64]func(partition.Result){}, wants: map[string][2]uint64{}, dirty: true}
 }
 
 // Partition is the partition underneath.
@@ -111,6 +113,7 @@
 	}
 	if s.Won {
 		m.holder, m.marks, m.wants = nil, nil, map[string][2]uint64{}
+		m.orders.since, m.orders.at = m.sec.Replica.Since(), map[string]time.Duration{}
 		o.say("duty", "part %d: owner with ballot %d", m.partition, m.sec.Replica.Num())
 	}
 	o.Out = s
@@ -151,7 +154,10 @@
 // Tick lets time pass.
 //
 // Example: out := m.Tick(now)
-func (m *Controller) Tick(now time.Duration) Out { return m.wrap(m.sec.Tick(now)) }
+func (m *Controller) Tick(now time.Duration) Out {
+	m.orders.now = now
+	return m.wrap(m.sec.Tick(now))
+}
 
 // Found makes the first group.
 //
@@ -191,7 +197,8 @@
 		m.wanted(now, n)
 		return m.wrap(partition.Out{})
 	}
-	j, fault := job(&m.plans, callOf(n), n.Op, n.Body)
+	m.orders.now = now
+	j, fault := job(&m.plans, askOf(n, &m.orders), n.Op, n.Body)
 	if fault != "" {
 		m.back(n, http.StatusBadRequest, leadercall.Pack(leadercall.Word{Result: "broken", Faults: []string{fault}}))
 		return m.wrap(partition.Out{})
@@ -212,7 +219,10 @@
 			line = Line{"plan", fmt.Sprintf("%s: %s, version %d", n.Op, w.Result, w.Version)}
 			m.back(n, map[string]int{"taken": 200, "beaten": 409, "broken": 400}[w.Result], leadercall.Pack(w))
 		case leadercall.Word:
-			m.back(n, map[string]int{"done": 200, "duplicate": 409, "beaten": 409, "not done": 409}[w.Result], leadercall.Pack(w))
+			m.back(n, map[string]int{"done": 200, "duplicate": 409, "beaten": 409, "not done": 409, "not clear": leadercall.NotDone}[w.Result], leadercall.Pack(w))
+		case behind:
+			m.back(n, leadercall.Behind, nil)
+			m.backs[len(m.backs)-1].Message.Ver = w.on
 		default:
 			panic("job without a word: " + n.Op)
 		}
@@ -262,6 +272,7 @@
 		return o
 	}
 	m.regroup(now, s, &o)
+	m.lapse(now, &o)
 	if m.partition == 0 {
 		return o
 	}
--- a/control/leader/plan_test.go
+++ b/control/leader/plan_test.go
@@ -22,7 +22,7 @@
 		return message.Rec{Key: key, Dead: true}
 	}
 	do := func(op string, body []byte) (fleetconfig.Verdict, string) {
-		j, fault := job(new(fleetconfig.PlanReader), "", op, body)
+		j, fault := job(new(fleetconfig.PlanReader), ask{}, op, body)
 		if fault != "" {
 			return fleetconfig.Verdict{}, fault
 		}
--- a/control/leadercall/leadercall.go
+++ b/control/leadercall/leadercall.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,8 +20,13 @@
 	Other     = http.StatusMisdirectedRequest // not the leader
 	Uncertain = http.StatusGatewayTimeout
 	NotDone   = http.StatusServiceUnavailable
+	Behind    = http.StatusTooEarly // the order was on another version of what it changes; the reply names the present one
 )
 
+// nowhere is the mark of a call that hasn't heard yet what its order is on: no
+// leader has it.
+var nowhere = message.Ver{Seq: math.MaxUint64}
+
 // Config holds the bounds of a call.
 type Config struct {
 	Try   time.Duration // a leader's word is waited for this long
@@ -48,8 +54,9 @@
 	until     time.Duration
 	once      bool // one try only
 	due       time.Duration
-	ref       uint64 // of the message that is out, if any
-	lost      bool   // a try was sent and had no word
+	ref       uint64      // of the message that is out, if any
+	on        message.Ver // the leader's mark of what it changes, as told to this call
+	lost      bool        // a try was sent and had no word
 }
 
 // Calls are the calls under way.
@@ -73,7 +80,7 @@
 func (e *Calls) Start(now time.Duration, own message.Replica, partition int, op string, body []byte, until time.Duration, once bool) (no uint64, o Out) {
 	e.no++
 	no = e.no
-	c := &call{partition: partition, op: op, body: body, until: until, once: once, due: now}
+	c := &call{partition: partition, op: op, body: body, until: until, once: once, due: now, on: nowhere}
 	e.calls[no] = c
 	e.try(now, no, c, own, &o)
 	return no, o
@@ -91,7 +98,11 @@
 	e.no++
 	c.ref, c.due = e.no, now+e.cfg.Try
 	e.refs[e.no] = no
-	o.Sends = append(o.Sends, message.Send{Addr: own.Addr, Message: message.Message{Kind: message.Call, Partition: c.partition, To: own.Ident, No: e.no, Ref: no, Op: c.op, Body: c.body}})
+	n := message.Message{Kind: message.Call, Partition: c.partition, To: own.Ident, No: e.no, Ref: no, Op: c.op, Body: c.body}
+	if !c.once {
+		n.Ver = c.on
+	}
+	o.Sends = append(o.Sends, message.Send{Addr: own.Addr, Message: n})
 }
 
 // Hear takes a leader's word.
@@ -108,6 +119,10 @@
 		c.ref = 0
 	}
 	switch {
+	case n.Code == Behind && !c.once: // its caller waits still: it may be done on what is there now
+		if c.ref == 0 {
+			c.on, c.due = n.Ver, now
+		}
 	case n.Code == Other && !c.once:
 		if c.ref == 0 {
 			c.due = now + e.cfg.Pause
--- a/control/leadercall/leadercall_test.go
+++ b/control/leadercall/leadercall_test.go
@@ -88,3 +88,32 @@
 		t.Errorf("tries go as %d/%d and %d/%d, another call as %d/%d", a.Ref, a.No, b.Ref, b.No, c.Ref, c.No)
 	}
 }
+
+// A call whose order is on another version than the leader has goes out again at
+// once on the one that the leader told it; a mark told to an earlier try, or to a
+// call that is over, is nobody's.
+func TestACallThatIsBehindGoesOutAgain(t *testing.T) {
+	e := New(cfg)
+	to := func(int) message.Replica { return own }
+	_, o := e.Start(0, own, 0, "evacuate", nil, 4*time.Second, false)
+	first, mark := o.Sends[0].Message, message.Ver{Term: 3, Seq: 8}
+	if first.Ver == (message.Ver{}) || first.Ver == mark {
+		t.Errorf("the first try is on %v", first.Ver)
+	}
+	if o = e.Hear(time.Millisecond, message.Message{Ref: first.No, Code: Behind, Ver: mark}); len(o.Done) > 0 {
+		t.Fatalf("ended: %+v", o.Done)
+	}
+	o = e.Tick(2*time.Millisecond, to)
+	if len(o.Sends) != 1 || o.Sends[0].Message.Ver != mark || o.Sends[0].Message.Ref != first.Ref {
+		t.Fatalf("the second try: %+v", o.Sends)
+	}
+	second := o.Sends[0].Message.No
+	third := e.Tick(500*time.Millisecond, to).Sends[0].Message.No
+	e.Hear(501*time.Millisecond, message.Message{Ref: second, Code: Behind, Ver: message.Ver{Term: 1, Seq: 1}}) // late, while the third is out
+	if o = e.Tick(502*time.Millisecond, to); len(o.Sends) > 0 {
+		t.Errorf("a late reply sent %+v", o.Sends)
+	}
+	if d := e.Hear(time.Second, message.Message{Ref: third, Code: 200}).Done; len(d) != 1 || d[0].Code != 200 {
+		t.Errorf("%+v", d)
+	}
+}
