Plan calls are judged for linearizability; scenario races; three planted faults

The rule "linear" has porcupine look for an order of all plan calls of a run, each try of them, and of all readings under leases, that one machine could have done: a call comes into force at most once and on the version that it names, and is acknowledged again however late it comes.

Planted: memory lost at a change of leader (forgetful), a repeat carried out again (again), a repeat refused (refuseagain): each named by linear. Calls of other scenarios now say when they were sent, and those without an answer are written down too.

--- a/proof/history/history.go
+++ b/proof/history/history.go
@@ -32,6 +32,7 @@
 	Plan    string `json:"plan,omitempty"` // a plan's id
 	Ver     uint64 `json:"ver,omitempty"`
 	Base    uint64 `json:"base,omitempty"`
+	Number  uint64 `json:"number,omitempty"` // that a plan's operator chose for it
 	Result  string `json:"result,omitempty"`
 	Why     string `json:"why,omitempty"`
 	Took    int64  `json:"took_ns,omitempty"`
--- a/proof/judge/judge.go
+++ b/proof/judge/judge.go
@@ -44,7 +44,7 @@
 }{
 	{"once", once}, {"refused", refused}, {"foreign", foreign}, {"stream", streams}, {"whole", whole}, {"final", final}, {"answered", answered}, {"told", told},
 	{"holders", holders}, {"leaving", leaving}, {"evacuated", evacuated}, {"retries", retries}, {"flood", flood},
-	{"plan-race", races}, {"plan-refused", refusedPlans}, {"plan-back", fallsBack}, {"plan-late", late}, {"recovery", recovery},
+	{"plan-race", races}, {"plan-refused", refusedPlans}, {"plan-back", fallsBack}, {"plan-late", late}, {"recovery", recovery}, {"linear", linear},
 }
 
 // All applies every rule to events in any order.
--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -22,10 +22,10 @@
 		{At: 7 * one, Who: "c", Ev: "reply", Request: "r1", Run: "r1-1", Result: "ok", Count: 3, Zone: "a"},
 		{At: 8 * one, Who: "c", Ev: "reply", Request: "r2", Result: "shed", After: 1000, Zone: "a"},
 		{At: 9 * one, Who: "t", Ev: "evacuated", Zone: "a"},
-		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p1", Base: 0, Ver: 1, Result: "taken"},
-		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p2", Base: 0, Ver: 1, Result: "beaten"},
+		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p1", Base: 0, Ver: 1, Result: "taken", Took: 1},
+		{At: 2 * one, Who: "o", Ev: "plan", Plan: "p2", Base: 0, Ver: 1, Result: "beaten", Took: 1},
 		{At: 3 * one, Who: "d", Ev: "serves", Plan: "p1", Ver: 1},
-		{At: 3 * one, Who: "o", Ev: "plan", Plan: "p3", Base: 1, Ver: 2, Result: "taken"},
+		{At: 3 * one, Who: "o", Ev: "plan", Plan: "p3", Base: 1, Ver: 2, Result: "taken", Took: 1},
 		{At: 4 * one, Who: "d", Ev: "serves", Plan: "p3", Ver: 2},
 	}
 	for i := 0; i < 120; i++ {
@@ -56,6 +56,9 @@
 		"plan-refused": {{At: 5 * one, Who: "e", Ev: "plan", Plan: "p3", Base: 2, Ver: 3, Result: "broken"}},
 		"plan-back":    {{At: 5 * one, Who: "d", Ev: "serves", Plan: "p1", Ver: 1}},
 		"plan-late":    {{At: 6 * one, Who: "e", Ev: "serves", Plan: "p1", Ver: 1}},
+		"linear":       {{At: 6 * one, Ev: "plan", Plan: "p8", Base: 2, Ver: 3, Result: "taken", Took: 1}, {At: 7 * one, Ev: "plan", Plan: "p8", Base: 2, Ver: 3, Result: "beaten", Took: 1}},
+		"linear late":  {{At: 6 * one, Ev: "plan", Plan: "p1", Base: 0, Ver: 3, Result: "taken", Took: 1}},
+		"linear read":  {{At: 6 * one, Ev: "read", Plan: "p1", Ver: 1}},
 		"recovery":     {{At: 9 * one, Ev: "mended"}, {At: 10 * one, Who: "c", Ev: "reply", Request: "r10", Result: "shed", After: 1, Zone: "a"}, {At: 22 * one, Ev: "stop"}},
 	}
 	var many []history.Event
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -283,8 +283,9 @@
 	for _, s := range services {
 		p.Services = append(p.Services, fleetconfig.Service{Name: s, PrefillServers: 1, DecodeServers: 1})
 	}
+	from := w.now
 	w.control(w.pick(""), 0, "plan", leadercall.Pack(p), func(code int, rep []byte) {
-		w.judged("first", 0, code, rep)
+		w.judged("first", 0, from, code, rep)
 		if code != 200 {
 			w.at(500*time.Millisecond, w.first)
 			return
@@ -296,16 +297,27 @@
 }
 
 // judged writes down what an operator was told.
-func (w *world) judged(id string, base uint64, code int, rep []byte) {
-	var v fleetconfig.Verdict
-	_ = json.Unmarshal(rep, &v)
+func (w *world) judged(id string, base uint64, from time.Duration, code int, rep []byte) {
+	v := verdict(rep)
 	if v.Result == "taken" && w.o.Sabotage == "sayno" && w.rng.Intn(3) == 0 {
 		v.Result = "beaten" // told no, and it is in force
 	}
+	if v.Result == "" && code != 0 {
+		v.Result = "unheard"
+	}
 	if v.Result != "" && code != 0 {
-		w.jot(history.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result})
+		w.jot(history.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result, Took: max(1, int64(w.now-from))})
 		w.res.Plans[v.Result]++
 	}
+	if v.Result == "taken" {
+		w.known = max(w.known, v.Version)
+	}
+}
+
+// verdict reads a reply to a plan; none where there is none.
+func verdict(rep []byte) (v fleetconfig.Verdict) {
+	_ = json.Unmarshal(rep, &v)
+	return v
 }
 
 // list sends a service's servers until the list is taken.
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -10,6 +10,9 @@
 // plan lays out a run's failures.
 func (w *world) plan() {
 	w.at(5*time.Second, w.write)
+	if w.o.Races > 0 {
+		w.at(8*time.Second, w.races)
+	}
 	end := w.o.Length - w.o.Calm
 	for _, kind := range kinds(w.o.Faults) {
 		if kind == "ackkill" {
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"mulleinmast/control/fleetconfig"
 	"mulleinmast/wire/message"
 	"time"
 )
@@ -101,9 +100,7 @@
 	if w.o.Sabotage == "nonumber" && m.Kind == message.Call {
 		m.Ref = 0
 	}
-	if m.Kind == message.Call && m.Op == "changes" && w.o.Sabotage == "nobase" {
-		m.Body = rebase(m.Body, fleetconfig.Open(w.read(to, fleetconfig.PlanKey)).Version)
-	}
+	w.spoilCall(to, &m)
 	to.carry(m.Partition, p.Hear(now, m))
 }
 
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -58,6 +58,8 @@
 	rides map[string]*ride
 	early map[int]*caller        // requests that wait for the plan
 	past  map[string]message.Rec // what a sabotaged daemon goes on reading
+
+	recalls uint64 // the term at whose beginning a sabotaged leader forgot
 }
 
 func (n *node) sec(p int) *partition.Partition { return n.parts[p].Partition() }
@@ -157,7 +159,7 @@
 		if w.o.Sabotage == "nocalm" {
 			sec.Calm = func() time.Duration { return 0 }
 		}
-		s := leader.New(leader.Config{Works: w.works(), Keep: w.cfg.Keep()}, p, me, sec)
+		s := leader.New(leader.Config{Works: w.works(), Keep: w.cfg.Keep(), Again: w.cfg.Again()}, p, me, sec)
 		n.parts = append(n.parts, s)
 		n.guides = append(n.guides, membership.Guide{Partition: p, Vol: w.cfg.Vol()})
 		for k := 0; k < w.o.Keys; k++ {
@@ -384,6 +386,7 @@
 	if rec, ok := n.source(0, fleetconfig.PlanKey); ok && w.o.Calls > 0 {
 		p := fleetconfig.Open(rec)
 		w.jot(history.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
+		w.jot(history.Event{Who: n.name, Ev: "read", Plan: p.ID, Ver: p.Version})
 	}
 	w.leaders()
 	if w.o.Lame > 0 && w.now > 25*time.Second && w.now < 55*time.Second && n.zone == w.nodes[len(w.nodes)-1].zone && !w.lame(n) {
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -21,13 +21,17 @@
 	return r
 }
 
-// rebase is the sabotage that takes every change as if on the current plan.
-func rebase(body []byte, ver uint64) []byte {
+// rebase is the sabotage that takes every change as if on the current plan, with
+// a number of its own or none.
+func rebase(body []byte, ver uint64, free bool) []byte {
 	var c fleetconfig.Changes
 	if json.Unmarshal(body, &c) != nil {
 		return body
 	}
 	c.Base = ver
+	if free {
+		c.Number = 0
+	}
 	return leadercall.Pack(c)
 }
 
@@ -65,7 +69,8 @@
 		w.tags++
 		id := fmt.Sprintf("c%d", w.tags)
 		c := fleetconfig.Changes{ID: id, Base: base, Changes: []fleetconfig.Change{{Op: "set-tenant", Tenant: &fleetconfig.Tenant{Name: "regular", Priority: prio, Timeout: 4000 + int(w.tags%1000), Queue: 0.6}}}}
-		w.control(n, 0, "changes", leadercall.Pack(c), func(code int, rep []byte) { w.judged(id, base, code, rep) })
+		from := w.now
+		w.control(n, 0, "changes", leadercall.Pack(c), func(code int, rep []byte) { w.judged(id, base, from, code, rep) })
 	}
 	switch w.rng.Intn(6) {
 	case 0, 1:
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -29,6 +29,7 @@
 	Orders     time.Duration   // mean time between operators' and the platform's calls
 	Swaps      []time.Duration // when a core machine is exchanged for an empty one
 	Moves      time.Duration   // mean time until a zone that was brought back is evacuated again; 0: only by Orders
+	Races      time.Duration   // mean time between operators' changes that are sent until their end is clear, and again; 0: none
 	Late       float64         // part of the calls to leaders that come a second time, seconds later
 	Far        time.Duration   // more between zones, one way
 	Lame       time.Duration   // more to and from one relay, from 15 s to 55 s
@@ -94,6 +95,19 @@
 		o.Late, o.Moves = 0.8, 200*time.Millisecond
 		return o
 	},
+	// Operators race with the same numbers, eight calls under way, answers lost
+	// and calls doubled; all are sent again later, through other daemons, with
+	// hundreds of changes and other leaders between. A core machine is replaced
+	// meanwhile, or loses its disk.
+	"races": func(seed int64) Options {
+		o := calls([]int{3, 3, 3}, []int{3, 3}, map[string]float64{"kill": 4, "core": 1, "alone": 1.5, "oneway": 1, "freeze": 2, "slow": 1, "wipe": 0.5})(seed)
+		o.Calls, o.Orders, o.Races = 150*time.Millisecond, 4*time.Second, 80*time.Millisecond
+		if seed%2 == 0 {
+			o.Swaps = []time.Duration{18 * time.Second}
+			delete(o.Faults, "wipe")
+		}
+		return o
+	},
 	// The whole core is killed again and again and back at once, beside other
 	// trouble, with writes all the time: leaders are elected while leases under
 	// the ones before still stand.
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -79,6 +79,8 @@
 	ready       []*node
 	crowd       time.Duration // until when requests come thick
 	mix         float64
+	open        int    // changes of the races that have no clear end yet
+	known       uint64 // the newest version that an operator knows of
 	cost        time.Duration
 	costs       int
 }
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -79,6 +79,9 @@
 		"lapsed":       {"traffic", "plan-late:"},    // leases are never looked at
 		"fallback":     {"servers", "plan-back:"},    // a daemon goes back to the plan before
 		"nobase":       {"servers", "plan-race:"},    // a plan's base is not looked at
+		"forgetful":    {"races", "linear:"},         // the memory of changes is lost with a leader
+		"again":        {"races", "linear:"},         // a change that comes again is carried out again
+		"refuseagain":  {"races", "linear:"},         // a change that was taken is refused when it comes again
 		"nonumber":     {"late", "evacuated:"},       // tries of one call are taken for calls of their own
 		"sayno":        {"servers", "plan-refused:"}, // a plan is refused and written all the same
 		"noretrybound": {"servers", "retries:"},      // retries know no bound
