Scene repeats on real daemons; the stand-in's operator is judged try by try

The operator's stand-in writes every try of a configuration call down, and may lose answers; the judge looks for an order of all tries (CONFIG).

--- a/proof/standin/mutants/mutants.sh
+++ b/proof/standin/mutants/mutants.sh
@@ -55,4 +55,5 @@
 mutant hasty-holder pressed 60 ONE control/cabin/config.go 'Swap: b.Swap' 'Swap: 0'
 mutant another-number config 40 CONFIG platform/write.go 'max(p.Version, p.Number)' 'max(p.Version, p.Number)+1'
 mutant invalid-taken race 40 CONFIG control/tariff/route.go 'r.GiveUp < 1' 'r.GiveUp < 0' control/tariff/route.go 'v.Field(&r.GiveUp, v.Required, v.Min(1))' 'v.Field(&r.GiveUp, v.Min(0))'
+mutant short-memory repeats 40 CONFIG control/fleetconfig/taken.go 'takenPages  = 256' 'takenPages  = 1'
 exit $missed
--- a/proof/standin/operator/operator.go
+++ b/proof/standin/operator/operator.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +27,8 @@
 	list func() []entry.Daemon
 	web  *http.Client
 	most time.Duration // a call is sent again for so long
+	// Lost tells whether an answer is lost on its way; none: no answer is.
+	Lost func() bool
 
 	mu   sync.Mutex
 	next int
@@ -92,6 +96,25 @@
 	return res.StatusCode, b
 }
 
+// try sends one try to a daemon, and writes down what it answered where the call
+// changes the configuration; 0 also where the answer was lost.
+func (o *Operator) try(ctx context.Context, method string, d entry.Daemon, path, match string, body []byte) int {
+	from := o.log.Now()
+	code, _ := o.once(ctx, method, d.Steer, path, match, body)
+	if path == wire.ConfigPath {
+		base, _ := strconv.Atoi(match)
+		var c wire.Config
+		_ = json.Unmarshal(body, &c) // one that is cut short has no number
+		sum := sha256.Sum256(fmt.Appendf(nil, "%s %s %s", method, match, body))
+		call := &record.PlanCall{ID: hex.EncodeToString(sum[:8]), Base: base, Number: c.Version, Sent: from, Done: o.log.Now(), Status: code}
+		o.log.Do(func(a *record.All) { a.PlanCalls = append(a.PlanCalls, call) })
+	}
+	if o.Lost != nil && o.Lost() {
+		return 0
+	}
+	return code
+}
+
 // settle sends a call to one daemon after another until its end is clear; 0:
 // it never was.
 func (o *Operator) settle(ctx context.Context, method, path, match string, body []byte) int {
@@ -102,7 +125,7 @@
 		if !ok {
 			return 0
 		}
-		code, _ := o.once(ctx, method, d.Steer, path, match, body)
+		code := o.try(ctx, method, d, path, match, body)
 		switch {
 		case code/100 == 2, code == 400, code == 409, code == 412, code == 413, code == 422:
 			return code
@@ -196,6 +219,17 @@
 // Kinds is the number of ways to be invalid.
 const Kinds = 6
 
+// Repeat sends a call of an earlier time once more, as it was, to each daemon in
+// turn, and gives their answers.
+//
+// Example: codes := o.Repeat(ctx, http.MethodPost, wire.EvacPath+"north", "", nil)
+func (o *Operator) Repeat(ctx context.Context, method, path, match string, body []byte) (codes []int) {
+	for _, d := range o.list() {
+		codes = append(codes, o.try(ctx, method, d, path, match, body))
+	}
+	return codes
+}
+
 // Evacuate takes a zone out of service.
 //
 // Example: e := o.Evacuate(ctx, "north")
--- a/proof/standin/record/record.go
+++ b/proof/standin/record/record.go
@@ -127,6 +127,14 @@
 	Patch         bool
 }
 
+// PlanCall is one try of a call that changes the configuration.
+type PlanCall struct {
+	ID           string // of all that it says: the same call sent again bears it too
+	Base, Number int
+	Sent, Done   time.Duration
+	Status       int // as the daemon answered, also where the operator never heard; 0: no answer
+}
+
 // Evacuation is a zone taken out of service.
 type Evacuation struct {
 	Zone        string
@@ -160,6 +168,7 @@
 	Lives       []*Life
 	Orders      []*Order
 	Changes     []*Change
+	PlanCalls   []*PlanCall
 	Evacuations []*Evacuation
 	Troubles    []*Trouble
 	Readbacks   []*Readback
--- a/proof/standin/rules/rules.go
+++ b/proof/standin/rules/rules.go
@@ -39,7 +39,7 @@
 	check func(*view, say)
 }{
 	{"MIXED", mixed}, {"MIXED", handles}, {"ORDER", order}, {"UNASKED", unasked}, {"TWICE", twice}, {"REFUSED", refused}, {"DENIED", denied}, {"ROUTE", routed},
-	{"DRAIN", drained}, {"EVAC", evacuated}, {"LOST", planned}, {"LOST", kept}, {"CONFIG", configured}, {"CONFIG", wentBack}, {"CONFIG", taken}, {"CONFIG", readBack}, {"CONFIG", later},
+	{"DRAIN", drained}, {"EVAC", evacuated}, {"LOST", planned}, {"LOST", kept}, {"CONFIG", configured}, {"CONFIG", wentBack}, {"CONFIG", taken}, {"CONFIG", readBack}, {"CONFIG", later}, {"CONFIG", inOrder},
 	{"BUDGET", further}, {"FAILBACK", flooded}, {"ONE", holders}, {"RECOVER", recovered},
 }
 
--- a/proof/standin/rules/rules_test.go
+++ b/proof/standin/rules/rules_test.go
@@ -189,6 +189,15 @@
 		c.Version, c.Config = 8, packed(wire.Config{Version: 8, Routes: routes})
 		a.Changes = append(a.Changes, &c)
 	}},
+	{"CONFIG", "a repeat that is refused", func(a *record.All) {
+		a.PlanCalls = []*record.PlanCall{{ID: "a", Number: 5, Sent: 1, Done: 2, Status: 200}, {ID: "b", Base: 5, Number: 9, Sent: 3, Done: 4, Status: 200}, {ID: "a", Number: 5, Sent: 5, Done: 6, Status: 412}}
+	}},
+	{"CONFIG", "two calls on the same version", func(a *record.All) {
+		a.PlanCalls = []*record.PlanCall{{ID: "a", Number: 5, Sent: 1, Done: 2, Status: 200}, {ID: "b", Base: 5, Number: 9, Sent: 3, Done: 8, Status: 200}, {ID: "c", Base: 5, Number: 9, Sent: 4, Done: 7, Status: 200}}
+	}},
+	{"CONFIG", "a call that conflicts with none", func(a *record.All) {
+		a.PlanCalls = []*record.PlanCall{{ID: "a", Number: 5, Sent: 1, Done: 2, Status: 200}, {ID: "b", Base: 5, Number: 9, Sent: 3, Done: 4, Status: 412}}
+	}},
 	{"CONFIG", "an older one read back", func(a *record.All) { a.Readbacks[0].Body = a.Changes[0].Config }},
 	{"CONFIG", "nothing read back", func(a *record.All) { a.Readbacks[0].Status = 503 }},
 	{"CONFIG", "later routes that aren't served", func(a *record.All) {
