Lost or leaving replicas go to warm standbys within the catch-up bound

Cause: a replica whose machine was gone was filled 18 s later if its successor had another address; partition 0 had to write the wanted replicas first; a daemon told to end handed nothing over. Ruled out: an unsafe choice of who is gone, since a step takes both majorities.

Core daemons without a replica are standbys: each leader sends them a copy, writes and renewals. Each partition sees to its own group: a replica that is silent for half of catch-up-s, whose address another identity has, or that answers "parting", goes to a standby at hand, in one step of joint majorities, which the next leader finishes or undoes. The new group stands alone once the newcomer has said, for that step, that it holds all. A group's number grows with its leader's term.

Two faults found in review, tests seen failing on the code before (names as then): - TestAReturningSeatHoldsAllBeforeItCounts: "c counts and lacks the write, which only a of the group holds" (a replica that came back under the same leader counted as whole) - TestGroupsOfTwoOwnersAreToldApart: "no owner at 11s" (two leaders used one number)

--- a/cmd/mulleinmast/main.go
+++ b/cmd/mulleinmast/main.go
@@ -120,6 +120,7 @@
 			return
 		case <-t.C:
 			if c.Closed() && d.Open() == 0 {
+				c.HandOver(ctx)
 				return
 			}
 		}
--- a/control/daemon/config.go
+++ b/control/daemon/config.go
@@ -43,6 +43,7 @@
 	Losses     int           // machines with state that may be lost at once
 	First      bool          // the whole fleet starts for the first time; else a group is joined, never founded
 	Touch      time.Duration // for how long a machine is well before bounds hold for it
+	Catch      time.Duration // after this a successor counts like the machine that it replaced
 	Ack        time.Duration // an operator's order is acknowledged within this
 	Grace      time.Duration // from the signal to stop until the process is killed
 	Cores      int           // processors to use; 0: all
@@ -72,7 +73,7 @@
 // Example: c := daemon.Default()
 func Default() Config {
 	return Config{Fleet: "mulleinmast", Zone: "cell-1", Partitions: 8, Drift: 0.02, Queue: 512, Ring: 4096, Losses: 1, First: true,
-		Touch: 3 * time.Second, Ack: 4 * time.Second, Grace: 12 * time.Second, CPU: 1, Retry: Retry{Ratio: 0.2, Window: 12 * time.Second}, Warm: Warm{Over: 1},
+		Touch: 3 * time.Second, Catch: 4 * time.Second, Ack: 4 * time.Second, Grace: 12 * time.Second, CPU: 1, Retry: Retry{Ratio: 0.2, Window: 12 * time.Second}, Warm: Warm{Over: 1},
 		Bounds: Bounds{Plan: 2 * time.Second, Leave: 3 * time.Second, Evacuate: 5 * time.Second, Swap: 3 * time.Second, Recover: 12 * time.Second}}
 }
 
@@ -305,12 +306,17 @@
 		Gain: fraction(c.Bounds.Plan, 0.01), Span: 5 * c.Vol(), Most: 2000}
 }
 
+// goneRatio is the part of the catch-up bound after which a silent replica goes to
+// a standby: longer than a restart takes, and what is left of the bound is more
+// than an election and a step take.
+const goneRatio = 0.5
+
 // Leadership is the config of the leaders' replicas.
 //
 // Example: replica := quorum.New(c.Leadership(), 0, me, meta, records, now, false)
 func (c Config) QuorumConfig() quorum.Config {
 	d := c.Bounds.Plan / 2
-	return quorum.Config{LeaderLease: d, Drift: c.Drift, Margin: c.margin(), Beat: d / 3}
+	return quorum.Config{LeaderLease: d, Drift: c.Drift, Margin: c.margin(), Beat: d / 3, Gone: max(fraction(c.Catch, goneRatio), d+d/2)}
 }
 
 // Keep is how long a once key is kept; no request's budget is longer than half.
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -59,20 +59,21 @@
 	// Source tells which servers there are; none: the platform PUTs the lists.
 	Source Source
 
-	clock   *clock.Clock
-	arch    *storage.Store
-	me      message.Replica
-	epoch   uint64
-	shards  []*shard
-	view    atomic.Pointer[membership.View]
-	rmu     sync.Mutex
-	rost    *membership.Table
-	stop    atomic.Bool
-	stopAt  atomic.Int64
-	plans   fleetconfig.PlanReader
-	ready   atomic.Bool
-	begun   atomic.Bool  // it was ready once
-	readyAt atomic.Int64 // when it was last
+	clock    *clock.Clock
+	arch     *storage.Store
+	me       message.Replica
+	epoch    uint64
+	shards   []*shard
+	view     atomic.Pointer[membership.View]
+	rmu      sync.Mutex
+	rost     *membership.Table
+	stop     atomic.Bool
+	stopAt   atomic.Int64
+	plans    fleetconfig.PlanReader
+	ready    atomic.Bool
+	begun    atomic.Bool  // it was ready once
+	readyAt  atomic.Int64 // when it was last
+	standing standing     // the furthest that it came; the membership table's loop writes it
 
 	dmu   sync.Mutex
 	dq    []quorum.Save
--- a/control/daemon/fleet.go
+++ b/control/daemon/fleet.go
@@ -63,6 +63,7 @@
 		if now := c.isReady(); c.ready.Swap(now) != now {
 			c.turned(now)
 		}
+		c.reportStanding()
 		me := c.member() // takes the shards' locks, so before the membership table's
 		c.rmu.Lock()
 		o := c.rost.Tick(c.Now(), me, owns)
--- a/control/daemon/works.go
+++ b/control/daemon/works.go
@@ -7,7 +7,6 @@
 	"mulleinmast/control/fleetconfig"
 	"mulleinmast/control/leader"
 	"mulleinmast/control/placement"
-	"mulleinmast/wire/message"
 )
 
 // works runs the leader's systems over its servers and its group.
@@ -17,13 +16,9 @@
 	sight.Zones, sight.OkZones = c.Read(0, fleetconfig.ZoneKey)
 	if c.arch != nil {
 		sight.Replicas, sight.OkReplicas = c.Read(0, fleetconfig.ReplicaKey)
+		sight.Core = c.View().Core()
 	}
 	sight.Strain = c.Strain
-	sight.Vacant = func(replicas []message.Replica) ([]message.Replica, bool) {
-		c.rmu.Lock()
-		defer c.rmu.Unlock()
-		return c.rost.Vacant(c.Now(), replicas, fraction(c.Cfg.Bounds.Recover, 1.5))
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.Works(c.Now(), sight)
--- a/control/leader/job.go
+++ b/control/leader/job.go
@@ -42,8 +42,8 @@
 func OnceKey(key string) string { return "once/" + key }
 
 // job turns a call into a write; fault says what is wrong with its body. call
-// names it over all its tries, see onceOnly.
-func job(plans *fleetconfig.PlanReader, call, op string, body []byte) (j partition.Job, fault string) {
+// names it over all its tries, see onceOnly. replicas are those of the partition's group.
+func job(plans *fleetconfig.PlanReader, call, op string, body []byte, replicas ...message.Replica) (j partition.Job, fault string) {
 	read := func(to any) bool {
 		if err := json.Unmarshal(body, to); err != nil {
 			fault = err.Error()
@@ -58,7 +58,7 @@
 	case "seat":
 		var in ReplicaCall
 		if read(&in) {
-			j = onceOnly(call, replicaJob(in))
+			j = onceOnly(call, replicaJob(in, replicas))
 		}
 	case "servers":
 		var in ServersCall
@@ -119,9 +119,14 @@
 	}}
 }
 
-func replicaJob(in ReplicaCall) partition.Job {
+// seatJob changes the replicas that an operator wants: those that were wanted
+// before, or as the group has become since.
+func replicaJob(in ReplicaCall, now []message.Replica) partition.Job {
 	return partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Make: func(read lease.Source) ([]message.Rec, any) {
 		replicas := openReplicas(read(fleetconfig.ReplicaKey))
+		if !(message.Group{Replicas: replicas}).Has(in.Out) && (message.Group{Replicas: now}).Has(in.Out) {
+			replicas = slices.Clone(now)
+		}
 		for i := range replicas {
 			if replicas[i].Ident == in.Ident {
 				return nil, done
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -48,8 +48,8 @@
 	OkPlan, OkZones, OkReplicas bool
 	// Strain tells how hard a server is pressed, as far as this daemon heard.
 	Strain func(service, server string) placement.Strain
-	// Vacant names a standby for a replica whose daemon is gone.
-	Vacant func([]message.Replica) ([]message.Replica, bool)
+	// Core lists the daemons with a disk that are in the fleet now.
+	Core []message.Member
 }
 
 // mark is the last version that had been written at some time.
@@ -191,7 +191,7 @@
 		m.wanted(now, n)
 		return m.wrap(partition.Out{})
 	}
-	j, fault := job(&m.plans, callOf(n), n.Op, n.Body)
+	j, fault := job(&m.plans, callOf(n), n.Op, n.Body, m.replicas()...)
 	if fault != "" {
 		m.back(n, http.StatusBadRequest, leadercall.Pack(leadercall.Word{Result: "broken", Faults: []string{fault}}))
 		return m.wrap(partition.Out{})
@@ -391,39 +391,3 @@
 		}
 	})
 }
-
-// regroup keeps the wanted replicas of all partitions (kept in one record) and moves
-// this partition's group towards them.
-func (m *Controller) regroup(now time.Duration, s Sight, o *Out) {
-	if !s.OkReplicas {
-		return
-	}
-	want := openReplicas(s.Replicas)
-	replica := m.sec.Replica
-	if g := replica.Group(); g.Num != m.group {
-		m.group = g.Num
-		o.say("seats", "part %d: group %d is %v next %v", m.partition, g.Num, g.Replicas, g.Next)
-	}
-	if m.partition == 0 {
-		next, change := want, false
-		if len(want) == 0 {
-			next, change = replica.Group().Replicas, true
-		} else if len(replica.Group().Next) == 0 {
-			next, change = s.Vacant(want)
-		}
-		if change {
-			o.say("seats", "wanted seats become %v", next)
-			val := leadercall.Pack(next)
-			o.add(m.Do(now, partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Make: func(read lease.Source) ([]message.Rec, any) {
-				if cur := read(fleetconfig.ReplicaKey); cur.Ver != s.Replicas.Ver {
-					return nil, nil
-				}
-				return []message.Rec{{Key: fleetconfig.ReplicaKey, Val: val}}, nil
-			}}, nil))
-			return
-		}
-	}
-	if n := len(want); n > 0 && n == len(replica.Group().Replicas) {
-		o.add(m.wrap(m.sec.Regroup(now, want)))
-	}
-}
--- a/control/membership/found_test.go
+++ b/control/membership/found_test.go
@@ -329,35 +329,3 @@
 		t.Errorf("not the seeds: %v", s)
 	}
 }
-
-// A replica that is lost goes to the zone with the fewest replicas.
-func TestAVacantReplicaGoesWhereFewestAre(t *testing.T) {
-	y := newWorld(2, "+dd-", "+ddd", "+dd-")
-	y.run(6 * time.Second)
-	if err := y.whole(5); err != nil {
-		t.Fatal(err)
-	}
-	replicas := y.leader().group
-	in := func(list []message.Replica) map[string]int {
-		n := map[string]int{}
-		for _, s := range list {
-			n[y.by[s.Addr].m.Zone]++
-		}
-		return n
-	}
-	for i, s := range replicas {
-		if n := in(replicas); n[y.by[s.Addr].m.Zone] != 1 { // the one of the zone that has one
-			continue
-		}
-		y.by[s.Addr].down = true
-		y.run(4 * time.Second)
-		own := y.leader()
-		own.r.Vacant(y.now, replicas, time.Second)
-		next, ok := own.r.Vacant(y.now+2*time.Second, replicas, time.Second)
-		if n := in(next); !ok || next[i] == s || n["c0"] > 2 || n["c1"] > 2 || n["c2"] > 2 {
-			t.Errorf("%v became %v", replicas, next)
-		}
-		return
-	}
-	t.Errorf("no cell has one seat: %v", replicas)
-}
--- a/control/membership/membership.go
+++ b/control/membership/membership.go
@@ -50,7 +50,6 @@
 	sum    uint64            // digest of view
 	past   []shown           // views before this one, oldest first
 	madeAt time.Duration     // when view was made
-	goneAt map[string]time.Duration
 
 	ctl    int
 	home   string // the control daemon that has our session
@@ -68,7 +67,7 @@
 // Example: r := membership.New(cfg, me, seeds)
 func New(cfg Config, me message.Member, seeds []string) *Table {
 	return &Table{cfg: cfg, me: me, seeds: seeds, mine: map[string]session{}, heard: map[string]rumour{}, owns: map[int]message.Own{},
-		goneAt: map[string]time.Duration{}, acked: map[string]uint64{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
+		acked: map[string]uint64{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
 }
 
 // Know adds addresses of control daemons that were learnt elsewhere: seeds may
@@ -290,20 +289,10 @@
 		}
 	}
 	list := make([]message.Member, 0, len(best))
-	seen := map[string]bool{}
 	for _, s := range best {
 		list = append(list, s.m)
-		seen[s.m.Ident] = true
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Addr < list[j].Addr })
-	for _, m := range r.view {
-		if !seen[m.Ident] {
-			r.goneAt[m.Ident] = now
-		}
-	}
-	for id := range seen {
-		delete(r.goneAt, id)
-	}
 	r.madeAt = now
 	r.see(list)
 }
--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"iter"
+	"slices"
 	"sync"
 
 	"mulleinmast/wire/message"
@@ -30,6 +31,29 @@
 // Example: m, ok := v.Find(message.From)
 func (v *View) Find(id string) (message.Member, bool) { m, ok := v.by[id]; return m, ok }
 
+// Core lists the members with a disk.
+//
+// Example: standbys := v.Core()
+func (v *View) Core() []message.Member {
+	var out []message.Member
+	for _, m := range v.Members {
+		if m.Disk {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Standby tells whether a core daemon other than this one is without a replica in
+// a group, so that it could take this one's.
+//
+// Example: if v.Standby(group) { waitForHandOver() }
+func (v *View) Standby(g message.Group) bool {
+	return slices.ContainsFunc(v.Members, func(m message.Member) bool {
+		return m.Disk && m.Ident != v.Me.Ident && !g.Has(m.Ident)
+	})
+}
+
 // In iterates over the members of a zone.
 //
 // Example: for m := range v.In("north") { ... }
--- a/control/partition/calm_test.go
+++ b/control/partition/calm_test.go
@@ -19,7 +19,7 @@
 	for _, lost := range []bool{false, true} {
 		records := digest.NewRecords()
 		records.Put(message.Rec{Key: "k", Ver: message.Ver{Term: 4, Seq: 2}, Val: []byte("old")})
-		meta := quorum.Meta{Promised: 4, To: me.Ident, ToEpoch: 1, Tried: 4, LastComplete: 4, Group: message.Group{Num: 1, Replicas: []message.Replica{me}}}
+		meta := quorum.Meta{Promised: 4, To: me.Ident, ToEpoch: 1, Tried: 4, LastComplete: 4, Group: message.Group{Num: 1, Replicas: []message.Replica{me}, Next: []message.Replica{me}}} // a change of the group was under way
 		s := New(1, me, 2, quorum.New(cfg, 1, me, meta, records, 0, false), lease.New(lease.Config{Vol: vol, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: vol / 3}, 1, me, 2))
 		var now time.Duration
 		sync := func(o Out) (all Out) {
@@ -59,7 +59,7 @@
 			made = true
 			return []message.Rec{{Key: "k", Val: []byte("new")}}, nil
 		}}))
-		sync(s.Regroup(now, []message.Replica{{Ident: "z", Addr: "10.0.0.3:1"}}))
+		sync(s.Proceed(now))
 		for ; now < s.Calm() && len(o.Results) == 0; now += 10 * time.Millisecond {
 			if lost && now > 300*time.Millisecond {
 				s.Replica.Resign()
@@ -86,7 +86,7 @@
 		if len(o.Results) != 1 || o.Results[0].Fate != Done {
 			t.Errorf("calm: %+v", o.Results)
 		}
-		if sync(s.Regroup(now, []message.Replica{{Ident: "z", Addr: "10.0.0.3:1"}})); s.Replica.Group().Num != 2 {
+		if sync(s.Proceed(now)); s.Replica.Group().Num == 1 {
 			t.Errorf("calm: group %+v", s.Replica.Group())
 		}
 	}
--- a/control/partition/partition.go
+++ b/control/partition/partition.go
@@ -159,13 +159,33 @@
 	return o
 }
 
-// Regroup moves the group towards the wanted replicas, if we own the partition.
+// Learn names the standbys of the partition, if we own it.
 //
-// Example: out := s.Regroup(now, replicas)
-func (s *Partition) Regroup(now time.Duration, want []message.Replica) (o Out) {
-	if s.Leader(now) && len(s.runs) == 0 && now >= s.Calm() {
-		out, _ := s.Replica.Regroup(now, 0, want)
-		s.fromReplica(now, out, &o)
+// Example: out := s.Learn(now, standbys)
+func (s *Partition) Learn(now time.Duration, list []message.Replica) (o Out) {
+	s.fromReplica(now, s.Replica.Learn(now, list), &o)
+	s.turn(now, &o)
+	return o
+}
+
+// Replace begins to put a standby in a replica's place, if we own the partition.
+//
+// Example: out := s.Replace(now, "c", standby)
+func (s *Partition) Replace(now time.Duration, out string, in message.Replica) (o Out) {
+	if s.Leader(now) && now >= s.Calm() {
+		step, _ := s.Replica.Replace(now, 0, out, in)
+		s.fromReplica(now, step, &o)
+		s.turn(now, &o)
+	}
+	return o
+}
+
+// Proceed goes on with a change of the group, if we own the partition.
+//
+// Example: out := s.Proceed(now)
+func (s *Partition) Proceed(now time.Duration) (o Out) {
+	if s.Leader(now) && now >= s.Calm() {
+		s.fromReplica(now, s.Replica.Proceed(now, 0), &o)
 		s.turn(now, &o)
 	}
 	return o
--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -32,15 +32,14 @@
 // only when the records is still the one the leader saw and was not yet brought
 // to this term; later fills only add what is newer.
 func (s *Replica) fill(from message.Replica, n message.Message, o *Out) {
-	if s.meta.Promised > n.Num || s.meta.Promised == n.Num && s.meta.To != n.From || !n.Group.Has(s.me.Ident) || !n.Group.Has(n.From) || n.From == s.me.Ident {
+	if !n.Group.Has(n.From) || n.From == s.me.Ident || n.Group.Num < s.meta.Group.Num {
 		return
 	}
-	if n.Group.Num > s.meta.Group.Num {
-		s.meta.Group = n.Group
-	}
-	if n.Group.Num < s.meta.Group.Num {
+	out := s.meta.Group.Has(s.me.Ident) && !n.Group.Has(s.me.Ident) // of the group: then no promise stands
+	if !out && (s.meta.Promised > n.Num || s.meta.Promised == n.Num && s.meta.To != n.From) {
 		return
 	}
+	s.adopt(n.Group)
 	if s.meta.Promised < n.Num {
 		// A replica that missed the term joins it: a majority has settled it.
 		s.meta.Promised, s.meta.To, s.meta.ToEpoch = n.Num, n.From, n.Epoch
@@ -51,6 +50,10 @@
 		s.compared(from, n, o)
 		return
 	}
+	if s.meta.LastComplete == n.Num && n.Op == wholeCopy {
+		s.completed(from, n, o)
+		return
+	}
 	if s.meta.LastComplete == n.Num {
 		var recs []message.Rec
 		for _, r := range n.Recs {
--- /dev/null
+++ b/control/quorum/group_test.go
@@ -0,0 +1,272 @@
+package quorum
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"mulleinmast/control/digest"
+	"mulleinmast/wire/message"
+)
+
+// A replica that was replaced, missed writes and comes back under the same leader
+// has no vote before it holds them: what two copies of three held is never left
+// on one.
+func TestAReturningReplicaHoldsAllBeforeItCounts(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d"})
+	c.wait(2 * time.Second)
+	own, keep, out := c.others()
+	c.wait(time.Second, c.learn("d"))
+	c.replace(out, "d")
+	c.wait(time.Second, c.learn())
+	c.lose = func(to string, n message.Message) bool {
+		return to == out || to == keep && n.Kind == message.Accept && len(n.Recs) > 0
+	}
+	if !c.write("k") || c.has(keep, "k") || c.has(out, "k") || !c.has("d", "k") {
+		t.Fatalf("group %s: %s has it: %v, %s: %v, d: %v", c.group(), keep, c.has(keep, "k"), out, c.has(out, "k"), c.has("d", "k"))
+	}
+	c.lose = func(to string, n message.Message) bool {
+		return to == out && n.Kind == message.Accept || to == keep && n.Kind == message.Accept && len(n.Recs) > 0
+	}
+	c.wait(time.Second, c.learn(out))
+	c.replace("d", out)
+	for i := 0; i < 100; i++ {
+		c.wait(10*time.Millisecond, c.learn("d"))
+		if c.group() == fmt.Sprint(slices.Sorted(slices.Values([]string{"a", "b", "c"}))) && !c.has(out, "k") {
+			t.Fatalf("%s counts and lacks the write, which only %s of the group holds", out, own)
+		}
+	}
+	if c.lose = func(string, message.Message) bool { return false }; !c.has(out, "k") {
+		t.Errorf("%s lacks the write; group %s", out, c.group())
+	}
+}
+
+// Two leaders that each began a step and failed leave groups of their own: the
+// later one's is taken by all, also by the earlier leader.
+func TestGroupsOfTwoLeadersAreToldApart(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d", "e"})
+	c.wait(2 * time.Second)
+	first, one, two := c.others()
+	c.wait(time.Second, c.learn("d", "e"))
+	c.lose = func(string, message.Message) bool { return true }
+	c.replace(one, "d") // nobody hears of it
+	c.run()
+	c.lose = func(to string, n message.Message) bool { return to == first || n.From == first }
+	c.wait(4*time.Second, c.learn("d", "e"))
+	second, _ := c.leader()
+	out := one
+	if out == second {
+		out = two
+	}
+	c.replace(out, "e")
+	c.run()
+	c.lose = func(string, message.Message) bool { return false }
+	c.wait(time.Second)
+	id, s := c.leader()
+	if got, want := c.replicas[first].Group(), s.Group(); !sameReplicas(got, want) {
+		t.Errorf("%s has %+v, the owner %s has %+v", first, got, id, want)
+	}
+	c.down[second] = true // and one loss leaves a majority of both groups
+	c.wait(4*time.Second, c.learn("d", "e"))
+	if id, _ := c.leader(); id == second || !c.write("k") {
+		t.Errorf("nothing is written after the loss of %s", second)
+	}
+}
+
+// A step that its leader began is finished by the next if the newcomer is there,
+// and undone if not.
+func TestTheNextLeaderFinishesOrUndoesAStep(t *testing.T) {
+	for _, there := range []bool{true, false} {
+		c := newCrowd(t, []string{"a", "b", "c"}, []string{"d"})
+		c.wait(2 * time.Second)
+		first, one, two := c.others()
+		c.wait(time.Second, c.learn("d"))
+		c.replace(one, "d")
+		c.lose = func(to string, n message.Message) bool { return n.Op == wholeCopy || n.Kind == message.Filled } // the step stands, and no word that d holds all
+		c.run()
+		if _, s := c.leader(); len(s.Group().Next) == 0 || len(c.replicas[two].Group().Next) == 0 {
+			t.Fatalf("no step: %+v, %s has %+v", s.Group(), two, c.replicas[two].Group())
+		}
+		if c.down["d"] = !there; there {
+			c.down[first] = true
+		} else { // two losses at once are more than three replicas bear
+			c.replicas[first].Resign()
+		}
+		c.lose = func(string, message.Message) bool { return false }
+		c.wait(6*time.Second, c.learn("d"))
+		id, s := c.leader()
+		want := map[bool][]string{true: {first, two, "d"}, false: {"a", "b", "c"}}[there]
+		slices.Sort(want)
+		if got := c.group(); id == one && got != "[a b c]" || id != one && got != fmt.Sprint(want) || len(s.Group().Next) > 0 {
+			t.Errorf("the newcomer there %v: %s owns, group %s, expected %v", there, id, got, want)
+		}
+		if !c.write("k") {
+			t.Errorf("the newcomer there %v: nothing is written", there)
+		}
+	}
+}
+
+// A leader doesn't take itself out, begins no step beside another, takes none
+// that isn't at hand, and none once it was told to end.
+func TestStepsThatDoNotBegin(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d", "e"})
+	c.wait(2 * time.Second)
+	own, one, two := c.others()
+	s := c.replicas[own]
+	refused := func(what, out, in string) {
+		t.Helper()
+		if o, ok := s.Replace(c.now, 0, out, replicaOf(in)); ok || len(o.Sends)+len(o.Saves) > 0 {
+			t.Errorf("%s: %s is replaced by %s", what, out, in)
+		}
+	}
+	refused("no copy", one, "d")
+	c.wait(time.Second, c.learn("d", "e"))
+	refused("itself", own, "d")
+	refused("no seat", "e", "d")
+	c.down["d"] = true
+	c.wait(timed.LeaderLease+timed.Beat, c.learn("d", "e"))
+	refused("a standby that is silent", one, "d")
+	c.down["d"] = false
+	c.wait(time.Second, c.learn("d", "e"))
+	c.replicas["d"].Resign()
+	c.wait(timed.Beat*2, c.learn("d", "e"))
+	refused("a standby that ends", one, "d")
+	c.replace(one, "e")
+	refused("two at once", two, "d")
+	c.wait(time.Second, c.learn("d", "e"))
+	s.Resign()
+	refused("told to end", two, one)
+}
+
+// A replica that was replaced while it was bound to a higher term is a standby
+// at once, and keeps no term that it stood with.
+func TestAReplacedReplicaIsAStandby(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d"})
+	c.wait(2 * time.Second)
+	_, one, two := c.others()
+	c.wait(time.Second, c.learn("d"))
+	c.down[one] = true
+	c.wait(3*time.Second, c.learn("d"))
+	c.replace(one, "d")
+	c.wait(time.Second, c.learn())
+	meta := c.replicas[one].Meta()
+	meta.Promised, meta.To, meta.ToEpoch, meta.Tried = 40, one, 1, 40 // it stood while it was cut off
+	c.replicas[one] = New(timed, 1, replicaOf(one), meta, digest.NewRecords(), c.now, false)
+	c.down[one] = false
+	c.wait(2*time.Second, c.learn(one))
+	id, s := c.leader()
+	if !s.AtHand(c.now, one) || c.replicas[one].Group().Has(one) || c.replicas[one].Meta().Tried != 40 {
+		t.Fatalf("%s is no standby of %s: %+v", one, id, c.replicas[one].Meta())
+	}
+	c.replace(map[bool]string{true: two, false: "d"}[id != two], one)
+	c.wait(time.Second, c.learn("d"))
+	if g := c.group(); !c.replicas[id].Group().Has(one) || len(c.replicas[id].Group().Next) > 0 {
+		t.Errorf("%s has no seat again: %s", one, g)
+	}
+}
+
+// A replica that is told to end says so, and is told from one that is silent.
+func TestWhoEndsAndWhoIsGone(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, nil)
+	c.wait(2 * time.Second)
+	own, one, two := c.others()
+	s := c.replicas[own]
+	c.replicas[one].Resign()
+	c.down[two] = true
+	c.wait(timed.Gone - 2*timed.Beat)
+	if !s.Parting(one) || s.Gone(c.now, one) || s.Missing(c.now, one) || s.Parting(two) || s.Gone(c.now, two) || !s.Missing(c.now, two) {
+		t.Errorf("early: %s parting %v; %s gone %v missing %v", one, s.Parting(one), two, s.Gone(c.now, two), s.Missing(c.now, two))
+	}
+	c.wait(3 * timed.Beat)
+	if s.Gone(c.now, one) || !s.Gone(c.now, two) || s.Gone(c.now, own) {
+		t.Errorf("late: %s gone %v; %s gone %v; the owner itself %v", one, s.Gone(c.now, one), two, s.Gone(c.now, two), s.Gone(c.now, own))
+	}
+}
+
+// A new leader counts from when the one before was last there, so that the replica
+// of one that is lost isn't kept for longer because it owned the partition.
+func TestAnLeaderThatIsLostIsGoneAsSoon(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, nil)
+	c.wait(2 * time.Second)
+	first, _, _ := c.others()
+	lost := c.now
+	c.down[first] = true
+	c.wait(timed.Gone - 2*timed.Beat)
+	if _, s := c.leader(); s.Gone(c.now, first) || !s.Missing(c.now, first) {
+		t.Errorf("%v after the loss: gone %v, missing %v", c.now-lost, s.Gone(c.now, first), s.Missing(c.now, first))
+	}
+	c.wait(2*timed.Beat + 20*time.Millisecond)
+	_, s := c.leader()
+	if !s.Gone(c.now, first) {
+		t.Errorf("%v after the loss it is not gone", c.now-lost)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if id != first && s.Missing(c.now, id) {
+			t.Errorf("%s is missing", id)
+		}
+	}
+}
+
+// A write that is under way doesn't hold a step up, and then needs both
+// majorities like any other.
+func TestAWriteUnderWayNeedsBothMajorities(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d"})
+	c.wait(2 * time.Second)
+	own, keep, out := c.others()
+	c.wait(time.Second, c.learn("d"))
+	c.lose = func(to string, n message.Message) bool {
+		return to != own && to != "d" && n.Kind == message.Accept && len(n.Recs) > 0
+	}
+	if c.write("k") {
+		t.Fatal("written without a majority")
+	}
+	c.replace(out, "d")
+	c.run()
+	if g := c.replicas[own].Group(); len(g.Next) == 0 || slices.Contains(c.done, Done{9, Written}) {
+		t.Fatalf("written %v by one of the old group and one more of the new: %+v", c.done, g)
+	}
+	c.lose = func(string, message.Message) bool { return false }
+	c.wait(time.Second, c.learn("d"))
+	if !slices.Contains(c.done, Done{9, Written}) || !c.has(keep, "k") || !c.has("d", "k") || c.replicas[own].Group().Has(out) {
+		t.Errorf("done %v, %s has it: %v, d: %v, group %s", c.done, keep, c.has(keep, "k"), c.has("d", "k"), c.group())
+	}
+}
+
+// A stranger's word on a copy, and one that was given before a step began,
+// count for nothing; nor does a standby speak on anything but its copy.
+func TestOnlyTheNewcomersWordCounts(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d"})
+	c.wait(2 * time.Second)
+	own, one, _ := c.others()
+	c.wait(time.Second, c.learn("d"))
+	s := c.replicas[own]
+	c.lose = func(to string, n message.Message) bool { return n.Op == wholeCopy }
+	c.replace(one, "d")
+	c.run()
+	step := s.Group().Num
+	for what, n := range map[string]message.Message{
+		"an earlier step's": {From: "d", Kind: message.Filled, Op: wholeCopy, Num: s.Num(), Ref: step - 1},
+		"an earlier term's": {From: "d", Kind: message.Filled, Op: wholeCopy, Num: s.Num() - 1, Ref: step},
+		"a stranger's":      {From: "z", Kind: message.Filled, Op: wholeCopy, Num: s.Num(), Ref: step},
+		"a plain copy's":    {From: "d", Kind: message.Filled, Num: s.Num()},
+	} {
+		n.Addr, n.Partition = n.From, 1
+		c.carry(own, s.Hear(c.now, n))
+		c.carry(own, s.Proceed(c.now, 0))
+		c.run()
+		if len(s.Group().Next) == 0 {
+			t.Fatalf("%s word ends the step", what)
+		}
+	}
+	c.lose = func(string, message.Message) bool { return false }
+	if c.wait(time.Second, c.learn("d")); len(s.Group().Next) > 0 || !s.Group().Has("d") {
+		t.Errorf("the step doesn't end: %+v", s.Group())
+	}
+	high := s.Num() + 100 // one of whom we don't hear is no reason to give up
+	c.carry(own, s.Hear(c.now, message.Message{From: one, Addr: one, Kind: message.Refuse, Partition: 1, Num: s.Num(), LastComplete: high}))
+	c.wait(every*timed.LeaderLease+time.Second, c.learn(one))
+	if !s.Leader(c.now) {
+		t.Error("a standby's refusal ended the duty")
+	}
+}
--- a/control/quorum/lease.go
+++ b/control/quorum/lease.go
@@ -40,7 +40,7 @@
 			delete(s.yes, r)
 		}
 	}
-	for _, replica := range s.meta.Group.All() {
+	for _, replica := range s.peers() {
 		o.send(replica, message.Message{Kind: message.Support, Partition: s.partition, Num: s.num, No: s.round})
 	}
 }
@@ -79,7 +79,7 @@
 		if now-s.beatAt >= s.cfg.Beat {
 			s.beat(now, &o)
 		}
-		for _, replica := range s.meta.Group.All() {
+		for _, replica := range s.peers() {
 			if !s.filled[replica.Ident] && now-s.fillAt[replica.Ident] >= 2*s.cfg.Beat {
 				s.sendFill(now, replica, nil, &o)
 			}
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -22,6 +22,7 @@
 	Drift       float64       // most by which one clock runs faster than another
 	Margin      time.Duration // added to every wait on another's clock
 	Beat        time.Duration // renew and resend interval
+	Gone        time.Duration // a replica that is silent for so long counts as gone where a standby is at hand
 }
 
 // Wait is how long a granter waits out a lease of the given length.
@@ -127,8 +128,9 @@
 	lives   map[string]uint64 // the latest life of each replica that was heard
 	calm    time.Duration     // as leader: nothing is written before this
 	hint    message.Own
-	before  Meta   // what our vote was bound to before its last promise
-	undo    uint64 // the term of that promise; none since the start
+	backed  time.Duration // when we last supported it
+	before  Meta          // what our vote was bound to before its last promise
+	undo    uint64        // the term of that promise; none since the start
 
 	tick   uint64
 	after  map[uint64][]message.Send // sends held until the ticket is synced
@@ -142,6 +144,11 @@
 	stuck  map[string]time.Duration // voters bound to another term, and since when
 	filled map[string]bool
 	fillAt map[string]time.Duration
+	learn  []message.Replica        // as leader: standbys that are sent a copy and have no vote
+	heard  map[string]time.Duration // as leader: when a replica or standby last replied
+	ending map[string]bool          // as leader: those that were told to end
+	whole  map[string]bool          // as leader: newcomers of this step that hold the whole state
+	step   uint64                   // as leader: the write that commits the present group
 	seenAt map[string]time.Duration // when a replica's copy was last compared
 	lease  time.Duration
 	wonAt  time.Duration
@@ -251,10 +258,11 @@
 // Example: out := s.Hear(now, message)
 func (s *Replica) Hear(now time.Duration, n message.Message) (o Out) {
 	from := message.Replica{Ident: n.From, Addr: n.Addr}
-	if g := s.meta.Group; g.Num > 0 && !g.Has(n.From) && (n.Kind != message.Ask && n.Kind != message.Fill && n.Kind != message.Accept && n.Kind != message.Support) {
-		return o // only replicas have a voice
+	if !s.audible(n) {
+		return o
 	}
 	s.live(now, n)
+	s.replied(now, n)
 	switch n.Kind {
 	case message.Ask:
 		s.asked(now, from, n, &o)
@@ -265,8 +273,10 @@
 	case message.Fill:
 		s.fill(from, n, &o)
 	case message.Filled:
-		if s.standing(n.Num) && n.Op == compare {
+		if s.standing(n.Num) && n.Op == compare && s.meta.Group.Has(n.From) {
 			s.reported(n, &o)
+		} else if s.standing(n.Num) && n.Op == wholeCopy {
+			s.holdsAll(n)
 		} else if s.standing(n.Num) {
 			s.filled[n.From] = true
 			s.settle(now, &o)
@@ -274,6 +284,8 @@
 	case message.Unfit:
 		if s.standing(n.Num) && n.Op == compare {
 			s.mend(from, n.Digs, &o)
+		} else if s.standing(n.Num) && n.Op == wholeCopy {
+			s.complete(from, n, &o)
 		} else if s.standing(n.Num) {
 			delete(s.filled, n.From)
 			s.sendFill(now, from, n.Digs, &o)
@@ -285,8 +297,12 @@
 	case message.Support:
 		if s.meta.Promised == n.Num && s.meta.To == n.From {
 			s.support, s.till = n.From, max(s.till, now+s.cfg.Wait(s.cfg.LeaderLease))
-			s.hint = message.Own{Partition: s.partition, Num: n.Num, Replica: from}
-			o.send(from, message.Message{Kind: message.Supported, Partition: s.partition, Num: n.Num, Ref: n.No})
+			s.hint, s.backed = message.Own{Partition: s.partition, Num: n.Num, Replica: from}, now
+			rep := message.Message{Kind: message.Supported, Partition: s.partition, Num: n.Num, Ref: n.No}
+			if s.quit {
+				rep.Op = parting
+			}
+			o.send(from, rep)
 		} else {
 			s.refuse(now, from, n, &o)
 		}
--- a/control/quorum/repair.go
+++ b/control/quorum/repair.go
@@ -25,7 +25,7 @@
 	if s.mode != owning || len(s.writes) > 0 {
 		return
 	}
-	for _, replica := range s.meta.Group.All() {
+	for _, replica := range s.peers() {
 		if !s.filled[replica.Ident] || replica.Ident == s.me.Ident {
 			continue
 		}
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -118,7 +118,7 @@
 func (s *Replica) refuseBy(now time.Duration, n message.Message, o *Out) {
 	s.high = max(s.high, n.LastComplete)
 	if n.Group.Num > s.meta.Group.Num && n.Num == s.num {
-		s.meta.Group = n.Group
+		s.adopt(n.Group)
 		s.save(o, nil, nil)
 		if s.mode == asking || s.mode == probing {
 			s.drop(o)
@@ -162,6 +162,7 @@
 	s.wonAt = now
 	s.mode = filling
 	s.filled, s.fillAt, s.seenAt = map[string]bool{}, map[string]time.Duration{}, map[string]time.Duration{}
+	s.follow(now)
 	s.lease = s.askAt + s.cfg.LeaderLease
 	s.merge(o)
 	for _, replica := range s.meta.Group.All() {
--- a/control/quorum/write.go
+++ b/control/quorum/write.go
@@ -19,9 +19,7 @@
 		o.send(from, message.Message{Kind: message.Unfit, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
 		return
 	}
-	if n.Group.Num > s.meta.Group.Num {
-		s.meta.Group = n.Group
-	}
+	s.adopt(n.Group)
 	var recs []message.Rec
 	for _, r := range n.Recs {
 		if s.records.Take(r) {
@@ -72,7 +70,7 @@
 }
 
 func (s *Replica) sendWrite(no uint64, w *write, o *Out) {
-	for _, replica := range s.meta.Group.All() {
+	for _, replica := range s.peers() {
 		if !w.acks[replica.Ident] {
 			o.send(replica, message.Message{Kind: message.Accept, Partition: s.partition, Num: s.num, No: no, Recs: w.recs, Group: s.meta.Group})
 		}
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -35,6 +35,7 @@
 	life    int // counts starts; old events of a past life are dropped
 	up      bool
 	gone    bool          // for good
+	leaving bool          // told to end for good
 	frozen  time.Duration // until this true time
 	thawed  time.Duration // when it last was, or will be, awake again
 	rate    float64
@@ -143,7 +144,11 @@
 			if w.o.Sabotage == "forget" {
 				meta.Promised, meta.To = 0, ""
 			}
-			replica = quorum.New(w.cfg.QuorumConfig(), p, me, meta, records, now, meta.Group.Num == 0 || w.o.Sabotage == "nowaitvote")
+			leadership := w.cfg.QuorumConfig()
+			if w.o.Sabotage == "lategone" {
+				leadership.Gone = w.cfg.Bounds.Recover * 3 / 2
+			}
+			replica = quorum.New(leadership, p, me, meta, records, now, meta.Group.Num == 0 || w.o.Sabotage == "nowaitvote")
 		}
 		tree := lease.New(leases, p, me, n.epoch)
 		p := p
@@ -257,9 +262,7 @@
 	if n.hasDisk {
 		s.Replicas, s.OkReplicas = get(fleetconfig.ReplicaKey)
 	}
-	s.Vacant = func(replicas []message.Replica) ([]message.Replica, bool) {
-		return n.rost.Vacant(now, replicas, n.w.cfg.Bounds.Recover*3/2)
-	}
+	s.Core = n.view.Core()
 	for p, m := range n.parts {
 		if !m.Leader(now) {
 			m.Works(now, s)
