Simulator: secondloss and successors, with three planted faults

secondloss: a core machine is gone for good, wiped, or ended with notice, and another is lost for 5.5 s a catch-up bound after the successor's start, three times. successors: ten replacements, each a catch-up bound after the last successor's start.

--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -24,6 +24,7 @@
 	for _, at := range w.o.Swaps {
 		w.at(at, w.swap)
 	}
+	w.at(10*time.Second, func() { w.lose(w.o.Rounds) })
 	w.at(end, func() {
 		w.calm = true
 		w.cut = map[[2]string]bool{}
--- /dev/null
+++ b/proof/sim/losses.go
@@ -0,0 +1,158 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"mulleinmast/wire/message"
+)
+
+// Losses of core machines one after the other, as fast as the fleet is to bear
+// them: the next comes a catch-up bound after the last successor's start.
+
+// downFor is how long a machine is away that keeps its disk: longer than a part
+// may be without a leader.
+const downFor = 5500 * time.Millisecond
+
+// shortStop is how long a daemon at least goes on after it was told to end.
+const shortStop = 2200 * time.Millisecond
+
+// successors is a run of losses, with a second loss after each or not.
+func successors(rounds int, second bool) func(int64) Options {
+	return func(seed int64) Options {
+		o := Default(seed)
+		o.Rounds, o.Second, o.Faults = rounds, second, nil
+		o.Writes, o.Reads, o.Keys = 100*time.Millisecond, 80*time.Millisecond, 6
+		o.Calm = 8 * time.Second
+		each := 7 * time.Second
+		if second {
+			each = 18 * time.Second
+		}
+		o.Length = 14*time.Second + time.Duration(rounds)*each + o.Calm
+		return o
+	}
+}
+
+// lose brings the next loss about: a core machine is gone for good and an empty
+// one comes at a new address, with or without notice, or it loses its disk.
+func (w *world) lose(left int) {
+	if left == 0 || w.calm {
+		return
+	}
+	n := w.someCore(nil)
+	gap := w.exp(500 * time.Millisecond)
+	switch w.rng.Intn(3) {
+	case 0:
+		w.fault("gone", n)
+		n.kill()
+		n.gone = true
+		m := w.add(n.zone, true, len(w.nodes))
+		w.at(gap, func() { m.start(); w.after(m, w.cfg.Catch, left) })
+	case 1:
+		w.fault("wiped", n)
+		n.kill()
+		n.disk = nil
+		w.at(gap, func() { n.start(); w.after(n, w.cfg.Catch, left) })
+	default:
+		w.fault("planned", n)
+		m := w.add(n.zone, true, len(w.nodes))
+		m.start()
+		w.at(w.cfg.Catch, func() { n.leave(func() { w.after(m, 0, left) }) })
+	}
+}
+
+// after goes on once a successor counts: with a second loss if there is to be
+// one, and then with the next.
+func (w *world) after(m *node, wait time.Duration, left int) {
+	w.at(wait, func() {
+		if !w.o.Second {
+			w.lose(left - 1)
+			return
+		}
+		w.loseSecond(m)
+		w.at(downFor+w.cfg.Catch, func() { w.lose(left - 1) })
+	})
+}
+
+// loseSecond kills another core machine than the successor; it keeps its disk.
+func (w *world) loseSecond(successor *node) {
+	if w.calm {
+		return
+	}
+	n := w.someCore(successor)
+	w.fault("second", n)
+	n.kill()
+	w.at(downFor, n.start)
+}
+
+// someCore picks a core machine, every other time the leader of part 0.
+func (w *world) someCore(but *node) *node {
+	var all []*node
+	for _, n := range w.nodes {
+		if !n.hasDisk || n.gone || n.leaving || n == but {
+			continue
+		}
+		if all = append(all, n); n.up && n.parts[0].Leader(n.local()) && w.rng.Intn(2) == 0 {
+			return n
+		}
+	}
+	return all[w.rng.Intn(len(all))]
+}
+
+// leave tells a daemon to end for good; it does once its replicas are taken over,
+// or when its time is up.
+func (n *node) leave(then func()) {
+	w := n.w
+	n.leaving = true
+	if w.o.Sabotage != "nohandover" {
+		for p := range n.parts {
+			n.sec(p).Replica.Resign()
+		}
+	}
+	limit := w.now + time.Duration(float64(w.cfg.Grace)*0.875)
+	var look func()
+	look = func() {
+		if n.held() > 0 && w.now < limit && w.o.Sabotage != "nohandover" {
+			w.at(50*time.Millisecond, look)
+			return
+		}
+		n.kill()
+		n.gone = true
+		w.trace("%s ends for good", n.name)
+		then()
+	}
+	w.at(shortStop, look)
+}
+
+// held counts the parts that a standby could take over and hasn't.
+func (n *node) held() (count int) {
+	for p := range n.parts {
+		if g := n.sec(p).Replica.Group(); g.Has(n.ident) && n.view.Standby(g) {
+			count++
+		}
+	}
+	return count
+}
+
+// vacancy messages a part that nobody owned for too long.
+func (w *world) vacancy(p int, owned bool) {
+	if w.o.Rounds == 0 {
+		return
+	}
+	if since, ok := w.ownedAt[p]; ok && !owned && w.now-since > w.cfg.Catch {
+		w.note(Event{Kind: Silent, Node: "nobody", Tag: fmt.Sprintf("owned part %d for %v", p, w.now-since)})
+		w.ownedAt[p] = w.now
+	}
+	if owned {
+		w.ownedAt[p] = w.now
+	}
+}
+
+// unchecked is the sabotage that takes a newcomer's copy for whole unseen.
+func (w *world) unchecked(from, to *node, m message.Message) bool {
+	if w.o.Sabotage != "unchecked" || m.Kind != message.Fill || m.Op != "whole" {
+		return false
+	}
+	w.carry(to, from, message.Message{Kind: message.Filled, Op: m.Op, Partition: m.Partition, Num: m.Num, Ref: m.No, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
+	return true
+}
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -28,6 +28,8 @@
 	Servers    []int           // model servers of each service
 	Orders     time.Duration   // mean time between operators' and the platform's calls
 	Swaps      []time.Duration // when a core machine is exchanged for an empty one
+	Rounds     int             // losses of core machines for good, one after the other
+	Second     bool            // another is lost for a while as soon as a successor is to count
 	Moves      time.Duration   // mean time until a zone that was brought back is evacuated again; 0: only by Orders
 	Late       float64         // part of the calls to leaders that come a second time, seconds later
 	Far        time.Duration   // more between zones, one way
@@ -109,6 +111,12 @@
 		o.Zones, o.Disks, o.Losses, o.Bare = []int{4, 3, 3}, 2, 2, true
 		return o
 	},
+	// A core machine is lost or replaced, and another is lost a catch-up bound
+	// after the successor's start.
+	"secondloss": successors(3, true),
+	// Ten core machines are replaced, each a catch-up bound after the last
+	// successor's start.
+	"successors": successors(10, false),
 	// Many records, so that few are written anew after one is spoilt.
 	"rot": func(seed int64) Options {
 		o := Default(seed)
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -56,20 +56,21 @@
 }
 
 type world struct {
-	o     Options
-	cfg   daemon.Config
-	rng   *rand.Rand
-	now   time.Duration
-	q     queue
-	no    int
-	nodes []*node
-	cut   map[[2]string]bool
-	res   Result
-	tags  uint64
-	ids   int
-	lost  bool
-	owned time.Duration
-	calm  bool
+	o       Options
+	cfg     daemon.Config
+	rng     *rand.Rand
+	now     time.Duration
+	q       queue
+	no      int
+	nodes   []*node
+	cut     map[[2]string]bool
+	res     Result
+	tags    uint64
+	ids     int
+	lost    bool
+	owned   time.Duration
+	ownedAt map[int]time.Duration // when each part was last seen owned
+	calm    bool
 
 	fakeServers map[string]*fakeServer
 	addrs       []string // of depots, in order
@@ -87,7 +88,7 @@
 //
 // Example: r := sim.Run(sim.Default(42)); len(r.Broken) == 0
 func Run(o Options) Result {
-	w := &world{o: o, cfg: daemon.Default(), rng: rand.New(rand.NewSource(o.Seed)), cut: map[[2]string]bool{}}
+	w := &world{o: o, cfg: daemon.Default(), rng: rand.New(rand.NewSource(o.Seed)), cut: map[[2]string]bool{}, ownedAt: map[int]time.Duration{}}
 	w.cfg.Partitions, w.cfg.Test = o.Partitions, true
 	w.res.Served, w.res.Sent, w.res.Steers, w.res.Faults, w.res.Results, w.res.Refusals, w.res.Plans = map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	if o.Sabotage == "drift" {
@@ -170,6 +171,7 @@
 				any = true
 			}
 		}
+		w.vacancy(p, any)
 		if p == 0 {
 			if any {
 				w.owned = w.now
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -24,7 +24,7 @@
 			t.Parallel()
 			n := int64(12)
 			o := Scenarios[name](1)
-			if name == "swaps" || o.Calls > 0 {
+			if name == "swaps" || o.Rounds > 0 || o.Calls > 0 {
 				n = 4
 			}
 			yes, reads, ok, taken := sweep(t, name, 1, n)
@@ -83,6 +83,9 @@
 		"sayno":        {"servers", "plan-refused:"}, // a plan is refused and written all the same
 		"noretrybound": {"servers", "retries:"},      // retries know no bound
 		"noramp":       {"servers", "flood:"},        // a server that starts gets its whole share
+		"lategone":     {"secondloss", "nobody"},     // a lost replica is filled after one and a half recovery bounds
+		"nohandover":   {"secondloss", "nobody"},     // a daemon that ends doesn't say so and isn't waited for
+		"unchecked":    {"successors", "without"},    // a newcomer counts whatever it holds
 		"noswap":       {"reboot", "holders:"},       // a new holder orders at once
 		"noafter":      {"servers", "told:"},         // nobody is told when to come back
 		"lateback":     {"servers", "recovery:"},     // servers take 14 s longer to come back
