--- a/control/quorum/group_test.go
+++ b/control/quorum/group_test.go
@@ -186,7 +186,7 @@
 
 // A new leader counts from when the one before was last there, so that the replica
 // of one that is lost isn't kept for longer because it owned the partition.
-func TestAnLeaderThatIsLostIsGoneAsSoon(t *testing.T) {
+func TestALeaderThatIsLostIsGoneAsSoon(t *testing.T) {
 	c := newCrowd(t, []string{"a", "b", "c"}, nil)
 	c.wait(2 * time.Second)
 	first, _, _ := c.others()
