--- a/control/quorum/crowd_test.go
+++ b/control/quorum/crowd_test.go
@@ -21,7 +21,6 @@
 	lose     func(to string, n message.Message) bool
 	done     []Done
 	queue    []message.Send
-	from     []string
 }
 
 func replicaOf(id string) message.Replica { return message.Replica{Ident: id, Addr: id} }
