Responses to calls count for one life of their caller only

Cause: a daemon with a disk keeps its identity over a restart and numbered its calls from 1 again, and a response was matched by number alone. The leader's late response to an earlier life's call ended a call of the next one: an operator was told that a change had been taken, or refused, that was another's.

Ruled out: responses of leaders and of earlier tries (numbers within a life are never used twice, and every try has its own).

Seen failing first: TestResponsesToAnEarlierLife, "the reply to an earlier life ended [{No:1 Code:200 Body:[]}]".

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -134,7 +134,7 @@
 		return nil, InUse.Wrap(err)
 	}
 	c.web = ln
-	c.runs = leadercall.New(leadercall.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}) // calls may be sent twice: each is known by its id
+	c.runs = leadercall.New(leadercall.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}, c.epoch) // calls may be sent twice: each is known by its id
 	c.rost = membership.New(cfg.Sessions(), c.member(), cfg.Seeds)
 	if c.arch != nil {
 		for _, h := range c.arch.Partitions {
--- a/control/leadercall/leadercall.go
+++ b/control/leadercall/leadercall.go
@@ -52,19 +52,31 @@
 	lost      bool   // a try was sent and had no word
 }
 
+// try is one message of a call: only the daemon that it went to may reply to it.
+type try struct {
+	call uint64
+	to   string
+}
+
 // Calls are the calls under way.
 type Calls struct {
 	cfg   Config
 	no    uint64
 	calls map[uint64]*call
-	refs  map[uint64]uint64 // message -> call
+	tries map[uint64]try // by the message's number
 }
 
-// New makes an empty set of calls.
+// lifeBits is how many messages a life may number, as a power of two. A daemon
+// with a disk keeps its identity over a restart, so that a reply to its earlier
+// life reaches it: the earlier life's numbers must be nobody's now.
+const lifeBits = 40
+
+// New makes an empty set of calls for one life of a daemon: its epoch, which a
+// daemon with a disk counts up at each start.
 //
-// Example: e := leadercall.New(leadercall.Config{Try: time.Second, Pause: 25 * time.Millisecond})
-func New(cfg Config) *Calls {
-	return &Calls{cfg: cfg, calls: map[uint64]*call{}, refs: map[uint64]uint64{}}
+// Example: e := leadercall.New(leadercall.Config{Try: time.Second, Pause: 25 * time.Millisecond}, epoch)
+func New(cfg Config, life uint64) *Calls {
+	return &Calls{cfg: cfg, no: life << lifeBits, calls: map[uint64]*call{}, tries: map[uint64]try{}}
 }
 
 // Start begins a call; once says that one try is enough.
@@ -90,7 +102,7 @@
 	}
 	e.no++
 	c.ref, c.due = e.no, now+e.cfg.Try
-	e.refs[e.no] = no
+	e.tries[e.no] = try{no, own.Ident}
 	o.Sends = append(o.Sends, message.Send{Addr: own.Addr, Message: message.Message{Kind: message.Call, Partition: c.partition, To: own.Ident, No: e.no, Ref: no, Op: c.op, Body: c.body}})
 }
 
@@ -98,12 +110,12 @@
 //
 // Example: out := e.Hear(now, message)
 func (e *Calls) Hear(now time.Duration, n message.Message) (o Out) {
-	no, ok := e.refs[n.Ref]
-	c := e.calls[no]
-	if !ok || c == nil {
+	t, ok := e.tries[n.Ref]
+	no, c := t.call, e.calls[t.call]
+	if !ok || c == nil || n.From != t.to {
 		return o
 	}
-	delete(e.refs, n.Ref)
+	delete(e.tries, n.Ref)
 	if c.ref == n.Ref {
 		c.ref = 0
 	}
@@ -133,9 +145,9 @@
 
 func (e *Calls) drop(no uint64, c *call) {
 	delete(e.calls, no)
-	for ref, of := range e.refs {
-		if of == no {
-			delete(e.refs, ref)
+	for ref, t := range e.tries {
+		if t.call == no {
+			delete(e.tries, ref)
 		}
 	}
 }
--- a/control/leadercall/leadercall_test.go
+++ b/control/leadercall/leadercall_test.go
@@ -35,14 +35,14 @@
 		"not the owner": {own, Other, "not done"},
 		"owner unsure":  {own, Uncertain, "uncertain"},
 	} {
-		e := New(cfg)
+		e := New(cfg, 1)
 		_, o := e.Start(0, x.own, 0, "plan", nil, 2*time.Second, false)
 		var done []Done
 		now := time.Duration(0)
 		for ; now < 4*time.Second && len(done) == 0; now += 10 * time.Millisecond {
 			for _, m := range o.Sends {
 				if x.back != 0 {
-					done = append(done, e.Hear(now, message.Message{Ref: m.Message.No, Code: x.back}).Done...)
+					done = append(done, e.Hear(now, message.Message{From: own.Ident, Ref: m.Message.No, Code: x.back}).Done...)
 				}
 			}
 			o = e.Tick(now, func(int) message.Replica { return x.own })
@@ -56,19 +56,19 @@
 
 // A reply to an earlier try counts; a second one, or one to nobody, does not.
 func TestLateAndStrayResponses(t *testing.T) {
-	e := New(cfg)
+	e := New(cfg, 1)
 	no, o := e.Start(0, own, 0, "plan", nil, 4*time.Second, false)
 	first := o.Sends[0].Message.No
 	if o = e.Tick(500*time.Millisecond, func(int) message.Replica { return own }); len(o.Sends) != 1 {
 		t.Fatalf("not sent again: %+v", o)
 	}
-	if d := e.Hear(time.Second, message.Message{Ref: 999, Code: 200}).Done; len(d) > 0 {
+	if d := e.Hear(time.Second, message.Message{From: own.Ident, Ref: 999, Code: 200}).Done; len(d) > 0 {
 		t.Errorf("a stray reply ended %+v", d)
 	}
-	if d := e.Hear(time.Second, message.Message{Ref: first, Code: 200}).Done; len(d) != 1 || d[0].No != no {
+	if d := e.Hear(time.Second, message.Message{From: own.Ident, Ref: first, Code: 200}).Done; len(d) != 1 || d[0].No != no {
 		t.Errorf("a late reply ended %+v", d)
 	}
-	if d := e.Hear(time.Second, message.Message{Ref: o.Sends[0].Message.No, Code: 409}).Done; len(d) > 0 {
+	if d := e.Hear(time.Second, message.Message{From: own.Ident, Ref: o.Sends[0].Message.No, Code: 409}).Done; len(d) > 0 {
 		t.Errorf("a second reply ended %+v", d)
 	}
 }
@@ -76,7 +76,7 @@
 // Every try of a call goes under the call's own number, so that a leader knows
 // one that it has carried out; the try's number tells the replies apart.
 func TestTriesOfOneCall(t *testing.T) {
-	e := New(cfg)
+	e := New(cfg, 1)
 	_, first := e.Start(0, own, 0, "return", nil, 4*time.Second, false)
 	_, other := e.Start(0, own, 0, "return", nil, 4*time.Second, false)
 	again := e.Tick(500*time.Millisecond, func(int) message.Replica { return message.Replica{Ident: "p", Addr: "10.0.0.2:1"} })
@@ -88,3 +88,25 @@
 		t.Errorf("tries go as %d/%d and %d/%d, another call as %d/%d", a.Ref, a.No, b.Ref, b.No, c.Ref, c.No)
 	}
 }
+
+// A reply is its own call's: one to an earlier life of this daemon, which had the
+// same identity, or from another daemon than was asked, ends none of its calls.
+func TestResponsesToAnEarlierLife(t *testing.T) {
+	was := New(cfg, 3)
+	_, old := was.Start(0, own, 0, "plan", []byte("one"), 4*time.Second, false)
+	e := New(cfg, 4)
+	no, o := e.Start(0, own, 0, "plan", []byte("two"), 4*time.Second, false)
+	late, mine := old.Sends[0].Message, o.Sends[0].Message
+	if late.Ref == mine.Ref {
+		t.Errorf("calls of two lives both go under %d", mine.Ref)
+	}
+	if d := e.Hear(time.Second, message.Message{From: own.Ident, Ref: late.No, Code: 200}).Done; len(d) > 0 {
+		t.Errorf("the reply to an earlier life ended %+v", d)
+	}
+	if d := e.Hear(time.Second, message.Message{From: "p", Ref: mine.No, Code: 200}).Done; len(d) > 0 {
+		t.Errorf("the reply of another daemon ended %+v", d)
+	}
+	if d := e.Hear(time.Second, message.Message{From: own.Ident, Ref: mine.No, Code: 200}).Done; len(d) != 1 || d[0].No != no {
+		t.Errorf("its own reply ended %+v", d)
+	}
+}
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -111,6 +111,19 @@
 				w.at(20*time.Millisecond+w.exp(100*time.Millisecond), m.start)
 			}
 		}
+	case "again": // a core machine restarts at once, three times: its lives are short
+		for n.gone || !n.hasDisk {
+			n = w.nodes[w.rng.Intn(len(w.nodes))]
+		}
+		for i := range 3 {
+			w.at(time.Duration(i)*700*time.Millisecond, func() {
+				if !w.calm {
+					n.kill()
+					w.at(30*time.Millisecond, n.start)
+					w.at(100*time.Millisecond, func() { w.changeAt(n, w.newest()) })
+				}
+			})
+		}
 	case "ackkill": // right after an acknowledgement, sometimes with its disk
 		n.kill()
 		if !w.lost && w.rng.Intn(3) == 0 {
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -45,6 +45,9 @@
 	if w.o.Late > 0 && m.Kind == message.Call && m.Op != "evacuate" && w.rng.Float64() < w.o.Late {
 		w.at(w.exp(3*time.Second), func() { w.land(to, m) })
 	}
+	if w.o.Responses > 0 && responses[m.Kind] && w.rng.Float64() < w.o.Responses {
+		w.at(w.exp(time.Second), func() { w.land(to, m) })
+	}
 	d := 100*time.Microsecond + w.exp(400*time.Microsecond)
 	if from.zone != to.zone {
 		d += w.o.Far
@@ -65,6 +68,10 @@
 	w.at(d, func() { w.land(to, m) })
 }
 
+// responses are the kinds that respond to another message.
+var responses = map[message.Kind]bool{message.Back: true, message.Promise: true, message.Refuse: true, message.Filled: true, message.Unfit: true, message.Accepted: true,
+	message.Supported: true, message.Void: true, message.Grant: true, message.Reconnect: true, message.Synced: true, message.Invalidated: true, message.Deny: true, message.Welcome: true}
+
 // land hands a message over; one that waits at a frozen node is read on waking.
 func (w *world) land(to *node, m message.Message) {
 	to.in(0, func() {
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -114,7 +114,11 @@
 	}
 	n.parts, n.guides, n.asks = nil, nil, map[uint64]func(leadercall.Done){}
 	n.lanes, n.rides, n.early, n.past = map[string]*lane{}, map[string]*ride{}, map[int]*caller{}, map[string]message.Rec{}
-	n.runs = leadercall.New(leadercall.Config{Try: w.cfg.Vol() / 2, Pause: w.cfg.Vol() / 32, After: w.cfg.Bounds.Plan})
+	life := n.epoch
+	if w.o.Sabotage == "samenumbers" {
+		life = 0
+	}
+	n.runs = leadercall.New(leadercall.Config{Try: w.cfg.Vol() / 2, Pause: w.cfg.Vol() / 32, After: w.cfg.Bounds.Plan}, life)
 	me := message.Replica{Ident: n.ident, Addr: n.addr}
 	leases := w.cfg.Leases()
 	if w.o.Sabotage == "nowait" {
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -69,23 +69,42 @@
 		return
 	}
 	base := fleetconfig.Open(rec).Version
-	one := func(n *node, base uint64, prio int) {
-		w.tags++
-		id := fmt.Sprintf("c%d", w.tags)
-		c := fleetconfig.Changes{ID: id, Base: base, Changes: []fleetconfig.Change{{Op: "set-tenant", Tenant: &fleetconfig.Tenant{Name: "regular", Priority: prio, Timeout: 4000 + int(w.tags%1000), Queue: 0.6}}}}
-		w.control(n, 0, "changes", leadercall.Pack(c), func(code int, rep []byte) { w.judged(id, base, code, rep) })
-	}
 	switch w.rng.Intn(6) {
 	case 0, 1:
-		one(n, base, 4)
-		one(w.pick(""), base, 5)
+		w.set(n, base, 4)
+		w.set(w.pick(""), base, 5)
 	case 2:
-		one(n, base-1, 4)
+		w.set(n, base-1, 4)
 	case 3:
-		one(n, base, 77)
+		w.set(n, base, 77)
 	default:
-		one(n, base, 4)
+		w.set(n, base, 4)
+	}
+}
+
+// newest is the newest plan that any daemon has.
+func (w *world) newest() (version uint64) {
+	for _, n := range w.nodes {
+		if rec, ok := n.sec(0).Node.Get(n.local(), fleetconfig.PlanKey); ok && n.up {
+			version = max(version, fleetconfig.Open(rec).Version)
+		}
 	}
+	return version
+}
+
+// changeAt sends one change through a daemon, whatever that knows.
+func (w *world) changeAt(n *node, base uint64) {
+	if n.up && n.frozen <= w.now {
+		w.set(n, base, 4)
+	}
+}
+
+// set sends a named change on a base.
+func (w *world) set(n *node, base uint64, prio int) {
+	w.tags++
+	id := fmt.Sprintf("c%d", w.tags)
+	c := fleetconfig.Changes{ID: id, Base: base, Changes: []fleetconfig.Change{{Op: "set-tenant", Tenant: &fleetconfig.Tenant{Name: "regular", Priority: prio, Timeout: 4000 + int(w.tags%1000), Queue: 0.6}}}}
+	w.control(n, 0, "changes", leadercall.Pack(c), func(code int, rep []byte) { w.judged(id, base, code, rep) })
 }
 
 // evacuate takes a zone out, if none is, and later brings it back.
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -30,6 +30,7 @@
 	Swaps      []time.Duration // when a core machine is exchanged for an empty one
 	Moves      time.Duration   // mean time until a zone that was brought back is evacuated again; 0: only by Orders
 	Late       float64         // part of the calls to leaders that come a second time, seconds later
+	Responses  float64         // part of the responses between daemons that come a second time, seconds later
 	Far        time.Duration   // more between zones, one way
 	Lame       time.Duration   // more to and from one relay, from 15 s to 55 s
 	Back       bool            // who is refused comes back when told to, once
@@ -103,6 +104,14 @@
 		o.Faults = map[string]float64{"core": 8, "kill": 3, "freeze": 2, "alone": 1, "ackkill": 0.2}
 		return o
 	},
+	// Responses of all kinds come a second time, seconds later: to a later call, a
+	// later life under the same identity, or a later term. Operators call all the
+	// time, and core machines restart again and again.
+	"answers": func(seed int64) Options {
+		o := calls([]int{3, 3, 3}, []int{4, 3}, map[string]float64{"again": 4, "kill": 1, "ackkill": 1, "slow": 2})(seed)
+		o.Responses, o.Orders = 0.5, 400*time.Millisecond
+		return o
+	},
 	// Five replicas over three zones, and a founder without a disk.
 	"five": func(seed int64) Options {
 		o := Default(seed)
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -85,6 +85,7 @@
 		"noramp":       {"servers", "flood:"},        // a server that starts gets its whole share
 		"noswap":       {"reboot", "holders:"},       // a new holder orders at once
 		"noafter":      {"servers", "told:"},         // nobody is told when to come back
+		"samenumbers":  {"answers", "plan"},          // calls of two lives go under the same numbers
 		"lateback":     {"servers", "recovery:"},     // servers take 14 s longer to come back
 	} {
 		t.Run(what, func(t *testing.T) {
