--- a/control/quorum/group_test.go
+++ b/control/quorum/group_test.go
@@ -110,7 +110,7 @@
 // A leader doesn't take itself out, begins no step beside another, takes none
 // that isn't at hand, and none once it was told to end.
 func TestStepsThatDoNotBegin(t *testing.T) {
-	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d", "e"})
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d", "e", "f"})
 	c.wait(2 * time.Second)
 	own, one, two := c.others()
 	s := c.replicas[own]
@@ -121,20 +121,23 @@
 		}
 	}
 	refused("no copy", one, "d")
-	c.wait(time.Second, c.learn("d", "e"))
+	c.wait(time.Second, c.learn("d", "e", "f"))
 	refused("itself", own, "d")
 	refused("no seat", "e", "d")
 	c.down["d"] = true
-	c.wait(timed.LeaderLease+timed.Beat, c.learn("d", "e"))
+	c.wait(timed.LeaderLease+timed.Beat, c.learn("d", "e", "f"))
 	refused("a standby that is silent", one, "d")
 	c.down["d"] = false
-	c.wait(time.Second, c.learn("d", "e"))
+	c.wait(time.Second, c.learn("d", "e", "f"))
 	c.replicas["d"].Resign()
-	c.wait(timed.Beat*2, c.learn("d", "e"))
+	c.wait(timed.Beat*2, c.learn("d", "e", "f"))
 	refused("a standby that ends", one, "d")
 	c.replace(one, "e")
-	refused("two at once", two, "d")
-	c.wait(time.Second, c.learn("d", "e"))
+	refused("two at once", two, "f")
+	if !s.AtHand(c.now, "f") {
+		t.Error("f is not at hand")
+	}
+	c.wait(time.Second, c.learn("d", "e", "f"))
 	s.Resign()
 	refused("told to end", two, one)
 }
@@ -270,3 +273,40 @@
 		t.Error("a standby's refusal ended the duty")
 	}
 }
+
+// The new group doesn't stand alone before a majority of the old one has taken
+// the step, whatever the newcomer says: neither in a step of this leader's own
+// nor in one that it learned of in the middle of its term.
+func TestAStepEndsOnlyOnceTheOldMajorityHasIt(t *testing.T) {
+	for _, learned := range []bool{false, true} {
+		c := newCrowd(t, []string{"a", "b", "c"}, []string{"d"})
+		c.wait(2 * time.Second)
+		first, one, _ := c.others()
+		c.wait(time.Second, c.learn("d"))
+		own := first
+		if learned { // the leader before began it, and nobody heard
+			c.lose = func(string, message.Message) bool { return true }
+			c.replace(one, "d")
+			c.run()
+			c.lose = func(to string, n message.Message) bool { return to == first || n.From == first }
+			c.wait(4*time.Second, c.learn("d"))
+			own, _ = c.leader()
+		}
+		s := c.replicas[own]
+		c.lose = func(to string, n message.Message) bool {
+			return to != own && to != "d" && (n.Kind == message.Accept || n.Kind == message.Fill)
+		}
+		if !learned {
+			c.replace(one, "d")
+		}
+		c.wait(timed.LeaderLease/2, c.learn("d"))
+		if g := s.Group(); len(g.Next) == 0 && g.Has("d") {
+			t.Errorf("learned %v: the new group stands alone: %+v", learned, g)
+		}
+		c.lose = func(string, message.Message) bool { return false }
+		c.wait(2*time.Second, c.learn("d"))
+		if _, s := c.leader(); len(s.Group().Next) > 0 || !c.write("k") {
+			t.Errorf("learned %v: the step doesn't end: %+v", learned, s.Group())
+		}
+	}
+}
