Only a leader under its lease, or a leased plan, refuses for good

Cause: review of each path to 400, 404, 412 and 413. A daemon that is out of touch and routes by its last plan answered 404 for a route that a later plan may have, and 413 by its limits; one that knew no plan answered 413 by a default. A daemon that leads nothing answered 400 to a call that its build can't read. A body that broke off on its way was answered 400, which ends an operator's call for good. A leader whose lease had lapsed while it asked for the servers' list still handed that list on.

Change: 404 and 413 only by a plan under both leases at that moment, else 503 with when to come back; calls are looked at only by the leader; a body that is not whole gets 503 (408 by the product's own interface); the list goes on only under the term that asked.

--- a/control/daemon/operate.go
+++ b/control/daemon/operate.go
@@ -52,7 +52,8 @@
 	case errors.As(err, &big):
 		Respond(w, http.StatusRequestEntityTooLarge, leadercall.Word{Result: "broken", Faults: []string{fmt.Sprintf("body: more than %d bytes", most)}})
 	case err != nil:
-		Respond(w, http.StatusBadRequest, leadercall.Word{Result: "broken", Faults: []string{"body: " + err.Error()}})
+		// What did not come whole may be in order: nothing is said of it.
+		Respond(w, http.StatusRequestTimeout, leadercall.Word{Result: "not done", Why: "body: " + err.Error()})
 	}
 	return b, err == nil
 }
--- a/control/daemon/source.go
+++ b/control/daemon/source.go
@@ -26,6 +26,7 @@
 	term  uint64
 	seq   uint64
 	taken map[string][]byte // by service, as its leader took it
+	over  func() bool       // the term is, or its lease
 }
 
 // tickSource asks the source at a steady pace while this daemon owns the
@@ -40,23 +41,28 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		s := c.shards[0]
-		s.mu.Lock()
-		leader, term := s.Leader(c.Now()), uint64(0)
-		if leader {
-			term = s.Partition().Replica.Num()
-		}
-		s.mu.Unlock()
-		if !leader {
+		term := c.term(0)
+		if term == 0 {
 			continue
 		}
 		if l.term != term {
-			l = listing{term: term, taken: map[string][]byte{}}
+			l = listing{term: term, taken: map[string][]byte{}, over: func() bool { return c.term(0) != term }}
 		}
 		c.pull(ctx, &l)
 	}
 }
 
+// term is the term under which this daemon leads a partition now; 0: it doesn't.
+func (c *Daemon) term(partition int) uint64 {
+	s := c.shards[partition]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.Leader(c.Now()) {
+		return 0
+	}
+	return s.Partition().Replica.Num()
+}
+
 // pull takes one look at the source and hands on what changed.
 func (c *Daemon) pull(ctx context.Context, l *listing) {
 	ctx, done := context.WithTimeout(ctx, c.Cfg.Bounds.Leave/3)
@@ -92,6 +98,9 @@
 		if same {
 			continue
 		}
+		if l.over != nil && l.over() { // what it was told meanwhile is another's to hand on
+			break
+		}
 		l.seq++
 		list.Version = l.term<<24 + l.seq
 		wait.Go(func() {
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -191,6 +191,10 @@
 		m.wanted(now, n)
 		return m.wrap(partition.Out{})
 	}
+	if !m.sec.Leader(now) { // whether a call is at fault is the leader's to say
+		m.back(n, leadercall.Other, nil)
+		return m.wrap(partition.Out{})
+	}
 	j, fault := job(&m.plans, callOf(n), n.Op, n.Body)
 	if fault != "" {
 		m.back(n, http.StatusBadRequest, leadercall.Pack(leadercall.Word{Result: "broken", Faults: []string{fault}}))
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -299,7 +299,7 @@
 	l.mu.Unlock()
 }
 
-// sheet is the plan if it stands under valid leases now.
+// sheet is the plan that requests are routed by now.
 func (g *Gateway) sheet() (*sheet, bool) {
 	s, gen := g.plan.Load(), g.c.Gen(0)
 	if s != nil && s.gen == gen && g.c.Now() < s.until {
@@ -329,14 +329,42 @@
 }
 
 // BodyBytes is the longest body that a client may send by the plan last seen
-// here, 0 if none says.
+// here, 0 if none says. Only under leases is it the plan in force: a longer body
+// may be refused for good then, and not else.
 //
-// Example: most := g.BodyBytes()
-func (g *Gateway) BodyBytes() int64 {
+// Example: most, sure := g.BodyBytes()
+func (g *Gateway) BodyBytes() (most int64, sure bool) {
+	if s, ok := g.leased(); ok {
+		return int64(s.plan.Limits.BodyBytes), true
+	}
 	if s := g.plan.Load(); s != nil {
-		return int64(s.plan.Limits.BodyBytes)
+		return int64(s.plan.Limits.BodyBytes), false
 	}
-	return 0
+	return 0, false
+}
+
+// leased is the plan if it stands under valid leases now. Requests are routed by
+// the last plan too, for a while; what ends one for good needs this.
+func (g *Gateway) leased() (*sheet, bool) {
+	rec, ok := g.c.Read(0, fleetconfig.PlanKey)
+	if !ok || rec.Dead {
+		return nil, false
+	}
+	s, ok := g.sheet()
+	return s, ok && s.ver == rec.Ver
+}
+
+// match finds a request's route. That there is none is certain only by a plan
+// under leases: one that comes back within a short while is waited for.
+func (g *Gateway) match(ctx context.Context, q *Request, s *sheet) (r *fleetconfig.Route, of *sheet, ok, certain bool) {
+	if r, ok = s.table.Match(q.Host, q.Path); ok {
+		return r, s, true, true
+	}
+	s, certain = g.await(ctx, min(g.patience(q), g.cfg.Back), g.leased)
+	if certain {
+		r, ok = s.table.Match(q.Host, q.Path)
+	}
+	return r, s, ok, certain
 }
 
 // patience is how long a request waits for a plan.
@@ -347,15 +375,15 @@
 	return g.cfg.Patience
 }
 
-// await waits a short while for a plan under valid leases.
-func (g *Gateway) await(ctx context.Context, most time.Duration) (*sheet, bool) {
+// await waits a short while for a plan.
+func (g *Gateway) await(ctx context.Context, most time.Duration, plan func() (*sheet, bool)) (*sheet, bool) {
 	t := time.NewTimer(most)
 	defer t.Stop()
 	beat := time.NewTicker(max(time.Millisecond, most/16))
 	defer beat.Stop()
 	for {
 		news := g.c.News()
-		if s, ok := g.sheet(); ok {
+		if s, ok := plan(); ok {
 			return s, true
 		}
 		select {
@@ -376,13 +404,17 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	at := g.c.Now()
-	s, ok := g.await(ctx, g.patience(q))
+	s, ok := g.await(ctx, g.patience(q), g.sheet)
 	if !ok {
 		w.Refuse(http.StatusServiceUnavailable, g.cfg.Back, "no valid lease on the configuration here")
 		return
 	}
-	r, ok := s.table.Match(q.Host, q.Path)
-	if !ok {
+	r, s, ok, certain := g.match(ctx, q, s)
+	switch {
+	case !certain:
+		w.Refuse(http.StatusServiceUnavailable, g.cfg.Back, "no such route in the last configuration known here")
+		return
+	case !ok:
 		w.Fail(http.StatusNotFound, "no route")
 		return
 	}
