A daemon that is cut off sends the operator on at once, and remembers the others

Cause: a daemon out of touch held each order and read-back for 0.9 s and then said 503 or 504, every time, for as long as a cut lasted. And it forgot the control daemons that it lost from its view within 2.4 s: a daemon that started with seeds that named only one that is cut off never learned of the others, or of the leaders they had since elected.

Change: whether it is cut off goes by its own lease: lapsed for longer than a change of leader takes, and control daemons lost with it (or no session). Core machines lost from the view are remembered for 100 sessions, 8 at most: called every fourth beat, named to members while fewer than a majority is heard. Options: an early 503 instead (the operator's pauses would grow while a leader is elected); a redirect after the wait (its second would run out on the next daemon).

--- a/control/daemon/call.go
+++ b/control/daemon/call.go
@@ -50,6 +50,40 @@
 	}
 }
 
+// Contact is how this daemon stands to a partition's leader.
+type Contact struct {
+	Lapsed time.Duration    // since when it has no lease on the part; 0: it has one
+	Away   bool             // for longer than a change of owner takes
+	Others []message.Member // control daemons to send callers to when this one is cut off
+}
+
+// Contact tells whether this daemon is in touch with a partition's leader, by its own
+// lease alone.
+//
+// Example: if c.Contact(0).Away { sendOn() }
+func (c *Daemon) Contact(part int) (out Contact) {
+	s := c.shards[part]
+	s.mu.Lock()
+	out.Lapsed = max(0, c.Now()-s.Partition().Node.Till())
+	s.mu.Unlock()
+	out.Away = out.Lapsed > c.Cfg.QuorumConfig().LeaderLease
+	v := c.View()
+	for _, l := range v.Torn() {
+		if l.At+2*c.Cfg.Sessions().Session >= c.Now()-out.Lapsed { // by the same cut
+			out.Others = append(out.Others, l.Member)
+		}
+	}
+	if len(out.Others) > 0 || v.Live {
+		return out // none: nobody has a leader, as far as this daemon knows
+	}
+	for _, m := range v.Members {
+		if m.Disk && m.Addr != c.me.Addr {
+			out.Others = append(out.Others, m)
+		}
+	}
+	return out
+}
+
 func part2(c Config) int64 { return c.Bounds.Plan.Milliseconds() }
 
 // Share asks the leader for this daemon's slots; the time it was asked counts.
--- /dev/null
+++ b/control/daemon/contact_test.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/membership"
+	"mulleinmast/wire/message"
+)
+
+// Whether a daemon is cut off goes by its own lease and clock. Callers are sent
+// to control daemons that the same cut took away, or that a daemon without a
+// session can't reach; while nobody has a leader they are sent nowhere.
+func TestWhereACutOffDaemonSendsCallers(t *testing.T) {
+	cfg := Default()
+	cfg.Wire, cfg.Web, cfg.Partitions = "127.0.0.1:0", "127.0.0.1:0", 1
+	cfg.Bounds.Plan = 200 * time.Second // a pause of this machine is nothing then
+	c, err := Open(cfg, eventlog.New(64, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	node := c.shards[0].Partition().Node
+	node.Adopt(c.Now(), message.Replica{Ident: "p", Addr: "p"})
+	no := uint64(0)
+	hear := func(n message.Message) []message.Send {
+		no++
+		n.From, n.Addr, n.Mark, n.No, n.Num = "p", "p", message.Mark{Ident: "p", Epoch: 1}, no, c.epoch
+		return node.Hear(c.Now(), n).Sends
+	}
+	list := hear(message.Message{Kind: message.Reconnect})[0].Message
+	hear(message.Message{Kind: message.Synced, Ref: list.No, Len: int64(cfg.Vol()), Long: int64(time.Hour)})
+
+	disk := func(addr string) message.Member { return message.Member{Ident: addr, Addr: addr, Disk: true} }
+	session := cfg.Sessions().Session
+	for _, x := range []struct {
+		what string
+		wait time.Duration
+		view *membership.View
+		away bool
+		to   []string
+	}{
+		{"in touch", 0, &membership.View{Live: true, Members: []message.Member{disk("a"), disk("b")}}, false, nil},
+		{"lapsed just now", cfg.Vol() + time.Second, &membership.View{Live: true, Members: []message.Member{disk("a"), disk("b")}}, false, nil},
+		{"nobody has a leader", 2 * cfg.QuorumConfig().LeaderLease, &membership.View{Live: true, Members: []message.Member{disk("a"), disk("b")}}, true, nil},
+		{"no session", 0, &membership.View{Members: []message.Member{disk("a"), {Ident: "x", Addr: "x"}, disk("b")}}, true, []string{"a", "b"}},
+		{"others are lost", 0, &membership.View{Live: true, Members: []message.Member{disk("a")}, Lost: []membership.Lost{{Member: disk("c"), At: c.Now() + 3*cfg.Vol()}}}, true, []string{"c"}},
+		{"lost long before", 10 * session, &membership.View{Live: true, Members: []message.Member{disk("a")}, Lost: []membership.Lost{{Member: disk("c"), At: cfg.Vol() - 3*session}}}, true, nil},
+	} {
+		c.clock.Leap(x.wait)
+		c.view.Store(x.view)
+		got := c.Contact(0)
+		var to []string
+		for _, m := range got.Others {
+			to = append(to, m.Addr)
+		}
+		if got.Away != x.away || (got.Lapsed > 0) != (x.what != "in touch") || len(to) != len(x.to) || len(to) > 0 && (to[0] != x.to[0] || to[len(to)-1] != x.to[len(to)-1]) {
+			t.Errorf("%s: %+v; sent to %v, expected %v", x.what, got, to, x.to)
+		}
+	}
+}
--- a/control/membership/gossip.go
+++ b/control/membership/gossip.go
@@ -26,7 +26,11 @@
 	for _, h := range r.heard {
 		theirs[h.list[len(h.list)-1].Addr] = h.sum
 	}
-	for _, to := range r.controls() {
+	others := r.controls()
+	if r.beats%seldom == 0 {
+		others = append(others, r.astray()...)
+	}
+	for _, to := range others {
 		n := message.Message{Kind: message.Gossip, Self: r.me, Members: list, Owns: owns, Num: kept, LastComplete: sum, Ref: theirs[to]}
 		if r.acked[to] == sum {
 			n.Op, n.Members, n.Owns = same, nil, nil
--- a/control/membership/hello.go
+++ b/control/membership/hello.go
@@ -12,6 +12,9 @@
 // once.
 func (r *Table) hello(now time.Duration, o *Out) {
 	list := r.controls()
+	if !r.live {
+		list = append(list, r.astray()...)
+	}
 	if now-r.backAt <= r.cfg.Session/2 && slices.Contains(list, r.home) && !r.alone {
 		list = []string{r.home}
 	}
--- a/control/membership/membership.go
+++ b/control/membership/membership.go
@@ -45,6 +45,7 @@
 	view   []message.Member
 	owns   map[int]message.Own
 	other  []string          // control addresses from elsewhere, such as our own groups
+	lost   map[string]Lost   // by address: control daemons that the view had and has no more
 	acked  map[string]uint64 // by address: digest of our gossip that a control daemon has
 	last   *View             // as published, while nothing changes
 	sum    uint64            // digest of view
@@ -54,6 +55,8 @@
 
 	ctl    int
 	home   string // the control daemon that has our session
+	now    time.Duration
+	beats  uint64
 	askAt  time.Duration
 	backAt time.Duration
 	live   bool
@@ -68,7 +71,7 @@
 // Example: r := membership.New(cfg, me, seeds)
 func New(cfg Config, me message.Member, seeds []string) *Table {
 	return &Table{cfg: cfg, me: me, seeds: seeds, mine: map[string]session{}, heard: map[string]rumour{}, owns: map[int]message.Own{},
-		goneAt: map[string]time.Duration{}, acked: map[string]uint64{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
+		goneAt: map[string]time.Duration{}, lost: map[string]Lost{}, acked: map[string]uint64{}, backAt: -cfg.Session, ctl: int(weight(0, me.Addr) % 97)}
 }
 
 // Know adds addresses of control daemons that were learnt elsewhere: seeds may
@@ -93,7 +96,8 @@
 //
 // Example: out := r.Tick(now, me, owns)
 func (r *Table) Tick(now time.Duration, me message.Member, owns []message.Own) (o Out) {
-	r.me = me
+	r.me, r.now = me, now
+	r.forget()
 	for _, own := range owns {
 		r.claim(own)
 	}
@@ -121,6 +125,7 @@
 		return o
 	}
 	r.askAt = now
+	r.beats++
 	if me.Disk {
 		r.gossip(&o)
 	} else {
@@ -187,6 +192,7 @@
 //
 // Example: out := r.Hear(now, message)
 func (r *Table) Hear(now time.Duration, n message.Message) (o Out) {
+	r.now = now
 	switch n.Kind {
 	case message.Hello:
 		if r.me.Disk && n.Self.Ident != "" {
@@ -214,6 +220,9 @@
 				}
 			}
 			o.Sends = append(o.Sends, message.Send{Addr: n.Self.Addr, Message: rep})
+			if r.cutOff(now) { // its session here may be all that it has
+				r.strand(n.Self, &o)
+			}
 		} else if n.Self.Ident != "" {
 			r.refer(n.Self, &o)
 		}
@@ -314,6 +323,7 @@
 		if r.me.Disk && r.view != nil { // for those who have it still
 			r.past = append(r.past[max(0, len(r.past)-remembered+1):], shown{r.print(), r.view})
 		}
+		r.miss(list)
 		r.view, r.sum = list, 0
 	}
 }
@@ -342,10 +352,10 @@
 //
 // Example: v := r.View()
 func (r *Table) View() *View {
-	if v := r.last; v != nil && v.Me == r.me && v.Live == r.live && slices.Equal(v.Members, r.view) && maps.Equal(v.Owns, r.owns) {
+	if v := r.last; v != nil && v.Me == r.me && v.Live == r.live && slices.Equal(v.Members, r.view) && slices.Equal(v.Lost, r.missed()) && maps.Equal(v.Owns, r.owns) {
 		return v
 	}
-	v := &View{Me: r.me, Members: append([]message.Member(nil), r.view...), Owns: map[int]message.Own{}, Live: r.live, small: r.cfg.Small, by: map[string]message.Member{}}
+	v := &View{Lost: r.missed(), torn: together * r.cfg.Session, Me: r.me, Members: append([]message.Member(nil), r.view...), Owns: map[int]message.Own{}, Live: r.live, small: r.cfg.Small, by: map[string]message.Member{}}
 	for _, m := range v.Members {
 		v.by[m.Ident] = m
 	}
--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"iter"
 	"sync"
+	"time"
 
 	"mulleinmast/wire/message"
 )
@@ -14,9 +15,15 @@
 	Members []message.Member
 	Owns    map[int]message.Own
 	Live    bool // our own session stands
-	small   int
-	by      map[string]message.Member
-	memo    sync.Map // relays found so far, by place
+	// Lost are control daemons that the view had and has no more, the last ones
+	// first: of a machine that is cut off the others, of the others those that
+	// are gone.
+	Lost []Lost
+
+	torn  time.Duration // see Torn
+	small int
+	by    map[string]message.Member
+	memo  sync.Map // relays found so far, by place
 }
 
 // place is a partition in a zone.
