--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -59,20 +59,21 @@
 	// Source tells which servers there are; none: the platform PUTs the lists.
 	Source Source
 
-	clock   *clock.Clock
-	arch    *storage.Store
-	me      message.Replica
-	epoch   uint64
-	shards  []*shard
-	view    atomic.Pointer[membership.View]
-	rmu     sync.Mutex
-	rost    *membership.Table
-	stop    atomic.Bool
-	stopAt  atomic.Int64
-	plans   fleetconfig.PlanReader
-	ready   atomic.Bool
-	begun   atomic.Bool  // it was ready once
-	readyAt atomic.Int64 // when it was last
+	clock    *clock.Clock
+	arch     *storage.Store
+	me       message.Replica
+	epoch    uint64
+	shards   []*shard
+	view     atomic.Pointer[membership.View]
+	rmu      sync.Mutex
+	rost     *membership.Table
+	stop     atomic.Bool
+	stopAt   atomic.Int64
+	plans    fleetconfig.PlanReader
+	ready    atomic.Bool
+	begun    atomic.Bool  // it was ready once
+	readyAt  atomic.Int64 // when it was last
+	standing standing     // the furthest that it came; the membership table's loop writes it
 
 	dmu   sync.Mutex
 	dq    []quorum.Save
@@ -134,7 +135,7 @@
 		return nil, InUse.Wrap(err)
 	}
 	c.web = ln
-	c.runs = leadercall.New(leadercall.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}) // calls may be sent twice: each is known by its id
+	c.runs = leadercall.New(leadercall.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}, c.epoch) // calls may be sent twice: each is known by its id
 	c.rost = membership.New(cfg.Sessions(), c.member(), cfg.Seeds)
 	if c.arch != nil {
 		for _, h := range c.arch.Partitions {
