--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -197,6 +197,10 @@
 		m.wanted(now, n)
 		return m.wrap(partition.Out{})
 	}
+	if !m.sec.Leader(now) { // whether a call is at fault is the leader's to say
+		m.back(n, leadercall.Other, nil)
+		return m.wrap(partition.Out{})
+	}
 	m.orders.now = now
 	j, fault := job(&m.plans, askOf(n, &m.orders), n.Op, n.Body, m.replicas()...)
 	if fault != "" {
