--- a/proof/sim/races.go
+++ b/proof/sim/races.go
@@ -109,11 +109,16 @@
 	w.at(pause, func() { w.sendRaced(r) })
 }
 
-// failLeader kills the leader of the configuration, at times with its disk.
+// failLeader kills the leader of the configuration, at times with its disk: not
+// where a machine is replaced, whose disk is the one that may be lost at once.
 func (w *world) failLeader() {
+	kind := "ackkill"
+	if len(w.o.Swaps) > 0 {
+		kind = "kill"
+	}
 	for _, n := range w.nodes {
 		if n.up && n.parts[0].Leader(n.local()) {
-			w.fault("ackkill", n)
+			w.fault(kind, n)
 			return
 		}
 	}
