--- a/control/membership/gossip.go
+++ b/control/membership/gossip.go
@@ -22,16 +22,19 @@
 	}
 	owns := r.known()
 	sum, kept := digest(list, owns), r.kept()
-	theirs := map[string]uint64{}
-	for _, h := range r.heard {
-		theirs[h.list[len(h.list)-1].Addr] = h.sum
+	theirs := map[string]rumour{}
+	for _, id := range slices.Sorted(maps.Keys(r.heard)) { // a daemon's earlier life may be among them still
+		h := r.heard[id]
+		if addr := h.list[len(h.list)-1].Addr; h.at >= theirs[addr].at {
+			theirs[addr] = h
+		}
 	}
 	others := r.controls()
 	if r.beats%seldom == 0 {
 		others = append(others, r.astray()...)
 	}
 	for _, to := range others {
-		n := message.Message{Kind: message.Gossip, Self: r.me, Members: list, Owns: owns, Num: kept, LastComplete: sum, Ref: theirs[to]}
+		n := message.Message{Kind: message.Gossip, Self: r.me, Members: list, Owns: owns, Num: kept, LastComplete: sum, Ref: theirs[to].sum}
 		if r.acked[to] == sum {
 			n.Op, n.Members, n.Owns = same, nil, nil
 		}
--- a/control/membership/membership_test.go
+++ b/control/membership/membership_test.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// A gossip says which of the other's it has: the later life's, whose earlier
+// one is known still.
+func TestAGossipNamesTheLaterLife(t *testing.T) {
+	for range 20 {
+		a := New(cfg, disk("a", "10.0.0.1:1"), nil)
+		for i, id := range []string{"old", "new"} {
+			a.Hear(time.Duration(i)*100*time.Millisecond, message.Message{Kind: message.Gossip, Self: disk(id, "10.0.0.2:1"), LastComplete: uint64(i + 5)})
+		}
+		for _, m := range a.Tick(time.Second, disk("a", "10.0.0.1:1"), nil).Sends {
+			if m.Message.Kind == message.Gossip && m.Addr == "10.0.0.2:1" && m.Message.Ref != 6 {
+				t.Fatalf("names the digest %d", m.Message.Ref)
+			}
+		}
+	}
+}
+
 // A seed without a disk holds no session and says who can.
 func TestSeeds(t *testing.T) {
 	near := New(cfg, message.Member{Ident: "n", Addr: "10.0.0.5:1"}, []string{"10.0.0.1:1"})
