Simulator: cutoff, with read-backs and refusals judged for their age

Core machines are cut off from the others, both ways or one, with daemons below them that still reach them; daemons start meanwhile with seeds that name only these; what a cut held up comes when it has healed; operators order and read back at any daemon. New rule plan-old: a plan read back, or told with a refusal, is no older than one that was acknowledged before the question.

--- a/proof/judge/judge.go
+++ b/proof/judge/judge.go
@@ -44,7 +44,7 @@
 }{
 	{"once", once}, {"refused", refused}, {"foreign", foreign}, {"stream", streams}, {"whole", whole}, {"final", final}, {"answered", answered}, {"told", told},
 	{"holders", holders}, {"leaving", leaving}, {"evacuated", evacuated}, {"retries", retries}, {"flood", flood},
-	{"plan-race", races}, {"plan-refused", refusedPlans}, {"plan-back", fallsBack}, {"plan-late", late}, {"recovery", recovery},
+	{"plan-race", races}, {"plan-refused", refusedPlans}, {"plan-back", fallsBack}, {"plan-late", late}, {"plan-old", old}, {"recovery", recovery},
 }
 
 // All applies every rule to events in any order.
@@ -357,6 +357,28 @@
 	}
 }
 
+// old: a plan that is read back, or that an order is refused for, is no older
+// than one that was acknowledged before it was asked for.
+func old(ev []history.Event, _ Bounds, bad func(string, ...any)) {
+	acks := map[uint64]int64{} // by version, when first
+	for _, e := range ev {
+		if _, ok := acks[e.Ver]; e.Ev == "plan" && e.Result == "taken" && !ok {
+			acks[e.Ver] = e.At
+		}
+	}
+	for _, e := range ev {
+		if e.Ev != "readback" && (e.Ev != "plan" || e.Result != "beaten") {
+			continue
+		}
+		for ver, at := range acks {
+			if e.Ver < ver && at < e.At-e.Took {
+				bad("%s: %s %s tells version %d, asked %.2fs after %d was acknowledged", e.Who, e.Ev, e.Plan, e.Ver, sec(e.At-e.Took-at), ver)
+				break
+			}
+		}
+	}
+}
+
 // recovery: after everything is back ("mended"), a client of every zone
 // gets a whole reply within the bound.
 func recovery(ev []history.Event, b Bounds, bad func(string, ...any)) {
--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -56,6 +56,8 @@
 		"plan-refused": {{At: 5 * one, Who: "e", Ev: "plan", Plan: "p3", Base: 2, Ver: 3, Result: "broken"}},
 		"plan-back":    {{At: 5 * one, Who: "d", Ev: "serves", Plan: "p1", Ver: 1}},
 		"plan-late":    {{At: 6 * one, Who: "e", Ev: "serves", Plan: "p1", Ver: 1}},
+		"plan-old":     {{At: 5 * one, Who: "d", Ev: "readback", Plan: "p1", Ver: 1, Took: one}},
+		"plan-old no":  {{At: 5 * one, Who: "o", Ev: "plan", Plan: "p4", Base: 2, Ver: 1, Took: one, Result: "beaten"}},
 		"recovery":     {{At: 9 * one, Ev: "mended"}, {At: 10 * one, Who: "c", Ev: "reply", Request: "r10", Result: "shed", After: 1, Zone: "a"}, {At: 22 * one, Ev: "stop"}},
 	}
 	var many []history.Event
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -204,6 +204,10 @@
 	w.at(2*time.Second, w.platform)
 	w.at(2500*time.Millisecond, func() { w.first() })
 	w.at(9*time.Second, w.request)
+	if w.o.Asks > 0 {
+		w.at(9*time.Second, w.askBack)
+		w.at(9*time.Second, w.order)
+	}
 	if w.o.Orders > 0 {
 		w.at(9*time.Second, w.operate)
 	}
@@ -284,7 +288,7 @@
 		p.Services = append(p.Services, fleetconfig.Service{Name: s, PrefillServers: 1, DecodeServers: 1})
 	}
 	w.control(w.pick(""), 0, "plan", leadercall.Pack(p), func(code int, rep []byte) {
-		w.judged("first", 0, code, rep)
+		w.judged("first", 0, w.now, code, rep)
 		if code != 200 {
 			w.at(500*time.Millisecond, w.first)
 			return
@@ -296,14 +300,17 @@
 }
 
 // judged writes down what an operator was told.
-func (w *world) judged(id string, base uint64, code int, rep []byte) {
+func (w *world) judged(id string, base uint64, start time.Duration, code int, rep []byte) {
 	var v fleetconfig.Verdict
 	_ = json.Unmarshal(rep, &v)
 	if v.Result == "taken" && w.o.Sabotage == "sayno" && w.rng.Intn(3) == 0 {
 		v.Result = "beaten" // told no, and it is in force
 	}
 	if v.Result != "" && code != 0 {
-		w.jot(history.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result})
+		w.jot(history.Event{Who: "operator", Ev: "plan", Plan: id, Base: base, Ver: v.Version, Result: v.Result, Took: int64(w.now - start)})
+		if v.Result == "taken" {
+			w.acked = max(w.acked, v.Version)
+		}
 		w.res.Plans[v.Result]++
 	}
 }
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -164,6 +164,8 @@
 			}
 		}
 		w.sever(made, heal)
+	case "cutcore", "halfcut":
+		w.cutCore(kind == "halfcut")
 	case "alone":
 		var made [][2]string
 		for _, b := range w.nodes {
@@ -212,6 +214,7 @@
 		for _, c := range made {
 			delete(w.cut, c)
 		}
+		w.healed()
 	})
 }
 
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -26,6 +26,9 @@
 
 func (w *world) carry(from, to *node, m message.Message) {
 	if w.cut[[2]string{from.name, to.name}] {
+		if w.o.Held > 0 && w.rng.Float64() < w.o.Held {
+			w.held = append(w.held, heldUp{from, to, m})
+		}
 		return
 	}
 	if w.o.Sabotage == "ackpurge" && m.Kind == message.Invalidate {
@@ -98,6 +101,9 @@
 		to.carryCalls(to.runs.Hear(now, m))
 		return
 	}
+	if w.answersFromCache(to, m) {
+		return
+	}
 	p := to.parts[m.Partition]
 	if w.o.Trace != nil && m.Kind < message.Ask {
 		w.trace("  %s<-%s part %d %s key=%s no=%d ref=%d len=%v mark=%v keys=%v recs=%d", to.name, m.From, m.Partition, m.Kind, m.Key, m.No, m.Ref, time.Duration(m.Len), m.Mark, m.Keys, len(m.Recs))
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -32,7 +32,8 @@
 	zone    string
 	disk    *folder
 	hasDisk bool
-	life    int // counts starts; old events of a past life are dropped
+	only    string // the one seed that its settings name now, if so
+	life    int    // counts starts; old events of a past life are dropped
 	up      bool
 	gone    bool          // for good
 	leaving bool          // told to end for good
@@ -67,6 +68,9 @@
 func (n *node) local() time.Duration { return n.base + time.Duration(float64(n.w.now)*n.rate) }
 
 func (n *node) seeds() []string {
+	if n.only != "" {
+		return []string{n.only}
+	}
 	var out []string
 	for _, m := range n.w.nodes {
 		if m.hasDisk != n.w.o.Bare && !m.gone && len(out) < 3 {
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -94,9 +94,9 @@
 // set sends a named change on a base.
 func (w *world) set(n *node, base uint64, prio int) {
 	w.tags++
-	id := fmt.Sprintf("c%d", w.tags)
+	id, start := fmt.Sprintf("c%d", w.tags), w.now
 	c := fleetconfig.Changes{ID: id, Base: base, Changes: []fleetconfig.Change{{Op: "set-tenant", Tenant: &fleetconfig.Tenant{Name: "regular", Priority: prio, Timeout: 4000 + int(w.tags%1000), Queue: 0.6}}}}
-	w.control(n, 0, "changes", leadercall.Pack(c), func(code int, rep []byte) { w.judged(id, base, code, rep) })
+	w.control(n, 0, "changes", leadercall.Pack(c), func(code int, rep []byte) { w.judged(id, base, start, code, rep) })
 }
 
 // evacuate takes a zone out, if none is, and later brings it back.
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -38,6 +38,8 @@
 	Back       bool            // who is refused comes back when told to, once
 	Static     bool            // the tree is not reshaped by load and cost
 	Mutate     float64         // part of the messages that come a second time with one field changed, as from a stranger
+	Asks       time.Duration   // mean time between read-backs of the plan; 0: none
+	Held       float64         // part of what a cut stops that comes when it has healed
 	Trace      func(string)
 }
 
@@ -97,6 +99,14 @@
 		o.Late, o.Moves = 0.8, 200*time.Millisecond
 		return o
 	},
+	// Core machines are cut off from the others, both ways or one, while operators
+	// order and read back at any daemon, and others start with seeds that name
+	// only those; what was held up comes in the end.
+	"cutoff": func(seed int64) Options {
+		o := calls([]int{4, 3, 3}, []int{3, 3}, map[string]float64{"cutcore": 4, "halfcut": 3, "alone": 1, "freeze": 3, "kill": 0.5})(seed)
+		o.Calls, o.Asks, o.Held = 100*time.Millisecond, 60*time.Millisecond, 0.3
+		return o
+	},
 	// The whole core is killed again and again and back at once, beside other
 	// trouble, with writes all the time: leaders are elected while leases under
 	// the ones before still stand.
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -71,6 +71,8 @@
 	owned   time.Duration
 	ownedAt map[int]time.Duration // when each part was last seen owned
 	calm    bool
+	held    []heldUp
+	acked   uint64 // version of the newest plan that was acknowledged
 
 	fakeServers map[string]*fakeServer
 	addrs       []string // of depots, in order
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -59,6 +59,9 @@
 // must be seen broken.
 func TestEachSabotageIsCaught(t *testing.T) {
 	for what, x := range map[string]struct{ scenario, rule string }{
+		"lastread":     {"cutoff", "plan-old:"},      // a last record is read back
+		"afterlease":   {"cutoff", "plan-old:"},      // a leader reads back after its lease
+		"cachedno":     {"cutoff", "plan-old:"},      // a follower refuses by the plan that it knows
 		"nosync":       {"kills", "without"},         // says saved before it is on disk
 		"ackpurge":     {"cuts", "without"},          // an invalidation is acknowledged and never done
 		"drift":        {"cuts", ""},                 // clocks run further apart than the bound
