Stand-in scene cut-off: the leader is cut off, asked all the while, and sends on

Real daemons; the leader of the configuration is cut off from the core, not from daemons below, clients or the operator (a test switch, open only with -test-switches).

--- a/cmd/mulleinmast/main.go
+++ b/cmd/mulleinmast/main.go
@@ -27,6 +27,7 @@
 	var cfg daemon.Config
 	if ours && err == nil {
 		cfg = boot.Config()
+		cfg.Test = slices.Contains(os.Args[1:], "-test-switches") // never so on the platform
 	} else if !ours {
 		cfg, err = daemon.ReadConfig("mulleinmast", os.Args[1:], os.Stderr)
 	}
--- a/proof/standin/fleet/fleet.go
+++ b/proof/standin/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -200,7 +201,7 @@
 	f.mu.Lock()
 	m.life++
 	f.mu.Unlock()
-	return Error.Wrap(m.Run(f.Program, []string{"-say"}, []string{variable + "=" + f.settings(m)}, filepath.Join(f.Dir, m.Name+".log")))
+	return Error.Wrap(m.Run(f.Program, []string{"-say", "-test-switches"}, []string{variable + "=" + f.settings(m)}, filepath.Join(f.Dir, m.Name+".log")))
 }
 
 // begin messages that trouble begins.
@@ -271,6 +272,52 @@
 	f.end(m)
 }
 
+// ControlAddr is where a machine's daemon serves control.
+//
+// Example: http.Get("http://" + m.ControlAddr() + "/v1/config")
+func (m *Machine) ControlAddr() string { return fmt.Sprintf("%s:%d", m.IP, controlPort) }
+
+// Cut cuts a core machine off from the rest of the core, both ways; the other
+// machines, clients and the operator still reach it.
+//
+// Example: err := f.Cut(m); err = f.Join(m)
+func (f *Fleet) Cut(m *Machine) error {
+	var others []string
+	for _, o := range f.Core() {
+		if o != m {
+			others = append(others, fmt.Sprintf("%s:%d", o.IP, firstPort))
+		}
+	}
+	f.begin(m, "cut off", false)
+	return f.sever(m, others)
+}
+
+// Join ends a cut.
+//
+// Example: err := f.Join(m)
+func (f *Fleet) Join(m *Machine) error {
+	err := f.sever(m, []string{})
+	f.end(m)
+	return err
+}
+
+// sever has a daemon neither send to nor hear other daemons at some addresses.
+func (f *Fleet) sever(m *Machine, from []string) error {
+	b, err := json.Marshal(from)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	res, err := f.web.Post(fmt.Sprintf("http://%s:%d/test/cut", m.IP, firstPort+1), "application/json", bytes.NewReader(b))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return Error.New("%s takes no cut: %d", m.Name, res.StatusCode)
+	}
+	return nil
+}
+
 // Up starts a daemon again, which is no first start.
 //
 // Example: err := f.Up(m)
@@ -353,8 +400,16 @@
 // Leader finds the daemon that holds a part.
 //
 // Example: m := f.Leader(0)
-func (f *Fleet) Leader(partition int) *Machine {
+func (f *Fleet) Leader(partition int) *Machine { return f.LeaderBut(partition, nil) }
+
+// LeaderBut finds the daemon that holds a part, passing one machine over.
+//
+// Example: next := f.LeaderBut(0, cutOff)
+func (f *Fleet) LeaderBut(partition int, but *Machine) *Machine {
 	for _, m := range f.Core() {
+		if m == but {
+			continue
+		}
 		if st, ok := f.State(m); ok && partition < len(st.Partitions) && st.Partitions[partition].Mine {
 			return m
 		}
