--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -59,6 +59,8 @@
 		"linear":       {{At: 6 * one, Ev: "plan", Plan: "p8", Base: 2, Ver: 3, Result: "taken", Took: 1}, {At: 7 * one, Ev: "plan", Plan: "p8", Base: 2, Ver: 3, Result: "beaten", Took: 1}},
 		"linear late":  {{At: 6 * one, Ev: "plan", Plan: "p1", Base: 0, Ver: 3, Result: "taken", Took: 1}},
 		"linear read":  {{At: 6 * one, Ev: "read", Plan: "p1", Ver: 1}},
+		"plan-old":     {{At: 5 * one, Who: "d", Ev: "readback", Plan: "p1", Ver: 1, Took: one}},
+		"plan-old no":  {{At: 5 * one, Who: "o", Ev: "plan", Plan: "p4", Base: 2, Ver: 1, Took: one, Result: "beaten"}},
 		"recovery":     {{At: 9 * one, Ev: "mended"}, {At: 10 * one, Who: "c", Ev: "reply", Request: "r10", Result: "shed", After: 1, Zone: "a"}, {At: 22 * one, Ev: "stop"}},
 	}
 	var many []history.Event
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -71,6 +71,7 @@
 	owned   time.Duration
 	ownedAt map[int]time.Duration // when each part was last seen owned
 	calm    bool
+	held    []heldUp
 
 	fakeServers map[string]*fakeServer
 	addrs       []string // of depots, in order
