A group's new replicas stand alone only once both majorities renewed the leader's lease

A leader's lease was supported by a majority of the old replicas; the new ones, which had not supported it, elected another while it lasted, so two led and a write was acknowledged beside readers under leases of the other. Ruled out: the copy, the promises and the numbers of the groups, which were right in the trace.

A step is finished only after a renewal that began in it was supported by both majorities; such a renewal goes out with the step. TestALeaseHoldsOverAChange, failing before: "4.94s: 2 lead".

--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -11,7 +11,8 @@
 // write, without a vote; then the leader makes a group with the old replicas and
 // the new, in which both majorities are needed; once that group is committed
 // and the newcomer has said that it holds all that the leader held when the step
-// began, the new replicas stand alone. Either way is open until then: the step is
+// began, and both majorities have renewed the leader's lease, the new replicas
+// stand alone: so none of them elects another while that lasts. Either way is open until then: the step is
 // undone if the newcomer falls silent. The next leader finds the step in its
 // group and finishes or undoes it.
 
@@ -243,7 +244,7 @@
 		s.regroup(now, tag, g.Replicas, nil, &o)
 	case s.step == 0: // an earlier leader's: it may not have been committed
 		s.regroup(now, tag, g.Replicas, g.Next, &o)
-	case ready && s.writes[s.step] == nil:
+	case ready && s.leased && s.writes[s.step] == nil:
 		s.regroup(now, tag, g.Next, nil, &o)
 	}
 	return o
@@ -259,7 +260,8 @@
 		}
 	}
 	s.commit(now, tag, nil, o)
-	s.step = s.seq
+	s.step, s.stepRound, s.leased = s.seq, s.round, false
+	s.beat(now, o)
 	for _, replica := range next {
 		if !has(replicas, replica.Ident) {
 			s.inquire(now, replica, o)
--- a/control/quorum/group_test.go
+++ b/control/quorum/group_test.go
@@ -274,6 +274,41 @@
 	}
 }
 
+// A lease that the old replicas gave holds over a change: no second leader is
+// elected by the new ones while it lasts.
+func TestALeaseHoldsOverAChange(t *testing.T) {
+	c := newCrowd(t, []string{"a", "b", "c"}, []string{"d"})
+	c.wait(2 * time.Second)
+	own, keep, out := c.others()
+	begun := false
+	step := func() {
+		leaders := 0
+		for _, s := range c.replicas {
+			if s.Leader(c.now) {
+				leaders++
+			}
+		}
+		if leaders > 1 {
+			t.Fatalf("%v: %d lead; %s has %+v, %s has %+v", c.now, leaders, own, c.replicas[own].Group(), keep, c.replicas[keep].Group())
+		}
+		if s := c.replicas[own]; !begun && s.Silent(c.now, "d") > timed.LeaderLease-30*time.Millisecond {
+			c.replace(out, "d")
+			begun = true
+		}
+	}
+	c.wait(time.Second, c.learn("d"))
+	c.lose = func(to string, n message.Message) bool { return n.Kind == message.Support && to == keep }
+	c.wait(time.Second, c.learn("d"))
+	c.lose = func(to string, n message.Message) bool {
+		return n.Kind == message.Support && (to == keep || to == "d") || to == own && n.From == keep
+	}
+	c.wait(3*time.Second, step, c.learn("d"))
+	c.lose = func(string, message.Message) bool { return false }
+	if c.wait(3*time.Second, step, c.learn("d", out)); !begun || !c.write("k") {
+		t.Errorf("begun %v, group %s", begun, c.group())
+	}
+}
+
 // The new group doesn't stand alone before a majority of the old one has taken
 // the step, whatever the newcomer says: neither in a step of this leader's own
 // nor in one that it learned of in the middle of its term.
--- a/control/quorum/lease.go
+++ b/control/quorum/lease.go
@@ -24,6 +24,7 @@
 		// A lease that has lapsed is not revived: others may have been promised since.
 		if now < s.lease {
 			s.lease = max(s.lease, at+s.cfg.LeaderLease)
+			s.leased = s.leased || n.Ref > s.stepRound
 		}
 		delete(s.rounds, n.Ref)
 		delete(s.yes, n.Ref)
