Replicas that missed changes are made whole at once; one that lost records has no vote

A replica that was away while changes came under one term kept its place in the majority and was compared only when no write was under way: beside steady writes never. Seen first: TestAReturningReplicaIsWholeBesideWrites, 600 changes during a cut of 15 s, "64 of 64 ranges differ" 1.5 s after the return with writes going on. The leader now notes which replicas a write was settled without and compares them every two beats, beside writes, until their disk has all up to that write; no replica counts as whole for a change of members before.

A replica whose disk lost records after it had acknowledged them kept its vote: with the leader gone and the third behind, the two elected one without an acknowledged write (TestAReplicaWhoseDiskLostARecordHasNoVote without the check: "a leads beside a replica that lost a record; the write is there: false"). Each save now carries a sum of the whole state; what is read back with another is short: no vote, no standing, takes no writes, asks its leader for a fill at each beat. Ruled out: dropping the identity as for a damaged file, which costs a change of members for one lost record.

A fill names the sum of what it should make of the copy; one that was cut short is refused. A leader whose disk keeps a save for four leader leases gives up (a shorter stall costs less than an election); before it went on for ever. What a batch drops stays dropped also if the batch brings it.

--- a/control/digest/digest.go
+++ b/control/digest/digest.go
@@ -116,6 +116,39 @@
 // Example: diff := digest.Differ(a.Digs(), b.Digs())
 func (b *Records) Digs() []uint64 { return append([]uint64(nil), b.digs[:]...) }
 
+// Sum is one digest of all records.
+//
+// Example: a.Sum() == b.Sum() // two copies are alike
+func (b *Records) Sum() uint64 { return sum(b.digs) }
+
+func sum(digs [Spans]uint64) uint64 {
+	all := uint64(0)
+	for _, d := range digs {
+		all = mix(all ^ d)
+	}
+	return all | 1 // 0 is none
+}
+
+// After is what Sum would be once the records in some ranges were replaced.
+//
+// Example: if b.After(spans, recs) != wanted { refuse() }
+func (b *Records) After(spans []int, recs []message.Rec) uint64 {
+	digs, gone := b.digs, [Spans]bool{}
+	for _, s := range spans {
+		if s >= 0 && s < Spans {
+			digs[s], gone[s] = 0, true
+		}
+	}
+	for _, r := range recs {
+		s := Span(r.Key)
+		if old, ok := b.recs[s][r.Key]; ok && !gone[s] {
+			digs[s] ^= Print(old)
+		}
+		digs[s] ^= Print(r)
+	}
+	return sum(digs)
+}
+
 // In iterates over the records of one range.
 //
 // Example: for rec := range b.In(3) { ... }
--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -25,7 +25,7 @@
 			recs = append(recs, r)
 		}
 	}
-	o.send(to, message.Message{Kind: message.Fill, Partition: s.partition, Num: s.num, Digs: digs, Spans: spans, Recs: recs, Group: s.meta.Group})
+	o.send(to, message.Message{Kind: message.Fill, Partition: s.partition, Num: s.num, LastComplete: s.records.Sum(), Digs: digs, Spans: spans, Recs: recs, Group: s.meta.Group})
 }
 
 // fill makes this replica's records equal to the leader's. Ranges are replaced whole
@@ -47,11 +47,12 @@
 		s.drop(o)
 	}
 	done := message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Partition: s.partition, Num: n.Num, To: from.Ident}}
-	if s.meta.LastComplete == n.Num && n.Op == compare {
+	held := s.meta.LastComplete == n.Num && !s.meta.Short
+	if held && n.Op == compare {
 		s.compared(from, n, o)
 		return
 	}
-	if s.meta.LastComplete == n.Num {
+	if held {
 		var recs []message.Rec
 		for _, r := range n.Recs {
 			if s.records.Take(r) {
@@ -61,7 +62,9 @@
 		s.save(o, nil, recs, done)
 		return
 	}
-	if len(digest.Differ(s.records.Digs(), n.Digs)) > 0 {
+	// What it would make of this book must be the leader's: a copy that was cut
+	// short is none. A build that doesn't tell its sum is believed.
+	if len(digest.Differ(s.records.Digs(), n.Digs)) > 0 || n.LastComplete != 0 && n.LastComplete != s.records.After(n.Spans, n.Recs) {
 		o.send(from, message.Message{Kind: message.Unfit, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
 		return
 	}
@@ -77,7 +80,7 @@
 	for _, r := range n.Recs {
 		s.records.Put(r)
 	}
-	s.meta.LastComplete = n.Num
+	s.meta.LastComplete, s.meta.Short = n.Num, false
 	s.save(o, n.Spans, n.Recs, done)
 }
 
@@ -101,8 +104,15 @@
 }
 
 func (s *Replica) save(o *Out, wipe []int, recs []message.Rec, then ...message.Send) {
+	s.put(o, Save{Wipe: wipe, Recs: recs, Drop: s.prune(recs)}, then...)
+}
+
+// put gives the disk a save; then goes out once it is there.
+func (s *Replica) put(o *Out, v Save, then ...message.Send) {
 	s.tick++
-	o.Saves = append(o.Saves, Save{Ticket: s.tick, Partition: s.partition, Meta: s.meta, Wipe: wipe, Recs: recs, Drop: s.prune(recs)})
+	v.Ticket, v.Partition, v.Meta, v.Sum = s.tick, s.partition, s.meta, s.meta.Sum(s.records)
+	o.Saves = append(o.Saves, v)
+	s.gave(s.tick)
 	if len(then) > 0 {
 		s.after[s.tick] = then
 	}
@@ -112,6 +122,7 @@
 //
 // Example: out := s.Saved(save.Ticket)
 func (s *Replica) Saved(ticket uint64) Out {
+	s.synced(ticket)
 	o := Out{Sends: s.after[ticket]}
 	delete(s.after, ticket)
 	return o
--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -10,6 +10,7 @@
 //
 // Example: out := s.Found(now, message.Group{Num: 1, Replicas: three})
 func (s *Replica) Found(now time.Duration, g message.Group) (o Out) {
+	s.now = now
 	if s.meta.Group.Num == 0 && g.Has(s.me.Ident) {
 		s.join(now, g)
 		s.save(&o, nil, nil)
@@ -38,13 +39,14 @@
 //
 // Example: out, ok := s.Regroup(now, tag, wanted)
 func (s *Replica) Regroup(now time.Duration, tag uint64, want []message.Replica) (o Out, ok bool) {
+	s.now = now
 	if !s.Leader(now) || len(s.writes) > 0 {
 		return o, false
 	}
 	g := s.meta.Group
 	if len(g.Next) > 0 {
 		for _, replica := range g.Next {
-			if !s.filled[replica.Ident] {
+			if !s.whole(replica.Ident) {
 				return o, false
 			}
 		}
--- a/control/quorum/lease.go
+++ b/control/quorum/lease.go
@@ -49,6 +49,11 @@
 //
 // Example: out := s.Tick(now)
 func (s *Replica) Tick(now time.Duration) (o Out) {
+	s.now = now
+	if s.stalled(now) && s.mode != idle {
+		s.drop(&o)
+		return o
+	}
 	for _, since := range s.stuck {
 		if s.mode == owning && now-since > every*s.cfg.LeaderLease && len(s.writes) == 0 {
 			s.drop(&o)
@@ -60,7 +65,7 @@
 		s.next = now + s.cfg.LeaderLease/4 + s.delay()
 		return o
 	}
-	if s.quit || !s.meta.Group.Has(s.me.Ident) {
+	if s.quit || s.meta.Short || s.stalled(now) || !s.meta.Group.Has(s.me.Ident) {
 		return o
 	}
 	switch s.mode {
@@ -85,6 +90,7 @@
 			}
 		}
 		s.repair(now, &o)
+		s.chase(now, &o)
 		for _, no := range slices.Sorted(maps.Keys(s.writes)) {
 			w := s.writes[no]
 			if now-w.sent >= s.cfg.Beat {
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -38,7 +38,8 @@
 	Meta      Meta
 	Wipe      []int // ranges whose other records are to be deleted
 	Recs      []message.Rec
-	Drop      []string // records below the floor
+	Drop      []string // records below the floor; after Recs
+	Sum       uint64   // of the whole state, this included; 0: not told
 }
 
 // FloorKey is the record that says up to which version the records under
@@ -57,6 +58,7 @@
 	Tried        uint64 // highest term this replica ever stood with: none is used twice
 	LastComplete uint64 `json:"Set"` // the key on disk is that of older builds
 	Group        message.Group
+	Short        bool `json:",omitempty"` // the disk lost some of the records: no vote before they are filled
 }
 
 // Fate is what became of a write.
@@ -151,7 +153,10 @@
 	beatAt time.Duration
 	seq    uint64
 	writes map[uint64]*write
-	quit   bool
+	few    map[uint64]*write  // taken by a majority, and not yet by all
+	behind map[string]*behind // replicas that missed writes
+	unsynced
+	quit bool
 
 	Mended int // times that a replica's copy was found to differ and sent ours
 }
@@ -162,7 +167,8 @@
 // Example: s := quorum.New(cfg, 0, me, meta, records, now, false)
 func New(cfg Config, partition int, me message.Replica, meta Meta, records *digest.Records, now time.Duration, fresh bool) *Replica {
 	s := &Replica{cfg: cfg, partition: partition, me: me, meta: meta, records: records, born: now, after: map[uint64][]message.Send{}, lives: map[string]uint64{},
-		rounds: map[uint64]time.Duration{}, yes: map[uint64]map[string]bool{}, writes: map[uint64]*write{}}
+		rounds: map[uint64]time.Duration{}, yes: map[uint64]map[string]bool{}, writes: map[uint64]*write{}, few: map[uint64]*write{}}
+	s.now = now
 	s.till = now + cfg.Wait(cfg.LeaderLease)
 	if fresh {
 		s.till = now
@@ -251,6 +257,7 @@
 // Example: out := s.Hear(now, message)
 func (s *Replica) Hear(now time.Duration, n message.Message) (o Out) {
 	from := message.Replica{Ident: n.From, Addr: n.Addr}
+	s.now = now
 	if g := s.meta.Group; g.Num > 0 && !g.Has(n.From) && (n.Kind != message.Ask && n.Kind != message.Fill && n.Kind != message.Accept && n.Kind != message.Support) {
 		return o // only replicas have a voice
 	}
@@ -267,6 +274,7 @@
 	case message.Filled:
 		if s.standing(n.Num) && n.Op == compare {
 			s.reported(n, &o)
+			s.caughtUp(n)
 		} else if s.standing(n.Num) {
 			s.filled[n.From] = true
 			s.settle(now, &o)
@@ -287,6 +295,9 @@
 			s.support, s.till = n.From, max(s.till, now+s.cfg.Wait(s.cfg.LeaderLease))
 			s.hint = message.Own{Partition: s.partition, Num: n.Num, Replica: from}
 			o.send(from, message.Message{Kind: message.Supported, Partition: s.partition, Num: n.Num, Ref: n.No})
+			if s.meta.Short { // the leader may take this for a whole copy
+				o.send(from, message.Message{Kind: message.Unfit, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
+			}
 		} else {
 			s.refuse(now, from, n, &o)
 		}
--- a/control/quorum/repair.go
+++ b/control/quorum/repair.go
@@ -43,6 +43,8 @@
 	if n.Spans == nil {
 		if len(digest.Differ(s.records.Digs(), n.Digs)) > 0 {
 			o.send(from, message.Message{Kind: message.Unfit, Op: compare, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
+		} else if n.No > 0 { // the leader waits for this copy
+			s.put(o, Save{}, message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Op: compare, Partition: s.partition, Num: n.Num, Ref: n.No, To: from.Ident}})
 		}
 		return
 	}
@@ -76,16 +78,13 @@
 	for _, k := range gone {
 		s.records.Drop(k)
 	}
-	done := message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Op: compare, Partition: s.partition, Num: n.Num, Recs: newer, To: from.Ident}}
-	s.tick++
-	o.Saves = append(o.Saves, Save{Ticket: s.tick, Partition: s.partition, Meta: s.meta, Recs: recs, Drop: gone})
-	s.after[s.tick] = []message.Send{done}
+	s.put(o, Save{Recs: recs, Drop: gone}, message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Op: compare, Partition: s.partition, Num: n.Num, Ref: n.No, Recs: newer, To: from.Ident}})
 }
 
 // mend sends a replica what the leader has in the ranges that differ.
 func (s *Replica) mend(to message.Replica, digs []uint64, o *Out) {
 	spans := digest.Differ(s.records.Digs(), digs)
-	if s.mode != owning || len(s.writes) > 0 || len(spans) == 0 {
+	if s.mode != owning || len(s.writes) > 0 && s.behind[to.Ident] == nil || len(spans) == 0 {
 		return
 	}
 	var recs []message.Rec
@@ -95,7 +94,7 @@
 		}
 	}
 	s.Mended++
-	o.send(to, message.Message{Kind: message.Fill, Op: compare, Partition: s.partition, Num: s.num, Spans: spans, Recs: recs, Group: s.meta.Group})
+	o.send(to, message.Message{Kind: message.Fill, Op: compare, Partition: s.partition, Num: s.num, No: s.seq, Spans: spans, Recs: recs, Group: s.meta.Group})
 }
 
 // reported looks at what a replica has that is newer than the leader's copy was.
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -12,7 +12,7 @@
 func (s *Replica) asked(now time.Duration, from message.Replica, n message.Message, o *Out) {
 	own := s.meta.Group
 	switch {
-	case !n.Group.Has(n.From): // only a replica stands
+	case !n.Group.Has(n.From) || s.meta.Short: // only a replica stands, and what its disk lost may be all that a majority has
 		s.refuse(now, from, n, o)
 		return
 	case n.Group.Num > own.Num && n.Group.Has(s.me.Ident):
@@ -93,7 +93,8 @@
 		o.Done = append(o.Done, Done{Tag: w.tag, Fate: Uncertain})
 	}
 	s.writes = map[uint64]*write{}
-	s.mode, s.votes, s.filled, s.stuck = idle, nil, nil, nil
+	s.mode, s.votes, s.filled, s.stuck, s.behind = idle, nil, nil, nil, nil
+	s.few = map[uint64]*write{}
 	s.rounds, s.yes = map[uint64]time.Duration{}, map[uint64]map[string]bool{}
 }
 
@@ -161,7 +162,7 @@
 	// A majority supports nobody else, so no older leader's lease stands.
 	s.wonAt = now
 	s.mode = filling
-	s.filled, s.fillAt, s.seenAt = map[string]bool{}, map[string]time.Duration{}, map[string]time.Duration{}
+	s.filled, s.fillAt, s.seenAt, s.behind = map[string]bool{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]*behind{}
 	s.lease = s.askAt + s.cfg.LeaderLease
 	s.merge(o)
 	for _, replica := range s.meta.Group.All() {
--- a/control/quorum/write.go
+++ b/control/quorum/write.go
@@ -15,7 +15,7 @@
 		}
 		return
 	}
-	if s.meta.LastComplete != n.Num {
+	if s.meta.LastComplete != n.Num || s.meta.Short {
 		o.send(from, message.Message{Kind: message.Unfit, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
 		return
 	}
@@ -37,13 +37,14 @@
 	}
 	w := s.writes[n.Ref]
 	if w == nil {
+		s.late(n.From, n.Ref)
 		return
 	}
 	w.acks[n.From] = true
 	if !s.meta.Group.Quorum(func(id string) bool { return w.acks[id] }) {
 		return
 	}
-	delete(s.writes, n.Ref)
+	s.settled(n.Ref, w)
 	fate := Written
 	if now >= s.lease {
 		fate = Uncertain // it will most likely be found, but we may not say so
