A full disk is no damage; what waits for a disk is bounded; storage cut at every point

Any error at opening was taken for damage: the file was set aside and the machine began empty under a new identity, for a full disk too. Only what SQLite calls corrupt or no database, or what can't be read as ours, is damage now; a disk that is full or in trouble is waited for. A scan that ends early is an error; it was taken for the end of the table. The folder is synced after a file is set aside, or an old log could come back beside the new file; one file set aside is kept.

Saves that wait are merged, the last of everything for each partition: a disk that takes nothing for long held every change in memory. The first group's saves are queued under the locks of all partitions, or a promise could come to the disk before the state without it.

SQLite keeps its lock and so the log's index in memory: nothing is mapped any more. Sums of records that a fill replaced are deleted; they stayed for ever.

The write stream is cut at every point: each frame of a batch at eight bytes, missing, torn, any subset; the log copied in part; the log begun anew in part. The state before or the one after, never set aside, never short.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -74,10 +74,11 @@
 	begun   atomic.Bool  // it was ready once
 	readyAt atomic.Int64 // when it was last
 
-	dmu   sync.Mutex
-	dq    []quorum.Save
-	dwake chan struct{}
-	stall atomic.Int64 // test switch: every disk write takes this long more
+	dmu     sync.Mutex
+	dq      storage.Batch
+	dwake   chan struct{}
+	stall   atomic.Int64 // test switch: every disk write takes this long more
+	refused atomic.Int64 // writes in a row that the disk refused
 
 	cmu   sync.Mutex
 	runs  *leadercall.Calls
@@ -105,7 +106,7 @@
 	c.Orders = c.Hands
 	c.me = message.Replica{Ident: storage.NewIdent(), Addr: cfg.Wire}
 	if cfg.Data != "" {
-		a, err := storage.Open(cfg.Data, cfg.Fleet)
+		a, err := openFolder(cfg, events)
 		if err != nil {
 			return nil, err
 		}
@@ -116,6 +117,9 @@
 		if a.Spoilt > 0 {
 			events.Say("disk", "%d records are spoilt and count as missing; the other copies have them", a.Spoilt)
 		}
+		if len(a.Short) > 0 {
+			events.Say("disk", "parts %v aren't what was written: they have no vote until the other copies have filled them", a.Short)
+		}
 		for p := range a.Partitions {
 			if p > cfg.Partitions {
 				a.Close()
@@ -175,6 +179,20 @@
 	return c, nil
 }
 
+// openFolder opens the data folder. A disk that is full or in trouble is waited
+// for: without its epoch on disk a daemon must not speak, and what is on the
+// disk is worth more than an early start.
+func openFolder(cfg Config, events *eventlog.Log) (*storage.Store, error) {
+	for {
+		a, err := storage.Open(cfg.Data, cfg.Fleet)
+		if err == nil || !storage.Passing(err) {
+			return a, err
+		}
+		events.Trouble("disk", "%v; trying again", err)
+		time.Sleep(cfg.Vol() / 4)
+	}
+}
+
 func (c *Daemon) close() {
 	if c.arch != nil {
 		c.arch.Close()
--- a/control/daemon/disk.go
+++ b/control/daemon/disk.go
@@ -6,12 +6,15 @@
 
 	"mulleinmast/control/leader"
 	"mulleinmast/control/quorum"
+	"mulleinmast/control/storage"
 )
 
 // toDisk queues saves; what is queued together is one transaction.
 func (c *Daemon) toDisk(list []quorum.Save) {
 	c.dmu.Lock()
-	c.dq = append(c.dq, list...)
+	for _, s := range list {
+		c.dq.Add(s)
+	}
 	c.dmu.Unlock()
 	select {
 	case c.dwake <- struct{}{}:
@@ -26,28 +29,47 @@
 			return ctx.Err()
 		case <-c.dwake:
 		}
+		for c.flush(ctx) {
+		}
+	}
+}
+
+// flush writes what waits; false says that nothing did. A write that fails goes
+// before what comes later, in one batch with it: nothing was said to anybody
+// yet, so it is tried until it works or the daemon is stopped.
+func (c *Daemon) flush(ctx context.Context) bool {
+	c.dmu.Lock()
+	batch := c.dq
+	c.dq = storage.Batch{}
+	c.dmu.Unlock()
+	if batch.Empty() || ctx.Err() != nil {
+		return false
+	}
+	if d := c.stall.Load(); d > 0 {
+		pause(ctx, time.Duration(d))
+	}
+	at := c.Now()
+	err := c.arch.Write(batch.Saves())
+	if took := c.Now() - at; took > c.Cfg.Vol() {
+		c.Events.Trouble("disk", "a write of %d parts took %v", len(batch.Saves()), took.Round(time.Millisecond))
+	}
+	if err != nil {
+		c.Events.Trouble("disk", "%v", err)
+		c.refused.Add(1)
 		c.dmu.Lock()
-		list := c.dq
-		c.dq = nil
+		batch.Join(c.dq)
+		c.dq = batch
 		c.dmu.Unlock()
-		for len(list) > 0 {
-			if d := c.stall.Load(); d > 0 {
-				pause(ctx, time.Duration(d))
-			}
-			err := c.arch.Write(list)
-			if err == nil {
-				break
-			}
-			// Nothing was said to anybody yet; try until it works or we are stopped.
-			c.Events.Trouble("disk", "%v", err)
-			if !pause(ctx, c.Cfg.Vol()/4) {
-				return ctx.Err()
-			}
-		}
-		for _, x := range list {
-			c.step(c.shards[x.Partition], func(s *leader.Controller, now time.Duration) leader.Out { return s.Saved(now, x.Ticket) })
-		}
+		pause(ctx, c.Cfg.Vol()/4)
+		return true
+	}
+	if n := c.refused.Swap(0); n > 0 {
+		c.Events.Say("disk", "takes writes again, after it refused %d", n)
+	}
+	for _, x := range batch.Given {
+		c.step(c.shards[x.Partition], func(s *leader.Controller, now time.Duration) leader.Out { return s.Saved(now, x.No) })
 	}
+	return true
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/control/daemon/fleet.go
+++ b/control/daemon/fleet.go
@@ -83,13 +83,17 @@
 	c.Events.Say("fleet", "nobody knows of a group: the fleet is founded with %v", replicas)
 	var saves []quorum.Save
 	var sends []message.Send
-	for _, s := range c.shards {
+	for _, s := range c.shards { // a promise that a partition makes meanwhile must come to the disk later
 		s.mu.Lock()
+	}
+	for _, s := range c.shards {
 		o := s.Found(c.Now(), message.Group{Num: 1, Replicas: replicas})
-		s.mu.Unlock()
 		saves, sends = append(saves, o.Saves...), append(sends, o.Sends...)
 	}
 	c.toDisk(saves)
+	for _, s := range c.shards {
+		s.mu.Unlock()
+	}
 	for _, m := range sends {
 		c.Line.Send(m)
 	}
--- /dev/null
+++ b/control/storage/batch_test.go
@@ -0,0 +1,75 @@
+package storage
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"mulleinmast/control/digest"
+	"mulleinmast/control/quorum"
+	"mulleinmast/wire/message"
+)
+
+// apply is what a save leaves behind.
+func apply(b *digest.Records, s quorum.Save) {
+	for _, span := range s.Wipe {
+		for r := range b.In(span) {
+			b.Drop(r.Key)
+		}
+	}
+	for _, r := range s.Recs {
+		b.Put(r)
+	}
+	for _, k := range s.Drop {
+		b.Drop(k)
+	}
+}
+
+// A batch leaves behind what its saves would one after another, also where it
+// failed and was put before what came later.
+func TestABatchIsItsSavesOneAfterAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, all := digest.NewRecords(), digest.NewRecords()
+		var a, b Batch
+		n := rapid.IntRange(1, 40).Draw(t, "n")
+		cut := rapid.IntRange(0, n).Draw(t, "cut")
+		for i := range n {
+			s := quorum.Save{Ticket: uint64(i + 1), Partition: 3, Meta: quorum.Meta{Promised: uint64(i)}, Sum: uint64(i)}
+			key := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("k", rapid.IntRange(0, 12).Draw(t, "key")) })
+			for _, k := range rapid.SliceOfN(key, 0, 3).Draw(t, "recs") {
+				s.Recs = append(s.Recs, message.Rec{Key: k, Ver: message.Ver{Term: 1, Seq: uint64(i)}})
+			}
+			s.Drop = rapid.SliceOfN(key, 0, 2).Draw(t, "drop")
+			for _, k := range rapid.SliceOfN(key, 0, 2).Draw(t, "wipe") {
+				s.Wipe = append(s.Wipe, digest.Span(k))
+			}
+			apply(one, s)
+			if i < cut {
+				a.Add(s)
+			} else {
+				b.Add(s)
+			}
+		}
+		a.Join(b)
+		saves := a.Saves()
+		if len(saves) != 1 || len(a.Given) != n || a.Given[n-1] != (Ticket{3, uint64(n)}) || saves[0].Meta.Promised != uint64(n-1) || saves[0].Sum != uint64(n-1) {
+			t.Fatalf("%d saves, %v given", len(saves), a.Given)
+		}
+		apply(all, saves[0])
+		if one.Sum() != all.Sum() {
+			t.Fatalf("%d records one after another, %d at once", one.Size(), all.Size())
+		}
+	})
+}
+
+// What waits for a disk is bounded by the state.
+func TestWhatWaitsIsBoundedByTheState(t *testing.T) {
+	var b Batch
+	for i := range 2000 {
+		b.Add(quorum.Save{Ticket: uint64(i + 1), Recs: []message.Rec{{Key: "plan/now", Ver: message.Ver{Term: 1, Seq: uint64(i)}, Val: make([]byte, 1000)}}})
+	}
+	if s := b.Saves(); len(s) != 1 || len(s[0].Recs) != 1 || s[0].Recs[0].Ver.Seq != 1999 {
+		t.Errorf("%d saves, %d records", len(s), len(s[0].Recs))
+	}
+}
--- /dev/null
+++ b/control/storage/crash_test.go
@@ -0,0 +1,297 @@
+package storage
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"mulleinmast/control/digest"
+	"mulleinmast/control/quorum"
+	"mulleinmast/wire/message"
+)
+
+// The write stream of a batch is cut at every point, as a loss of power may:
+// what was synced stays, each later write is there, is missing or is torn. What
+// is read back is the state before the batch or the one after it.
+
+const (
+	walHead   = 32
+	frameHead = 24
+	page      = 4096
+)
+
+// files is what a folder holds.
+type files struct{ db, wal []byte }
+
+func read(t *testing.T, dir string) (f files) {
+	t.Helper()
+	var err error
+	if f.db, err = os.ReadFile(filepath.Join(dir, "state.db")); err != nil {
+		t.Fatal(err)
+	}
+	if f.wal, err = os.ReadFile(filepath.Join(dir, "state.db-wal")); err != nil && !os.IsNotExist(err) {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// state names what is read back from files: a partition's meta and digest each.
+func (f files) state(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for name, b := range map[string][]byte{"state.db": f.db, "state.db-wal": f.wal} {
+		if err := os.WriteFile(filepath.Join(dir, name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a, err := Open(dir, "f")
+	if err != nil {
+		return err.Error()
+	}
+	defer a.Close()
+	return a.state()
+}
+
+func (a *Store) state() string {
+	out := fmt.Sprint("set aside ", a.Moved, " short ", a.Short, " empty ", a.Empty)
+	for p := range 3 {
+		if h, ok := a.Partitions[p]; ok {
+			out += fmt.Sprintf(" part %d promised %d of %d records %x", p, h.Meta.Promised, h.Records.Size(), h.Records.Sum())
+		}
+	}
+	return out
+}
+
+// stocked is a folder with two parts in which batches are written, and the
+// books that they make.
+type stocked struct {
+	*Store
+	dir     string
+	rng     *rand.Rand
+	records map[int]*digest.Records
+	n       uint64
+}
+
+func stock(t *testing.T, seed int64) *stocked {
+	s := &stocked{dir: t.TempDir(), rng: rand.New(rand.NewSource(seed)), records: map[int]*digest.Records{0: digest.NewRecords(), 1: digest.NewRecords()}}
+	s.Store = open(t, s.dir)
+	t.Cleanup(func() { s.Close() })
+	for range 6 {
+		s.write(t)
+	}
+	return s
+}
+
+// write writes a batch over both parts: records of up to three pages, some gone,
+// a range replaced.
+func (s *stocked) write(t *testing.T) {
+	t.Helper()
+	var list []quorum.Save
+	for p := range 2 {
+		s.n++
+		b := s.records[p]
+		v := quorum.Save{Partition: p, Meta: quorum.Meta{Promised: s.n, LastComplete: s.n}}
+		if s.rng.Intn(2) == 0 {
+			v.Wipe = []int{s.rng.Intn(digest.Spans)}
+			for r := range b.In(v.Wipe[0]) {
+				b.Drop(r.Key)
+			}
+		}
+		for range 4 {
+			r := message.Rec{Key: fmt.Sprint("k", s.rng.Intn(40)), Ver: message.Ver{Term: 1, Seq: s.n}, Val: make([]byte, s.rng.Intn(3*page))}
+			s.rng.Read(r.Val)
+			b.Put(r)
+			v.Recs = append(v.Recs, r)
+		}
+		if k := fmt.Sprint("k", s.rng.Intn(40)); s.rng.Intn(2) == 0 {
+			b.Drop(k)
+			v.Drop = []string{k}
+		}
+		v.Sum = v.Meta.Sum(b)
+		list = append(list, v)
+	}
+	if err := s.Write(list); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// expect checks that files hold one of some states.
+func expect(t *testing.T, what string, f files, want ...string) {
+	t.Helper()
+	got := f.state(t)
+	for _, w := range want {
+		if got == w {
+			return
+		}
+	}
+	t.Errorf("%s: %s\nexpected one of %q", what, got, want)
+}
+
+// A batch that is appended to the log: cut after each frame, inside a frame's
+// head, at each block of its page; a frame that is missing or spoilt with the
+// later ones there; any of them.
+func TestABatchThatIsCutShortIsWholeOrNotThere(t *testing.T) {
+	s := stock(t, 1)
+	a := read(t, s.dir)
+	s.write(t)
+	b := read(t, s.dir)
+	if len(b.wal) <= len(a.wal) || !bytes.Equal(a.db, b.db) || !bytes.Equal(a.wal, b.wal[:len(a.wal)]) {
+		t.Fatalf("the batch wasn't appended to the log: %d, then %d bytes", len(a.wal), len(b.wal))
+	}
+	before, after := a.state(t), b.state(t)
+	if before == after {
+		t.Fatal("the batch changes nothing")
+	}
+	from, frames := len(a.wal), (len(b.wal)-len(a.wal))/(frameHead+page)
+	for i := range frames {
+		at := from + i*(frameHead+page)
+		for _, cut := range []int{0, 4, 8, frameHead - 1, frameHead, frameHead + 512, frameHead + page/2, frameHead + page - 1} {
+			expect(t, fmt.Sprintf("cut at byte %d of frame %d of %d", cut, i, frames), files{b.db, b.wal[:at+cut]}, before)
+		}
+		for what, spoil := range map[string]func([]byte){"missing": func(x []byte) { clear(x) }, "torn": func(x []byte) { clear(x[frameHead+512:]) }} {
+			wal := bytes.Clone(b.wal)
+			spoil(wal[at : at+frameHead+page])
+			expect(t, fmt.Sprintf("frame %d of %d %s", i, frames, what), files{b.db, wal}, before)
+		}
+	}
+	for range 40 {
+		wal := bytes.Clone(b.wal)
+		lost := 0
+		for i := range frames {
+			if at := from + i*(frameHead+page); s.rng.Intn(3) == 0 {
+				clear(wal[at : at+frameHead+page])
+				lost++
+			}
+		}
+		if lost > 0 {
+			expect(t, fmt.Sprintf("%d of %d frames missing", lost, frames), files{b.db, wal}, before)
+		}
+	}
+	expect(t, "whole", b, after)
+}
+
+// The log is copied into the file: any of its pages may be there, missing or
+// torn while the log still is; nothing is lost.
+func TestALogThatIsCopiedInPartLosesNothing(t *testing.T) {
+	s := stock(t, 2)
+	a := read(t, s.dir)
+	want := a.state(t)
+	if _, err := s.db.Exec("pragma wal_checkpoint(passive)"); err != nil {
+		t.Fatal(err)
+	}
+	b := read(t, s.dir)
+	if bytes.Equal(a.db, b.db) {
+		t.Fatal("nothing was copied")
+	}
+	for try := range 60 {
+		db := bytes.Clone(b.db)
+		for at := 0; at+page <= len(db); at += page {
+			old := make([]byte, page)
+			if at+page <= len(a.db) {
+				copy(old, a.db[at:])
+			}
+			switch s.rng.Intn(3) {
+			case 0: // missing
+				copy(db[at:], old)
+			case 1: // torn
+				copy(db[at+512:at+page], old[512:])
+			}
+		}
+		if len(a.db) > page && try%2 == 0 {
+			db = db[:max(len(a.db), len(db)/2/page*page)]
+		}
+		expect(t, fmt.Sprintf("copied in part, try %d", try), files{db, a.wal}, want)
+	}
+	expect(t, "copied", b, want)
+}
+
+// The log begins anew over what was copied: its new head is on disk before any
+// frame is written, and any of the frames may be new, old or torn after that.
+func TestALogThatBeginsAnewIsWholeOrNotThere(t *testing.T) {
+	s := stock(t, 3)
+	if _, err := s.db.Exec("pragma wal_checkpoint(passive)"); err != nil {
+		t.Fatal(err)
+	}
+	a := read(t, s.dir)
+	s.write(t)
+	b := read(t, s.dir)
+	if bytes.Equal(a.wal[:walHead], b.wal[:walHead]) || len(a.wal) != len(b.wal) {
+		t.Fatal("the log didn't begin anew")
+	}
+	before, after := a.state(t), b.state(t)
+	torn := bytes.Clone(a.wal)
+	copy(torn[:16], b.wal[:16])
+	expect(t, "head torn", files{b.db, torn}, before)
+	written := 0
+	for i := 0; walHead+(i+1)*(frameHead+page) <= len(a.wal); i++ {
+		at := walHead + i*(frameHead+page)
+		if !bytes.Equal(a.wal[at:at+frameHead+page], b.wal[at:at+frameHead+page]) {
+			written = i + 1
+		}
+	}
+	for try := range 80 {
+		wal := bytes.Clone(b.wal)
+		lost := 0
+		for i := range written {
+			at := walHead + i*(frameHead+page)
+			switch s.rng.Intn(4) {
+			case 0:
+				copy(wal[at:at+frameHead+page], a.wal[at:])
+				lost++
+			case 1:
+				copy(wal[at+frameHead+512:at+frameHead+page], a.wal[at+frameHead+512:])
+				lost++
+			}
+		}
+		if lost > 0 {
+			expect(t, fmt.Sprintf("begun anew in part, try %d", try), files{b.db, wal}, before, after)
+		}
+	}
+	expect(t, "begun anew", b, after)
+}
+
+// A folder that is cut short while it is made is an empty one; one whose old log
+// came back beside a new file, for its removal was lost, is not mixed with it.
+func TestAFolderMadeInPartIsEmpty(t *testing.T) {
+	s := stock(t, 4)
+	whole := read(t, s.dir)
+	fresh := open(t, t.TempDir())
+	fresh.Close()
+	for what, f := range map[string]files{"nothing synced": {}, "an old log alone": {nil, whole.wal}} {
+		got := f.state(t)
+		if got != fresh.state() {
+			t.Errorf("%s: %s", what, got)
+		}
+	}
+}
+
+// What is on a disk and isn't what was written is never taken for whole: a
+// record that is gone with its sum, a promise that is another, a record more.
+func TestAPartThatIsNotWhatWasWrittenIsShort(t *testing.T) {
+	for what, spoil := range map[string]string{
+		"a record gone":            "delete from rec where key=(select min(key) from rec where part=0) and part=0",
+		"a record and its sum":     "delete from sums where part=0; delete from rec where key=(select min(key) from rec where part=0) and part=0",
+		"all records gone":         "delete from rec where part=0",
+		"a promise of before":      "update seat set v=replace(v,'\"Promised\":','\"Promised\":9') where part=0",
+		"a record of another part": "insert into rec select 0, 'other', span, term, seq, dead, val from rec where part=1 limit 1",
+	} {
+		s := stock(t, 5)
+		if _, err := s.db.Exec(spoil); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		a := open(t, s.dir)
+		if len(a.Short) != 1 || a.Short[0] != 0 || !a.Partitions[0].Meta.Short || a.Partitions[1].Meta.Short {
+			t.Errorf("%s: short %v", what, a.Short)
+		}
+		a.Close()
+		a = open(t, s.dir) // and it stays so until it is filled
+		if !a.Partitions[0].Meta.Short {
+			t.Errorf("%s: whole after another start", what)
+		}
+		a.Close()
+	}
+}
--- a/control/storage/storage.go
+++ b/control/storage/storage.go
@@ -14,12 +14,11 @@
 	"syscall"
 	"time"
 
-	_ "github.com/mattn/go-sqlite3" // the driver
+	"github.com/mattn/go-sqlite3"
 	"github.com/zeebo/errs"
 
 	"mulleinmast/control/digest"
 	"mulleinmast/control/quorum"
-	"mulleinmast/wire/message"
 )
 
 // Format is the version of the files written here.
@@ -28,6 +27,10 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("data folder")
 
+// logSize is the length that the write-ahead log is cut back to once it was
+// longer; it is copied into the file at about that length.
+const logSize = 4 << 20
+
 // Held is one partition's state as found on disk.
 type Held struct {
 	Meta    quorum.Meta
@@ -43,7 +46,8 @@
 	Empty      bool   // nothing was here before
 	Moved      string // where a damaged file was put, if one was found
 	Partitions map[int]Held
-	Spoilt     int // records whose value isn't what was written: they count as missing
+	Spoilt     int   // records whose value isn't what was written: they count as missing
+	Short      []int // partitions that are not what was written: they have no vote until they are filled
 }
 
 // Open opens or makes the data folder, locks it, counts the epoch up and
@@ -53,11 +57,11 @@
 // Example: a, err := storage.Open("/var/lib/mulleinmast", "rangsit")
 func Open(dir, fleet string) (*Store, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, Error.New("%s: can't be made: %v", dir, err)
+		return nil, Error.Wrap(fmt.Errorf("%s: can't be made: %w", dir, err))
 	}
 	lock, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
-		return nil, Error.New("%s: can't be written: %v", dir, err)
+		return nil, Error.Wrap(fmt.Errorf("%s: can't be written: %w", dir, err))
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = lock.Close()
@@ -70,12 +74,9 @@
 			a.Close()
 			return nil, err
 		}
-		a.Moved = fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano())
-		for _, end := range []string{"", "-wal", "-shm"} {
-			if er := os.Rename(path+end, a.Moved+end); er != nil && !os.IsNotExist(er) {
-				a.Close()
-				return nil, Error.New("%s: damaged (%v) and can't be set aside: %v", path, err, er)
-			}
+		if a.Moved, err = setAside(path, err); err != nil {
+			a.Close()
+			return nil, err
 		}
 		if err := a.open(path, fleet); err != nil {
 			a.Close()
@@ -91,11 +92,35 @@
 
 type damage struct{ error }
 
+// damaged tells whether a file's content is at fault. A disk that is full, slow
+// to come back or refuses to be read says nothing of the content: what is on it
+// is kept, and opening fails.
 func damaged(err error) bool {
+	var said sqlite3.Error
+	if errors.As(err, &said) {
+		return said.Code == sqlite3.ErrCorrupt || said.Code == sqlite3.ErrNotADB
+	}
 	var d damage
 	return errors.As(err, &d)
 }
 
+// setAside moves a damaged file away, the one moved before makes room for it.
+// The new names last before anything is made under the old ones: a write-ahead
+// log that came back beside a new file would be taken for that file's.
+func setAside(path string, why error) (string, error) {
+	before, _ := filepath.Glob(path + ".damaged-*")
+	for _, old := range before {
+		_ = os.Remove(old)
+	}
+	moved := fmt.Sprintf("%s.damaged-%d", path, time.Now().UnixNano())
+	for _, end := range []string{"-wal", "-shm", ""} {
+		if err := os.Rename(path+end, moved+end); err != nil && !os.IsNotExist(err) {
+			return "", Error.New("%s: damaged (%v) and can't be set aside: %v", path, why, err)
+		}
+	}
+	return moved, Error.Wrap(syncDir(filepath.Dir(path)))
+}
+
 func syncDir(dir string) error {
 	f, err := os.Open(dir)
 	if err != nil {
@@ -117,32 +142,36 @@
 		_ = a.db.Close()
 		a.db = nil
 	}
-	db, err := sql.Open("sqlite3", "file:"+path+"?_journal_mode=WAL&_synchronous=FULL&_busy_timeout=1000")
+	// One connection that keeps its lock: the index of the log is then in memory,
+	// not in a mapped file. The mode is set after the lock's, or it would be mapped.
+	db, err := sql.Open("sqlite3", "file:"+path+"?_locking_mode=EXCLUSIVE&_synchronous=FULL&_busy_timeout=1000")
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	db.SetMaxOpenConns(1)
 	a.db = db
 	var word string
-	if err := db.QueryRow("pragma quick_check(1)").Scan(&word); err != nil || word != "ok" {
-		return damage{Error.New("%s: %v %s", path, err, word)}
+	for _, ask := range []string{"pragma journal_mode=WAL", fmt.Sprintf("pragma journal_size_limit=%d", logSize), "pragma quick_check(1)"} {
+		if err := db.QueryRow(ask).Scan(&word); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	if word != "ok" {
+		return damage{Error.New("%s: %s", path, word)}
 	}
 	if _, err := db.Exec(schema); err != nil {
-		return damage{Error.New("%s: %v", path, err)}
+		return Error.Wrap(err)
 	}
 	meta := map[string]string{}
-	rows, err := db.Query("select k, v from meta")
-	if err != nil {
-		return damage{Error.Wrap(err)}
-	}
-	for rows.Next() {
+	err = a.each("select k, v from meta", func(scan func(...any) error) error {
 		var k, v string
-		if err := rows.Scan(&k, &v); err != nil {
-			return damage{Error.Wrap(err)}
-		}
+		err := scan(&k, &v)
 		meta[k] = v
+		return err
+	})
+	if err != nil {
+		return err
 	}
-	_ = rows.Close()
 	if len(meta) == 0 {
 		a.Empty, a.Ident, a.Epoch = true, NewIdent(), 1
 		meta = map[string]string{"format": fmt.Sprint(Format), "fleet": fleet, "ident": a.Ident}
@@ -175,59 +204,11 @@
 		}
 	}
 	if err := tx.Commit(); err != nil {
-		return Error.New("%s: can't be written: %v", path, err)
+		return Error.Wrap(fmt.Errorf("%s: can't be written: %w", path, err))
 	}
 	return a.load()
 }
 
-func (a *Store) load() error {
-	a.Partitions = map[int]Held{}
-	rows, err := a.db.Query("select part, v from seat")
-	if err != nil {
-		return damage{Error.Wrap(err)}
-	}
-	defer func() { _ = rows.Close() }()
-	for rows.Next() {
-		var partition int
-		var v string
-		h := Held{Records: digest.NewRecords()}
-		if err := rows.Scan(&partition, &v); err != nil {
-			return damage{Error.Wrap(err)}
-		}
-		if err := json.Unmarshal([]byte(v), &h.Meta); err != nil {
-			return damage{Error.Wrap(err)}
-		}
-		a.Partitions[partition] = h
-	}
-	_ = rows.Close()
-	recs, err := a.db.Query("select r.part, r.key, r.term, r.seq, r.dead, r.val, s.sum from rec r left join sums s on s.part=r.part and s.key=r.key and s.term=r.term and s.seq=r.seq")
-	if err != nil {
-		return damage{Error.Wrap(err)}
-	}
-	defer func() { _ = recs.Close() }()
-	for recs.Next() {
-		var partition int
-		var r message.Rec
-		var sum sql.NullInt64 // a build before this one writes none
-		if err := recs.Scan(&partition, &r.Key, &r.Ver.Term, &r.Ver.Seq, &r.Dead, &r.Val, &sum); err != nil {
-			return damage{Error.Wrap(err)}
-		}
-		h, ok := a.Partitions[partition]
-		if !ok {
-			return damage{Error.New("record %q of part %d, which has no seat", r.Key, partition)}
-		}
-		if sum.Valid && sum.Int64 != int64(digest.Print(r)) {
-			a.Spoilt++
-			continue
-		}
-		h.Records.Put(r)
-	}
-	if err := recs.Err(); err != nil {
-		return damage{Error.Wrap(err)}
-	}
-	return nil
-}
-
 // Write puts a batch of saves on disk, in order and all or nothing.
 //
 // Example: err := a.Write(out.Saves)
@@ -238,7 +219,7 @@
 	}
 	err = func() error {
 		for _, s := range list {
-			b, err := json.Marshal(s.Meta)
+			b, err := json.Marshal(row{s.Meta, s.Sum})
 			if err != nil {
 				return err
 			}
@@ -246,15 +227,11 @@
 				return err
 			}
 			for _, sp := range s.Wipe {
-				if _, err := tx.Exec("delete from rec where part=? and span=?", s.Partition, sp); err != nil {
+				if _, err := tx.Exec("delete from sums where part=? and key in (select key from rec where part=? and span=?)", s.Partition, s.Partition, sp); err != nil {
 					return err
 				}
-			}
-			for _, k := range s.Drop {
-				for _, from := range []string{"rec", "sums"} {
-					if _, err := tx.Exec("delete from "+from+" where part=? and key=?", s.Partition, k); err != nil {
-						return err
-					}
+				if _, err := tx.Exec("delete from rec where part=? and span=?", s.Partition, sp); err != nil {
+					return err
 				}
 			}
 			for _, r := range s.Recs {
@@ -265,6 +242,13 @@
 					return err
 				}
 			}
+			for _, k := range s.Drop {
+				for _, from := range []string{"rec", "sums"} {
+					if _, err := tx.Exec("delete from "+from+" where part=? and key=?", s.Partition, k); err != nil {
+						return err
+					}
+				}
+			}
 		}
 		return nil
 	}()
--- a/control/storage/storage_test.go
+++ b/control/storage/storage_test.go
@@ -1,9 +1,14 @@
 package storage
 
 import (
+	"fmt"
 	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 
 	"mulleinmast/control/digest"
@@ -146,3 +151,111 @@
 		t.Errorf("written by another build: %d spoilt, %d held", a.Spoilt, a.Partitions[0].Records.Size())
 	}
 }
+
+// A file that can't be read or written now isn't a damaged one: it stays where
+// it is, and opens once the disk allows it.
+func TestAnUnreadableFileIsNoDamage(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	id := a.Ident
+	a.Close()
+	wal := filepath.Join(dir, "state.db-wal")
+	if err := os.Mkdir(wal, 0o700); err != nil { // the log can't be opened
+		t.Fatal(err)
+	}
+	if a, err := Open(dir, "f"); err == nil {
+		t.Fatalf("opened as %s, it was %s; set aside as %q", a.Ident, id, a.Moved)
+	}
+	if err := os.Remove(wal); err != nil {
+		t.Fatal(err)
+	}
+	a = open(t, dir)
+	defer a.Close()
+	if a.Ident != id || a.Moved != "" {
+		t.Errorf("it was %s, is %s; set aside as %q", id, a.Ident, a.Moved)
+	}
+}
+
+// roomKey names the room that a child of the test has on its disk.
+const roomKey = "ARCHIVE_TEST_ROOM"
+
+// The same where the disk has no room for one more byte.
+func TestAFullDiskAtTheStartIsNoDamage(t *testing.T) {
+	if room := os.Getenv(roomKey); room != "" {
+		openWithRoom(room)
+		return
+	}
+	dir := t.TempDir()
+	a := open(t, dir)
+	id := a.Ident
+	rec := message.Rec{Key: "k", Ver: message.Ver{Term: 1, Seq: 1}, Val: make([]byte, 1<<16)}
+	if err := a.Write([]quorum.Save{{Partition: 0, Recs: []message.Rec{rec}}}); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	for _, room := range []string{"0", "32", "4096", "8192", "65536"} {
+		cmd := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+		cmd.Env = append(os.Environ(), roomKey+"="+room+" "+dir)
+		said, _ := cmd.CombinedOutput()
+		left, _ := filepath.Glob(filepath.Join(dir, "*.damaged-*"))
+		if len(left) > 0 || strings.Contains(string(said), "opened as") && !strings.Contains(string(said), "opened as "+id) {
+			t.Fatalf("room for %s bytes: %v\n%s", room, left, said)
+		}
+		if !strings.Contains(string(said), "opened as") && !strings.Contains(string(said), "may pass: true") {
+			t.Errorf("room for %s bytes: not taken for trouble that may pass: %s", room, said)
+		}
+		t.Logf("room for %s bytes: %s", room, said)
+	}
+	a = open(t, dir)
+	defer a.Close()
+	if _, ok := a.Partitions[0].Records.Get("k"); a.Ident != id || !ok {
+		t.Errorf("with room again: %s, it was %s; record there: %v", a.Ident, id, ok)
+	}
+}
+
+// openWithRoom opens a folder where no file may grow above a length.
+func openWithRoom(of string) {
+	room, dir, _ := strings.Cut(of, " ")
+	most, _ := strconv.ParseUint(room, 10, 64)
+	signal.Ignore(syscall.SIGXFSZ)
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: most, Max: most}); err != nil {
+		fmt.Println(err)
+		return
+	}
+	a, err := Open(dir, "f")
+	if err != nil {
+		fmt.Println("may pass:", Passing(err), err)
+		return
+	}
+	fmt.Println("opened as " + a.Ident)
+	a.Close()
+}
+
+// Each batch is synced, and the index of the log is in memory: writes through a
+// mapping reach a file late.
+func TestTheLogIsSyncedAndNothingIsMapped(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	defer a.Close()
+	for ask, want := range map[string]string{"pragma synchronous": "2", "pragma journal_mode": "wal", "pragma locking_mode": "exclusive"} {
+		var word string
+		if err := a.db.QueryRow(ask).Scan(&word); err != nil || word != want {
+			t.Errorf("%s: %s, %v", ask, word, err)
+		}
+	}
+	if _, err := os.Stat(filepath.Join(dir, "state.db-shm")); !os.IsNotExist(err) {
+		t.Errorf("the index of the log is mapped: %v", err)
+	}
+}
+
+// Sums of records that are gone don't stay behind.
+func TestNoSumStaysBehind(t *testing.T) {
+	s := stock(t, 6)
+	for range 40 {
+		s.write(t)
+	}
+	var recs, sums int
+	if err := s.db.QueryRow("select (select count(*) from rec), (select count(*) from sums)").Scan(&recs, &sums); err != nil || recs != sums || recs != s.records[0].Size()+s.records[1].Size() {
+		t.Errorf("%d records, %d sums, %v", recs, sums, err)
+	}
+}
