Simulated: 500 changes, then a restart, a wipe, a long cut, lost power, a stalled disk

Scenario manychanges: after 500 changes, with about 40 a second going on, in an order drawn by lot: restart, wipe, a cut of 10 s, power lost while the disk writes, a disk that takes nothing for 8 s, a member that returns as the leader is lost, and the same with a disk that lost a record. Each core machine must be a voter and have on disk all that was acknowledged 4 s after the return; none leads with less, and none whose disk stalled for 8 s.

Simulated disks keep the sums as control/storage does, and a partition read back as what was never written breaks the run.

--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -219,6 +219,7 @@
 	}
 	w.lost = true
 	n.kill()
+	n.disk.rot = true
 	if w.rng.Intn(2) == 0 {
 		delete(n.disk.recs[p], k)
 	} else {
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -38,6 +38,15 @@
 	if w.o.Sabotage == "nomend" && m.Kind == message.Fill && m.Op != "" {
 		return
 	}
+	if w.o.Sabotage == "nochase" && m.Kind == message.Fill && m.Op != "" && m.No > 0 {
+		return
+	}
+	if w.o.Sabotage == "cutshort" && m.Kind == message.Fill && len(m.Recs) > 1 {
+		m.LastComplete, m.Recs = 0, m.Recs[:len(m.Recs)/2] // and no sum to tell
+	}
+	if w.o.Sabotage == "oldset" && m.Kind == message.Promise && m.Op == "" && from != to {
+		m.LastComplete, m.Digs, m.Recs = 0, nil, nil // the candidate reads its own copy only
+	}
 	if w.o.Mutate > 0 && w.rng.Float64() < w.o.Mutate {
 		w.at(w.exp(time.Millisecond), func() { w.land(to, w.mutated(m)) })
 	}
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -23,6 +23,8 @@
 	meta  map[int]quorum.Meta
 	recs  map[int]map[string]message.Rec
 	sums  map[string]uint64 // by part and key, as control/storage keeps them
+	sum   map[int]uint64    // of each partition, too
+	rot   bool              // what it holds isn't what was written
 }
 
 type node struct {
@@ -43,6 +45,8 @@
 	slowTil time.Duration
 	busy    bool          // the disk is at work
 	pend    []quorum.Save // what waits for it
+	writing []quorum.Save // what it is at
+	jam     time.Duration // until when it takes nothing
 
 	ident  string
 	epoch  uint64
@@ -104,7 +108,7 @@
 	now := n.local()
 	if n.hasDisk {
 		if n.disk == nil {
-			n.disk = &folder{ident: n.ident, meta: map[int]quorum.Meta{}, recs: map[int]map[string]message.Rec{}, sums: map[string]uint64{}}
+			n.disk = &folder{ident: n.ident, meta: map[int]quorum.Meta{}, recs: map[int]map[string]message.Rec{}, sums: map[string]uint64{}, sum: map[int]uint64{}}
 			if w.o.Sabotage == "samename" {
 				n.disk.ident = n.name
 			}
@@ -133,13 +137,7 @@
 	for p := 0; p <= w.o.Partitions; p++ {
 		var replica *quorum.Replica
 		if n.hasDisk {
-			records := digest.NewRecords()
-			for k, r := range n.disk.recs[p] {
-				if n.disk.sums[sumKey(p, k)] == digest.Print(r) { // else it is spoilt and counts as missing
-					records.Put(r)
-				}
-			}
-			meta := n.disk.meta[p]
+			meta, records := n.readBack(p)
 			if w.o.Sabotage == "forget" {
 				meta.Promised, meta.To = 0, ""
 			}
@@ -176,6 +174,30 @@
 	n.in(w.exp(w.o.Reads), n.read)
 }
 
+// readBack is what a replica's disk holds: a partition that isn't what was written, for
+// a record that is lost or spoilt, is short.
+func (n *node) readBack(p int) (quorum.Meta, *digest.Records) {
+	records := digest.NewRecords()
+	spoilt := false
+	for k, r := range n.disk.recs[p] {
+		if n.disk.sums[sumKey(p, k)] == digest.Print(r) { // else it is spoilt and counts as missing
+			records.Put(r)
+		} else {
+			spoilt = true
+			delete(n.disk.recs[p], k)
+		}
+	}
+	meta := n.disk.meta[p]
+	if sum := n.disk.sum[p]; spoilt || sum != 0 && sum != meta.Sum(records) {
+		if !n.disk.rot {
+			n.w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("reads partition %d back as what was never written", p)})
+		}
+		meta.Short = n.w.o.Sabotage != "rotvote"
+		n.disk.meta[p], n.disk.sum[p] = meta, meta.Sum(records)
+	}
+	return meta, records
+}
+
 func key(k int) string { return fmt.Sprintf("plan/%d", k) }
 
 func (n *node) member() message.Member {
@@ -314,11 +336,12 @@
 func (n *node) flush() {
 	w := n.w
 	list := n.pend
-	n.pend, n.busy = nil, true
+	n.pend, n.busy, n.writing = nil, true, list
 	d := 200*time.Microsecond + w.exp(time.Millisecond)
 	if w.now < n.slowTil {
 		d += n.slow
 	}
+	d = max(d, n.jam-w.now)
 	life := n.life
 	told := func() {
 		for _, s := range list {
@@ -363,13 +386,14 @@
 				}
 			}
 		}
-		for _, k := range s.Drop {
-			delete(f.recs[s.Partition], k)
-		}
 		for _, r := range s.Recs {
 			f.recs[s.Partition][r.Key] = r
 			f.sums[sumKey(s.Partition, r.Key)] = digest.Print(r)
 		}
+		for _, k := range s.Drop {
+			delete(f.recs[s.Partition], k)
+		}
+		f.sum[s.Partition] = s.Sum
 	}
 }
 
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -20,6 +20,7 @@
 	Writes     time.Duration      // mean time between writes
 	Reads      time.Duration      // mean time between a daemon's reads
 	Keys       int
+	Many       int             // changes in force before the events of many.go; 0: none of these
 	Drift      float64         // how far clocks really run apart
 	Sabotage   string          // a fault put in on purpose, to prove the checker
 	Clean      bool            // the network loses, delays and doubles nothing
@@ -115,6 +116,15 @@
 		o.Keys, o.Faults = 24, map[string]float64{"rot": 3, "slow": 1}
 		return o
 	},
+	// Hundreds of changes and then, one after another, all that may befall a core
+	// machine, while changes go on.
+	"manychanges": func(seed int64) Options {
+		o := Default(seed)
+		o.Zones, o.Keys, o.Many = []int{3, 2, 2}, 24, 500
+		o.Writes, o.Reads, o.Length, o.Calm = 25*time.Millisecond, 150*time.Millisecond, 110*time.Second, 5*time.Second
+		o.Faults = nil
+		return o
+	},
 	// All three core machines are exchanged, one after another, while the
 	// usual trouble goes on.
 	"swaps": func(seed int64) Options {
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -70,6 +70,7 @@
 	lost  bool
 	owned time.Duration
 	calm  bool
+	acks  []acked
 
 	fakeServers map[string]*fakeServer
 	addrs       []string // of depots, in order
@@ -108,6 +109,9 @@
 	if o.Calls > 0 {
 		w.traffic()
 	}
+	if o.Many > 0 {
+		w.at(6*time.Second, w.events)
+	}
 	for len(w.q) > 0 && w.now < o.Length {
 		it := heap.Pop(&w.q).(item)
 		w.now = it.at
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -24,7 +24,7 @@
 			t.Parallel()
 			n := int64(12)
 			o := Scenarios[name](1)
-			if name == "swaps" || o.Calls > 0 {
+			if name == "swaps" || o.Many > 0 || o.Calls > 0 {
 				n = 4
 			}
 			yes, reads, ok, taken := sweep(t, name, 1, n)
@@ -86,6 +86,11 @@
 		"noswap":       {"reboot", "holders:"},       // a new holder orders at once
 		"noafter":      {"servers", "told:"},         // nobody is told when to come back
 		"lateback":     {"servers", "recovery:"},     // servers take 14 s longer to come back
+
+		"nochase":  {"manychanges", "isn't whole"}, // a replica that missed writes is only compared now and then
+		"cutshort": {"manychanges", "isn't whole"}, // half of a copy is taken for all of it
+		"rotvote":  {"manychanges", "without"},     // a replica whose disk lost a record keeps its vote
+		"oldset":   {"manychanges", "without"},     // a candidate reads its own copy only
 	} {
 		t.Run(what, func(t *testing.T) {
 			t.Parallel()
--- a/proof/sim/write.go
+++ b/proof/sim/write.go
@@ -36,6 +36,7 @@
 		case partition.Done:
 			e.Kind = Yes
 			w.res.Yes++
+			w.acks = append(w.acks, acked{w.now, p, k, tag})
 			w.res.Waits = append(w.res.Waits, w.now-at)
 			if !w.calm && w.rng.Float64() < w.o.Faults["ackkill"]/40 {
 				w.fault("ackkill", n)
