--- a/cmd/fleetlab/hollow.go
+++ b/cmd/fleetlab/hollow.go
@@ -22,7 +22,8 @@
 	out, profile                      *string
 	steps                             *string
 	ramp                              *int
-	rates                             *string
+	rates, stock                      *string
+	many                              *int
 }
 
 func newHollowFlags() hollowFlags {
@@ -38,11 +39,13 @@
 		far:     flag.Duration("far", 0, "with -hollow: delay between regions, one way"),
 		out:     flag.String("out", "", "with -hollow: write CSV to this `file`"),
 		profile: flag.String("profile", "", "with -hollow: write profiles of a front, an owner and the shared process to this `folder`"),
-		steps:   flag.String("steps", "idle", "with -hollow: `idle,change,restart,zone,link`"),
+		steps:   flag.String("steps", "idle", "with -hollow: `idle,change,many,restart,zone,link`"),
 		fit:     flag.String("fit", "", "with -hollow: measure nothing, lay lines through this CSV `file` and draw them beside it"),
 		over:    flag.String("over", "daemons", "with -fit: the `size` that grows: daemons, servers, tenants or routes"),
 		at:      flag.Float64("at", 520, "with -fit: the size that the line is read off at"),
 		ramp:    flag.Int("ramp", 0, "with -hollow: model servers come so many at a time; 0: all at once"),
+		many:    flag.Int("changes", 2000, "with -hollow and step many: changes, one after another"),
+		stock:   flag.String("stock", "", "with -hollow and step many: write what is held to this CSV `file`, and a plot beside it"),
 		rates:   flag.String("rates", "1", "with -hollow: configuration changes a second, each `number`"),
 	}
 }
@@ -183,6 +186,15 @@
 		return f.Measure(step, *h.window, nil), nil
 	case "change":
 		return h.change(f)
+	case "many":
+		list, err := f.Many(*h.many, max(1, *h.many/20))
+		if err == nil && *h.stock != "" {
+			err = hollow.WriteStock(*h.stock, list)
+		}
+		for _, s := range list {
+			fmt.Printf("%+v\n", s)
+		}
+		return nil, err
 	case "restart":
 		return f.Measure(step, *h.window, func(stop <-chan time.Time) {
 			for n, most := 0, time.Duration(0); ; n++ {
