An address that nothing is sent to for a minute is forgotten

Each address that was ever sent to kept a queue, a goroutine and its connection for good; machines are replaced at new addresses all the time. The queue goes to a file of its own.

--- a/wire/transport/transport.go
+++ b/wire/transport/transport.go
@@ -30,6 +30,10 @@
 	depth  = 4096     // messages that wait for one address, at most
 	buffer = 4 << 10  // of a connection, each way; longer frames go round it
 	trust  = 64 << 10 // bytes made room for at a frame's word
+
+	// An address that nothing was sent to for so long is forgotten, with its
+	// queue and its connection: machines are replaced at new ones all the time.
+	resting = time.Minute
 )
 
 // Pack makes a frame of a message.
@@ -129,43 +133,6 @@
 	ctx   context.Context
 }
 
-// queue is what waits for one address.
-type queue struct {
-	mu   sync.Mutex
-	list []message.Message
-	wake chan struct{}
-}
-
-func (q *queue) put(n message.Message) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.list) >= depth {
-		return false
-	}
-	q.list = append(q.list, n)
-	return true
-}
-
-// take empties the queue; spare is room from before, if it isn't much.
-func (q *queue) take(spare []message.Message) []message.Message {
-	clear(spare)
-	if cap(spare) > 32 {
-		spare = nil
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	list := q.list
-	q.list = spare[:0]
-	return list
-}
-
-func (q *queue) ring() {
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Listen opens the port.
 //
 // Example: err := line.Listen("127.0.0.1:7000")
@@ -348,12 +315,19 @@
 	dial := net.Dialer{Timeout: 300 * time.Millisecond}
 	var fail time.Time
 	var list []message.Message
+	idle := time.NewTimer(resting)
+	defer idle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-idle.C:
+			if l.forget(addr, q) {
+				return
+			}
 		case <-q.wake:
 		}
+		idle.Reset(resting)
 		list = q.take(list)
 		if len(list) == 0 {
 			continue
