--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -59,20 +59,21 @@
 	// Source tells which servers there are; none: the platform PUTs the lists.
 	Source Source
 
-	clock   *clock.Clock
-	arch    *storage.Store
-	me      message.Replica
-	epoch   uint64
-	shards  []*shard
-	view    atomic.Pointer[membership.View]
-	rmu     sync.Mutex
-	rost    *membership.Table
-	stop    atomic.Bool
-	stopAt  atomic.Int64
-	plans   fleetconfig.PlanReader
-	ready   atomic.Bool
-	begun   atomic.Bool  // it was ready once
-	readyAt atomic.Int64 // when it was last
+	clock    *clock.Clock
+	arch     *storage.Store
+	me       message.Replica
+	epoch    uint64
+	shards   []*shard
+	view     atomic.Pointer[membership.View]
+	rmu      sync.Mutex
+	rost     *membership.Table
+	stop     atomic.Bool
+	stopAt   atomic.Int64
+	plans    fleetconfig.PlanReader
+	ready    atomic.Bool
+	begun    atomic.Bool  // it was ready once
+	readyAt  atomic.Int64 // when it was last
+	standing standing     // the furthest that it came; the membership table's loop writes it
 
 	dmu     sync.Mutex
 	dq      storage.Batch
@@ -127,7 +128,7 @@
 			}
 		}
 	}
-	c.Line = &transport.Line{Fleet: cfg.Fleet, Me: c.me, Epoch: c.epoch, Hear: c.hear, Bad: func(from string, err error) { c.Events.Trouble("wire", "%s: %v", from, err) }}
+	c.Line = &transport.Line{Dead: cfg.Vol(), Fleet: cfg.Fleet, Me: c.me, Epoch: c.epoch, Hear: c.hear, Bad: func(from string, err error) { c.Events.Trouble("wire", "%s: %v", from, err) }}
 	if err := c.Line.Listen(cfg.Wire); err != nil {
 		c.close()
 		return nil, InUse.Wrap(err)
--- a/control/quorum/whole.go
+++ b/control/quorum/whole.go
@@ -78,13 +78,10 @@
 	asks   int  // since then
 }
 
-// whole tells whether a replica holds all that this leader wrote.
-func (s *Replica) whole(id string) bool { return s.filled[id] && s.behind[id] == nil }
-
-// settled messages a write that a majority has, and which replicas don't yet.
+// settled notes a write that a majority has, and which replicas don't yet.
 func (s *Replica) settled(no uint64, w *write) {
 	delete(s.writes, no)
-	for _, replica := range s.meta.Group.All() {
+	for _, replica := range s.peers() {
 		if !w.acks[replica.Ident] {
 			w.recs = nil
 			s.few[no] = w
@@ -113,7 +110,7 @@
 			continue
 		}
 		delete(s.few, no)
-		for _, replica := range s.meta.Group.All() {
+		for _, replica := range s.peers() {
 			if w.acks[replica.Ident] || replica.Ident == s.me.Ident {
 				continue
 			}
@@ -123,7 +120,7 @@
 			s.behind[replica.Ident].missed = no
 		}
 	}
-	for _, replica := range s.meta.Group.All() {
+	for _, replica := range s.peers() {
 		if b := s.behind[replica.Ident]; b != nil && s.filled[replica.Ident] && now-b.asked >= 2*s.cfg.Beat {
 			if b.heard {
 				b.asks++
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -32,13 +32,16 @@
 		w.carry(to, from, message.Message{Kind: message.Invalidated, Partition: m.Partition, Key: m.Key, Ref: m.Ref, From: to.ident, Epoch: to.epoch, Addr: to.addr, To: from.ident})
 		return
 	}
+	if w.unchecked(from, to, m) {
+		return
+	}
 	if m.Kind == message.Steer {
 		w.res.Steers[m.Why]++
 	}
 	if w.o.Sabotage == "nomend" && m.Kind == message.Fill && m.Op != "" {
 		return
 	}
-	if w.o.Sabotage == "nochase" && m.Kind == message.Fill && m.Op != "" && m.No > 0 {
+	if (w.o.Sabotage == "nochase" || w.o.Sabotage == "unchecked") && m.Kind == message.Fill && m.Op == "compare" && m.No > 0 {
 		return
 	}
 	if w.o.Sabotage == "cutshort" && m.Kind == message.Fill && len(m.Recs) > 1 {
