--- a/control/membership/membership.go
+++ b/control/membership/membership.go
@@ -235,7 +235,7 @@
 		r.backAt, r.live = now, true
 		if n.Op == differ {
 			r.merge(n)
-		} else if len(n.Members) > 0 {
+		} else if n.Op == "" && len(n.Members) > 0 {
 			r.see(n.Members)
 		}
 		for _, own := range n.Owns {
--- a/control/membership/membership_test.go
+++ b/control/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -146,3 +147,15 @@
 		t.Errorf("still with %s, knows owner %+v", member.home, member.owns[0])
 	}
 }
+
+// What a welcome of an unknown kind holds may be a part of the members: it is not
+// taken for all of them, or a daemon would forget whom to ask.
+func TestAWelcomeOfAnUnknownKindIsNotTheWholeTable(t *testing.T) {
+	r := New(Config{Session: time.Second, Beat: 100 * time.Millisecond}, message.Member{Ident: "me", Addr: "me:1"}, []string{"seed:1"})
+	whole := []message.Member{{Ident: "a", Addr: "a:1", Disk: true}, {Ident: "b", Addr: "b:1", Disk: true}, {Ident: "me", Addr: "me:1"}}
+	r.Hear(time.Second, message.Message{Kind: message.Welcome, Addr: "a:1", Members: whole})
+	r.Hear(time.Second, message.Message{Kind: message.Welcome, Addr: "a:1", Op: differ + "x", Members: whole[2:]})
+	if n := len(r.View().Members); n != 3 || !slices.Contains(r.controls(), "b:1") {
+		t.Errorf("%d members, control daemons %v", n, r.controls())
+	}
+}
