--- /dev/null
+++ b/control/daemon/disk_test.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/quorum"
+	"mulleinmast/control/storage"
+	"mulleinmast/wire/message"
+)
+
+// What a full disk refuses waits, in order and bounded by the state, and is
+// written with what came later once there is room; the daemon says both.
+func TestWhatAFullDiskRefusesIsWrittenLater(t *testing.T) {
+	cfg := Default()
+	cfg.Wire, cfg.Web, cfg.Partitions, cfg.Data = "127.0.0.1:0", "127.0.0.1:0", 1, t.TempDir()
+	cfg.Bounds.Plan = 20 * time.Millisecond // a refused write is soon tried again
+	c, err := Open(cfg, eventlog.New(256, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.arch.Full(true); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 300 {
+		rec := message.Rec{Key: fmt.Sprint("k", i%3), Ver: message.Ver{Term: 1, Seq: uint64(i + 1)}, Val: make([]byte, 1<<18)}
+		c.toDisk([]quorum.Save{{Ticket: uint64(i + 1), Partition: 1, Meta: quorum.Meta{Promised: uint64(i + 1)}, Recs: []message.Rec{rec}}})
+		if i%100 == 50 && !c.flush(t.Context()) {
+			t.Fatal("nothing was tried")
+		}
+	}
+	if s := c.dq.Saves(); len(s) != 1 || len(s[0].Recs) != 3 || len(c.dq.Given) != 300 || c.refused.Load() != 3 {
+		t.Errorf("%d saves of %d records wait, %d refused", len(s), len(s[0].Recs), c.refused.Load())
+	}
+	if err := c.arch.Full(false); err != nil {
+		t.Fatal(err)
+	}
+	for c.flush(t.Context()) {
+	}
+	said := ""
+	for _, e := range c.Events.Since(0) {
+		said += e.Text + "\n"
+	}
+	if !strings.Contains(said, "full") || !strings.Contains(said, "takes writes again, after it refused 3") {
+		t.Errorf("said: %s", said)
+	}
+	c.close()
+	a, err := storage.Open(cfg.Data, cfg.Fleet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	h := a.Partitions[1]
+	for k, seq := range map[string]uint64{"k0": 298, "k1": 299, "k2": 300} {
+		if r, _ := h.Records.Get(k); r.Ver.Seq != seq || h.Meta.Promised != 300 {
+			t.Errorf("%s is of change %d, the promise of %d", k, r.Ver.Seq, h.Meta.Promised)
+		}
+	}
+}
