A row of changes makes no daemon unready

Each change withdraws the configuration for some tens of ms, in which requests wait for it; whoever asked then was told that the daemon isn't ready. A daemon that was ready within a volume lease is ready, unless it was told to stop. Its test failed first with "under leases false, ready false".

--- a/control/daemon/disk_test.go
+++ b/control/daemon/disk_test.go
@@ -61,3 +61,36 @@
 		}
 	}
 }
+
+// A row of changes withdraws the configuration again and again for a moment:
+// that makes no daemon unready, a volume lease without it does, and an order to
+// stop at once.
+func TestAChangeMakesNoDaemonUnready(t *testing.T) {
+	cfg := Default()
+	cfg.Wire, cfg.Web, cfg.Partitions = "127.0.0.1:0", "127.0.0.1:0", 1
+	cfg.Bounds.Plan = 200 * time.Second // a pause of this machine is nothing then
+	c, err := Open(cfg, eventlog.New(64, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	if c.Ready() {
+		t.Error("ready though it never was")
+	}
+	c.ready.Store(true)
+	c.member() // as its table is told
+	if c.isReady() || !c.Ready() {
+		t.Errorf("under leases %v, ready %v", c.isReady(), c.Ready())
+	}
+	c.clock.Leap(cfg.Vol())
+	if c.Ready() {
+		t.Error("ready a volume lease later")
+	}
+	c.member()
+	if !c.Ready() {
+		t.Error("not ready again")
+	}
+	if c.Leave(); c.Ready() {
+		t.Error("ready though told to stop")
+	}
+}
--- a/control/daemon/fleet.go
+++ b/control/daemon/fleet.go
@@ -35,8 +35,7 @@
 		c.readyAt.Store(int64(c.Now()))
 		return true
 	}
-	at := time.Duration(c.readyAt.Load())
-	return at > 0 && !c.stop.Load() && c.Now()-at < c.Cfg.Sessions().Session
+	return c.wasReady(c.Cfg.Sessions().Session)
 }
 
 func (c *Daemon) tickMembership(ctx context.Context) error {
--- a/control/daemon/host.go
+++ b/control/daemon/host.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"github.com/thejerf/suture/v4"
 )
 
@@ -9,10 +11,21 @@
 // Example: c.Add(listener)
 func (c *Daemon) Add(s suture.Service) { c.extra = append(c.extra, s) }
 
-// Ready tells whether the daemon serves under valid leases and isn't stopping.
+// Ready tells whether the daemon serves under valid leases and isn't stopping, or
+// did within a volume lease: each change withdraws the configuration for some
+// tens of ms, in which requests wait for it, and hundreds of changes in a row
+// make no daemon unready.
 //
 // Example: if c.Ready() { reply(200) }
-func (c *Daemon) Ready() bool { return c.ready.Load() && c.isReady() }
+func (c *Daemon) Ready() bool {
+	return c.ready.Load() && c.isReady() || c.wasReady(c.Cfg.Vol())
+}
+
+// wasReady tells whether it was ready within a time, and isn't stopping.
+func (c *Daemon) wasReady(within time.Duration) bool {
+	at := time.Duration(c.readyAt.Load())
+	return at > 0 && !c.stop.Load() && c.Now()-at < within
+}
 
 // Know names more control daemons, such as those in a config that was changed.
 //
