--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -30,6 +30,7 @@
 //
 // Example: out := s.Found(now, message.Group{Num: 1, Replicas: three})
 func (s *Replica) Found(now time.Duration, g message.Group) (o Out) {
+	s.now = now
 	if s.meta.Group.Num == 0 && g.Has(s.me.Ident) {
 		s.join(now, g)
 		s.save(&o, nil, nil)
@@ -159,6 +160,7 @@
 	delete(s.heard, id)
 	delete(s.ending, id)
 	delete(s.whole, id)
+	delete(s.behind, id)
 }
 
 // AtHand tells whether a standby holds a copy, replied of late and stays.
@@ -252,6 +254,7 @@
 
 // regroup makes a group and has its majority, or both, take it.
 func (s *Replica) regroup(now time.Duration, tag uint64, replicas, next []message.Replica, o *Out) {
+	s.now = now
 	s.meta.Group = message.Group{Num: max(s.meta.Group.Num+1, s.num<<groupShift), Replicas: replicas, Next: next}
 	s.save(o, nil, nil)
 	for _, replica := range s.meta.Group.All() {
