Group changes: a leader that left leads no more, a former member is filled anew, the next group supports the lease first

A leader whose group moved on without it kept its lease and went on writing. Its own copy got none of that, so that it read old records, acknowledged two changes on one base and lost the first (walk of 160 events). It steps down with the step that leaves it out. 2. A member that left a group and joined again under the same term still counted as filled, and its last complete term was the present one, though it had missed every write in between: with one other it made a majority that knew nothing of two acknowledged changes (walk of 469 events). A replica that joins is filled with all that is held, and counts by an answer to that fill, which fills are numbered for. 3. Two group changes within one lease ended at a majority that had never supported the lease, which elected a second leader, or let leases below the first stand while the second wrote (walk of 1292 events). The old group goes only when a majority of the next supports the lease; a step sends Support at once, so this takes one round trip.

--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -15,6 +15,10 @@
 		return
 	}
 	s.fillAt[to.Ident] = now
+	s.fills++
+	if digs == nil && s.whole[to.Ident] > 0 {
+		digs = digest.NewRecords().Digs()
+	}
 	var spans []int
 	var recs []message.Rec
 	if digs != nil { // without them this only asks for them
@@ -25,7 +29,7 @@
 			recs = append(recs, r)
 		}
 	}
-	o.send(to, message.Message{Kind: message.Fill, Partition: s.partition, Num: s.num, Digs: digs, Spans: spans, Recs: recs, Group: s.meta.Group})
+	o.send(to, message.Message{Kind: message.Fill, Partition: s.partition, Num: s.num, No: s.fills, Digs: digs, Spans: spans, Recs: recs, Group: s.meta.Group})
 }
 
 // fill makes this replica's records equal to the leader's. Ranges are replaced whole
@@ -46,7 +50,7 @@
 		s.meta.Promised, s.meta.To, s.meta.ToEpoch = n.Num, n.From, n.Epoch
 		s.drop(o)
 	}
-	done := message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Partition: s.partition, Num: n.Num, To: from.Ident}}
+	done := message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Partition: s.partition, Num: n.Num, Ref: n.No, To: from.Ident}}
 	if s.meta.LastComplete == n.Num && n.Op == compare {
 		s.compared(from, n, o)
 		return
--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -43,6 +43,9 @@
 	}
 	g := s.meta.Group
 	if len(g.Next) > 0 {
+		if s.under != g.Num { // a majority of the next must support the lease first
+			return o, false
+		}
 		for _, replica := range g.Next {
 			if !s.filled[replica.Ident] {
 				return o, false
@@ -68,14 +71,24 @@
 		next[out] = in
 		g = message.Group{Num: g.Num + 1, Replicas: g.Replicas, Next: next}
 	}
+	for _, replica := range g.All() {
+		if !s.meta.Group.Has(replica.Ident) { // it may have been a member under this term: it missed what was written since
+			delete(s.filled, replica.Ident)
+			s.whole[replica.Ident] = s.fills + 1
+		}
+	}
 	s.meta.Group = g
 	s.save(&o, nil, nil)
+	s.beat(now, &o)
 	for _, replica := range g.All() {
 		if !s.filled[replica.Ident] {
 			s.sendFill(now, replica, nil, &o)
 		}
 	}
 	s.commit(now, tag, nil, &o)
+	if !g.Has(s.me.Ident) { // what is written from now on would not reach the copy that we read from
+		s.drop(&o)
+	}
 	return o, true
 }
 
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -143,7 +143,10 @@
 	filled map[string]bool
 	fillAt map[string]time.Duration
 	seenAt map[string]time.Duration // when a replica's copy was last compared
+	fills  uint64                   // numbers the fills under this term
+	whole  map[string]uint64        // a replica that joined counts by this fill, which holds all, or a later one
 	lease  time.Duration
+	under  uint64 // the group whose majority supported the lease last
 	wonAt  time.Duration
 	round  uint64
 	rounds map[uint64]time.Duration
@@ -267,7 +270,7 @@
 	case message.Filled:
 		if s.standing(n.Num) && n.Op == compare {
 			s.reported(n, &o)
-		} else if s.standing(n.Num) {
+		} else if s.standing(n.Num) && n.Ref >= s.whole[n.From] {
 			s.filled[n.From] = true
 			s.settle(now, &o)
 		}
