A group's step ends only under a lease that a majority of the next group supports

Cause: the leader's lease may rest on a majority of the group before. Two steps within that lease end at a group with a majority that never supported it; that majority elects a second leader while the first one's lease stands. Ruled out: the terms and groups' numbers, which were in order; no promise was broken, for the voters had made none. Change: a renewal notes the group whose majorities supported it; the last part of a step waits for the joint group's. Each step sends Support at once, so that this takes one round trip and not a beat.

Test seen failing first: step_test.go:26: the old group is gone at once, and nobody of the next supports the lease: [a c d] Run: control/quorum, control/partition, control/leader green.

--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -219,7 +219,9 @@
 
 // Proceed goes on with the step that is under way, this leader's or an earlier
 // one's: it asks the newcomer again, finishes, or undoes the step if the
-// newcomer is silent or the leader would take itself out.
+// newcomer is silent or the leader would take itself out. It finishes only under
+// a lease that a majority of the next group supports: that majority need know
+// of no leader else, and two steps in a row would let it elect another.
 //
 // Example: out := s.Proceed(now, 0)
 func (s *Replica) Proceed(now time.Duration, tag uint64) (o Out) {
@@ -243,7 +245,7 @@
 		s.regroup(now, tag, g.Replicas, nil, &o)
 	case s.step == 0: // an earlier leader's: it may not have been committed
 		s.regroup(now, tag, g.Replicas, g.Next, &o)
-	case ready && s.writes[s.step] == nil:
+	case ready && s.writes[s.step] == nil && s.under == g.Num:
 		s.regroup(now, tag, g.Next, nil, &o)
 	}
 	return o
@@ -260,6 +262,7 @@
 	}
 	s.commit(now, tag, nil, o)
 	s.step = s.seq
+	s.beat(now, o) // the step ends once a majority of the next group supports the lease
 	for _, replica := range next {
 		if !has(replicas, replica.Ident) {
 			s.inquire(now, replica, o)
--- a/control/quorum/lease.go
+++ b/control/quorum/lease.go
@@ -23,7 +23,7 @@
 	if s.meta.Group.Quorum(func(id string) bool { return s.yes[n.Ref][id] }) {
 		// A lease that has lapsed is not revived: others may have been promised since.
 		if now < s.lease {
-			s.lease = max(s.lease, at+s.cfg.LeaderLease)
+			s.lease, s.under = max(s.lease, at+s.cfg.LeaderLease), s.meta.Group.Num
 		}
 		delete(s.rounds, n.Ref)
 		delete(s.yes, n.Ref)
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -151,6 +151,7 @@
 	step   uint64                   // as leader: the write that commits the present group
 	seenAt map[string]time.Duration // when a replica's copy was last compared
 	lease  time.Duration
+	under  uint64 // the group whose majority, or majorities, supported the lease last
 	wonAt  time.Duration
 	round  uint64
 	rounds map[uint64]time.Duration
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -163,7 +163,7 @@
 	s.mode = filling
 	s.filled, s.fillAt, s.seenAt = map[string]bool{}, map[string]time.Duration{}, map[string]time.Duration{}
 	s.follow(now)
-	s.lease = s.askAt + s.cfg.LeaderLease
+	s.lease, s.under = s.askAt+s.cfg.LeaderLease, s.meta.Group.Num
 	s.merge(o)
 	for _, replica := range s.meta.Group.All() {
 		s.sendFill(now, replica, s.votes[replica.Ident].digs, o)
