Model checker over the real state machines of voting, membership change and writes

proof/modelcheck drives the daemon's own partition, replica and lease node: crash, restart, lost disks, stalled disks, lost, doubled, held and reordered messages, one-way cuts, lapse of all leases, two writers, changes of the group. States are copied by reflection (nothing in control/ changed for it) and told apart by hash, times as seen from now. Invariants after each event: one leader a term and one with a valid lease, no old read, one acknowledged change on a base, refused is refused, and any majority that may be elected next holds all that was acknowledged or read. - Explorer: fewest events first, shortest trace told.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -34,6 +34,8 @@
 	grow := flag.Bool("scale", false, "instead: simulate healthy fleets of growing size, flat and with relays")
 	plat := flag.Bool("platform", false, "instead: daemons booted as on the users' platform, between stand-ins of it; -scenario all plays all")
 	pace := flag.Float64("pace", 1, "with -platform: what the rules' bounds are multiplied by")
+	check := flag.String("modelcheck", "", "instead: explore the model of voting and membership change, `small` or wide, or walk over it at random (walk; -from and -seeds)")
+	states := flag.Int("states", 1000000, "with -modelcheck wide: states of each scope at which it ends")
 	many := newHollowFlags()
 	flag.Parse()
 	if *many.run || *many.worker {
@@ -43,6 +45,9 @@
 		_, _ = fmt.Fprintln(os.Stderr, "fleetlab: expected -port 1024 to 65000, -rate above 0, -for at least 1s, -seeds at least 1")
 		return 2
 	}
+	if *check != "" {
+		return model(*check, *from, *count, *states)
+	}
 	if *plat {
 		return onPlatform(*name, *dir, *rate, max(0.3, *pace), *seed)
 	}
--- /dev/null
+++ b/proof/modelcheck/check.go
@@ -0,0 +1,272 @@
+package modelcheck
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+	"unsafe"
+
+	"mulleinmast/control/partition"
+	"mulleinmast/wire/message"
+)
+
+// The invariants. Each is looked at after every event; what breaks one is put
+// into world.broken, and the run ends there.
+
+func (w *world) breaks(format string, args ...any) {
+	if w.broken == "" {
+		w.broken = fmt.Sprintf(format, args...)
+	}
+}
+
+// won: one leader a term.
+func (w *world) won(i int) {
+	d := w.daemons[i]
+	term, life := d.sec.Replica.Num(), fmt.Sprintf("%s#%d", d.me.Ident, d.epoch)
+	w.say("%s leads under term %d with group %d %s", life, term, d.sec.Replica.Group().Num, names(d.sec.Replica.Group()))
+	if other, ok := w.leads[term]; ok && other != life {
+		w.breaks("one leader a term: %s and %s both led under term %d", other, life, term)
+	}
+	w.leads[term] = life
+}
+
+// told: at most one acknowledged change on a base, and none while a lease
+// stands under which the state before it may be read.
+func (w *world) told(i int, r partition.Result) {
+	d := w.daemons[i]
+	c := &w.changes[r.Tag-1]
+	c.fate = r.Fate
+	w.say("change %c: %v", c.tag, r.Fate)
+	if r.Fate != partition.Done {
+		return
+	}
+	for k, o := range w.changes {
+		if k != int(r.Tag-1) && o.fate == partition.Done && o.base == c.base {
+			w.breaks("one change on a base: %c and %c were both acknowledged on base %d", o.tag, c.tag, c.base)
+		}
+	}
+	for _, g := range w.grants {
+		if g.end > w.now && (g.daemon != i || g.epoch != d.epoch || g.term != d.sec.Replica.Num()) {
+			w.breaks("no old read: change %c is acknowledged under term %d while leases of term %d stand for %v", c.tag, d.sec.Replica.Num(), g.term, g.end-w.now)
+		}
+	}
+	rec, _ := d.sec.Replica.Records().Get(key)
+	at := strings.IndexByte(string(rec.Val), c.tag)
+	if at < 0 {
+		w.breaks("no write lost: change %c is acknowledged, its leader holds %q", c.tag, rec.Val)
+	} else if at >= len(w.seen) { // what follows may be the next change, under way
+		w.seen = string(rec.Val[:at+1])
+	}
+}
+
+// check looks at what holds in every state.
+func (w *world) check() {
+	w.oneLeader()
+	w.reads()
+	w.held()
+}
+
+// oneLeader: never two leaders with valid leases.
+func (w *world) oneLeader() {
+	last := -1
+	for i, d := range w.daemons {
+		if !d.leads(w.now) {
+			continue
+		}
+		if last >= 0 {
+			o := w.daemons[last]
+			w.breaks("one leader: %s under term %d and %s under term %d both have valid leases", o.me.Ident, o.sec.Replica.Num(), d.me.Ident, d.sec.Replica.Num())
+		}
+		last = i
+		if !w.setup.Tree {
+			w.granted(i)
+		}
+	}
+}
+
+// granted notes for how long leases below a leader may stand.
+func (w *world) granted(i int) {
+	d := w.daemons[i]
+	end := w.now + min(tree.Vol, d.sec.Replica.Lease()-d.local(w.now))
+	g := grant{i, d.epoch, d.sec.Replica.Num(), end}
+	for k, o := range w.grants {
+		if o.daemon == g.daemon && o.epoch == g.epoch && o.term == g.term {
+			w.grants[k].end = max(o.end, end)
+			return
+		}
+	}
+	w.grants = append(slices.DeleteFunc(w.grants, func(o grant) bool { return o.end <= w.now }), g)
+}
+
+// reads: nothing is served that is older than what was acknowledged or served
+// before, and nothing that was refused.
+func (w *world) reads() {
+	for _, d := range w.daemons {
+		if !d.up {
+			continue
+		}
+		rec, ok := d.sec.Node.Get(d.local(w.now), key)
+		if !ok {
+			continue
+		}
+		if !strings.HasPrefix(string(rec.Val), w.seen) {
+			w.breaks("no old read: %s serves %q after %q", d.me.Ident, rec.Val, w.seen)
+		}
+		if len(rec.Val) > len(w.seen) {
+			w.seen = string(rec.Val)
+		}
+	}
+	for _, c := range w.changes {
+		if (c.fate == partition.NotLeader || c.fate == partition.Unchanged) && strings.IndexByte(w.seen, c.tag) >= 0 {
+			w.breaks("refused is refused: change %c was refused (%v) and is in force", c.tag, c.fate)
+		}
+	}
+}
+
+// copyOf is what a replica would show a candidate.
+type copyOf struct {
+	ident string
+	group message.Group
+	set   uint64
+	val   string
+	ver   message.Ver
+}
+
+// held: whatever majority comes together next, under any group that a replica
+// may still stand for, holds all that was acknowledged or read.
+func (w *world) held() {
+	if w.seen == "" {
+		return
+	}
+	var disks, mems []copyOf
+	for _, d := range w.daemons {
+		if !d.store {
+			continue
+		}
+		c := copyOf{ident: d.me.Ident, group: d.disk.meta.Group, set: d.disk.meta.LastComplete}
+		if r, ok := d.disk.recs[key]; ok {
+			c.val, c.ver = string(r.Val), r.Ver
+		}
+		disks = append(disks, c)
+		if d.up {
+			c = copyOf{ident: d.me.Ident, group: d.sec.Replica.Group(), set: d.sec.Replica.Meta().LastComplete}
+			if r, ok := d.sec.Replica.Records().Get(key); ok {
+				c.val, c.ver = string(r.Val), r.Ver
+			}
+		}
+		mems = append(mems, c)
+	}
+	w.electable(disks, "on disk")
+	w.electable(mems, "as they run")
+}
+
+func (w *world) electable(copies []copyOf, how string) {
+	for mask := 1; mask < 1<<len(copies); mask++ {
+		in := func(id string) bool {
+			k := slices.IndexFunc(copies, func(c copyOf) bool { return c.ident == id })
+			return k >= 0 && mask>>k&1 == 1
+		}
+		for k, c := range copies {
+			if mask>>k&1 == 0 || !c.group.Has(c.ident) || !c.group.Quorum(in) {
+				continue
+			}
+			if val, ok := elect(copies, mask, c.group); ok && !strings.HasPrefix(val, w.seen) {
+				w.breaks("a majority holds all: %q was acknowledged or read, but %s with group %d %s may be elected by %s, %s, and finds %q", w.seen, c.ident, c.group.Num, names(c.group), members(copies, mask), how, val)
+				return
+			}
+		}
+	}
+}
+
+// elect is what a candidate with this group would find at these replicas; ok
+// tells whether all of them are members and would vote for it.
+func elect(copies []copyOf, mask int, g message.Group) (val string, ok bool) {
+	var set uint64
+	var ver message.Ver
+	for k, c := range copies {
+		if mask>>k&1 == 0 {
+			continue
+		}
+		if !g.Has(c.ident) || c.group.Num > g.Num || c.group.Num == g.Num && names(c.group) != names(g) {
+			return "", false
+		}
+		if c.set > set {
+			set, ver, val = c.set, message.Ver{}, ""
+		}
+		if c.set == set && ver.Less(c.ver) {
+			ver, val = c.ver, c.val
+		}
+	}
+	return val, true
+}
+
+func members(copies []copyOf, mask int) (s string) {
+	for k, c := range copies {
+		if mask>>k&1 == 1 {
+			s += c.ident
+		}
+	}
+	return s
+}
+
+// hash tells states apart: all that decides what can still happen.
+func (w *world) hash() uint64 {
+	h := hasher{now: w.now}
+	for _, d := range w.daemons {
+		h.word(d.hash(w.now))
+	}
+	var held uint64
+	for _, p := range w.net {
+		if p.held {
+			held += p.sum
+		} else {
+			h.word(p.sum)
+		}
+	}
+	h.word(held)
+	for _, c := range w.cut {
+		h.word(uint64(c[0]<<8 | c[1]))
+	}
+	h.value(reflect.ValueOf(w.spent))
+	for _, c := range w.changes {
+		h.word(uint64(c.tag)<<16 | uint64(c.base)<<8 | uint64(c.fate))
+	}
+	for _, g := range w.grants {
+		if g.end > w.now {
+			h.word(uint64(g.daemon)<<32 ^ g.epoch<<16 ^ g.term)
+			h.word(uint64(g.end - w.now))
+		}
+	}
+	h.text(w.seen)
+	for _, s := range w.want {
+		h.text(s.Ident)
+	}
+	return h.sum
+}
+
+func (d *daemon) hash(now time.Duration) uint64 {
+	if d.sum != 0 && d.sumAt == now {
+		return d.sum
+	}
+	h := hasher{now: d.local(now), seen: map[unsafe.Pointer]bool{}}
+	h.text(d.me.Ident)
+	h.word(d.epoch)
+	h.value(reflect.ValueOf(d.up))
+	h.value(reflect.ValueOf(d.stalled))
+	h.value(reflect.ValueOf(d.disk))
+	h.value(reflect.ValueOf(d.pend))
+	if d.sec != nil {
+		h.value(reflect.ValueOf(d.sec))
+	}
+	d.sum, d.sumAt = h.sum, now
+	return h.sum
+}
+
+func packetSum(from, to int, n message.Message) uint64 {
+	h := hasher{seen: map[unsafe.Pointer]bool{}}
+	h.word(uint64(from<<8 | to))
+	h.value(reflect.ValueOf(n))
+	return h.sum
+}
--- /dev/null
+++ b/proof/modelcheck/plant.go
@@ -0,0 +1,126 @@
+package modelcheck
+
+import (
+	"time"
+
+	"mulleinmast/control/digest"
+	"mulleinmast/control/lease"
+	"mulleinmast/control/partition"
+	"mulleinmast/control/quorum"
+	"mulleinmast/wire/message"
+)
+
+// plant names a fault that is put between the machines on purpose, so that a
+// test can show that an invariant catches it.
+type plant string
+
+// The faults that can be planted.
+const (
+	forgets    plant = "a restarted replica has forgotten its promise"
+	hasty      plant = "a restarted replica promises at once"
+	unsynced   plant = "a disk says that a write is complete before it is"
+	uncalm     plant = "an early leader writes at once"
+	sameName   plant = "a replica whose disk was lost comes back under its old identity"
+	unasked    plant = "a copy that lacks something counts as whole"
+	blankVote  plant = "a promise shows an empty copy as the newest"
+	laterLife  plant = "a leader that lives is taken for one that has restarted"
+	twoVoices  plant = "an acceptance counts for another replica as well"
+	unheard    plant = "an invalidation is confirmed by the network and not delivered"
+	impatient  plant = "a granter waits out less than the lease that it granted"
+	noBase     plant = "a change is written whatever its base"
+	emptyFill  plant = "a fill loses its records on the way"
+	voidedWon  plant = "a term that was won is given up as void"
+	slowClock  plant = "a daemon's clock runs at half the speed of the others"
+	rolledBack plant = "a disk holds at a restart what it held at the start before"
+)
+
+// plants lists all of them.
+var plants = []plant{forgets, hasty, unsynced, uncalm, sameName, unasked, blankVote, laterLife, twoVoices, unheard, impatient, noBase, emptyFill, voidedWon, slowClock, rolledBack}
+
+// atStart is what a replica starts with, and whether it may promise at once.
+func (p plant) atStart(m quorum.Meta) (quorum.Meta, bool) {
+	if p == forgets {
+		m.Promised, m.To, m.ToEpoch = 0, "", 0
+	}
+	return m, m.Group.Num == 0 || p == hasty
+}
+
+func (p plant) leases(c *lease.Config) {
+	if p == impatient {
+		c.Drift, c.Margin = -0.9, 0
+	}
+}
+
+func (p plant) calm(s *partition.Partition) {
+	if p == uncalm {
+		s.Calm = func() time.Duration { return 0 }
+	}
+}
+
+func (p plant) base(b int) int {
+	if p == noBase {
+		return -1
+	}
+	return b
+}
+
+// early is what a machine does that hears of its saves before they are on disk.
+func (p plant) early(d *daemon, now time.Duration, saves []quorum.Save) (o partition.Out) {
+	if p != unsynced {
+		return o
+	}
+	for _, s := range saves {
+		out := d.sec.Saved(now, s.Ticket)
+		o.Sends, o.Saves, o.Results = append(o.Sends, out.Sends...), append(o.Saves, out.Saves...), append(o.Results, out.Results...)
+		o.Won = o.Won || out.Won
+	}
+	return o
+}
+
+// message is what becomes of a message on the line.
+func (p plant) message(w *world, to int, n message.Message) []message.Message {
+	switch {
+	case p == unasked && n.Kind == message.Unfit && n.Op != "compare":
+		n.Kind = message.Filled
+		if g := w.daemons[to].group(); len(g.Next) > 0 && !(message.Group{Replicas: g.Replicas}).Has(n.From) {
+			n.Op, n.Ref = "whole", g.Num
+		}
+	case p == blankVote && n.Kind == message.Promise && n.Op == "":
+		n.LastComplete, n.Digs, n.Recs = n.Num, digest.NewRecords().Digs(), nil
+	case p == laterLife && n.Kind == message.Support:
+		n.Epoch++
+	case p == twoVoices && n.Kind == message.Accepted:
+		other := n
+		for _, r := range w.want {
+			if r.Ident != n.From && r.Ident != n.To {
+				other.From = r.Ident
+			}
+		}
+		return []message.Message{n, other}
+	case p == unheard && n.Kind == message.Invalidate:
+		w.forge(to, n, message.Message{Kind: message.Invalidated, Key: n.Key, Ref: n.Ref, Mark: n.Mark})
+		return nil
+	case p == emptyFill && n.Kind == message.Fill:
+		n.Recs = nil
+	case p == voidedWon && n.Kind == message.Fill && n.Op == "":
+		void := message.Message{Kind: message.Void, Partition: part, Num: n.Num, From: n.From, Epoch: n.Epoch, Addr: n.Addr, To: n.To}
+		return []message.Message{n, void}
+	}
+	return []message.Message{n}
+}
+
+// forge puts an answer to a message on the line that its receiver never gave.
+func (w *world) forge(by int, to, n message.Message) {
+	d := w.daemons[by]
+	n.Partition, n.From, n.Epoch, n.Addr, n.To = part, d.me.Ident, d.epoch, d.me.Addr, to.From
+	from := w.find(to.From)
+	w.net = append(w.net, packet{from: by, to: from, note: n, sum: packetSum(by, from, n)})
+}
+
+// group is the group that a daemon knows.
+func (d *daemon) group() (g message.Group) {
+	if d.up && d.sec.Replica != nil {
+		g = d.sec.Replica.Group()
+	}
+	return g
+}
