--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -222,7 +222,9 @@
 
 // Proceed goes on with the step that is under way, this leader's or an earlier
 // one's: it asks the newcomer again, finishes, or undoes the step if the
-// newcomer is silent or the leader would take itself out.
+// newcomer is silent or the leader would take itself out. It finishes only under
+// a lease that a majority of the next group supports: that majority need know
+// of no leader else, and two steps in a row would let it elect another.
 //
 // Example: out := s.Proceed(now, 0)
 func (s *Replica) Proceed(now time.Duration, tag uint64) (o Out) {
