Stand-in: servers that double, deny, reset and unframe answers, and a scene of them

Eight more ways for a stand-in server to misbehave (an answer twice, a reset in its place or after its head, a success that says it has not run, an interim answer, no length, no length and a reset, a refusal before the body is read), and a scene answers that plays them in groups, restarts the leader of the configuration at once with a change under way, and gives a crashed server's address to another service.

--- a/proof/standin/scene/scenes.go
+++ b/proof/standin/scene/scenes.go
@@ -22,7 +22,7 @@
 var Scenes = map[string]Scene{
 	"calm": calm, "roll": roll, "kill-owner": killLeader, "freeze-owner": freezeLeader, "lost-disk": lostDisk, "seeds": seeds, "end": closing,
 	"release": release, "crash": crash, "dark": dark, "garble": garble, "lapse": lapse, "stale-list": staleList, "pressed": pressed, "cold": cold,
-	"evacuate": evacuate, "config": config, "race": race, "storm": storm,
+	"evacuate": evacuate, "config": config, "race": race, "storm": storm, "answers": answers,
 }
 
 // Names lists the scenes.
--- a/proof/standin/server/answer.go
+++ b/proof/standin/server/answer.go
@@ -25,6 +25,10 @@
 		h.add(wire.Encoding, "gzip")
 		s.log.Do(func(*record.All) { at.Broke = true })
 	}
+	if s.faults.take(Denied) {
+		h.add(wire.NotRun, "full")
+		s.log.Do(func(*record.All) { at.Broke = true })
+	}
 	if s.faults.take(Close) {
 		h.add("Connection", "close")
 		last = true
@@ -51,6 +55,12 @@
 	case s.faults.take(Garble):
 		s.log.Do(func(*record.All) { at.Broke = true })
 		_, _ = c.Write([]byte("\x16\x03\x01 no answer at all\r\n\r\n"))
+	case s.faults.take(Reset):
+		s.log.Do(func(*record.All) { at.Broke = true })
+		c.reset()
+	case s.faults.take(Interim):
+		_, err := c.Write([]byte("HTTP/1.1 103 Early Hints\r\n\r\n"))
+		return err != nil
 	default:
 		return false
 	}
@@ -58,7 +68,7 @@
 }
 
 // after plays what may come behind a whole answer.
-func (c *conn) after(req got, at *record.Arrival) (on bool) {
+func (c *conn) after(req got, at *record.Arrival, own string) (on bool) {
 	s := c.s
 	h := c.head(http.StatusOK, req)
 	h.add(wire.Seal, "extra."+at.Run)
@@ -67,6 +77,8 @@
 	switch {
 	case s.faults.take(Extra):
 		_, _ = c.Write(extra)
+	case s.faults.take(Doubled):
+		_, _ = c.Write([]byte(own))
 	case s.faults.take(Late):
 		c.late = extra
 	case s.faults.take(Unwarned):
@@ -92,9 +104,40 @@
 		return false
 	}
 	s.log.Do(func(*record.All) { at.Length, at.Digest = len(body), Digest([]byte(body)) })
+	if done := c.unframed(h, body, at); done || c.headOnly(h, at) {
+		return false
+	}
 	on := c.send(h, body)
 	s.log.Do(func(*record.All) { at.Whole, at.End = true, s.log.Now() })
-	return c.after(req, at) && on && !last
+	return c.after(req, at, string(h.bytes())+body) && on && !last
+}
+
+// unframed plays an answer that has no length.
+func (c *conn) unframed(h *head, body string, at *record.Arrival) (done bool) {
+	s := c.s
+	switch {
+	case s.faults.take(Unframed):
+		s.log.Do(func(*record.All) { at.Whole, at.End = true, s.log.Now() })
+		_, _ = c.Write(append(h.bytes(), body...))
+	case s.faults.take(UnframedReset):
+		s.log.Do(func(*record.All) { at.Broke = true })
+		_, _ = c.Write(append(h.bytes(), body[:len(body)/2]...))
+		c.reset()
+	default:
+		return false
+	}
+	return true
+}
+
+// headOnly plays a reset after an answer's head.
+func (c *conn) headOnly(h *head, at *record.Arrival) (done bool) {
+	if !c.s.faults.take(HeadOnly) {
+		return false
+	}
+	c.s.log.Do(func(*record.All) { at.Broke = true })
+	_, _ = c.Write(h.bytes())
+	c.reset()
+	return true
 }
 
 // stream writes an answer as events, from the one after the last that the
@@ -110,7 +153,11 @@
 	h, last := c.success(req, at)
 	h.add("Content-Type", wire.Events)
 	h.add("Transfer-Encoding", "chunked")
+	if c.headOnly(h, at) {
+		return false
+	}
 	b := h.bytes()
+	again := string(b) + "0\r\n\r\n"
 	if c.late != nil {
 		b, c.late = append(c.late, b...), nil
 	}
@@ -143,5 +190,5 @@
 		return false
 	}
 	s.log.Do(func(*record.All) { at.Whole, at.Last, at.End = true, true, s.log.Now() })
-	return c.after(req, at) && !last && !strings.Contains(strings.Join(h.lines, "\n"), "Connection: close")
+	return c.after(req, at, again) && !last && !strings.Contains(strings.Join(h.lines, "\n"), "Connection: close")
 }
--- a/proof/standin/server/request.go
+++ b/proof/standin/server/request.go
@@ -34,10 +34,7 @@
 		}
 		return c.send(c.head(status, req), "")
 	}
-	at := &record.Arrival{At: s.log.Now(), Server: s.ID, Service: s.Service, Zone: s.Zone, Attempt: req.Header.Get(wire.Attempt), Host: req.Host, Target: req.RequestURI,
-		Method: req.Method, Body: Digest(req.body), Reading: req.Header.Get(wire.Stage) == wire.Reading, Memory: req.Header.Get(wire.Memory)}
-	at.After, _ = strconv.Atoi(req.Header.Get(wire.LastEvent))
-	s.log.Do(func(a *record.All) { a.Arrivals = append(a.Arrivals, at) })
+	at := c.arrival(req)
 	on := c.work(ctx, req, at)
 	s.log.Do(func(*record.All) {
 		if at.End == 0 {
@@ -47,6 +44,16 @@
 	return on
 }
 
+// arrival writes a request down.
+func (c *conn) arrival(req got) *record.Arrival {
+	s := c.s
+	at := &record.Arrival{At: s.log.Now(), Server: s.ID, Service: s.Service, Zone: s.Zone, Attempt: req.Header.Get(wire.Attempt), Host: req.Host, Target: req.RequestURI,
+		Method: req.Method, Body: Digest(req.body), Reading: req.Header.Get(wire.Stage) == wire.Reading, Memory: req.Header.Get(wire.Memory)}
+	at.After, _ = strconv.Atoi(req.Header.Get(wire.LastEvent))
+	s.log.Do(func(a *record.All) { a.Arrivals = append(a.Arrivals, at) })
+	return at
+}
+
 func (c *conn) health(req got) bool {
 	s := c.s
 	s.mu.Lock()
@@ -138,9 +145,14 @@
 	}
 	h := c.head(http.StatusOK, req)
 	h.add("Content-Type", "application/json")
+	if s.faults.take(Reset) {
+		s.log.Do(func(*record.All) { at.Broke = true })
+		c.reset()
+		return false
+	}
 	on := c.send(h, string(b))
 	s.log.Do(func(*record.All) { at.Whole, at.Status = on, http.StatusOK })
-	return on
+	return c.after(req, at, string(h.bytes())+string(b)) && on
 }
 
 // fetch takes up the memory that a request comes with; none is nothing to do.
--- a/proof/standin/server/server.go
+++ b/proof/standin/server/server.go
@@ -258,11 +258,18 @@
 		if err != nil {
 			return
 		}
+		early := req.ContentLength > 0 && req.Header.Get(wire.Attempt) != "" && c.s.faults.take(Early)
+		if early && !c.away(got{req, nil}, c.arrival(got{req, nil}), http.StatusServiceUnavailable, record.Away, "too long") {
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
+		if early {
+			continue
+		}
 		select {
 		case to <- got{req, body}:
 		case <-c.s.ctx.Done():
--- a/proof/standin/server/server_test.go
+++ b/proof/standin/server/server_test.go
@@ -209,6 +209,13 @@
 		Garble: func(code int, _ http.Header, body string) bool {
 			return code == 0 && strings.Contains(body, "malformed")
 		},
+		Reset: func(code int, _ http.Header, _ string) bool { return code == 0 },
+		HeadOnly: func(code int, _ http.Header, body string) bool {
+			return code == 200 && strings.HasPrefix(body, "broken: ")
+		},
+		Denied:  func(code int, h http.Header, _ string) bool { return code == 200 && h.Get(wire.NotRun) != "" },
+		Interim: func(code int, _ http.Header, body string) bool { return code == 200 && strings.Contains(body, "id: 3") },
+		Doubled: func(code int, _ http.Header, body string) bool { return code == 200 && strings.Contains(body, "id: 3") },
 		NoSeal:  func(code int, h http.Header, _ string) bool { return code == 200 && h.Get(wire.Seal) == "" },
 		Encoded: func(code int, h http.Header, _ string) bool { return code == 200 && h.Get(wire.Encoding) != "" },
 		Close:   func(code int, _ http.Header, body string) bool { return code == 200 && strings.Contains(body, "id: 3") },
