--- /dev/null
+++ b/proof/standin/mutants/answers.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Plants a fault of point 5 (answers and unrepeatable calls) at a time in a copy
+# of the committed sources, and asks whether the named test fails.
+# Usage: proof/standin/mutants/answers.sh [NAME...]
+set -uo pipefail
+cd "$(dirname "$0")/../../.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+wanted=" $* " missed=0
+
+# mutant NAME PACKAGE TEST FILE OLD NEW
+mutant() {
+	local name=$1 package=$2 test=$3 file=$4 src="$work/$1" out="$work/$1.txt"
+	[ "$wanted" = "  " ] || [[ "$wanted" == *" $name "* ]] || return 0
+	mkdir -p "$src" && git archive HEAD | tar x -C "$src"
+	OLD=$5 NEW=$6 perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/ or die "no such place\n"' "$src/$file" 2>"$out" || { echo "$name: does not apply to $file"; missed=1; return 0; }
+	(cd "$src" && go vet "./$package") >"$out" 2>&1 || { echo "$name: does not build: $(tail -1 "$out")"; missed=1; return 0; }
+	if (cd "$src" && go test "./$package" -run "$test" -count=1) >"$out" 2>&1; then
+		echo "$name: NOT CAUGHT by $test"
+		missed=1
+	else
+		echo "$name: $test: $(grep -m1 '_test.go:' "$out" | sed 's/^ *//' | cut -c1-150)"
+	fi
+}
+
+exchange=platform/exchange.go spoilt=TestOneMessageOfAnAnswerSpoilt
+mutant doubt-reused platform $spoilt $exchange 'keep: clean && s.out()' 'keep: (clean || !clean) && s.out()'
+mutant bytes-behind platform $spoilt platform/conn.go 'c.r.Buffered() > 0' 'c.r.Buffered() < 0'
+mutant any-id platform $spoilt $exchange 'len(got) == 1 && got[0] == id' 'len(got) >= 1'
+mutant no-seal platform $spoilt platform/engine.go 'len(r.Header[hdrSeal]) != 1 ||' 'len(r.Header[hdrSeal]) > 9 ||'
+mutant not-run-success platform $spoilt platform/engine.go ' || r.StatusCode < 400' ''
+mutant unsafe-resent platform $spoilt traffic/forward/trip.go 'last.Known == attempt.Lost && last.Phase == attempt.Decode && !t.Repeat' 'last.Known == attempt.Lost && last.Phase == attempt.Decode && !t.Repeat && t.at < 0'
+mutant reset-is-not-sent platform $spoilt $exchange 's.n == 0 && s.err != nil' 's.n >= 0'
+mutant whole-when-reset platform $spoilt platform/answer.go 'a.whole = err == io.EOF
+		return nil, "", err' 'a.whole = err == io.EOF
+		return nil, "", io.EOF'
+mutant id-twice platform TestAnAnswerToAnEarlierSendOfTheSameRequest platform/conn.go ' && !c.carried(n.id)' ''
+mutant shared-order platform TestAnOrderTakesNoOtherAnswer platform/engine.go 'need{own: true}' 'need{}'
+mutant forgets-again platform TestAServerThatForgetsIdleConnections $exchange 'if c.used && ctx.Err() == nil' 'if c.used && ctx.Err() != nil'
+mutant held-by-its-body platform TestAnAnswerBeforeTheBodyIsRead $exchange 'if len(b) <= atOnce {
+		write()' 'if len(b) > 0 {
+		write()'
+mutant clients-stage platform TestHeadersThatClientsMayNotSet platform/names.go '[]string{hdrStage, hdrMemory,' '[]string{hdrMemory,'
+mutant hop-by-hop platform TestHeadersThatClientsMayNotSet platform/engine.go '!strings.HasPrefix(k, ours)' 'k != ours'
+mutant same-numbers control/leadercall TestResponsesToAnEarlierLife control/leadercall/leadercall.go 'no: life << lifeBits' 'no: 0 * life'
+mutant anybodys-response control/leadercall TestResponsesToAnEarlierLife control/leadercall/leadercall.go ' || n.From != t.to' ''
+mutant term-before-disk control/quorum TestATermIsOnDiskBeforeItIsAskedFor control/quorum/term.go 's.asks = append(s.asks, message.Send{Addr: replica.Addr, Message: n})' 'o.send(replica, n)'
+exit $missed
