Promises and voids count for the life of the candidate that asked

Cause, found by review: a candidate that ends before its own vote is on disk leaves its term to its next life. A promise to the first life, held up by a voter's slow disk, passed for the second's, though it holds only the records that the first one's copy lacked; a late void freed a voter that had promised to the second.

TestATermIsOnDiskBeforeItIsAskedFor goes with it; the same fault is held by TestPromisesToAnEarlierLife, TestAPromiseNamesTheLifeThatAsked and TestAVoidOfAnEarlierLife, seen failing first: "promised to an earlier life: won true", "after a void of life 1: bound to {Promised:5 To:x ToEpoch:3 ...}".

A promise names the life in Ref, which the build before leaves empty: such a promise counts as it did.

--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -117,9 +117,6 @@
 func (s *Replica) Saved(ticket uint64) Out {
 	o := Out{Sends: s.after[ticket]}
 	delete(s.after, ticket)
-	if ticket == s.askTicket && s.mode == asking {
-		o.Sends, s.asks = append(o.Sends, s.asks...), nil
-	}
 	return o
 }
 
--- a/control/quorum/lives_test.go
+++ b/control/quorum/lives_test.go
@@ -8,88 +8,65 @@
 	"mulleinmast/wire/message"
 )
 
-// Nobody else is asked to promise a term before that term is on the candidate's
-// own disk: a life that starts after this one, on the disk as it was, would take
-// the same term again, and a promise that its earlier life was given would pass
-// for its own, with only those records that the earlier life lacked.
-func TestATermIsOnDiskBeforeItIsAskedFor(t *testing.T) {
-	s := New(cfg, 1, three.Replicas[0], Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)
-	now := time.Duration(0)
-	var saves []Save
-	var asked []uint64 // terms that others were asked for
-	var carry func(o Out)
-	carry = func(o Out) {
-		saves = append(saves, o.Saves...)
-		for _, m := range o.Sends {
-			n := m.Message
-			n.From, n.Addr, n.Epoch = "a", "a", 1
-			switch {
-			case n.To == "a":
-				carry(s.Hear(now, n))
-			case n.Kind == message.Ask && n.Op == probe: // b is free
-				carry(s.Hear(now, message.Message{Kind: message.Promise, Op: probe, From: "b", Addr: "b", Epoch: 1, Partition: 1, Num: n.Num, Group: message.Group{Num: three.Num}}))
-			case n.Kind == message.Ask:
-				asked = append(asked, n.Num)
+// A candidate that ends before its own vote is on disk leaves the same term to
+// its next life. What voters promised to the first, held up on its way, is not
+// the second's: it holds only the records that the first one's copy lacked.
+func TestPromisesToAnEarlierLife(t *testing.T) {
+	for _, x := range []struct {
+		what string
+		life uint64 // that b promised to; 0: b is of a build that doesn't say
+		won  bool
+	}{{"this life", 2, true}, {"an earlier life", 1, false}, {"a build that doesn't say", 0, true}} {
+		s := New(cfg, 1, three.Replicas[0], Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)
+		now := time.Duration(0)
+		var carry func(o Out)
+		carry = func(o Out) {
+			for _, v := range o.Saves {
+				carry(s.Saved(v.Ticket))
 			}
-		}
-	}
-	for ; s.Meta().Tried == 0 && now < 10*whole; now += 20 * time.Millisecond {
-		carry(s.Tick(now))
-	}
-	if len(saves) == 0 || saves[len(saves)-1].Meta.Tried != 6 {
-		t.Fatalf("did not stand: %+v", saves)
-	}
-	if len(asked) > 0 {
-		t.Errorf("others were asked for terms %v that are not on disk yet", asked)
-	}
-	for _, v := range saves {
-		carry(s.Saved(v.Ticket))
-	}
-	if len(asked) != 2 || asked[0] != 6 || asked[1] != 6 {
-		t.Errorf("with term 6 on disk others were asked for %v", asked)
-	}
-}
-
-// A candidate whose disk was too slow asks for nothing that it gave up.
-func TestATermThatWasGivenUpIsNotAskedFor(t *testing.T) {
-	s := New(cfg, 1, three.Replicas[0], Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)
-	now := time.Duration(0)
-	var saves []Save
-	carry := func(o Out) (out []message.Message) {
-		for len(o.Saves)+len(o.Sends) > 0 {
-			saves = append(saves, o.Saves...)
-			list := o.Sends
-			o = Out{}
-			for _, m := range list {
+			for _, m := range o.Sends {
 				n := m.Message
-				n.From, n.Addr, n.Epoch = "a", "a", 1
-				var more Out
+				n.From, n.Addr, n.Epoch = "a", "a", 2
 				switch {
 				case n.To == "a":
-					more = s.Hear(now, n)
-				case n.Kind == message.Ask && n.Op == probe:
-					more = s.Hear(now, message.Message{Kind: message.Promise, Op: probe, From: "b", Addr: "b", Epoch: 1, Num: n.Num, Group: message.Group{Num: three.Num}})
-				case n.Kind == message.Ask:
-					out = append(out, n)
+					carry(s.Hear(now, n))
+				case n.To == "b" && n.Kind == message.Ask && n.Op == probe:
+					carry(s.Hear(now, message.Message{Kind: message.Promise, Op: probe, From: "b", Addr: "b", Epoch: 1, Num: n.Num, Group: message.Group{Num: three.Num}}))
+				case n.To == "b" && n.Kind == message.Ask:
+					carry(s.Hear(now, message.Message{Kind: message.Promise, From: "b", Addr: "b", Epoch: 1, Num: n.Num, Ref: x.life, LastComplete: 5, Digs: digest.NewRecords().Digs(), Group: three}))
 				}
-				o.Saves, o.Sends = append(o.Saves, more.Saves...), append(o.Sends, more.Sends...)
 			}
 		}
-		return out
-	}
-	for ; s.Meta().Tried == 0 && now < 10*whole; now += 20 * time.Millisecond {
-		carry(s.Tick(now))
+		for ; s.Meta().Tried == 0 && now < 10*whole; now += 20 * time.Millisecond {
+			carry(s.Tick(now))
+		}
+		if won := s.mode == filling || s.mode == owning; won != x.won {
+			t.Errorf("promised to %s: won %v", x.what, won)
+		}
 	}
-	first := len(saves)
-	for end := now + cfg.LeaderLease; now < end && s.mode == asking; now += 20 * time.Millisecond {
-		carry(s.Tick(now))
+}
+
+// A promise says which life of the candidate it is for.
+func TestAPromiseNamesTheLifeThatAsked(t *testing.T) {
+	v := running(t)
+	at := 10*time.Second + whole
+	out := v.hear(at, "b", 7, message.Message{Kind: message.Ask, Num: 6, Len: int64(whole)})
+	if n := len(out); n == 0 || out[n-1].Kind != message.Promise || out[n-1].Ref != 7 {
+		t.Errorf("asked by life 7: %+v", out)
 	}
-	if first == 0 || s.mode != idle {
-		t.Fatalf("mode %d after %d saves", s.mode, first)
+}
+
+// A void of an earlier life does not free a voter from what it promised to the
+// next one under the same term.
+func TestAVoidOfAnEarlierLife(t *testing.T) {
+	v := running(t)
+	at := 10*time.Second + whole
+	v.ask(at, "b", 1, 6)
+	if ok, _ := v.ask(at, "b", 2, 6); !ok {
+		t.Fatal("not promised to the next life")
 	}
-	for _, v := range saves[:first] {
-		if out := carry(s.Saved(v.Ticket)); len(out) > 0 {
-			t.Errorf("asked for %+v", out)
-		}
+	v.hear(at, "b", 1, message.Message{Kind: message.Void, Num: 6})
+	if m := v.s.Meta(); m.Promised != 6 || m.To != "b" || m.ToEpoch != 2 {
+		t.Errorf("after a void of life 1: bound to %+v", m)
 	}
 }
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -132,35 +132,33 @@
 	before  Meta          // what our vote was bound to before its last promise
 	undo    uint64        // the term of that promise; none since the start
 
-	tick      uint64
-	after     map[uint64][]message.Send // sends held until the ticket is synced
-	mode      mode
-	num       uint64
-	high      uint64
-	askAt     time.Duration
-	next      time.Duration
-	votes     map[string]vote
-	probed    map[string]bool
-	asks      []message.Send           // that go out once our own vote is on disk
-	askTicket uint64                   // of that vote
-	stuck     map[string]time.Duration // voters bound to another term, and since when
-	filled    map[string]bool
-	fillAt    map[string]time.Duration
-	learn     []message.Replica        // as leader: standbys that are sent a copy and have no vote
-	heard     map[string]time.Duration // as leader: when a replica or standby last replied
-	ending    map[string]bool          // as leader: those that were told to end
-	whole     map[string]bool          // as leader: newcomers of this step that hold the whole state
-	step      uint64                   // as leader: the write that commits the present group
-	seenAt    map[string]time.Duration // when a replica's copy was last compared
-	lease     time.Duration
-	wonAt     time.Duration
-	round     uint64
-	rounds    map[uint64]time.Duration
-	yes       map[uint64]map[string]bool
-	beatAt    time.Duration
-	seq       uint64
-	writes    map[uint64]*write
-	quit      bool
+	tick   uint64
+	after  map[uint64][]message.Send // sends held until the ticket is synced
+	mode   mode
+	num    uint64
+	high   uint64
+	askAt  time.Duration
+	next   time.Duration
+	votes  map[string]vote
+	probed map[string]bool
+	stuck  map[string]time.Duration // voters bound to another term, and since when
+	filled map[string]bool
+	fillAt map[string]time.Duration
+	learn  []message.Replica        // as leader: standbys that are sent a copy and have no vote
+	heard  map[string]time.Duration // as leader: when a replica or standby last replied
+	ending map[string]bool          // as leader: those that were told to end
+	whole  map[string]bool          // as leader: newcomers of this step that hold the whole state
+	step   uint64                   // as leader: the write that commits the present group
+	seenAt map[string]time.Duration // when a replica's copy was last compared
+	lease  time.Duration
+	wonAt  time.Duration
+	round  uint64
+	rounds map[uint64]time.Duration
+	yes    map[uint64]map[string]bool
+	beatAt time.Duration
+	seq    uint64
+	writes map[uint64]*write
+	quit   bool
 
 	Mended int // times that a replica's copy was found to differ and sent ours
 }
@@ -310,8 +308,9 @@
 		}
 	case message.Void:
 		// Nobody can ever be leader under a term that its candidate gave up, so
-		// the vote need not stay bound to it.
-		if s.meta.Promised == n.Num && s.meta.To == n.From && s.undo == n.Num {
+		// the vote need not stay bound to it. A later life of that candidate may
+		// have asked for it again.
+		if s.meta.Promised == n.Num && s.meta.To == n.From && s.meta.ToEpoch == n.Epoch && s.undo == n.Num {
 			s.meta.Promised, s.meta.To, s.meta.ToEpoch = s.before.Promised, s.before.To, s.before.ToEpoch
 			s.save(&o, nil, nil)
 		}
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -55,11 +55,8 @@
 			recs = append(recs, r)
 		}
 	}
-	rep := message.Message{Kind: message.Promise, Partition: s.partition, Num: n.Num, LastComplete: s.meta.LastComplete, Digs: s.records.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Len: int64(max(0, s.quiet-now))}
+	rep := message.Message{Kind: message.Promise, Partition: s.partition, Num: n.Num, LastComplete: s.meta.LastComplete, Digs: s.records.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Ref: n.Epoch, Len: int64(max(0, s.quiet-now))}
 	s.save(o, nil, nil, message.Send{Addr: from.Addr, Message: rep})
-	if n.From == s.me.Ident {
-		s.askTicket = s.tick
-	}
 }
 
 func sameReplicas(a, b message.Group) bool {
@@ -150,7 +147,9 @@
 		}
 		return
 	}
-	if s.mode != asking || n.Op == probe {
+	// A life that ended before its own vote was on disk leaves the same term to
+	// the next. What it was promised holds only the records that its copy lacked.
+	if s.mode != asking || n.Op == probe || n.Ref != 0 && n.Ref != s.lives[s.me.Ident] {
 		return
 	}
 	s.votes[n.From] = vote{lastComplete: n.LastComplete, digs: n.Digs, recs: n.Recs}
@@ -249,18 +248,9 @@
 	s.mode, s.askAt, s.stuck = asking, now, map[string]time.Duration{}
 	s.calm = 0
 	s.votes = map[string]vote{}
-	// The others are asked once our own vote is on disk, and with it the term: a
-	// life that starts after this one would else take the same term again, and
-	// what was promised or given up before would pass for its own.
-	s.asks, s.askTicket = nil, 0
 	digs := s.records.Digs()
 	for _, replica := range s.meta.Group.All() {
-		n := message.Message{Kind: message.Ask, Partition: s.partition, Num: s.num, Digs: digs, Group: s.meta.Group, Len: s.wait(), To: replica.Ident}
-		if replica.Ident == s.me.Ident {
-			o.send(replica, n)
-		} else {
-			s.asks = append(s.asks, message.Send{Addr: replica.Addr, Message: n})
-		}
+		o.send(replica, message.Message{Kind: message.Ask, Partition: s.partition, Num: s.num, Digs: digs, Group: s.meta.Group, Len: s.wait()})
 	}
 }
 
--- a/proof/standin/mutants/answers.sh
+++ b/proof/standin/mutants/answers.sh
@@ -44,5 +44,6 @@
 mutant hop-by-hop platform TestHeadersThatClientsMayNotSet platform/engine.go '!strings.HasPrefix(k, ours)' 'k != ours'
 mutant same-numbers control/leadercall TestResponsesToAnEarlierLife control/leadercall/leadercall.go 'no: life << lifeBits' 'no: 0 * life'
 mutant anybodys-response control/leadercall TestResponsesToAnEarlierLife control/leadercall/leadercall.go ' || n.From != t.to' ''
-mutant term-before-disk control/quorum TestATermIsOnDiskBeforeItIsAskedFor control/quorum/term.go 's.asks = append(s.asks, message.Send{Addr: replica.Addr, Message: n})' 'o.send(replica, n)'
+mutant earlier-promise control/quorum TestPromisesToAnEarlierLife control/quorum/term.go ' || n.Ref != 0 && n.Ref != s.lives[s.me.Ident]' ''
+mutant earlier-void control/quorum TestAVoidOfAnEarlierLife control/quorum/quorum.go 's.meta.ToEpoch == n.Epoch && ' ''
 exit $missed
