--- /dev/null
+++ b/control/quorum/lives_test.go
@@ -0,0 +1,72 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"mulleinmast/control/digest"
+	"mulleinmast/wire/message"
+)
+
+// A candidate that ends before its own vote is on disk leaves the same term to
+// its next life. What voters promised to the first, held up on its way, is not
+// the second's: it holds only the records that the first one's copy lacked.
+func TestPromisesToAnEarlierLife(t *testing.T) {
+	for _, x := range []struct {
+		what string
+		life uint64 // that b promised to; 0: b is of a build that doesn't say
+		won  bool
+	}{{"this life", 2, true}, {"an earlier life", 1, false}, {"a build that doesn't say", 0, true}} {
+		s := New(cfg, 1, three.Replicas[0], Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)
+		now := time.Duration(0)
+		var carry func(o Out)
+		carry = func(o Out) {
+			for _, v := range o.Saves {
+				carry(s.Saved(v.Ticket))
+			}
+			for _, m := range o.Sends {
+				n := m.Message
+				n.From, n.Addr, n.Epoch = "a", "a", 2
+				switch {
+				case n.To == "a":
+					carry(s.Hear(now, n))
+				case n.To == "b" && n.Kind == message.Ask && n.Op == probe:
+					carry(s.Hear(now, message.Message{Kind: message.Promise, Op: probe, From: "b", Addr: "b", Epoch: 1, Num: n.Num, Group: message.Group{Num: three.Num}}))
+				case n.To == "b" && n.Kind == message.Ask:
+					carry(s.Hear(now, message.Message{Kind: message.Promise, From: "b", Addr: "b", Epoch: 1, Num: n.Num, Ref: x.life, LastComplete: 5, Digs: digest.NewRecords().Digs(), Group: three}))
+				}
+			}
+		}
+		for ; s.Meta().Tried == 0 && now < 10*whole; now += 20 * time.Millisecond {
+			carry(s.Tick(now))
+		}
+		if won := s.mode == filling || s.mode == owning; won != x.won {
+			t.Errorf("promised to %s: won %v", x.what, won)
+		}
+	}
+}
+
+// A promise says which life of the candidate it is for.
+func TestAPromiseNamesTheLifeThatAsked(t *testing.T) {
+	v := running(t)
+	at := 10*time.Second + whole
+	out := v.hear(at, "b", 7, message.Message{Kind: message.Ask, Num: 6, Len: int64(whole)})
+	if n := len(out); n == 0 || out[n-1].Kind != message.Promise || out[n-1].Ref != 7 {
+		t.Errorf("asked by life 7: %+v", out)
+	}
+}
+
+// A void of an earlier life does not free a voter from what it promised to the
+// next one under the same term.
+func TestAVoidOfAnEarlierLife(t *testing.T) {
+	v := running(t)
+	at := 10*time.Second + whole
+	v.ask(at, "b", 1, 6)
+	if ok, _ := v.ask(at, "b", 2, 6); !ok {
+		t.Fatal("not promised to the next life")
+	}
+	v.hear(at, "b", 1, message.Message{Kind: message.Void, Num: 6})
+	if m := v.s.Meta(); m.Promised != 6 || m.To != "b" || m.ToEpoch != 2 {
+		t.Errorf("after a void of life 1: bound to %+v", m)
+	}
+}
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -323,8 +323,9 @@
 		}
 	case message.Void:
 		// Nobody can ever be leader under a term that its candidate gave up, so
-		// the vote need not stay bound to it.
-		if s.meta.Promised == n.Num && s.meta.To == n.From && s.undo == n.Num {
+		// the vote need not stay bound to it. A later life of that candidate may
+		// have asked for it again.
+		if s.meta.Promised == n.Num && s.meta.To == n.From && s.meta.ToEpoch == n.Epoch && s.undo == n.Num {
 			s.meta.Promised, s.meta.To, s.meta.ToEpoch = s.before.Promised, s.before.To, s.before.ToEpoch
 			s.save(&o, nil, nil)
 		}
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -55,7 +55,7 @@
 			recs = append(recs, r)
 		}
 	}
-	rep := message.Message{Kind: message.Promise, Partition: s.partition, Num: n.Num, LastComplete: s.meta.LastComplete, Digs: s.records.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Len: int64(max(0, s.quiet-now))}
+	rep := message.Message{Kind: message.Promise, Partition: s.partition, Num: n.Num, LastComplete: s.meta.LastComplete, Digs: s.records.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Ref: n.Epoch, Len: int64(max(0, s.quiet-now))}
 	s.save(o, nil, nil, message.Send{Addr: from.Addr, Message: rep})
 }
 
@@ -148,7 +148,9 @@
 		}
 		return
 	}
-	if s.mode != asking || n.Op == probe {
+	// A life that ended before its own vote was on disk leaves the same term to
+	// the next. What it was promised holds only the records that its copy lacked.
+	if s.mode != asking || n.Op == probe || n.Ref != 0 && n.Ref != s.lives[s.me.Ident] {
 		return
 	}
 	s.votes[n.From] = vote{lastComplete: n.LastComplete, digs: n.Digs, recs: n.Recs}
