In a crowded zone the configuration's relay is a control daemon

In each round all daemons of a zone drop the plan within 30 ms and get the next one 24 to 28 ms after each other: 30 KB each over the relay's link of 10 Mbit/s, 0.7 s for a zone, and the next withdrawal waits in line behind them.

The plan is the only record that goes whole to everybody. In zones of 12 members and more its relay is now the control daemon of the greatest weight: these have the wide links (100 Mbit/s here). Other partitions and small zones keep theirs.

Test: which daemon is the relay in zones of both sizes, for all partitions; failing first with '2 control daemons of 12: the configuration's relay is {10.0.0.11:1 10.0.0.11:1}'.

--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -79,23 +79,45 @@
 	return r
 }
 
+// crowd is the members of a zone from which on the configuration's relay is one
+// of its control daemons. The plan goes whole to every member of the zone, one
+// after the other over the relay's link, and the machines of control daemons
+// have the wide ones.
+const crowd = 12
+
 func (v *View) relay(partition int, zone string) message.Replica {
 	own := v.Owns[partition].Replica.Ident
-	var best message.Replica
-	top, n := uint64(0), 0
+	var best, wide chosen
+	n := 0
 	for m := range v.In(zone) {
 		if m.Ident == own {
 			continue
 		}
 		n++
-		if s := weight(partition, m.Addr); best.Ident == "" || s > top {
-			top, best = s, message.Replica{Ident: m.Ident, Addr: m.Addr}
+		best.offer(partition, m)
+		if m.Disk {
+			wide.offer(partition, m)
 		}
 	}
-	if n < v.small {
+	switch {
+	case n < v.small:
 		return message.Replica{}
+	case partition == 0 && n >= crowd && wide.Ident != "":
+		return wide.Replica
+	}
+	return best.Replica
+}
+
+// chosen is the member of the greatest weight so far.
+type chosen struct {
+	message.Replica
+	top uint64
+}
+
+func (c *chosen) offer(partition int, m message.Member) {
+	if w := weight(partition, m.Addr); c.Ident == "" || w > c.top {
+		c.top, c.Replica = w, message.Replica{Ident: m.Ident, Addr: m.Addr}
 	}
-	return best
 }
 
 // Parent is this daemon's static parent for a partition: the zone's relay, or the
--- /dev/null
+++ b/control/membership/view_test.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"mulleinmast/wire/message"
+)
+
+// zoneOf is a view of one zone: control daemons first, then the others.
+func zoneOf(control, others int) *View {
+	v := &View{Owns: map[int]message.Own{0: {Num: 1, Replica: message.Replica{Ident: "far", Addr: "far"}}}, small: 3, by: map[string]message.Member{}}
+	for i := range control + others {
+		id := fmt.Sprintf("10.0.0.%d:1", i)
+		v.Members = append(v.Members, message.Member{Ident: id, Addr: id, Zone: "c", Disk: i < control})
+	}
+	return v
+}
+
+// The whole plan goes to each member of a zone over its relay's link: in a
+// crowded zone that is a control daemon's. Other partitions keep to the weights,
+// which spread them, and so does a zone that isn't crowded or has no such daemon.
+func TestACrowdedZoneHasAControlDaemonForTheConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		control, others int
+		wide            bool
+	}{{2, crowd - 2, true}, {1, 40, true}, {2, crowd - 3, false}, {0, 40, false}} {
+		v, byWeight := zoneOf(c.control, c.others), 0
+		control := map[string]bool{}
+		for _, m := range v.Members {
+			control[m.Ident] = m.Disk
+		}
+		if got := control[v.Relay(0, "c").Ident]; c.wide && !got {
+			t.Errorf("%d control daemons of %d: the configuration's relay is %v", c.control, len(v.Members), v.Relay(0, "c"))
+		}
+		plain := zoneOf(0, c.control+c.others)
+		for p := range 30 {
+			if (p > 0 || !c.wide) && v.Relay(p, "c") != plain.Relay(p, "c") {
+				t.Errorf("%d control daemons of %d, partition %d: relay %v, by weight %v", c.control, len(v.Members), p, v.Relay(p, "c"), plain.Relay(p, "c"))
+			}
+			if !control[v.Relay(p, "c").Ident] {
+				byWeight++
+			}
+		}
+		if byWeight == 0 {
+			t.Error("no partition's relay is without a disk")
+		}
+	}
+	v := zoneOf(2, 40)
+	owner := v.Relay(0, "c")
+	v.Owns[0] = message.Own{Num: 2, Replica: owner}
+	v.memo.Clear()
+	if next := v.Relay(0, "c"); next == owner || next.Ident == "" {
+		t.Errorf("the owner's zone has %v", next)
+	}
+}
