--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -39,7 +39,8 @@
 	Meta      Meta
 	Wipe      []int // ranges whose other records are to be deleted
 	Recs      []message.Rec
-	Drop      []string // records below the floor
+	Drop      []string // records below the floor; after Recs
+	Sum       uint64   // of the whole state, this included; 0: not told
 }
 
 // FloorKey is the record that says up to which version the records under
@@ -58,6 +59,7 @@
 	Tried        uint64 // highest term this replica ever stood with: none is used twice
 	LastComplete uint64 `json:"Set"` // the key on disk is that of older builds
 	Group        message.Group
+	Short        bool `json:",omitempty"` // the disk lost some of the records: no vote before they are filled
 }
 
 // Fate is what became of a write.
@@ -132,33 +134,38 @@
 	before  Meta          // what our vote was bound to before its last promise
 	undo    uint64        // the term of that promise; none since the start
 
-	tick   uint64
-	after  map[uint64][]message.Send // sends held until the ticket is synced
-	mode   mode
-	num    uint64
-	high   uint64
-	askAt  time.Duration
-	next   time.Duration
-	votes  map[string]vote
-	probed map[string]bool
-	stuck  map[string]time.Duration // voters bound to another term, and since when
-	filled map[string]bool
-	fillAt map[string]time.Duration
-	learn  []message.Replica        // as leader: standbys that are sent a copy and have no vote
-	heard  map[string]time.Duration // as leader: when a replica or standby last replied
-	ending map[string]bool          // as leader: those that were told to end
-	whole  map[string]bool          // as leader: newcomers of this step that hold the whole state
-	step   uint64                   // as leader: the write that commits the present group
-	seenAt map[string]time.Duration // when a replica's copy was last compared
-	lease  time.Duration
-	wonAt  time.Duration
-	round  uint64
-	rounds map[uint64]time.Duration
-	yes    map[uint64]map[string]bool
-	beatAt time.Duration
-	seq    uint64
-	writes map[uint64]*write
-	quit   bool
+	tick      uint64
+	after     map[uint64][]message.Send // sends held until the ticket is synced
+	mode      mode
+	num       uint64
+	high      uint64
+	askAt     time.Duration
+	next      time.Duration
+	votes     map[string]vote
+	probed    map[string]bool
+	stuck     map[string]time.Duration // voters bound to another term, and since when
+	filled    map[string]bool
+	fillAt    map[string]time.Duration
+	learn     []message.Replica        // as leader: standbys that are sent a copy and have no vote
+	heard     map[string]time.Duration // as leader: when a replica or standby last replied
+	ending    map[string]bool          // as leader: those that were told to end
+	whole     map[string]bool          // as leader: newcomers of this step that hold the whole state
+	step      uint64                   // as leader: the write that commits the present group
+	stepRound uint64                   // as leader: the last renewal before that group was made
+	leased    bool                     // as leader: a later renewal had the group's majority, or both
+	seenAt    map[string]time.Duration // when a replica's copy was last compared
+	lease     time.Duration
+	wonAt     time.Duration
+	round     uint64
+	rounds    map[uint64]time.Duration
+	yes       map[uint64]map[string]bool
+	beatAt    time.Duration
+	seq       uint64
+	writes    map[uint64]*write
+	few       map[uint64]*write  // taken by a majority, and not yet by all
+	behind    map[string]*behind // replicas that missed writes
+	unsynced
+	quit bool
 
 	Mended int // times that a replica's copy was found to differ and sent ours
 }
@@ -169,7 +176,8 @@
 // Example: s := quorum.New(cfg, 0, me, meta, records, now, false)
 func New(cfg Config, partition int, me message.Replica, meta Meta, records *digest.Records, now time.Duration, fresh bool) *Replica {
 	s := &Replica{cfg: cfg, partition: partition, me: me, meta: meta, records: records, born: now, after: map[uint64][]message.Send{}, lives: map[string]uint64{},
-		rounds: map[uint64]time.Duration{}, yes: map[uint64]map[string]bool{}, writes: map[uint64]*write{}}
+		rounds: map[uint64]time.Duration{}, yes: map[uint64]map[string]bool{}, writes: map[uint64]*write{}, few: map[uint64]*write{}}
+	s.now = now
 	s.till = now + cfg.Wait(cfg.LeaderLease)
 	if fresh {
 		s.till = now
@@ -258,6 +266,7 @@
 // Example: out := s.Hear(now, message)
 func (s *Replica) Hear(now time.Duration, n message.Message) (o Out) {
 	from := message.Replica{Ident: n.From, Addr: n.Addr}
+	s.now = now
 	if !s.audible(n) {
 		return o
 	}
@@ -273,8 +282,11 @@
 	case message.Fill:
 		s.fill(from, n, &o)
 	case message.Filled:
-		if s.standing(n.Num) && n.Op == compare && s.meta.Group.Has(n.From) {
-			s.reported(n, &o)
+		if s.standing(n.Num) && n.Op == compare {
+			if s.meta.Group.Has(n.From) {
+				s.reported(n, &o)
+			}
+			s.caughtUp(n)
 		} else if s.standing(n.Num) && n.Op == wholeCopy {
 			s.holdsAll(n)
 		} else if s.standing(n.Num) {
@@ -303,6 +315,9 @@
 				rep.Op = parting
 			}
 			o.send(from, rep)
+			if s.meta.Short { // the leader may take this for a whole copy
+				o.send(from, message.Message{Kind: message.Unfit, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
+			}
 		} else {
 			s.refuse(now, from, n, &o)
 		}
