An earlier try's uncertainty waits for the later try of its call

Cause: a leader that lost its lease in the middle of a write says that it doesn't know; if that came while a later try was out, the call ended without a clear answer, though the next leader knows it by its number. The operator then sent the whole order again.

--- a/control/leadercall/leadercall.go
+++ b/control/leadercall/leadercall.go
@@ -139,6 +139,8 @@
 		if c.ref == 0 {
 			c.due = now + e.cfg.Pause
 		}
+	case n.Code == Uncertain && c.ref != 0: // a later try is out, and knows the call by its number
+		c.lost = true
 	case n.Code == Other || n.Code == Uncertain:
 		c.lost = c.lost || n.Code == Uncertain
 		e.end(no, c, &o)
--- a/control/leadercall/leadercall_test.go
+++ b/control/leadercall/leadercall_test.go
@@ -139,3 +139,29 @@
 		t.Errorf("its own reply ended %+v", d)
 	}
 }
+
+// A leader that doesn't know what became of an earlier try ends no call while a
+// later try is out: its leader knows the call by its number.
+func TestAnEarlierTrysUncertaintyWaitsForTheLaterTry(t *testing.T) {
+	e := New(cfg, 1)
+	no, o := e.Start(0, own, 0, "plan", nil, 4*time.Second, false)
+	first := o.Sends[0].Message.No
+	next := message.Replica{Ident: "p", Addr: "10.0.0.2:1"}
+	o = e.Tick(500*time.Millisecond, func(int) message.Replica { return next })
+	if len(o.Sends) != 1 {
+		t.Fatalf("not sent again: %+v", o)
+	}
+	if d := e.Hear(600*time.Millisecond, message.Message{From: own.Ident, Ref: first, Code: Uncertain}).Done; len(d) > 0 {
+		t.Errorf("the earlier try ended %+v", d)
+	}
+	if d := e.Hear(700*time.Millisecond, message.Message{From: next.Ident, Ref: o.Sends[0].Message.No, Code: 200}).Done; len(d) != 1 || d[0].No != no || d[0].Code != 200 {
+		t.Errorf("the later try ended %+v", d)
+	}
+	_, o = e.Start(0, own, 0, "plan", nil, 4*time.Second, false) // and without a word from that, it is uncertain
+	first = o.Sends[0].Message.No
+	e.Tick(500*time.Millisecond, func(int) message.Replica { return next })
+	e.Hear(600*time.Millisecond, message.Message{From: own.Ident, Ref: first, Code: Uncertain})
+	if w := word(t, e.Tick(5*time.Second, func(int) message.Replica { return next }).Done); w.Result != "uncertain" {
+		t.Errorf("without a later word: %+v", w)
+	}
+}
