Marks of records that are gone end with the leader's term

Each server that left stayed as a mark of absence for good: memory, disk and every election's digests grew with the releases. A candidate's merged copy replaces those of all earlier terms, range by range, and copies of older terms are never merged with it, so the marks have done their work there. Seen first: TestMarksOfWhatIsGoneEndWithTheTerm "a holds 301 records, its disk 301", now 1. The floor goes on seeing to once keys.

--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"mulleinmast/control/digest"
@@ -201,6 +202,7 @@
 			}
 		}
 	}
+	bury(fresh)
 	wipe := digest.Differ(own, fresh.Digs())
 	var recs []message.Rec
 	for _, sp := range wipe {
@@ -215,6 +217,21 @@
 	s.save(o, wipe, recs, message.Send{Addr: s.me.Addr, Message: self})
 }
 
+// bury drops the marks of records that are gone: a new term's copies replace all
+// of earlier terms, whole ranges at a time, so no copy that still has one of
+// them is ever merged with these. The floor sees to the once keys.
+func bury(fresh *digest.Records) {
+	var gone []string
+	for r := range fresh.All() {
+		if r.Dead && !strings.HasPrefix(r.Key, FloorOf) {
+			gone = append(gone, r.Key)
+		}
+	}
+	for _, k := range gone {
+		fresh.Drop(k)
+	}
+}
+
 // settle turns a candidate into the leader once a majority holds its records.
 func (s *Replica) settle(now time.Duration, o *Out) {
 	if s.mode == filling && s.meta.Group.Quorum(func(id string) bool { return s.filled[id] }) && now < s.lease {
--- a/control/quorum/trio_test.go
+++ b/control/quorum/trio_test.go
@@ -310,3 +310,39 @@
 		t.Errorf("the whole copy isn't taken: %+v", out)
 	}
 }
+
+// Marks of records that are gone last until the next term: then no copy has them,
+// and a replica that still holds the records brings none back.
+func TestMarksOfWhatIsGoneEndWithTheTerm(t *testing.T) {
+	w := newTrio(t)
+	w.pass(3*time.Second, false)
+	own, late := w.leader(), w.other()
+	put := func(i int, dead bool) {
+		o, _ := w.by[own].s.Write(w.now, uint64(1000+i), []message.Rec{{Key: fmt.Sprint("berth/", i), Dead: dead}})
+		w.carry(own, o)
+		w.settle()
+	}
+	for i := range 300 {
+		put(i, false)
+	}
+	put(300, false)
+	w.by[late].cut = true
+	for i := range 300 {
+		put(i, true)
+	}
+	if n := w.by[own].s.Records().Size(); n != 301 {
+		t.Fatalf("%d records", n)
+	}
+	w.by[late].cut, w.by[own].cut = false, true // it has the records still, and the marks are with one
+	w.pass(3*time.Second, false)
+	if w.leader() == own || w.leader() == "" {
+		t.Fatalf("the leader is %q", w.leader())
+	}
+	w.by[own].cut = false
+	w.pass(3*time.Second, false)
+	for id, m := range w.by {
+		if m.s.Records().Size() != 1 || m.records.Size() != 1 {
+			t.Errorf("%s holds %d records, its disk %d", id, m.s.Records().Size(), m.records.Size())
+		}
+	}
+}
