--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -119,7 +119,7 @@
 			events.Say("disk", "%d records are spoilt and count as missing; the other copies have them", a.Spoilt)
 		}
 		if len(a.Short) > 0 {
-			events.Say("disk", "parts %v aren't what was written: they have no vote until the other copies have filled them", a.Short)
+			events.Say("disk", "partitions %v aren't what was written: they have no vote until the other copies have filled them", a.Short)
 		}
 		for p := range a.Partitions {
 			if p > cfg.Partitions {
