Test: a daemon that ends waits for a standby only

With no standby HandOver returns at once (an hour of grace, so a wait would not end); with one it waits until its context ends, and not once its part of the grace period is over.

--- /dev/null
+++ b/control/daemon/handover_test.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"mulleinmast/control/eventlog"
+	"mulleinmast/control/membership"
+	"mulleinmast/wire/message"
+)
+
+// A daemon that was told to end waits for its replicas to be taken over only
+// where a standby is there to take them, and not beyond its part of the grace
+// period; a plain restart isn't held up.
+func TestOnlyAStandbyIsWaitedFor(t *testing.T) {
+	cfg := Default()
+	cfg.Wire, cfg.Web, cfg.Partitions, cfg.Data, cfg.Grace = "127.0.0.1:0", "127.0.0.1:0", 1, t.TempDir(), time.Hour
+	c, err := Open(cfg, eventlog.New(64, io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	c.found([]message.Replica{c.me, {Ident: "b", Addr: "127.0.0.1:1"}, {Ident: "c", Addr: "127.0.0.1:2"}})
+	c.Leave()
+	for what, x := range map[string]struct {
+		more []message.Member
+		held int
+	}{
+		"nobody else":              {nil, 0},
+		"a daemon without a disk":  {[]message.Member{{Ident: "d"}}, 0},
+		"a standby":                {[]message.Member{{Ident: "d", Disk: true}}, 2},
+		"a standby beside another": {[]message.Member{{Ident: "d"}, {Ident: "e", Disk: true}}, 2},
+	} {
+		members := append([]message.Member{c.member(), {Ident: "b", Disk: true}, {Ident: "c", Disk: true}}, x.more...)
+		c.view.Store(&membership.View{Me: members[0], Members: members})
+		if n := c.Held(); n != x.held {
+			t.Errorf("%s: %d partitions held, expected %d", what, n, x.held)
+		}
+		ctx, done := context.WithCancel(context.Background())
+		if x.held > 0 {
+			done() // else it waits for most of an hour
+		}
+		c.HandOver(ctx)
+		done()
+	}
+	c.clock.Leap(time.Hour)
+	c.HandOver(context.Background()) // its time is up
+}
