--- a/cmd/fakeserver/main.go
+++ b/cmd/fakeserver/main.go
@@ -16,7 +16,7 @@
 func main() {
 	c := fakeserver.Config{}
 	flag.StringVar(&c.Addr, "addr", "127.0.0.1:9000", "`ip:port` to serve on")
-	flag.StringVar(&c.Zone, "cell", "cell-1", "`name` of its cell")
+	flag.StringVar(&c.Zone, "zone", "zone-1", "`name` of its zone")
 	flag.IntVar(&c.Capacity, "capacity", 8, "slots")
 	flag.DurationVar(&c.Char, "char", 20*time.Microsecond, "prefill `time` per character")
 	flag.DurationVar(&c.Token, "token", 5*time.Millisecond, "decode `time` per piece")
@@ -24,7 +24,7 @@
 	flag.DurationVar(&c.Link, "link", 2*time.Millisecond, "`time` of a hand-over")
 	flag.IntVar(&c.Prefixes, "prefixes", 512, "prefixes held")
 	flag.DurationVar(&c.Warm, "warm", 2*time.Second, "its own warm-up `time`")
-	flag.BoolVar(&c.Naive, "naive", false, "as a maker, take up whatever cache a handle leads to")
+	flag.BoolVar(&c.Naive, "naive", false, "as a decode server, take up whatever cache a handle leads to")
 	path := flag.String("journal", "", "journal `file`")
 	flag.Parse()
 	if _, err := netip.ParseAddrPort(c.Addr); err != nil || c.Capacity < 1 {
--- a/cmd/fleetlab/hollow.go
+++ b/cmd/fleetlab/hollow.go
@@ -37,7 +37,7 @@
 		apply:   flag.Duration("apply", 2*time.Second, "with -hollow: a change is in force everywhere within this"),
 		far:     flag.Duration("far", 0, "with -hollow: delay between regions, one way"),
 		out:     flag.String("out", "", "with -hollow: write CSV to this `file`"),
-		profile: flag.String("profile", "", "with -hollow: write profiles of a front, an owner and the shared process to this `folder`"),
+		profile: flag.String("profile", "", "with -hollow: write profiles of a front, a leader and the shared process to this `folder`"),
 		steps:   flag.String("steps", "idle", "with -hollow: `idle,change,restart,zone,link`"),
 		fit:     flag.String("fit", "", "with -hollow: measure nothing, lay lines through this CSV `file` and draw them beside it"),
 		over:    flag.String("over", "daemons", "with -fit: the `size` that grows: daemons, servers, tenants or routes"),
@@ -241,7 +241,7 @@
 	at := time.Now()
 	left := f.LoseZone(zone)
 	n, _ := f.AwaitOutside(zone, hollow.Command{Fresh: true, Zone: zone, Wait: time.Minute})
-	fmt.Printf("zone %d lost, with the owners of %d of %d parts: %d of %d daemons left are ready and know owners for all parts after %v", zone, lost, len(leaders), n, left, time.Since(at).Round(time.Millisecond))
+	fmt.Printf("zone %d lost, with the leaders of %d of %d parts: %d of %d daemons left are ready and know leaders for all parts after %v", zone, lost, len(leaders), n, left, time.Since(at).Round(time.Millisecond))
 	took, err := f.Change()
 	if err != nil {
 		return err
--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -30,7 +30,7 @@
 	kinds := flag.String("sweep", "", "instead: run simulated `scenarios` (a,b or all) over many seeds")
 	from := flag.Int64("from", 1, "first seed of a sweep")
 	count := flag.Int64("seeds", 1000, "seeds of a sweep, for each scenario")
-	old := flag.String("old", "", "`folder` with another build's signalbox, for the scenario versions")
+	old := flag.String("old", "", "`folder` with another build's mulleinmast, for the scenario versions")
 	grow := flag.Bool("scale", false, "instead: simulate healthy fleets of growing size, flat and with relays")
 	plat := flag.Bool("platform", false, "instead: daemons booted as on the users' platform, between stand-ins of it; -scenario all plays all")
 	pace := flag.Float64("pace", 1, "with -platform: what the rules' bounds are multiplied by")
--- a/cmd/fleetlab/sweep.go
+++ b/cmd/fleetlab/sweep.go
@@ -61,10 +61,10 @@
 			}()
 		}
 		wg.Wait()
-		fmt.Printf("%-8s %d seeds, %d broken; writes: %d in force, %d refused, %d uncertain; %d reads; simulated: write median %v 99th %v, longest without an owner median %v 99th %v; faults %v\n",
+		fmt.Printf("%-8s %d seeds, %d broken; writes: %d in force, %d refused, %d uncertain; %d reads; simulated: write median %v 99th %v, longest without a leader median %v 99th %v; faults %v\n",
 			name, count, broken, yes, never, maybe, reads, at(wait, 0.5), at(wait, 0.99), at(gap, 0.5), at(gap, 0.99), faults)
 		if len(results) > 0 {
-			fmt.Printf("         requests %v; sheds %v; plans %v\n", results, refusals, plans)
+			fmt.Printf("         requests %v; refusals %v; plans %v\n", results, refusals, plans)
 		}
 		bad += broken
 	}
@@ -111,19 +111,19 @@
 			if flat {
 				shape = "flat"
 			}
-			fmt.Printf("%3d daemons, %-6s: %6.1f notes a second into each owner, %5.1f purges a write, write median %v 99th %v, %d rules broken\n",
+			fmt.Printf("%3d daemons, %-6s: %6.1f notes a second into each leader, %5.1f invalidations a write, write median %v 99th %v, %d rules broken\n",
 				size, shape, float64(r.RootMessages)/25/2, float64(r.Invalidations)/float64(max(1, r.Yes)), at(r.Waits, 0.5), at(r.Waits, 0.99), len(r.Broken))
 		}
 	}
 	for _, static := range []bool{true, false} {
 		r := sim.Run(sim.Tree(seed, static))
-		fmt.Printf("18 daemons in 3 far cells, one cell's relays slow for 40 s, static %v: %d joins and %d splits told, renewal in that cell meanwhile %v, %.1f notes a second into each owner, %d rules broken\n",
+		fmt.Printf("18 daemons in 3 far zones, one zone's relays slow for 40 s, static %v: %d joins and %d splits told, renewal in that zone meanwhile %v, %.1f notes a second into each leader, %d rules broken\n",
 			static, r.Steers["join"], r.Steers["split"], r.Renewal.Round(10*time.Microsecond), float64(r.RootMessages)/130/2, len(r.Broken))
 	}
 	o := sim.Scenarios["servers"](seed)
 	o.Faults, o.Back = map[string]float64{"crowd": 3}, true
 	r := sim.Run(o)
-	fmt.Printf("crowds of 12 times the usual rate: %d requests shed came back when told to, %d of them served; whole replies by tenant %v of %v sent in crowds; %d rules broken\n",
+	fmt.Printf("crowds of 12 times the usual rate: %d requests refused came back when told to, %d of them served; whole answers by tenant %v of %v sent in crowds; %d rules broken\n",
 		r.Returned, r.Helped, r.Served, r.Sent, len(r.Broken))
 	return 0
 }
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -23,7 +23,7 @@
 	flag.DurationVar(&c.For, "for", 10*time.Second, "how long")
 	flag.IntVar(&c.Most, "most", 100000, "requests in all, at most")
 	flag.Int64Var(&c.Seed, "seed", 1, "seed")
-	flag.DurationVar(&c.Timeout, "budget", 10*time.Second, "budget of a request")
+	flag.DurationVar(&c.Timeout, "timeout", 10*time.Second, "timeout of a request")
 	flag.Float64Var(&c.Once, "once", 0.3, "part of the requests with a once key")
 	flag.BoolVar(&c.Again, "again", false, "send each once key to a second daemon too")
 	flag.Float64Var(&c.Swing, "swing", -1, "part of long prompts (below 0: the mix's own)")
@@ -51,10 +51,10 @@
 		faults = append(faults, fmt.Sprintf("-once %v: expected 0 to 1", c.Once))
 	}
 	if c.Timeout <= 0 || c.Most < 1 {
-		faults = append(faults, "-budget and -most: expected more than 0")
+		faults = append(faults, "-timeout and -most: expected more than 0")
 	}
 	if len(faults) > 0 {
-		_, _ = fmt.Fprintln(os.Stderr, "loadgen: "+strings.Join(faults, "\ncarrier: "))
+		_, _ = fmt.Fprintln(os.Stderr, "loadgen: "+strings.Join(faults, "\nloadgen: "))
 		os.Exit(2)
 	}
 	recorder, err := history.Open(*path)
--- a/cmd/mulleinctl/main.go
+++ b/cmd/mulleinctl/main.go
@@ -27,13 +27,13 @@
 )
 
 const usage = `members            who is in the fleet, where, and ready or not
-parts              each part's owner, group and records
-tree [PART]        the lease tree of each part: parent, children, time left
-servers            every server: part played, status, slots out, pairs
+partitions         each partition's leader, group and records
+tree [PARTITION]   the lease tree of each partition: parent, children, time left
+servers            every server: role, status, slots out, pairs
 plan               the plan in force
 versions           the plan's version in each daemon, and whether its leases stand
 queue              each daemon's queues and shares
-counts             requests served, shed and why, retries
+counts             requests served, refused and why, retries
 why REQUEST|all    why a request went where it did
 import FILE        named changes made of an OpenAPI file, ready to be sent
 story [KIND]       what the fleet did, from the rings of all daemons, in order
@@ -96,7 +96,7 @@
 	return json.Unmarshal(b, to)
 }
 
-// first asks the given daemons until one replies.
+// first asks the given daemons until one answers.
 func (s *shell) first() (daemon.State, error) {
 	var last error
 	for _, a := range s.to {
@@ -186,7 +186,7 @@
 		for _, m := range st.Members {
 			rows = append(rows, []any{m.Ident, m.Epoch, m.Zone, m.Web, m.Addr, m.Disk, m.Ready})
 		}
-		return s.show(st.Members, "IDENT EPOCH CELL WEB WIRE DISK READY", rows)
+		return s.show(st.Members, "IDENT EPOCH ZONE WEB WIRE DISK READY", rows)
 	case "plan":
 		var p fleetconfig.Plan
 		var err error
@@ -202,8 +202,8 @@
 		for _, t := range p.Tenants {
 			rows = append(rows, []any{p.Version, t.Name, t.Priority, t.Timeout, t.Queue, strings.Join(t.Services, ",")})
 		}
-		return s.show(p, "VERSION TENANT PRIORITY BUDGET_MS QUEUE SERVICES", rows)
-	case "parts", "tree", "servers", "versions", "queue", "counts":
+		return s.show(p, "VERSION TENANT PRIORITY TIMEOUT_MS QUEUE SERVICES", rows)
+	case "partitions", "tree", "servers", "versions", "queue", "counts":
 		return s.states(words[0], arg)
 	case "why":
 		if arg == "" {
@@ -234,10 +234,10 @@
 		st := got[web]
 		switch what {
 		case "versions":
-			head = "DAEMON PLAN LEASES_STAND CELLS_OUT"
+			head = "DAEMON PLAN LEASES_STAND ZONES_OUT"
 			rows = append(rows, []any{web, st.Plan, st.PlanOK, strings.Join(st.Zones, ",")})
 		case "counts":
-			head = "DAEMON COUNTS SHEDS"
+			head = "DAEMON COUNTS REFUSALS"
 			rows = append(rows, []any{web, flat(st.Extra["counts"]), flat(st.Extra["sheds"])})
 		case "queue":
 			head = "DAEMON SERVICE QUEUE"
@@ -248,16 +248,16 @@
 		default:
 			for _, p := range st.Partitions {
 				switch {
-				case what == "parts" && p.Mine:
-					head = "PART OWNER BALLOT GROUP NEXT RECORDS"
+				case what == "partitions" && p.Mine:
+					head = "PARTITION LEADER TERM GROUP NEXT RECORDS"
 					rows = append(rows, []any{p.Partition, web, p.Leader.Num, len(p.Group.Replicas), len(p.Group.Next), p.Recs})
 				case what == "servers":
-					head = "SERVICE SERVER CELL PART STATUS TO ACTIVE SLOTS OUT PAIRS"
+					head = "SERVICE SERVER ZONE ROLE STATUS TO ACTIVE SLOTS OUT PAIRS"
 					for _, r := range p.Server {
 						rows = append(rows, []any{r.Service, r.Addr, r.Zone, r.Part, r.Status, r.To, r.Active, r.Total, r.Out, len(r.Pairs)})
 					}
 				case what == "tree" && (arg == "" || arg == fmt.Sprint(p.Partition)):
-					head = "PART DAEMON PARENT LEASE_MS RECORDS CHILDREN"
+					head = "PARTITION DAEMON PARENT LEASE_MS RECORDS CHILDREN"
 					up, kids := p.Node.Parent.Addr, []string{}
 					if p.Node.Root {
 						up = "(root)"
--- a/cmd/mulleinmast/main.go
+++ b/cmd/mulleinmast/main.go
@@ -59,7 +59,7 @@
 			return fail(err)
 		}
 	}
-	events.Say("start", "fleet %s cell %s wire %s web %s identity %s seeds %v", cfg.Fleet, cfg.Zone, cfg.Wire, cfg.Web, c.Ident(), cfg.Seeds)
+	events.Say("start", "fleet %s zone %s wire %s web %s identity %s seeds %v", cfg.Fleet, cfg.Zone, cfg.Wire, cfg.Web, c.Ident(), cfg.Seeds)
 	sig := make(chan os.Signal, 2)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
--- a/control/clock/clock.go
+++ b/control/clock/clock.go
@@ -1,4 +1,4 @@
-// Package clock is the one clock by which leases, shares, budgets and
+// Package clock is the one clock by which leases, shares, timeouts and
 // leaderships are judged. It goes on while the machine is suspended, which Go's own
 // monotonic reading on Linux does not: a daemon that wakes must find its
 // leases lapsed. Timers elsewhere only wake; they decide nothing.
--- a/control/daemon/call.go
+++ b/control/daemon/call.go
@@ -12,7 +12,7 @@
 
 func (c *Daemon) leaderOf(partition int) message.Replica { return c.View().Owns[partition].Replica }
 
-// calls carries out what a step of the calls under way asks for; cmu is held.
+// carryCalls carries out what a step of the calls under way asks for; cmu is held.
 func (c *Daemon) carryCalls(o leadercall.Out) {
 	for _, m := range o.Sends {
 		c.send(m)
@@ -26,7 +26,7 @@
 }
 
 // Ask settles a call at the leader of a partition, wherever that is. It waits out a
-// change of leader while the budget lasts. What was sent and not answered is
+// change of leader while the timeout lasts. What was sent and not answered is
 // "uncertain"; what was never taken is "not done".
 //
 // Example: code, rep := c.Ask(ctx, 0, "plan", body, 4*time.Second)
--- a/control/daemon/config.go
+++ b/control/daemon/config.go
@@ -72,7 +72,7 @@
 //
 // Example: c := daemon.Default()
 func Default() Config {
-	return Config{Fleet: "mulleinmast", Zone: "cell-1", Partitions: 8, Drift: 0.02, Queue: 512, Ring: 4096, Losses: 1, First: true,
+	return Config{Fleet: "mulleinmast", Zone: "zone-1", Partitions: 8, Drift: 0.02, Queue: 512, Ring: 4096, Losses: 1, First: true,
 		Touch: 3 * time.Second, Catch: 4 * time.Second, Ack: 4 * time.Second, Grace: 12 * time.Second, CPU: 1, Retry: Retry{Ratio: 0.2, Window: 12 * time.Second}, Warm: Warm{Over: 1},
 		Bounds: Bounds{Plan: 2 * time.Second, Leave: 3 * time.Second, Evacuate: 5 * time.Second, Swap: 3 * time.Second, Recover: 12 * time.Second}}
 }
@@ -81,10 +81,10 @@
 	Fleet      *string  `json:"fleet"`
 	Wire       *string  `json:"wire"`
 	Web        *string  `json:"web"`
-	Zone       *string  `json:"cell"`
+	Zone       *string  `json:"zone"`
 	Seeds      []string `json:"seeds"`
 	Data       *string  `json:"data"`
-	Partitions *int     `json:"parts"`
+	Partitions *int     `json:"partitions"`
 	Drift      *float64 `json:"drift"`
 	Queue      *int     `json:"queue"`
 	Ring       *int     `json:"ring"`
@@ -117,13 +117,13 @@
 	path := fs.String("config", "", "config `file` (JSON); flags win over it")
 	fleet := fs.String("fleet", c.Fleet, "`name` of the fleet; all its daemons say the same")
 	wire := fs.String("wire", "", "`ip:port` for other daemons")
-	web := fs.String("web", "", "`ip:port` for requesters, the platform and operators (HTTP)")
-	zone := fs.String("cell", c.Zone, "`name` of this machine's cell")
+	web := fs.String("web", "", "`ip:port` for clients, the platform and operators (HTTP)")
+	zone := fs.String("zone", c.Zone, "`name` of this machine's zone")
 	seeds := fs.String("seeds", "", "up to three `ip:port,ip:port,ip:port` of daemons' -wire")
 	data := fs.String("data", "", "data `folder`; a daemon with one holds state")
-	partitions := fs.Int("parts", c.Partitions, "service parts; the same on all daemons, for good")
+	partitions := fs.Int("partitions", c.Partitions, "partitions of the services; the same on all daemons, for good")
 	drift := fs.Float64("drift", c.Drift, "most by which one clock outruns another")
-	losses := fs.Int("losses", c.Losses, "daemons with a data folder that may be lost at once; the first group has twice as many seats, and one")
+	losses := fs.Int("losses", c.Losses, "daemons with a data folder that may be lost at once; the first group has twice as many replicas, and one")
 	first := fs.Bool("first", c.First, "the fleet may start for the first time; say false once it has, where a seed has no data folder")
 	queue := fs.Int("queue", c.Queue, "most requests waiting, per service")
 	test := fs.Bool("test-switches", false, "open the switches that tests use (never in production)")
@@ -149,13 +149,13 @@
 			c.Wire = *wire
 		case "web":
 			c.Web = *web
-		case "cell":
+		case "zone":
 			c.Zone = *zone
 		case "seeds":
 			c.Seeds = strings.Split(*seeds, ",")
 		case "data":
 			c.Data = *data
-		case "parts":
+		case "partitions":
 			c.Partitions = *partitions
 		case "drift":
 			c.Drift = *drift
@@ -253,13 +253,13 @@
 		seen[s] = true
 	}
 	if !fleetconfig.GoodName(c.Zone) {
-		f.Add("cell: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", c.Zone)
+		f.Add("zone: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", c.Zone)
 	}
 	if !fleetconfig.GoodName(c.Fleet) {
 		f.Add("fleet: %q: expected 1 to 64 letters, digits, '.', '_' or '-'", c.Fleet)
 	}
 	if c.Partitions < 1 || c.Partitions > 64 {
-		f.Add("parts: %d: expected 1 to 64", c.Partitions)
+		f.Add("partitions: %d: expected 1 to 64", c.Partitions)
 	}
 	if c.Drift < 0 || c.Drift > 0.2 {
 		f.Add("drift: %v: expected 0 to 0.2", c.Drift)
@@ -311,15 +311,15 @@
 // than an election and a step take.
 const goneRatio = 0.5
 
-// Leadership is the config of the leaders' replicas.
+// QuorumConfig is the config of the leaders' replicas.
 //
-// Example: replica := quorum.New(c.Leadership(), 0, me, meta, records, now, false)
+// Example: replica := quorum.New(c.QuorumConfig(), 0, me, meta, records, now, false)
 func (c Config) QuorumConfig() quorum.Config {
 	d := c.Bounds.Plan / 2
 	return quorum.Config{LeaderLease: d, Drift: c.Drift, Margin: c.margin(), Beat: d / 3, Gone: max(fraction(c.Catch, goneRatio), d+d/2)}
 }
 
-// Keep is how long a once key is kept; no request's budget is longer than half.
+// Keep is how long a once key is kept; no request's timeout is longer than half.
 //
 // Example: c.Keep() == 20*time.Minute for a recovery bound of 12 s
 func (c Config) Keep() time.Duration { return 100 * c.Bounds.Recover }
--- a/control/daemon/config_test.go
+++ b/control/daemon/config_test.go
@@ -24,8 +24,8 @@
 		"one to three":  {"-seeds", "10.0.0.1:7000,10.0.0.2:7000,10.0.0.3:7000,10.0.0.4:7000"},
 		"losses:":       {"-losses", "9"},
 		"wildcard":      {"-wire", "0.0.0.0:7000"},
-		"cell:":         {"-cell", "a b"},
-		"parts:":        {"-parts", "0"},
+		"zone:":         {"-zone", "a b"},
+		"partitions:":   {"-partitions", "0"},
 		"is not a flag": {"stray"},
 		"no such file":  {"-config", "/nowhere/c.json"},
 	} {
@@ -37,7 +37,7 @@
 		t.Errorf("several faults at once: %v", err)
 	}
 	path := filepath.Join(t.TempDir(), "c.json")
-	if err := os.WriteFile(path, []byte(`{"wire":"10.0.0.9:7000","cell":"north","bound_plan":"4s"}`), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(`{"wire":"10.0.0.9:7000","zone":"north","bound_plan":"4s"}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	c, err := ReadConfig("mulleinmast", append(append([]string(nil), ok...), "-config", path), io.Discard)
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -26,7 +26,6 @@
 	"mulleinmast/control/placement"
 	"mulleinmast/control/quorum"
 	"mulleinmast/control/storage"
-	"mulleinmast/traffic/serverpool"
 	"mulleinmast/wire/message"
 	"mulleinmast/wire/transport"
 )
@@ -47,10 +46,11 @@
 	Cfg    Config
 	Events *eventlog.Log
 	Line   *transport.Line
-	Hands  *serverpool.Hands
 	Mux    *http.ServeMux
 	More   func() map[string]any // what traffic adds to the state dump
-	// Orders gives servers their orders; Hands unless a driver says otherwise.
+	// Polls and Orders are the calls to model servers. Until a driver sets them
+	// each call has failed.
+	Polls  Polls
 	Orders Orders
 	// Strain tells how hard a server is pressed; none: nobody knows.
 	Strain func(service, server string) placement.Strain
@@ -91,6 +91,11 @@
 	extra []suture.Service
 }
 
+// Polls asks a server for its load.
+type Polls interface {
+	Usage(ctx context.Context, addr string) (placement.Usage, error)
+}
+
 // Orders gives a server an order; may is asked just before the first byte goes
 // out. An error means that the server may or may not have taken it.
 type Orders interface {
@@ -101,9 +106,8 @@
 //
 // Example: c, err := daemon.Open(cfg, records)
 func Open(cfg Config, events *eventlog.Log) (*Daemon, error) {
-	c := &Daemon{Cfg: cfg, Events: events, Mux: http.NewServeMux(), Hands: serverpool.NewHands(fraction(cfg.Bounds.Plan, 0.25)), clock: clock.New(), epoch: 1,
+	c := &Daemon{Cfg: cfg, Events: events, Mux: http.NewServeMux(), Polls: undriven{}, Orders: undriven{}, clock: clock.New(), epoch: 1,
 		dwake: make(chan struct{}, 1), calls: map[uint64]chan leadercall.Done{}, news: make(chan struct{})}
-	c.Orders = c.Hands
 	c.me = message.Replica{Ident: storage.NewIdent(), Addr: cfg.Wire}
 	if cfg.Data != "" {
 		a, err := storage.Open(cfg.Data, cfg.Fleet)
@@ -120,7 +124,7 @@
 		for p := range a.Partitions {
 			if p > cfg.Partitions {
 				a.Close()
-				return nil, storage.Error.New("%s: holds part %d, but parts is %d", cfg.Data, p, cfg.Partitions)
+				return nil, storage.Error.New("%s: holds partition %d, but parts is %d", cfg.Data, p, cfg.Partitions)
 			}
 		}
 	}
@@ -197,9 +201,9 @@
 // Example: for _, m := range c.View().Members { ... }
 func (c *Daemon) View() *membership.View { return c.view.Load() }
 
-// Part is the partition that holds a service's records; partition 0 is configuration.
+// Partition is the one that holds a service's records; partition 0 is configuration.
 //
-// Example: p := c.Part("timetable")
+// Example: p := c.Partition("timetable")
 func (c *Daemon) Partition(svc string) int { return fleetconfig.PartitionOf(svc, c.Cfg.Partitions) }
 
 // Run runs the daemon until the context ends.
@@ -232,7 +236,7 @@
 
 // Serve runs the service; suture calls it.
 //
-// Example: sup.Add(service(c.tickRoster))
+// Example: sup.Add(service(c.tickMembership))
 func (s service) Serve(ctx context.Context) error { return s(ctx) }
 
 func (c *Daemon) serveWeb(ctx context.Context) error {
--- a/control/daemon/host.go
+++ b/control/daemon/host.go
@@ -11,7 +11,7 @@
 
 // Ready tells whether the daemon serves under valid leases and isn't stopping.
 //
-// Example: if c.Ready() { reply(200) }
+// Example: if c.Ready() { respond(200) }
 func (c *Daemon) Ready() bool { return c.ready.Load() && c.isReady() }
 
 // Know names more control daemons, such as those in a config that was changed.
--- a/control/daemon/last_test.go
+++ b/control/daemon/last_test.go
@@ -38,7 +38,7 @@
 	tick := func() {
 		c.step(c.shards[0], func(m *leader.Controller, now time.Duration) leader.Out { return m.Tick(now) })
 	}
-	pass := func(d time.Duration) { // awake, with no reply to what is asked
+	pass := func(d time.Duration) { // awake, with no answer to what is asked
 		for end := c.Now() + d; c.Now() < end; tick() {
 			c.clock.Leap(min(beat/16, max(1, end-c.Now())))
 		}
--- a/control/daemon/operate.go
+++ b/control/daemon/operate.go
@@ -24,9 +24,9 @@
 
 const mostBody = 16 << 20
 
-// Reply writes a JSON reply; one to come back for carries Retry-After.
+// Respond writes a JSON answer; one to come back for carries Retry-After.
 //
-// Example: daemon.Reply(w, 503, leadercall.Word{Result: "refused", After: 1500})
+// Example: daemon.Respond(w, 503, leadercall.Word{Result: "refused", After: 1500})
 func Respond(w http.ResponseWriter, code int, v any) {
 	b, ok := v.([]byte)
 	if !ok {
@@ -42,7 +42,7 @@
 	_, _ = w.Write(append(b, '\n'))
 }
 
-// Body reads a request's body up to a bound; what is wrong was replied.
+// Body reads a request's body up to a bound; what is wrong was answered.
 //
 // Example: b, ok := daemon.Body(w, r, 1<<20)
 func Body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
@@ -82,10 +82,10 @@
 	})
 	m.HandleFunc("PUT /v1/plan", func(w http.ResponseWriter, r *http.Request) { c.operator(w, r, 0, "plan", nil) })
 	m.HandleFunc("POST /v1/plan/changes", func(w http.ResponseWriter, r *http.Request) { c.operator(w, r, 0, "changes", nil) })
-	m.HandleFunc("POST /v1/cells/{cell}/{op}", func(w http.ResponseWriter, r *http.Request) {
-		op, zone := r.PathValue("op"), r.PathValue("cell")
+	zones := func(w http.ResponseWriter, r *http.Request) {
+		op, zone := r.PathValue("op"), r.PathValue("zone")
 		if op != "evacuate" && op != "return" || !fleetconfig.GoodName(zone) {
-			Respond(w, 404, leadercall.Word{Result: "broken", Faults: []string{fmt.Sprintf("cell %q, op %q: expected a cell's name and evacuate or return", zone, op)}})
+			Respond(w, 404, leadercall.Word{Result: "broken", Faults: []string{fmt.Sprintf("zone %q, op %q: expected a zone's name and evacuate or return", zone, op)}})
 			return
 		}
 		known := false
@@ -93,11 +93,11 @@
 			known = true
 		}
 		if !known { // carried out all the same: it may have servers and no daemon
-			w.Header().Set("Warning", fmt.Sprintf("299 - \"no daemon of the fleet is in cell %s\"", zone))
+			w.Header().Set("Warning", fmt.Sprintf("299 - \"no daemon of the fleet is in zone %s\"", zone))
 		}
 		c.operator(w, r, 0, op, func([]byte) ([]byte, fleetconfig.Faults) { return []byte(zone), fleetconfig.Faults{} })
-	})
-	m.HandleFunc("POST /v1/seats", func(w http.ResponseWriter, r *http.Request) {
+	}
+	replicas := func(w http.ResponseWriter, r *http.Request) {
 		c.operator(w, r, 0, "seat", func(b []byte) ([]byte, fleetconfig.Faults) {
 			var in leader.ReplicaCall
 			f := fleetconfig.Decode(b, &in)
@@ -106,7 +106,11 @@
 			}
 			return leadercall.Pack(in), f
 		})
-	})
+	}
+	m.HandleFunc("POST /v1/zones/{zone}/{op}", zones)
+	m.HandleFunc("POST /v1/replicas", replicas)
+	m.HandleFunc("POST /v1/cells/{zone}/{op}", zones) // as operators' older scripts call them
+	m.HandleFunc("POST /v1/seats", replicas)
 	m.HandleFunc("PUT /v1/services/{service}/servers", func(w http.ResponseWriter, r *http.Request) {
 		svc := r.PathValue("service")
 		c.operator(w, r, c.Partition(svc), "servers", func(b []byte) ([]byte, fleetconfig.Faults) {
@@ -185,7 +189,7 @@
 				return
 			}
 			c.clock.Leap(d)
-			// What is still served, owned or held the moment after, if anything.
+			// What is still served, led or held the moment after, if anything.
 			st := c.State()
 			held := 0
 			for _, p := range st.Partitions {
@@ -241,7 +245,7 @@
 			return ok
 		}
 		if g.Num > 0 && !g.Quorum(there) {
-			return fmt.Sprintf("part %d: %d of its group's %d disks are here, a majority is needed; bring the others back, or restore their folders from a back-up", s.partition, here, len(g.All()))
+			return fmt.Sprintf("partition %d: %d of its group's %d disks are here, a majority is needed; bring the others back, or restore their folders from a back-up", s.partition, here, len(g.All()))
 		}
 	}
 	return "no valid leases on the configuration"
@@ -265,7 +269,7 @@
 	Respond(w, code, rep)
 }
 
-// PartView is one partition as this daemon sees it.
+// PartitionView is one partition as this daemon sees it.
 type PartitionView struct {
 	Partition int             `json:"part"`
 	Leader    message.Own     `json:"owner"`
--- a/control/daemon/shard.go
+++ b/control/daemon/shard.go
@@ -41,15 +41,15 @@
 		if c.stop.Load() { // it was let go
 			tell = c.Events.Record
 		}
-		tell("duty", "part %d: duty lost", s.partition)
+		tell("leader", "partition %d: leadership lost", s.partition)
 	}
 	if o.Orphan {
 		s.guide.Orphaned(c.Now())
-		c.Events.Record("tree", "part %d: parent %s can't serve", s.partition, s.Partition().Node.Parent().Addr)
+		c.Events.Record("tree", "partition %d: parent %s can't serve", s.partition, s.Partition().Node.Parent().Addr)
 	}
 	if o.Steer.Ident != "" {
 		s.guide.Steered(c.Now(), o.Steer)
-		c.Events.Record("tree", "part %d: steered to %s", s.partition, o.Steer.Addr)
+		c.Events.Record("tree", "partition %d: steered to %s", s.partition, o.Steer.Addr)
 	}
 	if len(o.Fresh)+len(o.Gone) > 0 || o.Won || o.Lost {
 		c.tellNews()
@@ -112,7 +112,7 @@
 		c.carryCalls(o)
 		c.cmu.Unlock()
 	case n.Partition < 0 || n.Partition >= len(c.shards):
-		c.Events.Trouble("wire", "%s: %s for part %d, which isn't one of %d", n.Addr, n.Kind, n.Partition, len(c.shards))
+		c.Events.Trouble("wire", "%s: %s for partition %d, which isn't one of %d", n.Addr, n.Kind, n.Partition, len(c.shards))
 	default:
 		c.step(c.shards[n.Partition], func(s *leader.Controller, now time.Duration) leader.Out { return s.Hear(now, n) })
 	}
--- a/control/daemon/works.go
+++ b/control/daemon/works.go
@@ -32,10 +32,29 @@
 	}
 }
 
+// undriven stands for the calls to model servers while no driver is set.
+type undriven struct{}
+
+var errUndriven = Error.New("nobody calls the model servers here")
+
+// Usage has failed.
+//
+// Example: _, err := undriven{}.Usage(ctx, addr); err != nil
+func (undriven) Usage(context.Context, string) (u placement.Usage, err error) {
+	return u, errUndriven
+}
+
+// Order has failed.
+//
+// Example: undriven{}.Order(ctx, order, holder, may) != nil
+func (undriven) Order(context.Context, placement.Order, string, func() bool) error {
+	return errUndriven
+}
+
 func (c *Daemon) poll(ctx context.Context, s *shard, term uint64, key string) {
 	ctx, done := context.WithTimeout(ctx, 2*c.Cfg.Works().Poll)
 	defer done()
-	u, err := c.Hands.Usage(ctx, key[strings.LastIndexByte(key, '/')+1:])
+	u, err := c.Polls.Usage(ctx, key[strings.LastIndexByte(key, '/')+1:])
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Polled(c.Now(), term, key, u, err == nil)
--- a/control/digest/digest.go
+++ b/control/digest/digest.go
@@ -49,9 +49,9 @@
 	size int
 }
 
-// NewBook makes an empty records.
+// NewRecords makes an empty set of records.
 //
-// Example: b := digest.NewBook(); b.Put(rec)
+// Example: b := digest.NewRecords(); b.Put(rec)
 func NewRecords() *Records {
 	b := &Records{}
 	for i := range b.recs {
@@ -108,7 +108,7 @@
 
 // Size is the number of records.
 //
-// Example: digest.NewBook().Size() == 0
+// Example: digest.NewRecords().Size() == 0
 func (b *Records) Size() int { return b.size }
 
 // Digs returns the digests of all ranges.
--- a/control/eventlog/eventlog.go
+++ b/control/eventlog/eventlog.go
@@ -1,4 +1,4 @@
-// Package event log is the daemon's log: a ring in memory, written out when
+// Package eventlog is the daemon's log: a ring in memory, written out when
 // something goes wrong, and little else.
 package eventlog
 
@@ -19,7 +19,7 @@
 	Text string    `json:"text"`
 }
 
-// Records is the ring.
+// Log is the ring.
 type Log struct {
 	Loud bool // each line is written out as it comes; set before use
 
@@ -38,9 +38,9 @@
 	return &Log{ring: make([]Entry, size), out: log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w}}}
 }
 
-// Message adds a line.
+// Record adds a line.
 //
-// Example: b.Message("leadership", "won part %d", 3)
+// Example: b.Record("leader", "won partition %d", 3)
 func (b *Log) Record(kind, how string, args ...any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/control/fleetconfig/fleetconfig.go
+++ b/control/fleetconfig/fleetconfig.go
@@ -1,4 +1,4 @@
-// Package fleet configuration is the operators' side of the fleet: one template a tenant,
+// Package fleetconfig is the operators' side of the fleet: one template a tenant,
 // whole plans, named changes, the servers' lists and the zones taken out of
 // service. A plan is checked in full before anything is written and is one
 // record, so it is in force whole or not at all.
@@ -89,7 +89,7 @@
 	Past []Past          `json:"past,omitempty"`
 }
 
-// Past remembers an accepted id, so that a resent plan gets the same reply.
+// Past remembers an accepted id, so that a resent plan gets the same answer.
 type Past struct {
 	ID      string `json:"id"`
 	Version uint64 `json:"version"`
@@ -115,7 +115,7 @@
 
 // Any tells whether a fault was noted.
 //
-// Example: if f.Any() { reply(400, f) }
+// Example: if f.Any() { respond(400, f) }
 func (f Faults) Any() bool { return len(f.List) > 0 }
 
 func (f *Faults) take(where string, err error) {
@@ -213,7 +213,7 @@
 	return nil
 }
 
-// Verdict is the reply to a plan or a change.
+// Verdict is the answer to a plan or a change.
 type Verdict struct {
 	Result  string   `json:"result"` // taken, in conflict or broken
 	Version uint64   `json:"version"`
@@ -289,9 +289,9 @@
 	return out
 }
 
-// PackCells is the inverse of Zones.
+// PackZones is the inverse of Zones.
 //
-// Example: val := fleetconfig.PackCells(map[string]bool{"north": true})
+// Example: val := fleetconfig.PackZones(map[string]bool{"north": true})
 func PackZones(m map[string]bool) []byte {
 	list := []string{}
 	for c, on := range m {
@@ -374,10 +374,10 @@
 	return s != "" && len(s) <= 1024 && !strings.Contains(s, "/") && utf8.ValidString(s)
 }
 
-// PartOf is the part that holds a service's records, by a hash of its name;
-// part 0 is configuration.
+// PartitionOf is the partition that holds a service's records, by a hash of its name;
+// partition 0 is configuration.
 //
-// Example: p := fleetconfig.PartOf("timetable", 8)
+// Example: p := fleetconfig.PartitionOf("timetable", 8)
 func PartitionOf(svc string, partitions int) int {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(svc))
@@ -385,12 +385,12 @@
 	return 1 + int((x^x>>32)%uint64(partitions))
 }
 
-// ListKey is the key of a service's list; BerthKey of one of its servers.
+// ListKey is the key of a service's list; ServerRecordKey of one of its servers.
 //
 // Example: key := fleetconfig.ListKey("timetable")
 func ListKey(svc string) string { return "list/" + svc }
 
-// BerthKey is the key of a server's record; see Server.Key.
+// ServerRecordKey is the key of a server's record; see Server.Key.
 //
-// Example: key := fleetconfig.BerthKey("timetable", "127.0.0.1:9000")
+// Example: key := fleetconfig.ServerRecordKey("timetable", "127.0.0.1:9000")
 func ServerRecordKey(svc, server string) string { return "berth/" + svc + "/" + server }
--- a/control/fleetconfig/pack.go
+++ b/control/fleetconfig/pack.go
@@ -12,7 +12,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("tariff")
+var Error = errs.Class("fleet configuration")
 
 // packed begins a compressed value; plain JSON begins with '{'.
 const packed = 'z'
@@ -62,7 +62,7 @@
 	return w.EncodeAll(b, []byte{mark}), nil
 }
 
-// Prefill server keeps the last plan that it read, by its record's version: a plan is
+// PlanReader keeps the last plan that it read, by its record's version: a plan is
 // read once a version, however many ask. Plans that it gives are not changed.
 type PlanReader struct {
 	mu   sync.Mutex
--- a/control/fleetconfig/route.go
+++ b/control/fleetconfig/route.go
@@ -15,7 +15,7 @@
 const (
 	Safe   = "safe"   // it may run more than once
 	Unsafe = "unsafe" // it runs at most once a try of its client
-	Stream = "stream" // as unsafe, and the reply is a series of events
+	Stream = "stream" // as unsafe, and the answer is a series of events
 )
 
 // Share is a service's part of a route.
@@ -31,7 +31,7 @@
 	Prefix   string          `json:"prefix"` // begins the path; the longest counts
 	Kind     string          `json:"kind"`
 	GiveUp   int             `json:"give_up_ms"`          // longest that a request is held
-	Target   int             `json:"target_ms,omitempty"` // a reply within it earns its full worth
+	Target   int             `json:"target_ms,omitempty"` // an answer within it earns its full worth
 	Gap      int             `json:"gap_ms,omitempty"`    // longest pause between a stream's events that is still in time
 	Urgency  int             `json:"urgency"`             // 0 is the most urgent
 	Tries    int             `json:"tries,omitempty"`     // most servers that one request may be sent to
--- a/control/leader/job.go
+++ b/control/leader/job.go
@@ -20,7 +20,7 @@
 	List    fleetconfig.List
 }
 
-// SeatCall is the body of a call that gives a replica away.
+// ReplicaCall is the body of a call that gives a replica away.
 type ReplicaCall struct {
 	Out   string `json:"out"`
 	Ident string `json:"ident"`
@@ -119,7 +119,7 @@
 	}}
 }
 
-// seatJob changes the replicas that an operator wants: those that were wanted
+// replicaJob changes the replicas that an operator wants: those that were wanted
 // before, or as the group has become since.
 func replicaJob(in ReplicaCall, now []message.Replica) partition.Job {
 	return partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Make: func(read lease.Source) ([]message.Rec, any) {
@@ -136,7 +136,7 @@
 				return []message.Rec{{Key: fleetconfig.ReplicaKey, Val: leadercall.Pack(replicas)}}, done
 			}
 		}
-		return nil, leadercall.Word{Result: "not done", Why: fmt.Sprintf("no seat of %q in %v", in.Out, replicas)}
+		return nil, leadercall.Word{Result: "not done", Why: fmt.Sprintf("no replica of %q in %v", in.Out, replicas)}
 	}}
 }
 
@@ -201,7 +201,7 @@
 func openReplicas(r message.Rec) (replicas []message.Replica) {
 	if !r.Dead && len(r.Val) > 0 {
 		if err := json.Unmarshal(r.Val, &replicas); err != nil {
-			panic("seats record can't be read: " + err.Error()) // we wrote it ourselves
+			panic("replicas record can't be read: " + err.Error()) // we wrote it ourselves
 		}
 	}
 	return replicas
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -1,4 +1,4 @@
-// Package controller is one partition on one daemon, with the works of its leader: it
+// Package leader is one partition on one daemon, with the works of its leader: it
 // takes calls, keeps the group's replicas filled, lets old once keys go and holds
 // the servers. A plain state machine round control/partition; the daemon and the
 // simulator drive the same one.
@@ -111,7 +111,7 @@
 	}
 	if s.Won {
 		m.holder, m.marks, m.wants = nil, nil, map[string][2]uint64{}
-		o.say("duty", "part %d: owner with ballot %d", m.partition, m.sec.Replica.Num())
+		o.say("leader", "partition %d: leader with term %d", m.partition, m.sec.Replica.Num())
 	}
 	o.Out = s
 	return o
@@ -304,7 +304,7 @@
 	return m.holder != nil && m.sec.Leader(now) && m.sec.Replica.Num() == term
 }
 
-// Polled takes a server's reply to a poll of this term, or its silence.
+// Polled takes a server's answer to a poll of this term, or its silence.
 //
 // Example: m.Polled(now, term, key, usage, true)
 func (m *Controller) Polled(now time.Duration, term uint64, key string, u placement.Usage, ok bool) {
@@ -313,7 +313,7 @@
 	}
 }
 
-// Ordered takes a server's reply to an order.
+// Ordered takes a server's answer to an order.
 //
 // Example: m.Ordered(now, order, true)
 func (m *Controller) Ordered(now time.Duration, ord placement.Order, ok bool) {
--- a/control/leader/once.go
+++ b/control/leader/once.go
@@ -46,7 +46,7 @@
 	return list
 }
 
-// onceOnly makes a job that gives every later try the first one's reply.
+// onceOnly makes a job that gives every later try the first one's answer.
 func onceOnly(call string, j partition.Job) partition.Job {
 	if call == "" {
 		return j
--- a/control/leader/once_test.go
+++ b/control/leader/once_test.go
@@ -46,7 +46,7 @@
 		partition.New(number, self, 1, quorum.New(quorumConfig, number, self, a.meta, held, 0, true), lease.New(tree, number, self, 1)))
 	for a.step(); !a.m.Leader(a.now); a.step() {
 		if a.now > time.Minute {
-			t.Fatal("no owner")
+			t.Fatal("no leader")
 		}
 	}
 	return a
@@ -79,7 +79,7 @@
 	a.back = nil
 	a.carry(a.m.Hear(a.now, message.Message{Kind: message.Call, Partition: a.m.partition, From: from, Epoch: 1, Addr: "10.0.0.9:1", Ref: ref, No: no, Op: op, Body: body}))
 	if len(a.back) != 1 || a.back[0].Ref != no {
-		a.t.Fatalf("%s: replies %+v", op, a.back)
+		a.t.Fatalf("%s: answers %+v", op, a.back)
 	}
 	var w leadercall.Word
 	if err := json.Unmarshal(a.back[0].Body, &w); err != nil {
@@ -97,8 +97,8 @@
 }
 
 // An evacuation or its end that was held up on its way, or sent a second time
-// since its reply was lost, undoes nothing that came between; nor when another
-// daemon has become leader meanwhile. Each try gets the first one's reply.
+// since its answer was lost, undoes nothing that came between; nor when another
+// daemon has become leader meanwhile. Each try gets the first one's answer.
 func TestALateTryUndoesNothing(t *testing.T) {
 	for what, x := range map[string]struct {
 		late string // came first and comes again at the end
@@ -133,11 +133,11 @@
 			}
 			call("p", 7, x.late)
 			if out := fleetconfig.Zones(a.read(fleetconfig.ZoneKey))["north"]; out != x.out {
-				t.Errorf("%s, owner changed %v: north is out: %v", what, moved, out)
+				t.Errorf("%s, leader changed %v: north is out: %v", what, moved, out)
 			}
 			call("p", 8, x.late) // a call of its own is carried out
 			if out := fleetconfig.Zones(a.read(fleetconfig.ZoneKey))["north"]; out == x.out {
-				t.Errorf("%s, owner changed %v: a new call did nothing", what, moved)
+				t.Errorf("%s, leader changed %v: a new call did nothing", what, moved)
 			}
 		}
 	}
@@ -187,7 +187,7 @@
 func TestWhatIsKeptOfCalls(t *testing.T) {
 	a := open(t, 0, nil)
 	for i := uint64(1); i <= 3*keepCalls; i++ {
-		a.call("p", i, i, []string{"evacuate", "return"}[i%2], fmt.Appendf(nil, "cell-%d", i%5))
+		a.call("p", i, i, []string{"evacuate", "return"}[i%2], fmt.Appendf(nil, "zone-%d", i%5))
 	}
 	if n := len(openCalls(a.read(callsKey))); n != keepCalls {
 		t.Errorf("%d calls are kept", n)
--- a/control/leadercall/leadercall.go
+++ b/control/leadercall/leadercall.go
@@ -1,4 +1,4 @@
-// Package call carries a call to the leader of a partition, wherever that is, and
+// Package leadercall carries a call to the leader of a partition, wherever that is, and
 // waits out a change of leader. It is a plain state machine: a call that was
 // sent and not answered is "uncertain", one that nobody took is "not done". All
 // tries of a call go under one number, so that a leader carries it out once.
@@ -14,7 +14,7 @@
 	"mulleinmast/wire/message"
 )
 
-// Codes of control replies beside those of HTTP.
+// Codes of control answers beside those of HTTP.
 const (
 	Other     = http.StatusMisdirectedRequest // not the leader
 	Uncertain = http.StatusGatewayTimeout
@@ -143,9 +143,9 @@
 // end gives a call up with what is known of it.
 func (e *Calls) end(no uint64, c *call, o *Out) {
 	e.drop(no, c)
-	w, code := Word{Result: "not done", Why: "part " + strconv.Itoa(c.partition) + " has no owner now", After: e.cfg.After.Milliseconds()}, NotDone
+	w, code := Word{Result: "not done", Why: "part " + strconv.Itoa(c.partition) + " has no leader now", After: e.cfg.After.Milliseconds()}, NotDone
 	if c.lost || c.ref != 0 {
-		w, code = Word{Result: "uncertain", Why: "no word from the owner of part " + strconv.Itoa(c.partition) + "; ask again with the same id", After: e.cfg.After.Milliseconds()}, Uncertain
+		w, code = Word{Result: "uncertain", Why: "no word from the leader of part " + strconv.Itoa(c.partition) + "; ask again with the same id", After: e.cfg.After.Milliseconds()}, Uncertain
 	}
 	o.Done = append(o.Done, Done{no, code, Pack(w)})
 }
--- a/control/leadercall/leadercall_test.go
+++ b/control/leadercall/leadercall_test.go
@@ -23,17 +23,17 @@
 }
 
 // A call that nobody took is "not done", one that was sent without a word is
-// "uncertain"; neither waits past its budget, both say when to come back.
+// "uncertain"; neither waits past its timeout, both say when to come back.
 func TestFateOfACall(t *testing.T) {
 	for what, x := range map[string]struct {
 		own  message.Replica
 		back int
 		want string
 	}{
-		"no owner":      {message.Replica{}, 0, "not done"},
-		"silent owner":  {own, 0, "uncertain"},
-		"not the owner": {own, Other, "not done"},
-		"owner unsure":  {own, Uncertain, "uncertain"},
+		"no leader":      {message.Replica{}, 0, "not done"},
+		"silent leader":  {own, 0, "uncertain"},
+		"not the leader": {own, Other, "not done"},
+		"leader unsure":  {own, Uncertain, "uncertain"},
 	} {
 		e := New(cfg)
 		_, o := e.Start(0, x.own, 0, "plan", nil, 2*time.Second, false)
@@ -54,7 +54,7 @@
 	}
 }
 
-// A reply to an earlier try counts; a second one, or one to nobody, does not.
+// An answer to an earlier try counts; a second one, or one to nobody, does not.
 func TestLateAndStrayResponses(t *testing.T) {
 	e := New(cfg)
 	no, o := e.Start(0, own, 0, "plan", nil, 4*time.Second, false)
@@ -63,18 +63,18 @@
 		t.Fatalf("not sent again: %+v", o)
 	}
 	if d := e.Hear(time.Second, message.Message{Ref: 999, Code: 200}).Done; len(d) > 0 {
-		t.Errorf("a stray reply ended %+v", d)
+		t.Errorf("a stray answer ended %+v", d)
 	}
 	if d := e.Hear(time.Second, message.Message{Ref: first, Code: 200}).Done; len(d) != 1 || d[0].No != no {
-		t.Errorf("a late reply ended %+v", d)
+		t.Errorf("a late answer ended %+v", d)
 	}
 	if d := e.Hear(time.Second, message.Message{Ref: o.Sends[0].Message.No, Code: 409}).Done; len(d) > 0 {
-		t.Errorf("a second reply ended %+v", d)
+		t.Errorf("a second answer ended %+v", d)
 	}
 }
 
 // Every try of a call goes under the call's own number, so that a leader knows
-// one that it has carried out; the try's number tells the replies apart.
+// one that it has carried out; the try's number tells the answers apart.
 func TestTriesOfOneCall(t *testing.T) {
 	e := New(cfg)
 	_, first := e.Start(0, own, 0, "return", nil, 4*time.Second, false)
--- a/control/leadercall/word.go
+++ b/control/leadercall/word.go
@@ -10,7 +10,7 @@
 	Past    []string `json:"past,omitempty"` // requests that gave the key back, kept with the record only
 }
 
-// Word is a control reply that is not a verdict.
+// Word is a control answer that is not a verdict.
 type Word struct {
 	Result  string   `json:"result"`
 	Why     string   `json:"why,omitempty"`
--- a/control/lease/last_test.go
+++ b/control/lease/last_test.go
@@ -7,7 +7,7 @@
 	"mulleinmast/wire/message"
 )
 
-// leaf is a node below a parent that replies at once while it can be reached.
+// leaf is a node below a parent that answers at once while it can be reached.
 type leaf struct {
 	*Node
 	now   time.Duration
@@ -127,14 +127,14 @@
 // A record that was withdrawn is never served again, in whichever way that was.
 func TestLastNeverServesAWithdrawnRecord(t *testing.T) {
 	for what, f := range map[string]func(*leaf){
-		"purged under leases": func(l *leaf) { l.mute = true; l.hear(message.Message{Kind: message.Invalidate, Key: "k", Ref: 3}) },
-		"purged when they lapsed": func(l *leaf) {
+		"invalidated under leases": func(l *leaf) { l.mute = true; l.hear(message.Message{Kind: message.Invalidate, Key: "k", Ref: 3}) },
+		"invalidated when they lapsed": func(l *leaf) {
 			l.mute = true
 			l.run(l.now + 2*cfg.Vol)
 			l.hear(message.Message{Kind: message.Invalidate, Key: "k", Ref: 3})
 		},
 		"not confirmed by a list": func(l *leaf) { l.recs = nil; l.hear(message.Message{Kind: message.Reconnect}); l.mute = true },
-		"being purged below": func(l *leaf) {
+		"being invalidated below": func(l *leaf) {
 			below(l, "k")
 			l.mute = true
 			l.hear(message.Message{Kind: message.Invalidate, Key: "k", Ref: 3})
@@ -191,11 +191,11 @@
 	}
 	l.run(l.now + cfg.Beat)
 	if r, at, ok := l.Last(l.now, "k"); !ok || string(r.Val) != "old" || at != lease {
-		t.Errorf("an ex-owner: %q, lapsed at %v, %v", r.Val, at, ok)
+		t.Errorf("a former leader: %q, lapsed at %v, %v", r.Val, at, ok)
 	}
 	for _, k := range []string{"held", "later"} {
 		if l.last(k) {
-			t.Errorf("an ex-owner serves %q", k)
+			t.Errorf("a former leader serves %q", k)
 		}
 	}
 	// What the next leader doesn't confirm is gone, what it grants is the last then.
@@ -206,6 +206,6 @@
 	l.mute = true
 	l.run(l.now + 3*cfg.Vol)
 	if r, at, ok := l.Last(l.now, "k"); !ok || r.Ver.Seq != 9 || at <= lease {
-		t.Errorf("after the next owner: %v, lapsed at %v, %v", r.Ver, at, ok)
+		t.Errorf("after the next leader: %v, lapsed at %v, %v", r.Ver, at, ok)
 	}
 }
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -1,4 +1,4 @@
-// Package invalidation is one daemon's place in a partition's tree of volume leases
+// Package lease is one daemon's place in a partition's tree of volume leases
 // (Yin, Alvisi, Dahlin, Lin: Hierarchical Cache Consistency in a WAN, 1999).
 // A Node is a child of its parent and a parent to its children at once; at
 // the root it stands on the leader's leader lease instead of a parent's.
@@ -95,7 +95,7 @@
 	reqs   map[uint64]ask
 	sentAt time.Duration
 	listAt time.Duration // when our list last went out
-	backAt time.Duration // when the parent last replied
+	backAt time.Duration // when the parent last answered
 	objs   map[string]cached
 	want   map[string]wanted // of the parent
 	late   bool              // something wanted was not asked for yet
@@ -297,7 +297,7 @@
 //
 // Example: out := n.Tick(now)
 func (n *Node) Tick(now time.Duration) (o Out) {
-	if now-n.tickAt > n.cfg.Beat/2 { // it stood still, and may not have heard the reply yet
+	if now-n.tickAt > n.cfg.Beat/2 { // it stood still, and may not have heard the answer yet
 		n.vain = 0
 	}
 	if n.tickAt = now; n.vain == 0 && !n.Live(now) { // nobody may be there to ask
--- a/control/lease/parent.go
+++ b/control/lease/parent.go
@@ -207,7 +207,7 @@
 	k.sync = n.out
 }
 
-// replyKids serves the renewals that waited for our own lease.
+// answerChildren serves the renewals that waited for our own lease.
 func (n *Node) answerChildren(now time.Duration, o *Out) {
 	if !n.Live(now) {
 		return
--- a/control/membership/found.go
+++ b/control/membership/found.go
@@ -27,7 +27,7 @@
 	told      bool // the replicas are told, until a leader is known
 }
 
-// late is the number of rounds after which a reply no longer counts.
+// late is the number of rounds after which an answer no longer counts.
 const late = 3
 
 // firstLife marks a Count of a seed that has not restarted.
@@ -125,7 +125,7 @@
 	}
 }
 
-// agreed looks at the replies to the last round: it proposes replicas when the
+// agreed looks at the answers to the last round: it proposes replicas when the
 // time has come, and says so when every seed is bound to them.
 func (r *Table) agreed(now time.Duration) bool {
 	f := &r.founding
@@ -180,7 +180,7 @@
 	return bound // a seed that has restarted is bound by nothing: it can be no founder
 }
 
-// counted replies to a census, and binds a seed to the founding it proposes.
+// counted answers to a census, and binds a seed to the founding it proposes.
 func (r *Table) counted(n message.Message, o *Out) {
 	f := &r.founding
 	me := r.me
--- a/control/membership/found_test.go
+++ b/control/membership/found_test.go
@@ -40,7 +40,7 @@
 	founded map[string]bool // groups that were ever on a disk
 }
 
-// newYard makes a fleet; each zone is a word of 'd' for machines with a disk
+// newWorld makes a fleet; each zone is a word of 'd' for machines with a disk
 // and '-' for others, in capitals for seeds ('D', '+').
 func newWorld(losses int, zones ...string) *world {
 	y := &world{cfg: cfg, by: map[string]*machine{}, founded: map[string]bool{}, lose: func(parcel) bool { return false }, late: func() time.Duration { return 0 }}
@@ -154,11 +154,11 @@
 	}
 	own := y.leader()
 	if own == nil || len(own.group) != replicas {
-		return fmt.Errorf("no owner in a group of %d: %v", replicas, y.founded)
+		return fmt.Errorf("no leader in a group of %d: %v", replicas, y.founded)
 	}
 	for _, m := range y.list {
 		if v := m.r.View(); !m.down && (!v.Live || v.Owns[0].Num == 0 || len(v.Members) < len(y.list)) {
-			return fmt.Errorf("%s: live %v, owner %v, %d members of %d", m.m.Addr, v.Live, v.Owns[0], len(v.Members), len(y.list))
+			return fmt.Errorf("%s: live %v, leader %v, %d members of %d", m.m.Addr, v.Live, v.Owns[0], len(v.Members), len(y.list))
 		}
 	}
 	return nil
@@ -170,7 +170,7 @@
 		zones  []string
 	}{
 		"three seeds with disks":     {1, []string{"D--", "D--", "D--"}},
-		"seeds of one cell":          {1, []string{"DDD"}},
+		"seeds of one zone":          {1, []string{"DDD"}},
 		"seeds without disks":        {1, []string{"+d-", "+d-", "+d-"}},
 		"seeds of both kinds":        {1, []string{"+d--", "Dd-", "d+-"}},
 		"one seed, without a disk":   {1, []string{"d--", "d-+", "d--"}},
@@ -182,7 +182,7 @@
 		if err := y.whole(2*x.losses + 1); err != nil {
 			t.Errorf("%s: %v", name, err)
 		}
-		if x.losses == 1 && name != "seeds of one cell" {
+		if x.losses == 1 && name != "seeds of one zone" {
 			for _, s := range y.leader().group {
 				if name == "three seeds with disks" && !slices.Contains(y.seeds, s.Addr) {
 					t.Errorf("%s: %v is no seed", name, s)
@@ -314,11 +314,11 @@
 			in[s.Ident[0]]++
 		}
 		if len(replicas) != x.n || !sort.SliceIsSorted(replicas, func(i, j int) bool { return replicas[i].Addr < replicas[j].Addr }) {
-			t.Errorf("%v: %d seats asked for, got %v", x.zones, x.n, replicas)
+			t.Errorf("%v: %d replicas asked for, got %v", x.zones, x.n, replicas)
 		}
 		for c, n := range in {
 			if n > x.most {
-				t.Errorf("%v: %d of %d seats in cell %c", x.zones, n, x.n, c)
+				t.Errorf("%v: %d of %d replicas in zone %c", x.zones, n, x.n, c)
 			}
 		}
 		if again := Spread(make(x.zones...), nil, x.n); !slices.Equal(replicas, again) {
--- a/control/membership/membership.go
+++ b/control/membership/membership.go
@@ -34,7 +34,7 @@
 	sum  uint64 // digest of what it told, as it says
 }
 
-// Membership table is the state machine.
+// Table is the state machine.
 type Table struct {
 	cfg   Config
 	me    message.Member
--- a/control/membership/membership_test.go
+++ b/control/membership/membership_test.go
@@ -77,7 +77,7 @@
 	}
 	v.Owns = map[int]message.Own{0: {Num: 5, Replica: message.Replica{Ident: "b", Addr: "b"}}}
 	if p := g.Parent(3*time.Second, v); p.Ident == "a" {
-		t.Error("still at the old owner")
+		t.Error("still at the old leader")
 	}
 	relay := v.Relay(0, "c")
 	g.Steered(4*time.Second, relay)
@@ -143,6 +143,6 @@
 	cut = home
 	run(2*time.Second, 6*time.Second)
 	if member.home == cut || member.owns[0].Num != 2 {
-		t.Errorf("still with %s, knows owner %+v", member.home, member.owns[0])
+		t.Errorf("still with %s, knows leader %+v", member.home, member.owns[0])
 	}
 }
--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -28,7 +28,7 @@
 
 // Find looks a member up by identity.
 //
-// Example: m, ok := v.Find(message.From)
+// Example: m, ok := v.Find(m.From)
 func (v *View) Find(id string) (message.Member, bool) { m, ok := v.by[id]; return m, ok }
 
 // Core lists the members with a disk.
--- a/control/partition/calm_test.go
+++ b/control/partition/calm_test.go
@@ -10,7 +10,7 @@
 	"mulleinmast/wire/message"
 )
 
-// A daemon that owned the partition, was killed and is back owns it again at once:
+// A daemon that led the partition, was killed and is back owns it again at once:
 // it serves and grants what was in force, and writes nothing, nor changes its
 // group, until leases that it had granted before have lapsed. Then what waited
 // is written. What waits when the leadership is lost was not done.
@@ -35,7 +35,7 @@
 			sync(s.Tick(now))
 		}
 		if now > 200*time.Millisecond {
-			t.Fatalf("owner after %v", now)
+			t.Fatalf("leader after %v", now)
 		}
 		if s.Calm() < cfg.Wait(cfg.LeaderLease) {
 			t.Fatalf("calm at %v, though leases of the life before may stand for %v", s.Calm(), cfg.Wait(cfg.LeaderLease))
@@ -74,7 +74,7 @@
 		}
 		if lost {
 			if made || len(o.Results) != 1 || o.Results[0].Fate != NotLeader {
-				t.Errorf("the duty lost: made %v, %+v", made, o.Results)
+				t.Errorf("the leadership lost: made %v, %+v", made, o.Results)
 			}
 			continue
 		}
--- a/control/partition/partition.go
+++ b/control/partition/partition.go
@@ -1,7 +1,7 @@
 // Package partition is one part of the state on one daemon: its place in the
 // lease tree, its replica in the group if the daemon has a disk, and the writes
 // that join the two. A write goes: stop granting, invalidation the tree, commit to a
-// majority, grant again and reply. Messages a partition sends to itself never
+// majority, grant again and answer. Messages a partition sends to itself never
 // leave it.
 package partition
 
@@ -39,7 +39,7 @@
 //
 // Example: partition.Done.String() == "done"
 func (f Fate) String() string {
-	return [...]string{"none", "done", "unchanged", "uncertain", "not owner"}[f]
+	return [...]string{"none", "done", "unchanged", "uncertain", "not leader"}[f]
 }
 
 // Result is a job's fate.
@@ -353,7 +353,7 @@
 	for _, j := range s.queue {
 		o.Results = append(o.Results, Result{Tag: j.tag, Fate: NotLeader})
 	}
-	for _, tag := range slices.Sorted(maps.Keys(s.runs)) { // purging, not yet committed
+	for _, tag := range slices.Sorted(maps.Keys(s.runs)) { // invalidating, not yet committed
 		o.Results = append(o.Results, Result{Tag: tag, Fate: NotLeader})
 	}
 	s.queue, s.busy, s.runs = nil, map[string]bool{}, map[uint64]*job{}
--- a/control/partition/partition_test.go
+++ b/control/partition/partition_test.go
@@ -33,7 +33,7 @@
 	}
 	for now = 0; !s.Leader(now); now += 10 * time.Millisecond {
 		if now > time.Minute {
-			t.Fatal("no owner")
+			t.Fatal("no leader")
 		}
 		sync(s.Tick(now))
 	}
@@ -60,10 +60,10 @@
 			return []message.Rec{{Key: "k", Val: []byte("new")}}, nil
 		}}))
 		if len(o.Results) > 0 || len(o.Sends) != 1 || o.Sends[0].Message.Kind != message.Invalidate {
-			t.Fatalf("acks %v: before the purge: %+v", acks, o)
+			t.Fatalf("acks %v: before the invalidation: %+v", acks, o)
 		}
 		if _, ok := s.Node.Get(now, "k"); ok {
-			t.Error("the owner serves a record that is being purged")
+			t.Error("the leader serves a record that is being invalidated")
 		}
 		if acks {
 			o = sync(s.Hear(now, kid(message.Message{Kind: message.Invalidated, Key: "k", Ref: o.Sends[0].Message.Ref})))
--- a/control/placement/balance_test.go
+++ b/control/placement/balance_test.go
@@ -121,7 +121,7 @@
 	s := newSite(t, 2, 2, fleetconfig.Service{})
 	s.run(time.Second)
 	if s.count(Prefill) != 2 || s.count(Decode) != 2 || len(s.orders) > 0 {
-		t.Errorf("%d readers, %d makers, orders %v", s.count(Prefill), s.count(Decode), s.orders)
+		t.Errorf("%d prefill servers, %d decode servers, orders %v", s.count(Prefill), s.count(Decode), s.orders)
 	}
 	s.strain[Prefill] = Strain{Read: 0.9}
 	s.add(Prefill, true)
@@ -198,7 +198,7 @@
 		s.strain[x.press] = x.strain
 		s.run(60 * time.Second)
 		if s.count(Prefill) != x.prefillServers || s.count(Decode) != x.all-x.prefillServers {
-			t.Errorf("%s pressed, plan %+v: %d readers, %d makers", x.press, x.plan, s.count(Prefill), s.count(Decode))
+			t.Errorf("%s pressed, plan %+v: %d prefill servers, %d decode servers", x.press, x.plan, s.count(Prefill), s.count(Decode))
 		}
 		if len(s.shifts) == 0 || s.shifts[0]-from < s.cfg.Press || s.shifts[0]-from > 4*s.cfg.Press {
 			t.Errorf("%s pressed from %v on: shifts at %v", x.press, from, s.shifts)
@@ -286,13 +286,13 @@
 		}
 	}
 	if s.count(Prefill)+s.count(Decode) != 5 { // it is used in neither part meanwhile
-		t.Errorf("%d readers, %d makers in use", s.count(Prefill), s.count(Decode))
+		t.Errorf("%d prefill servers, %d decode servers in use", s.count(Prefill), s.count(Decode))
 	}
 	s.deny, s.strain = false, map[string]Strain{}
 	s.run(30 * time.Second)
 	n := len(s.orders)
 	s.run(60 * time.Second)
 	if s.count(Prefill) != 4 || s.count(Decode) != 2 || len(s.orders) != n {
-		t.Errorf("followed: %d readers, %d makers, %d orders more", s.count(Prefill), s.count(Decode), len(s.orders)-n)
+		t.Errorf("followed: %d prefill servers, %d decode servers, %d orders more", s.count(Prefill), s.count(Decode), len(s.orders)-n)
 	}
 }
--- a/control/placement/pairs.go
+++ b/control/placement/pairs.go
@@ -44,7 +44,7 @@
 		if fmt.Sprint(pairs) != fmt.Sprint(s.Pairs) {
 			b := s.ServerRecord
 			b.Pairs = pairs
-			h.write(o, k, s, b, fmt.Sprintf("pairs with %d makers", len(pairs)))
+			h.write(o, k, s, b, fmt.Sprintf("pairs with %d decode servers", len(pairs)))
 		}
 	}
 }
--- a/control/placement/placement_test.go
+++ b/control/placement/placement_test.go
@@ -82,7 +82,7 @@
 		drive(h, l, now, now+time.Second, serverRecords, idle)
 	}
 	if count(Decode) != 1 || count(Prefill) != 5 {
-		t.Errorf("after long prompts only: %d readers, %d makers", count(Prefill), count(Decode))
+		t.Errorf("after long prompts only: %d prefill servers, %d decode servers", count(Prefill), count(Decode))
 	}
 	for k, b := range serverRecords {
 		if b.Part == Prefill && len(b.Pairs) != 1 {
@@ -118,7 +118,7 @@
 			w.Read[rapid.IntRange(0, 9).Draw(t, "prio")] = rapid.IntRange(0, 40).Draw(t, "read")
 			w.Make[rapid.IntRange(0, 9).Draw(t, "mprio")] = rapid.IntRange(0, 40).Draw(t, "make")
 			sh := h.Asked(now, id, w, time.Second)
-			if rapid.IntRange(0, 4).Draw(t, "lost") > 0 { // else the reply is lost
+			if rapid.IntRange(0, 4).Draw(t, "lost") > 0 { // else the answer is lost
 				b.share, b.till = sh, now+time.Duration(sh.Len)
 			}
 			for a, n := range b.share.Slots { // fill some of it
--- a/control/placement/roles.go
+++ b/control/placement/roles.go
@@ -18,7 +18,7 @@
 	o.Notes = append(o.Notes, fmt.Sprintf("%s %s: ordered to be %s (%s)", s.svc, s.Addr, part, why))
 }
 
-// Ordered takes a server's reply to an order.
+// Ordered takes a server's answer to an order.
 //
 // Example: h.Ordered(now, key, order, true)
 func (h *Holder) Ordered(now time.Duration, key string, o Order, ok bool) {
--- a/control/placement/shape.go
+++ b/control/placement/shape.go
@@ -21,7 +21,7 @@
 	Leaving = "leaving" // it leaves its part: no new work
 )
 
-// Server record is the record of one server.
+// ServerRecord is the record of one server.
 type ServerRecord struct {
 	Addr   string   `json:"addr"`
 	Zone   string   `json:"cell"`
@@ -32,15 +32,15 @@
 	Pairs  []string `json:"pairs,omitempty"`
 }
 
-// OpenBerth reads a server record record.
+// OpenServerRecord reads a server record.
 //
-// Example: b, ok := placement.OpenBerth(rec)
+// Example: b, ok := placement.OpenServerRecord(rec)
 func OpenServerRecord(r message.Rec) (b ServerRecord, ok bool) {
 	if r.Dead || len(r.Val) == 0 {
 		return b, false
 	}
 	if err := json.Unmarshal(r.Val, &b); err != nil {
-		panic(fmt.Sprintf("berth record %q can't be read: %v", r.Key, err))
+		panic(fmt.Sprintf("server record %q can't be read: %v", r.Key, err))
 	}
 	return b, true
 }
--- a/control/placement/status.go
+++ b/control/placement/status.go
@@ -7,7 +7,7 @@
 	"mulleinmast/control/fleetconfig"
 )
 
-// Polled takes a server's reply to a poll, or its silence.
+// Polled takes a server's answer to a poll, or its silence.
 //
 // Example: h.Polled(now, key, usage, true)
 func (h *Holder) Polled(now time.Duration, key string, u Usage, ok bool) {
--- a/control/quorum/crowd_test.go
+++ b/control/quorum/crowd_test.go
@@ -94,7 +94,7 @@
 			return id, s
 		}
 	}
-	c.t.Fatalf("no owner at %v", c.now)
+	c.t.Fatalf("no leader at %v", c.now)
 	return "", nil
 }
 
--- a/control/quorum/early_test.go
+++ b/control/quorum/early_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// hear gives the replica a message from one life of another and returns its replies.
+// hear gives the replica a message from one life of another and returns its answers.
 func (v *voter) hear(now time.Duration, from string, epoch uint64, n message.Message) []message.Message {
 	n.From, n.Addr, n.Epoch, n.Partition = from, from, epoch, 1
 	if n.Kind == message.Ask {
@@ -47,7 +47,7 @@
 	v.t.Helper()
 	out := v.hear(now, from, epoch, message.Message{Kind: message.Ask, Num: num, Len: int64(whole)})
 	if len(out) == 0 {
-		v.t.Fatalf("ballot %d of %s: no reply", num, from)
+		v.t.Fatalf("term %d of %s: no answer", num, from)
 	}
 	last := out[len(out)-1]
 	return last.Kind == message.Promise, time.Duration(last.Len)
@@ -176,7 +176,7 @@
 	v.self(now, v.hear(now, "b", 1, message.Message{Kind: message.Promise, Num: v.s.Num(), Digs: v.s.Records().Digs(), Len: int64(stand), Group: message.Group{Num: 1}}))
 	v.self(now, v.hear(now, "b", 1, message.Message{Kind: message.Filled, Num: v.s.Num()}))
 	if !v.s.Leader(now) {
-		v.t.Fatalf("no owner at %v", now)
+		v.t.Fatalf("no leader at %v", now)
 	}
 }
 
@@ -237,12 +237,12 @@
 	}
 	v, at = start()
 	if ok, _ := v.ask(at, "x", 4, 7); ok {
-		t.Error("promised to another while the early owner's lease stands")
+		t.Error("promised to another while the early leader's lease stands")
 	}
 	v, at = start() // b may have granted until its own lease ends, 1.04 s after the promise
 	v.hear(at, "b", 2, message.Message{Kind: message.Refuse})
 	if ok, left := v.ask(at, "x", 4, 7); !ok || left != 10*time.Second+200*time.Millisecond+whole-at {
-		t.Errorf("the early owner started anew: promised %v, leases may stand for %v", ok, left)
+		t.Errorf("the early leader started anew: promised %v, leases may stand for %v", ok, left)
 	}
 }
 
--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// replied records that a replica or standby replied to us as candidate or leader.
+// replied records that a replica or standby answered to us as candidate or leader.
 func (s *Replica) replied(now time.Duration, n message.Message) {
 	if s.heard == nil || n.Num != s.num {
 		return
@@ -160,7 +160,7 @@
 	delete(s.whole, id)
 }
 
-// AtHand tells whether a standby holds a copy, replied of late and stays.
+// AtHand tells whether a standby holds a copy, answered of late and stays.
 //
 // Example: if s.AtHand(now, "d") { out, _ := s.Replace(now, 0, "c", d) }
 func (s *Replica) AtHand(now time.Duration, id string) bool {
@@ -168,12 +168,12 @@
 	return s.Leader(now) && has(s.learn, id) && s.filled[id] && ok && now-at < s.cfg.LeaderLease && !s.ending[id]
 }
 
-// Silent is for how long a replica has not replied to this leader.
+// Silent is for how long a replica has not answered to this leader.
 //
 // Example: if s.Silent(now, "c") > limit { replace() }
 func (s *Replica) Silent(now time.Duration, id string) time.Duration { return now - s.heard[id] }
 
-// Missing tells whether a replica left two renewals without a reply.
+// Missing tells whether a replica left two renewals without an answer.
 //
 // Example: if s.Missing(now, "c") && another.Addr == c.Addr { replace() }
 func (s *Replica) Missing(now time.Duration, id string) bool {
--- a/control/quorum/group_test.go
+++ b/control/quorum/group_test.go
@@ -65,7 +65,7 @@
 	c.wait(time.Second)
 	id, s := c.leader()
 	if got, want := c.replicas[first].Group(), s.Group(); !sameReplicas(got, want) {
-		t.Errorf("%s has %+v, the owner %s has %+v", first, got, id, want)
+		t.Errorf("%s has %+v, the leader %s has %+v", first, got, id, want)
 	}
 	c.down[second] = true // and one loss leaves a majority of both groups
 	c.wait(4*time.Second, c.learn("d", "e"))
@@ -123,7 +123,7 @@
 	refused("no copy", one, "d")
 	c.wait(time.Second, c.learn("d", "e"))
 	refused("itself", own, "d")
-	refused("no seat", "e", "d")
+	refused("no replica", "e", "d")
 	c.down["d"] = true
 	c.wait(timed.LeaderLease+timed.Beat, c.learn("d", "e"))
 	refused("a standby that is silent", one, "d")
@@ -162,7 +162,7 @@
 	c.replace(map[bool]string{true: two, false: "d"}[id != two], one)
 	c.wait(time.Second, c.learn("d"))
 	if g := c.group(); !c.replicas[id].Group().Has(one) || len(c.replicas[id].Group().Next) > 0 {
-		t.Errorf("%s has no seat again: %s", one, g)
+		t.Errorf("%s has no replica again: %s", one, g)
 	}
 }
 
@@ -180,12 +180,12 @@
 	}
 	c.wait(3 * timed.Beat)
 	if s.Gone(c.now, one) || !s.Gone(c.now, two) || s.Gone(c.now, own) {
-		t.Errorf("late: %s gone %v; %s gone %v; the owner itself %v", one, s.Gone(c.now, one), two, s.Gone(c.now, two), s.Gone(c.now, own))
+		t.Errorf("late: %s gone %v; %s gone %v; the leader itself %v", one, s.Gone(c.now, one), two, s.Gone(c.now, two), s.Gone(c.now, own))
 	}
 }
 
 // A new leader counts from when the one before was last there, so that the replica
-// of one that is lost isn't kept for longer because it owned the partition.
+// of one that is lost isn't kept for longer because it led the partition.
 func TestALeaderThatIsLostIsGoneAsSoon(t *testing.T) {
 	c := newCrowd(t, []string{"a", "b", "c"}, nil)
 	c.wait(2 * time.Second)
@@ -267,6 +267,6 @@
 	c.carry(own, s.Hear(c.now, message.Message{From: one, Addr: one, Kind: message.Refuse, Partition: 1, Num: s.Num(), LastComplete: high}))
 	c.wait(every*timed.LeaderLease+time.Second, c.learn(one))
 	if !s.Leader(c.now) {
-		t.Error("a standby's refusal ended the duty")
+		t.Error("a standby's refusal ended the leadership")
 	}
 }
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -1,4 +1,4 @@
-// Package voter is one partition's replica on a control daemon: it votes, stands for
+// Package quorum is one partition's replica on a control daemon: it votes, stands for
 // the leader's leadership when that falls vacant, and as leader commits writes to a
 // majority. It is a plain state machine: inputs in, messages and saves out.
 //
@@ -145,7 +145,7 @@
 	filled map[string]bool
 	fillAt map[string]time.Duration
 	learn  []message.Replica        // as leader: standbys that are sent a copy and have no vote
-	heard  map[string]time.Duration // as leader: when a replica or standby last replied
+	heard  map[string]time.Duration // as leader: when a replica or standby last answered
 	ending map[string]bool          // as leader: those that were told to end
 	whole  map[string]bool          // as leader: newcomers of this step that hold the whole state
 	step   uint64                   // as leader: the write that commits the present group
--- a/control/quorum/quorum_test.go
+++ b/control/quorum/quorum_test.go
@@ -38,11 +38,11 @@
 	for ; a.now < 3*time.Second; a.now += 20 * time.Millisecond {
 		a.carry(a.s.Tick(a.now))
 		if a.s.Leader(a.now) && a.now < cfg.Wait(cfg.LeaderLease) {
-			t.Fatal("a restarted seat became owner before a full lease had passed")
+			t.Fatal("a restarted replica became leader before a full lease had passed")
 		}
 	}
 	if !a.s.Leader(a.now) {
-		t.Fatal("no owner")
+		t.Fatal("no leader")
 	}
 	return a
 }
@@ -75,7 +75,7 @@
 	o, _ := a.s.Write(a.now, 7, []message.Rec{{Key: "k"}})
 	lease := a.s.Lease()
 	if a.s.Leader(lease) {
-		t.Error("owner at the instant its lease ends")
+		t.Error("leader at the instant its lease ends")
 	}
 	out := a.s.Tick(lease)
 	if !out.Lost || len(out.Done) != 1 || out.Done[0] != (Done{7, Uncertain}) {
--- a/control/storage/storage.go
+++ b/control/storage/storage.go
@@ -1,4 +1,4 @@
-// Package store keeps a control daemon's state in one SQLite file. A batch
+// Package storage keeps a control daemon's state in one SQLite file. A batch
 // of saves is one transaction; it is on disk when Write returns.
 package storage
 
@@ -214,7 +214,7 @@
 		}
 		h, ok := a.Partitions[partition]
 		if !ok {
-			return damage{Error.New("record %q of part %d, which has no seat", r.Key, partition)}
+			return damage{Error.New("record %q of partition %d, which has no replica", r.Key, partition)}
 		}
 		if sum.Valid && sum.Int64 != int64(digest.Print(r)) {
 			a.Spoilt++
--- /dev/null
+++ b/doc_test.go
@@ -0,0 +1,174 @@
+package mulleinmast
+
+import (
+	"go/ast"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// documented tells whether a comment is there and begins with the name that it
+// stands at, an article before it allowed.
+func documented(doc *ast.CommentGroup, name string) bool {
+	words := strings.Fields(doc.Text())
+	if len(words) > 1 && (words[0] == "A" || words[0] == "An" || words[0] == "The") {
+		words = words[1:]
+	}
+	return len(words) > 0 && strings.TrimRight(words[0], ",.:;'s") == strings.TrimRight(name, "s")
+}
+
+// misnamed tells whether a comment begins with a name that isn't that of what
+// it stands at, as one does that a rename left behind.
+func misnamed(doc *ast.CommentGroup, name string) bool {
+	words := strings.Fields(doc.Text())
+	return len(words) > 0 && words[0][0] >= 'a' && words[0][0] <= 'z' && !documented(doc, name)
+}
+
+// undocumented are the exported items of a file that no comment explains, and
+// others with the comment of something else. In tests only the latter count.
+// Constants, variables and fields of a group may share the group's comment or
+// have one behind them on their line.
+func undocumented(file *ast.File, test bool) (names []string) {
+	for _, decl := range file.Decls {
+		switch decl := decl.(type) {
+		case *ast.FuncDecl:
+			if decl.Name.IsExported() && !test && !documented(decl.Doc, decl.Name.Name) || misnamed(decl.Doc, decl.Name.Name) {
+				names = append(names, decl.Name.Name)
+			}
+		case *ast.GenDecl:
+			for _, spec := range decl.Specs {
+				switch spec := spec.(type) {
+				case *ast.TypeSpec:
+					doc := spec.Doc
+					if doc == nil && len(decl.Specs) == 1 {
+						doc = decl.Doc
+					}
+					if spec.Name.IsExported() && !test && !documented(doc, spec.Name.Name) || misnamed(doc, spec.Name.Name) {
+						names = append(names, spec.Name.Name)
+					}
+				case *ast.ValueSpec:
+					for _, name := range spec.Names {
+						if name.IsExported() && !test && decl.Doc.Text() == "" && spec.Doc.Text() == "" && spec.Comment.Text() == "" {
+							names = append(names, name.Name)
+						}
+					}
+				}
+			}
+		}
+	}
+	return names
+}
+
+func TestEveryExportedItemIsDocumented(t *testing.T) {
+	packages := map[string]bool{} // folder -> has a comment on the package
+	each(t, func(path string, _ []byte, file *ast.File) {
+		for _, name := range undocumented(file, strings.HasSuffix(path, "_test.go")) {
+			t.Errorf("%s: %s has no comment that begins with its name", path, name)
+		}
+		if strings.HasSuffix(path, "_test.go") {
+			return
+		}
+		folder := filepath.Dir(path)
+		packages[folder] = packages[folder] || strings.HasPrefix(file.Doc.Text(), "Package "+file.Name.Name+" ") ||
+			file.Name.Name == "main" && strings.HasPrefix(file.Doc.Text(), "Command "+filepath.Base(folder)+" ")
+	})
+	for folder, ok := range packages {
+		if !ok {
+			t.Errorf("%s: no comment on the package", folder)
+		}
+	}
+}
+
+// exampleCall is an item of a package that an example names.
+var exampleCall = regexp.MustCompile(`\b([a-z]+)\.([A-Z]\w*)`)
+
+// An example that names what is no longer there misleads. What it says of the
+// packages of this module must be declared in them.
+func TestExamplesNameWhatIsThere(t *testing.T) {
+	declared := map[string]map[string]bool{}
+	each(t, func(path string, _ []byte, file *ast.File) {
+		names := declared[file.Name.Name]
+		if names == nil {
+			names = map[string]bool{}
+			declared[file.Name.Name] = names
+		}
+		for _, decl := range file.Decls {
+			switch decl := decl.(type) {
+			case *ast.FuncDecl:
+				names[decl.Name.Name] = true
+			case *ast.GenDecl:
+				for _, spec := range decl.Specs {
+					switch spec := spec.(type) {
+					case *ast.TypeSpec:
+						names[spec.Name.Name] = true
+					case *ast.ValueSpec:
+						for _, name := range spec.Names {
+							names[name.Name] = true
+						}
+					}
+				}
+			}
+		}
+	})
+	examples := 0
+	each(t, func(path string, _ []byte, file *ast.File) {
+		known := map[string]bool{file.Name.Name: true} // other names are variables
+		for _, spec := range file.Imports {
+			known[filepath.Base(strings.Trim(spec.Path.Value, `"`))] = true
+		}
+		for _, group := range file.Comments {
+			_, example, ok := strings.Cut(group.Text(), "Example: ")
+			if !ok {
+				continue
+			}
+			examples++
+			for _, call := range exampleCall.FindAllStringSubmatch(example, -1) {
+				if names, ours := declared[call[1]]; ours && known[call[1]] && !names[call[2]] {
+					t.Errorf("%s: the example names %s, which isn't there", path, call[0])
+				}
+			}
+		}
+	})
+	if examples == 0 {
+		t.Error("no example was found")
+	}
+}
+
+// named are the tests and places of the tree that a page names in code marks.
+var (
+	namedTest = regexp.MustCompile("`((?:Test|Fuzz|Benchmark)\\w+)`")
+	namedPath = regexp.MustCompile("`((?:cmd|control|deploy|docs|platform|proof|traffic|wire)/[\\w./*-]*)`")
+)
+
+func TestPagesNameWhatIsThere(t *testing.T) {
+	tests := map[string]bool{}
+	each(t, func(path string, _ []byte, file *ast.File) {
+		for _, decl := range file.Decls {
+			if f, ok := decl.(*ast.FuncDecl); ok && strings.HasSuffix(path, "_test.go") {
+				tests[f.Name.Name] = true
+			}
+		}
+	})
+	pages, err := filepath.Glob("docs/*.md")
+	if err != nil || len(pages) == 0 {
+		t.Fatalf("%d pages: %v", len(pages), err)
+	}
+	for _, page := range append(pages, "README.md") {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, found := range namedTest.FindAllStringSubmatch(string(text), -1) {
+			if !tests[found[1]] {
+				t.Errorf("%s names %s, which isn't there", page, found[1])
+			}
+		}
+		for _, found := range namedPath.FindAllStringSubmatch(string(text), -1) {
+			if there, err := filepath.Glob(found[1]); err != nil || len(there) == 0 {
+				t.Errorf("%s names %s, which isn't there", page, found[1])
+			}
+		}
+	}
+}
--- a/proof/fakeserver/fakeserver.go
+++ b/proof/fakeserver/fakeserver.go
@@ -39,9 +39,9 @@
 	Lapse   bool          `json:"lapse"`   // every handle is gone at once
 	Break   int           `json:"break"`   // streams break after so many pieces
 	Foreign bool          `json:"foreign"` // hand out somebody else's handle as if it were ours
-	Crossed bool          `json:"crossed"` // reply with somebody else's handle, as it is
+	Crossed bool          `json:"crossed"` // answer with somebody else's handle, as it is
 	Twice   bool          `json:"twice"`   // send a piece twice
-	Deaf    bool          `json:"deaf"`    // take requests and never reply
+	Deaf    bool          `json:"deaf"`    // take requests and never answer
 	Slow    int           `json:"slow"`    // everything takes so many times as long
 	Fast    bool          `json:"fast"`    // pieces come without a pause
 	Skip    bool          `json:"skip"`    // skip a piece
@@ -54,7 +54,7 @@
 	till    time.Time
 }
 
-// Fakeserver is one stand-in server.
+// FakeServer is one stand-in server.
 type FakeServer struct {
 	cfg      Config
 	recorder *history.Recorder
@@ -255,7 +255,7 @@
 		respond(w, 404, map[string]string{"why": "no such handle"})
 		return
 	}
-	if r.URL.Query().Get("cell") == d.cfg.Zone {
+	if r.URL.Query().Get("zone") == d.cfg.Zone {
 		link -= d.cfg.Link / 2
 	}
 	if nap(r.Context(), link) {
@@ -273,7 +273,7 @@
 	bad := d.bad
 	d.mu.Unlock()
 	if bad.Deaf {
-		d.recorder.Put(history.Event{Who: d.cfg.Addr, Ev: "decode", Request: p.Handle.Request, Run: p.Run, Once: p.Once, Leader: p.Handle.Request})
+		d.recorder.Put(history.Event{Who: d.cfg.Addr, Ev: "decode", Request: p.Handle.Request, Run: p.Run, Once: p.Once, CacheOf: p.Handle.Request})
 		<-r.Context().Done()
 		return
 	}
@@ -283,7 +283,7 @@
 	}
 	defer d.exit()
 	from := time.Now()
-	req, _ := http.NewRequestWithContext(r.Context(), "GET", "http://"+p.Handle.PrefillServer+"/kv/"+p.Handle.ID+"?cell="+d.cfg.Zone, nil)
+	req, _ := http.NewRequestWithContext(r.Context(), "GET", "http://"+p.Handle.PrefillServer+"/kv/"+p.Handle.ID+"?zone="+d.cfg.Zone, nil)
 	res, err := d.web.Do(req)
 	var kv struct {
 		Request string `json:"request"`
@@ -310,7 +310,7 @@
 		d.turnAway(w, 409, "lapsed", "maker", "the KV cache is of another request", p.Handle.Request)
 		return
 	}
-	d.recorder.Put(history.Event{Who: d.cfg.Addr, Ev: "decode", Request: p.Handle.Request, Leader: kv.Request, Run: p.Run, Once: p.Once, Term: p.Term, N: n})
+	d.recorder.Put(history.Event{Who: d.cfg.Addr, Ev: "decode", Request: p.Handle.Request, CacheOf: kv.Request, Run: p.Run, Once: p.Once, Term: p.Term, N: n})
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	w.WriteHeader(200)
 	flush := w.(http.Flusher)
--- a/proof/history/history.go
+++ b/proof/history/history.go
@@ -1,4 +1,4 @@
-// Package journal is what stand-in servers and clients write down on their
+// Package history is what stand-in servers and clients write down on their
 // own account, one JSON line an event, for the checker to join afterwards.
 package history
 
@@ -16,7 +16,7 @@
 	Who     string `json:"who"`
 	Ev      string `json:"ev"`
 	Request string `json:"request,omitempty"`
-	Leader  string `json:"owner,omitempty"` // whose KV cache a handle really was
+	CacheOf string `json:"owner,omitempty"` // whose KV cache a handle really was
 	Run     string `json:"run,omitempty"`
 	Once    string `json:"once,omitempty"`
 	Tenant  string `json:"tenant,omitempty"`
@@ -40,7 +40,7 @@
 	Zone    string `json:"cell,omitempty"`
 }
 
-// Records writes events to a file.
+// Recorder writes events to a file.
 type Recorder struct {
 	mu sync.Mutex
 	f  *os.File
--- a/proof/hollow/daemon.go
+++ b/proof/hollow/daemon.go
@@ -12,6 +12,7 @@
 	"mulleinmast/platform"
 	"mulleinmast/traffic/forward"
 	"mulleinmast/traffic/gateway"
+	"mulleinmast/traffic/serverpool"
 	"mulleinmast/wire/message"
 	"mulleinmast/wire/transport"
 )
@@ -30,7 +31,7 @@
 	At      time.Duration              `json:"at"`
 }
 
-// daemon is a running one.
+// hollowDaemon is a running one.
 type hollowDaemon struct {
 	Spec
 	c     *daemon.Daemon
@@ -65,6 +66,7 @@
 			return 0
 		}
 	}
+	c.Orders = serverpool.NewHands(s.Config.Bounds.Plan / 4) // to servers that aren't there
 	g := gateway.New(c, engines{})
 	c.Add(service(g.Run))
 	ctx, stop := context.WithCancel(context.Background())
--- a/proof/hollow/measure.go
+++ b/proof/hollow/measure.go
@@ -12,10 +12,10 @@
 // The roles whose costs are told apart. A daemon may play several; it counts
 // under the first of these that fits.
 const (
-	ConfigLeader = "config-owner" // of part 0, which also asks for the list of servers
-	Leader       = "owner"        // of other parts
-	Replica      = "seat"         // a control daemon that owns nothing
-	Relay        = "relay"        // of at least one part in its zone
+	ConfigLeader = "config-leader" // of partition 0, which also asks for the list of servers
+	Leader       = "leader"        // of other partitions
+	Replica      = "replica"       // a control daemon that leads nothing
+	Relay        = "relay"         // of at least one part in its zone
 	Front        = "front"
 	Mean         = "any" // over all daemons, of all processes: those that share one cost less
 )
@@ -187,7 +187,7 @@
 	for range t.C {
 		n := int64(0)
 		for _, s := range f.read().snaps {
-			n += s.Counts["purge"].Got + s.Counts["accept"].Got
+			n += s.Counts["invalidate"].Got + s.Counts["accept"].Got
 		}
 		if n != last {
 			last, calm = n, time.Now()
--- a/proof/judge/judge.go
+++ b/proof/judge/judge.go
@@ -91,7 +91,7 @@
 	ran := map[string]int64{}
 	for _, e := range ev {
 		if e.Ev == "decode" && no[e.Request] {
-			bad("request %s was shed and ran on %s", e.Request, e.Who)
+			bad("request %s was refused and ran on %s", e.Request, e.Who)
 		}
 		if _, ok := ran[e.Once]; e.Ev == "decode" && !ok {
 			ran[e.Once] = e.At
@@ -100,7 +100,7 @@
 	// Nor is a once key refused that had run before it was sent this time.
 	for _, e := range ev {
 		if at, ok := ran[e.Once]; e.Ev == "reply" && e.Result == "shed" && e.Once != "" && ok && at < e.At-e.Took {
-			bad("key %s was shed to request %s after it had run", e.Once, e.Request)
+			bad("key %s was refused to request %s after it had run", e.Once, e.Request)
 		}
 	}
 }
@@ -108,8 +108,8 @@
 // foreign: a decode server never takes up the KV cache of another request.
 func foreign(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
-		if e.Ev == "decode" && e.Leader != e.Request {
-			bad("%s decoded %s with the cache of %s", e.Who, e.Request, e.Leader)
+		if e.Ev == "decode" && e.CacheOf != e.Request {
+			bad("%s decoded %s with the cache of %s", e.Who, e.Request, e.CacheOf)
 		}
 	}
 }
@@ -123,7 +123,7 @@
 	}
 }
 
-// whole: every whole reply is one ended run of that request, with its count.
+// whole: every whole answer is one ended run of that request, with its count.
 func whole(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	ended := map[string]history.Event{}
 	for _, e := range ev {
@@ -144,7 +144,7 @@
 	}
 }
 
-// final: a request gets one final reply.
+// final: a request gets one final answer.
 func final(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	seen := map[string]string{}
 	for _, e := range ev {
@@ -157,11 +157,11 @@
 	}
 }
 
-// answered: no request is left without a final reply.
+// answered: no request is left without a final answer.
 func answered(ev []history.Event, _ Bounds, bad func(string, ...any)) {
 	for _, e := range ev {
 		if e.Ev == "reply" && e.Result == "hung" {
-			bad("request %s at %s: no final reply %.1fs after it was sent", e.Request, e.Who, sec(e.Took))
+			bad("request %s at %s: no final answer %.1fs after it was sent", e.Request, e.Who, sec(e.Took))
 		}
 	}
 }
@@ -358,7 +358,7 @@
 }
 
 // recovery: after everything is back ("mended"), a client of every zone
-// gets a whole reply within the bound.
+// gets a whole answer within the bound.
 func recovery(ev []history.Event, b Bounds, bad func(string, ...any)) {
 	zones := map[string]bool{}
 	for _, e := range ev {
@@ -382,7 +382,7 @@
 				}
 			}
 			if ok && took > b.Recover || !ok && asked > 0 && ev[len(ev)-1].At-m.At > b.Recover {
-				bad("%s: no whole reply within %.0fs after the machines were back (%d asked, first after %.1fs)", zone, sec(b.Recover), asked, sec(took))
+				bad("%s: no whole answer within %.0fs after the machines were back (%d asked, first after %.1fs)", zone, sec(b.Recover), asked, sec(took))
 			}
 		}
 	}
--- a/proof/judge/judge_test.go
+++ b/proof/judge/judge_test.go
@@ -17,7 +17,7 @@
 		{At: 1, Who: "m", Ev: "order", Holder: "x", Term: 1},
 		{At: 4 * one, Who: "m", Ev: "order", Holder: "y", Term: 2},
 		{At: 5 * one, Who: "m", Ev: "leaving"},
-		{At: 7 * one, Who: "m", Ev: "decode", Request: "r1", Leader: "r1", Run: "r1-1", Once: "k1", N: 1},
+		{At: 7 * one, Who: "m", Ev: "decode", Request: "r1", CacheOf: "r1", Run: "r1-1", Once: "k1", N: 1},
 		{At: 7 * one, Who: "m", Ev: "ended", Request: "r1", Run: "r1-1", Count: 3},
 		{At: 7 * one, Who: "c", Ev: "reply", Request: "r1", Run: "r1-1", Result: "ok", Count: 3, Zone: "a"},
 		{At: 8 * one, Who: "c", Ev: "reply", Request: "r2", Result: "shed", After: 1000, Zone: "a"},
@@ -39,10 +39,10 @@
 		t.Fatalf("clean history: %v", rows)
 	}
 	plant := map[string][]history.Event{
-		"once":         {{At: 7*one + 1, Who: "q", Ev: "decode", Request: "r9", Leader: "r9", Run: "r9-1", Once: "k1"}},
-		"refused":      {{At: 9 * one, Who: "q", Ev: "decode", Request: "r2", Leader: "r2"}},
+		"once":         {{At: 7*one + 1, Who: "q", Ev: "decode", Request: "r9", CacheOf: "r9", Run: "r9-1", Once: "k1"}},
+		"refused":      {{At: 9 * one, Who: "q", Ev: "decode", Request: "r2", CacheOf: "r2"}},
 		"refused key":  {{At: 9 * one, Who: "c", Ev: "reply", Request: "r12", Once: "k1", Result: "shed", After: 1, Took: one / 2}},
-		"foreign":      {{At: 7 * one, Who: "q", Ev: "decode", Request: "r3", Leader: "r4"}},
+		"foreign":      {{At: 7 * one, Who: "q", Ev: "decode", Request: "r3", CacheOf: "r4"}},
 		"stream":       {{At: 7 * one, Who: "c", Ev: "reply", Result: "wrong", Why: "piece 3 where 2 was due"}},
 		"whole":        {{At: 7 * one, Who: "c", Ev: "reply", Request: "r8", Result: "ok", Run: "r8-1", Count: 2}},
 		"final":        {{At: 9 * one, Who: "c", Ev: "reply", Request: "r2", Result: "broken"}},
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -34,7 +34,7 @@
 	Seed    int64
 	Timeout time.Duration
 	Once    float64 // part of the requests that carry a once key
-	Again   bool    // send a once key again to another daemon whatever the reply
+	Again   bool    // send a once key again to another daemon whatever the answer
 	Swing   float64 // part of long prompts; below 0 the mix's own
 }
 
@@ -68,7 +68,7 @@
 // Example: load.Tenants[0].Prio == 0
 var Tenants = []Tenant{{"express", 0}, {"regular", 4}, {"bulk", 8}}
 
-// Run sends the mix and waits for every reply.
+// Run sends the mix and waits for every answer.
 //
 // Example: load.Run(ctx, cfg, records)
 func Run(ctx context.Context, c Config, recorder *history.Recorder) {
@@ -133,7 +133,7 @@
 	wg.Wait()
 }
 
-// one sends a request and judges the reply by itself.
+// one sends a request and judges the answer by itself.
 func one(ctx context.Context, web *http.Client, to string, raw []byte, prompt uint64, timeout time.Duration) (e history.Event) {
 	ctx, done := context.WithTimeout(ctx, timeout+5*time.Second)
 	defer done()
@@ -149,7 +149,7 @@
 	res, err := web.Do(req)
 	if err != nil {
 		e.Result, e.Why = "error", err.Error()
-		if ctx.Err() != nil { // its budget and five seconds more went by
+		if ctx.Err() != nil { // its timeout and five seconds more went by
 			e.Result = "hung"
 		}
 		return e
@@ -168,7 +168,7 @@
 		}
 		e.Result, e.Why, e.After = word.Result, word.Why, word.After
 		if word.Result == "shed" && res.Header.Get("Retry-After") == "" {
-			e.Result, e.Why = "wrong", "shed without Retry-After"
+			e.Result, e.Why = "wrong", "refused without Retry-After"
 		}
 		return e
 	}
@@ -273,21 +273,21 @@
 			_, _ = fmt.Fprintf(&b, "  %-8s priority %d: served %.3f, median %v, 99th %v\n", t.Name, t.Prio, r.Served[t.Name], r.P50[t.Name].Round(time.Millisecond), r.P99[t.Name].Round(time.Millisecond))
 		}
 	}
-	_, _ = fmt.Fprintf(&b, "  first piece: median %v; shed told: 99th %v\n", r.First.Round(time.Millisecond), r.Refusal.Round(time.Millisecond))
+	_, _ = fmt.Fprintf(&b, "  first piece: median %v; refused told: 99th %v\n", r.First.Round(time.Millisecond), r.Refusal.Round(time.Millisecond))
 	whys := make([]string, 0, len(r.Refusals))
 	for w := range r.Refusals {
 		whys = append(whys, w)
 	}
 	sort.Strings(whys)
 	for _, w := range whys {
-		_, _ = fmt.Fprintf(&b, "  shed %d: %s\n", r.Refusals[w], w)
+		_, _ = fmt.Fprintf(&b, "  refused %d: %s\n", r.Refusals[w], w)
 	}
 	return b.String()
 }
 
 // Stuck sends a request, reads its first piece and then nothing for a while,
 // as a client does whose machine hangs. It says how many bytes it could
-// still read afterwards and whether the reply was whole.
+// still read afterwards and whether the answer was whole.
 //
 // Example: got, whole := load.Stuck(ctx, addr, body, 8*time.Second)
 func Stuck(ctx context.Context, to string, raw []byte, hold time.Duration) (got int64, whole bool) {
--- a/proof/script/script.go
+++ b/proof/script/script.go
@@ -41,7 +41,7 @@
 	failed  bool
 }
 
-// Next takes a piece; end says that the reply is whole, why what is wrong with
+// Next takes a piece; end says that the answer is whole, why what is wrong with
 // it, and broken that the stream was ended by an error piece.
 //
 // Example: end, broken, why := r.Next(piece)
--- a/proof/sim/caller.go
+++ b/proof/sim/caller.go
@@ -54,10 +54,10 @@
 	})
 	w.at(c.timeout+5*time.Second, func() {
 		if c.n.thawed > c.at { // its daemon's machine froze meanwhile
-			c.end("silent", "no final reply from a frozen machine", 0)
+			c.end("silent", "no final answer from a frozen machine", 0)
 			return
 		}
-		c.end("hung", "no final reply", 0)
+		c.end("hung", "no final answer", 0)
 	})
 }
 
@@ -198,7 +198,7 @@
 	w.fakeServers, w.lists, w.mix = map[string]*fakeServer{}, map[string]fleetconfig.List{}, 0.6
 	for s, n := range w.o.Servers {
 		for i := 0; i < n; i++ {
-			w.fakeServer(services[s], fmt.Sprintf("cell-%d", i%len(w.o.Zones)))
+			w.fakeServer(services[s], fmt.Sprintf("zone-%d", i%len(w.o.Zones)))
 		}
 	}
 	w.at(2*time.Second, w.platform)
--- a/proof/sim/check.go
+++ b/proof/sim/check.go
@@ -70,7 +70,7 @@
 			out = append(out, fmt.Sprintf("%v: %s %s", e.At, e.Node, e.Tag))
 		case Owning:
 			if o, ok := leader[e.Partition]; ok && o.At == e.At && o.Node != e.Node {
-				out = append(out, fmt.Sprintf("%v: %s and %s both own part %d", e.At, o.Node, e.Node, e.Partition))
+				out = append(out, fmt.Sprintf("%v: %s and %s both own partition %d", e.At, o.Node, e.Node, e.Partition))
 			}
 			leader[e.Partition] = e
 		case Served:
--- a/proof/sim/fakeserver.go
+++ b/proof/sim/fakeserver.go
@@ -13,7 +13,7 @@
 	"mulleinmast/traffic/serverpool"
 )
 
-// fakeserver is a simulated model server. It checks nothing that the fleet is to
+// fakeServer is a simulated model server. It checks nothing that the fleet is to
 // check: a decode server takes up whatever cache a handle leads to.
 type fakeServer struct {
 	w        *world
@@ -36,7 +36,7 @@
 	lines    map[*line]bool
 	leaving  bool
 	told     bool
-	cross    bool // replies are crossed: somebody else's handle comes back
+	cross    bool // answers are crossed: somebody else's handle comes back
 	breaks   bool // streams break
 	drops    bool // streams break before their first piece
 	skip     bool // a piece is left out
@@ -214,7 +214,7 @@
 			return
 		}
 		d.links[r.addr] = int(link.Milliseconds())
-		d.jot(history.Event{Ev: "decode", Request: p.Handle.Request, Leader: kv.request, Run: p.Run, Once: p.Once, Term: p.Term, N: d.busy})
+		d.jot(history.Event{Ev: "decode", Request: p.Handle.Request, CacheOf: kv.request, Run: p.Run, Once: p.Once, Term: p.Term, N: d.busy})
 		seen := 0
 		d.step(l, p, kv, 0, &seen)
 	})
@@ -248,7 +248,7 @@
 				b.busy++
 				q := p
 				q.Run = p.Run + "-again"
-				b.jot(history.Event{Ev: "decode", Request: p.Handle.Request, Leader: kv.request, Run: q.Run, N: b.busy})
+				b.jot(history.Event{Ev: "decode", Request: p.Handle.Request, CacheOf: kv.request, Run: q.Run, N: b.busy})
 				b.lines[l] = true
 				l.a.Make.Run = q.Run
 				b.splice(l, p, q.Run, kv, i, seen)
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -175,7 +175,7 @@
 		if w.o.Sabotage == "standstill" { // a clock that stops while the machine is suspended
 			n.base -= time.Duration(float64(n.frozen-was) * n.rate)
 		}
-	case "cell": // a whole zone, daemons and servers, is lost for a while
+	case "zone": // a whole zone, daemons and servers, is lost for a while
 		w.loseZone(n.zone)
 	case "crash", "dark", "lapse", "cross", "break", "drop", "skip", "twice", "sluggish", "link", "roll":
 		w.serverFault(kind)
@@ -240,7 +240,7 @@
 			g := own.sec(p).Replica.Group()
 			for _, n := range w.nodes {
 				if n.up && g.Has(n.ident) && len(digest.Differ(own.sec(p).Digs(), n.sec(p).Digs())) > 0 {
-					w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("has a copy of part %d that differs from its owner's, %v after the last failure", p, w.o.Calm)})
+					w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("has a copy of partition %d that differs from its leader's, %v after the last failure", p, w.o.Calm)})
 				}
 			}
 			w.res.Mended += own.sec(p).Replica.Mended
--- a/proof/sim/losses.go
+++ b/proof/sim/losses.go
@@ -134,13 +134,13 @@
 	return count
 }
 
-// vacancy messages a part that nobody owned for too long.
+// vacancy messages a part that nobody led for too long.
 func (w *world) vacancy(p int, owned bool) {
 	if w.o.Rounds == 0 {
 		return
 	}
 	if since, ok := w.ownedAt[p]; ok && !owned && w.now-since > w.cfg.Catch {
-		w.note(Event{Kind: Silent, Node: "nobody", Tag: fmt.Sprintf("owned part %d for %v", p, w.now-since)})
+		w.note(Event{Kind: Silent, Node: "nobody", Tag: fmt.Sprintf("led partition %d for %v", p, w.now-since)})
 		w.ownedAt[p] = w.now
 	}
 	if owned {
--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -93,10 +93,10 @@
 	}
 	p := to.parts[m.Partition]
 	if w.o.Trace != nil && m.Kind < message.Ask {
-		w.trace("  %s<-%s part %d %s key=%s no=%d ref=%d len=%v mark=%v keys=%v recs=%d", to.name, m.From, m.Partition, m.Kind, m.Key, m.No, m.Ref, time.Duration(m.Len), m.Mark, m.Keys, len(m.Recs))
+		w.trace("  %s<-%s partition %d %s key=%s no=%d ref=%d len=%v mark=%v keys=%v recs=%d", to.name, m.From, m.Partition, m.Kind, m.Key, m.No, m.Ref, time.Duration(m.Len), m.Mark, m.Keys, len(m.Recs))
 	}
 	if w.o.Trace != nil && m.Kind >= message.Ask && m.Kind < message.Hello {
-		w.trace("  %s<-%s part %d %s num=%d set=%d no=%d ref=%d group=%d recs=%d len=%v", to.name, m.From, m.Partition, m.Kind, m.Num, m.LastComplete, m.No, m.Ref, m.Group.Num, len(m.Recs), time.Duration(m.Len))
+		w.trace("  %s<-%s partition %d %s num=%d set=%d no=%d ref=%d group=%d recs=%d len=%v", to.name, m.From, m.Partition, m.Kind, m.Num, m.LastComplete, m.No, m.Ref, m.Group.Num, len(m.Recs), time.Duration(m.Len))
 	}
 	if p.Partition().Node.Root() {
 		w.res.RootMessages++
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -295,7 +295,7 @@
 		n.guides[p].Steered(now, o.Steer)
 	}
 	if o.Lost {
-		n.w.trace("%s lost part %d", n.name, p)
+		n.w.trace("%s lost partition %d", n.name, p)
 	}
 	for _, l := range o.Lines {
 		n.w.trace("%s %s: %s", n.name, l.Kind, l.Text)
--- a/proof/sim/operator.go
+++ b/proof/sim/operator.go
@@ -85,9 +85,9 @@
 	if w.out != "" || len(w.o.Zones) < 2 {
 		return
 	}
-	zone := fmt.Sprintf("cell-%d", w.rng.Intn(len(w.o.Zones)))
+	zone := fmt.Sprintf("zone-%d", w.rng.Intn(len(w.o.Zones)))
 	if w.o.Moves > 0 { // again and again the same, so that a late call meets another's work
-		zone = "cell-1"
+		zone = "zone-1"
 	}
 	w.out = zone
 	from := w.now
@@ -235,7 +235,7 @@
 	}
 }
 
-// loseCell kills every daemon and server of a zone; they come back later.
+// loseZone kills every daemon and server of a zone; they come back later.
 func (w *world) loseZone(zone string) {
 	for _, n := range w.nodes {
 		if n.zone == zone && n.up {
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -87,7 +87,7 @@
 	"servers": calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"crash": 4, "dark": 2, "lapse": 2, "cross": 3, "break": 4, "skip": 2, "twice": 2, "sluggish": 2, "link": 2, "roll": 2, "crowd": 1}),
 	// Decodes that were sent are lost, before and after their first piece.
 	"lost":   calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"drop": 10, "break": 4, "crash": 6, "dark": 3, "crowd": 1}),
-	"cells":  calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"cell": 1, "kill": 1, "freeze": 1, "crowd": 1, "swing": 1}),
+	"zones":  calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"zone": 1, "kill": 1, "freeze": 1, "crowd": 1, "swing": 1}),
 	"reboot": calls([]int{3, 3, 3}, []int{5, 4}, map[string]float64{"all": 1.5, "kill": 4, "ackkill": 3, "freeze": 3}),
 	// A zone is evacuated and brought back all the time, and calls come a second
 	// time seconds later, under the same leader or the next.
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -68,12 +68,12 @@
 	tags    uint64
 	ids     int
 	lost    bool
-	owned   time.Duration
-	ownedAt map[int]time.Duration // when each part was last seen owned
+	ledAt   time.Duration
+	ownedAt map[int]time.Duration // when each part was last seen led
 	calm    bool
 
 	fakeServers map[string]*fakeServer
-	addrs       []string // of depots, in order
+	addrs       []string // of fake servers, in order
 	lists       map[string]fleetconfig.List
 	callers     int
 	out         string // the zone that is evacuated
@@ -97,7 +97,7 @@
 	i := 0
 	for c, n := range o.Zones {
 		for j := 0; j < n; j++ {
-			w.add(fmt.Sprintf("cell-%d", c), j < max(1, o.Disks), i)
+			w.add(fmt.Sprintf("zone-%d", c), j < max(1, o.Disks), i)
 			i++
 		}
 	}
@@ -174,9 +174,9 @@
 		w.vacancy(p, any)
 		if p == 0 {
 			if any {
-				w.owned = w.now
-			} else if w.owned > 0 {
-				w.res.Gap = max(w.res.Gap, w.now-w.owned)
+				w.ledAt = w.now
+			} else if w.ledAt > 0 {
+				w.res.Gap = max(w.res.Gap, w.now-w.ledAt)
 			}
 		}
 	}
@@ -194,7 +194,7 @@
 				r, ok := n.sec(p).Node.Get(n.local(), key(k))
 				if !ok {
 					v := n.sec(p).Node.View(n.local())
-					w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("serves no part %d, %v after the last failure (lease %d ms, parent %s, live %v, owner %v)", p, w.o.Calm, v.Left, v.Parent.Addr, n.view.Live, n.view.Owns[p])})
+					w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("serves no partition %d, %v after the last failure (lease %d ms, parent %s, live %v, leader %v)", p, w.o.Calm, v.Left, v.Parent.Addr, n.view.Live, n.view.Owns[p])})
 					continue
 				}
 				w.note(Event{Kind: Served, Node: n.name, Partition: p, Key: fmt.Sprintf("%d/%s", p, key(k)), Tags: tags(r)})
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -30,7 +30,7 @@
 			yes, reads, ok, taken := sweep(t, name, 1, n)
 			if o.Calls > 0 {
 				if ok < 150*int(n) || taken < 4*int(n) {
-					t.Errorf("too little happened: %d whole replies, %d plans taken", ok, taken)
+					t.Errorf("too little happened: %d whole answers, %d plans taken", ok, taken)
 				}
 			} else if yes < 20*int(n) || reads < 300*int(n) {
 				t.Errorf("too little happened: %d writes in force, %d reads", yes, reads)
--- a/proof/sim/traffic.go
+++ b/proof/sim/traffic.go
@@ -77,7 +77,7 @@
 	return r, ok
 }
 
-// calls carries out what a step of the calls to leaders asks for.
+// carryCalls carries out what a step of the calls to leaders asks for.
 func (n *node) carryCalls(o leadercall.Out) {
 	for _, m := range o.Sends {
 		n.send(m)
--- a/proof/standin/fleet/settings.go
+++ b/proof/standin/fleet/settings.go
@@ -24,7 +24,7 @@
 func (f *Fleet) text(m *Machine, first bool) string {
 	var b strings.Builder
 	say := func(how string, args ...any) { fmt.Fprintf(&b, how+"\n", args...) }
-	say("node-name = %q\nrole = \"signalbox\"\nmachine-class = \"front\"\nserves = [\"front\",\"control\"]", m.Name)
+	say("node-name = %q\nrole = \"mulleinmast\"\nmachine-class = \"front\"\nserves = [\"front\",\"control\"]", m.Name)
 	say("ip-address = %q\nzone = %q\nregion = \"one\"\ninternal-ports = [%d,%d]", m.IP, m.Zone, firstPort, lastPort)
 	say("seed-nodes = %s\nis-first-start = %v\ncounts-loss = %v", quoted(m.seeds), first, m.Core)
 	if m.Core {
--- a/proof/standin/mutants/mutants.sh
+++ b/proof/standin/mutants/mutants.sh
@@ -1,44 +1,60 @@
 #!/usr/bin/env bash
 # Breaks the product on purpose, one thing at a time, and asks whether a scene's
-# judge names the rule. Usage: proof/standin/mutants/mutants.sh [NAME...]
-# Each mutant is built from a copy of the committed sources.
+# judge names the rule. Usage: proof/standin/mutants/mutants.sh [-places] [NAME...]
+# Each mutant is built from a copy of the committed sources. With -places it only
+# looks whether the place that each one changes is still there, and once.
 set -uo pipefail
 cd "$(dirname "$0")/../../.."
-work=$(mktemp -d)
-trap 'rm -rf "$work"' EXIT
-go build -o "$work/bin/" ./cmd/testtrack || exit 1
+places=""
+if [ "${1:-}" = -places ]; then
+	places=yes
+	shift
+else
+	work=$(mktemp -d)
+	trap 'rm -rf "$work"' EXIT
+	go build -o "$work/bin/" ./cmd/fleetlab || exit 1
+fi
 wanted=" $* " missed=0
 
 # mutant NAME SCENE RATE RULE FILE OLD NEW [FILE OLD NEW ...]
 mutant() {
-	local name=$1 scene=$2 rate=$3 rule=$4 src="$work/$1/src" out="$work/$1/out.txt"
+	local name=$1 scene=$2 rate=$3 rule=$4 src="${work:-}/$1/src" out="${work:-}/$1/out.txt"
 	shift 4
 	[ "$wanted" = "  " ] || [[ "$wanted" == *" $name "* ]] || return 0
+	if [ -n "$places" ]; then
+		while [ $# -gt 0 ]; do
+			local times
+			times=$(OLD=$2 perl -0ne '$n = () = /\Q$ENV{OLD}\E/g; print $n' "$1")
+			[ "$times" = 1 ] || { echo "$name: ${times:-0} places in $1 say: $2"; missed=1; }
+			shift 3
+		done
+		return 0
+	fi
 	mkdir -p "$src" && git archive HEAD cmd control platform traffic wire proof go.mod go.sum | tar x -C "$src"
 	while [ $# -gt 0 ]; do
 		OLD=$2 NEW=$3 perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/ or die "no such place\n"' "$src/$1" 2>"$out" || { echo "$name: does not apply to $1"; missed=1; return 0; }
 		shift 3
 	done
-	(cd "$src" && go build -o "$work/$name/bin/" ./cmd/signalbox) >"$out" 2>&1 || { echo "$name: does not build: $(tail -1 "$out")"; missed=1; return 0; }
-	cp "$work/bin/testtrack" "$work/$name/bin/"
-	"$work/$name/bin/testtrack" -platform -scenario "$scene" -pace 0.6 -rate "$rate" -seed 7 -dir "$work/$name/run" >"$out" 2>&1
+	(cd "$src" && go build -o "$work/$name/bin/" ./cmd/mulleinmast) >"$out" 2>&1 || { echo "$name: does not build: $(tail -1 "$out")"; missed=1; return 0; }
+	cp "$work/bin/fleetlab" "$work/$name/bin/"
+	"$work/$name/bin/fleetlab" -platform -scenario "$scene" -pace 0.6 -rate "$rate" -seed 7 -dir "$work/$name/run" >"$out" 2>&1
 	if grep -q "^BROKEN $rule" "$out"; then
 		echo "$name: $(grep -m1 "^BROKEN $rule" "$out" | cut -c8-160)"
 	else
-		echo "$name: NOT NAMED as $rule: $(grep -m2 'BROKEN\|tries\|testtrack' "$out" | tr '\n' ' ' | cut -c1-300)"
+		echo "$name: NOT NAMED as $rule: $(grep -m2 'BROKEN\|tries\|fleetlab' "$out" | tr '\n' ' ' | cut -c1-300)"
 		missed=1
 	fi
 }
 
 lane=traffic/forward/lane.go engine=platform/engine.go gate=traffic/gateway/gateway.go
-mutant drain release 120 DRAIN $lane 's.Leaving || out[s.Cell]' 'out[s.Cell]' $lane '|| b.Status != interlock.Up && b.Status != interlock.Warming' ''
-mutant evacuation evacuate 80 EVAC $lane 's.Leaving || out[s.Cell]' 's.Leaving || out[""]' $lane '|| b.Status != interlock.Up && b.Status != interlock.Warming' ''
+mutant drain release 120 DRAIN $lane 's.Leaving || out[s.Zone]' 'out[s.Zone]' $lane '|| b.Status != placement.Up && b.Status != placement.Warming' ''
+mutant evacuation evacuate 80 EVAC $lane 's.Leaving || out[s.Zone]' 's.Leaving || out[""]' $lane '|| b.Status != placement.Up && b.Status != placement.Warming' ''
 mutant stray-answer garble 120 MIXED $engine 'id != "" && got != id {' 'id != "" && got == "never" {'
 mutant no-seal garble 80 MIXED $engine 'if why := unfit(r); why != "" {' 'if why := unfit(r); why == "never" {'
 mutant run-twice garble 120 TWICE $gate 'Repeat: r.Kind == "safe" ||' 'Repeat: true ||'
 mutant false-promise garble 80 REFUSED traffic/gateway/run.go 'w.Fail(http.StatusBadGateway, m.Why)' 'w.Refuse(503, 1e8, m.Why)'
 mutant old-plan config 80 CONFIG $gate 's.gen == gen && g.c.Now() < s.until {' 'g.c.Now() < s.until+60e9 {'
-mutant no-budget lapse 200 BUDGET traffic/waybill/waybill.go 'return float64(again+1) <= b.Rate*float64(first)+float64(b.Slack)' 'return true'
+mutant no-bound lapse 200 BUDGET traffic/attempt/attempt.go 'return float64(again+1) <= b.Rate*float64(first)+float64(b.Slack)' 'return true'
 mutant from-the-start garble 120 ORDER $engine 'if last != "" {' 'if last == "never" {' traffic/gateway/run.go 'resumed && first && !follows' 'resumed && first && last == nil && !follows'
 mutant ends-as-whole garble 120 ORDER platform/front.go 'if c.broken {' 'if c.broken && c.rc == nil {'
 mutant cut-at-sigterm roll 200 LOST platform/start.go 'h.c.Leave()
@@ -51,8 +67,8 @@
 mutant no-route calm 80 DENIED $gate 'if !ok {
 		w.Fail(http.StatusNotFound, "no route")' 'if !ok || dice(q.ID)%20 == 0 {
 		w.Fail(http.StatusNotFound, "no route")'
-mutant cold-as-warm release 200 FAILBACK traffic/forward/choose.go 'case s.Warming:' 'case s.Warming && now < 0:'
-mutant hasty-holder pressed 60 ONE control/cabin/config.go 'Swap: b.Swap' 'Swap: 0'
+mutant cold-as-warm release 200 FAILBACK traffic/forward/choose.go '|| s.Warming && !l.bears(now, s.Key)' '' traffic/forward/choose.go 'if s.Warming {' 'if s.Warming && now < 0 {'
+mutant hasty-holder pressed 60 ONE control/daemon/config.go 'Swap: b.Swap' 'Swap: 0'
 mutant another-number config 40 CONFIG platform/write.go 'max(p.Version, p.Number)' 'max(p.Version, p.Number)+1'
-mutant invalid-taken race 40 CONFIG control/tariff/route.go 'r.GiveUp < 1' 'r.GiveUp < 0' control/tariff/route.go 'v.Field(&r.GiveUp, v.Required, v.Min(1))' 'v.Field(&r.GiveUp, v.Min(0))'
+mutant invalid-taken race 40 CONFIG control/fleetconfig/route.go 'r.GiveUp < 1' 'r.GiveUp < 0' control/fleetconfig/route.go 'v.Field(&r.GiveUp, v.Required, v.Min(1))' 'v.Field(&r.GiveUp, v.Min(0))'
 exit $missed
--- a/proof/standin/record/record.go
+++ b/proof/standin/record/record.go
@@ -80,7 +80,7 @@
 	Reading  bool
 	After    int    // the event it goes on after
 	Memory   string // the handle it came with
-	Leader   string // the attempt that the handle was read for
+	HandleOf string // the attempt that the handle was read for
 	Out      string
 	Why      string
 	Run      string
--- a/proof/standin/rules/answers.go
+++ b/proof/standin/rules/answers.go
@@ -36,8 +36,8 @@
 // handles: no request is carried on from another's handle.
 func handles(v *view, bad say) {
 	for _, a := range v.Arrivals {
-		if a.Out == record.Ran && a.Leader != "" && a.Leader != a.Attempt {
-			bad("%s was carried on at %s from the handle of %s", a.Attempt, a.Server, a.Leader)
+		if a.Out == record.Ran && a.HandleOf != "" && a.HandleOf != a.Attempt {
+			bad("%s was carried on at %s from the handle of %s", a.Attempt, a.Server, a.HandleOf)
 		}
 	}
 }
--- a/proof/standin/rules/rules_test.go
+++ b/proof/standin/rules/rules_test.go
@@ -109,7 +109,7 @@
 	{"MIXED", "bytes on an idle connection", func(a *record.All) {
 		a.Tries = append(a.Tries, &record.Try{Daemon: "d0", Fault: "bytes on an idle connection"})
 	}},
-	{"MIXED", "another's handle", func(a *record.All) { _, x := of(a, "stream", 0); x.Leader = "t99" }},
+	{"MIXED", "another's handle", func(a *record.All) { _, x := of(a, "stream", 0); x.HandleOf = "t99" }},
 	{"ORDER", "a gap", func(a *record.All) { t, _ := of(a, "stream", 0); t.Pieces = t.Pieces[1:] }},
 	{"ORDER", "a piece twice", func(a *record.All) { t, _ := of(a, "stream", 0); t.Pieces = append(t.Pieces, t.Pieces[2]) }},
 	{"ORDER", "an end before the last piece", func(a *record.All) { t, _ := of(a, "stream", 0); t.Pieces, t.Last = t.Pieces[:2], false }},
--- a/proof/standin/scene/orders.go
+++ b/proof/standin/scene/orders.go
@@ -137,9 +137,9 @@
 			w.Fail("an invalid configuration (kind %d): %d", i%operator.Kinds, c.Status)
 		}
 	}
-	w.Say("%d changes won, %d were beaten", won, conflict)
+	w.Say("%d changes won, %d were in conflict", won, conflict)
 	if won != 6 || conflict != 6 {
-		w.Fail("of two racing changes one wins: %d won, %d beaten", won, conflict)
+		w.Fail("of two racing changes one wins: %d won, %d in conflict", won, conflict)
 	}
 	w.Served(ctx, int(w.Rate))
 }
--- a/proof/standin/scene/scene_test.go
+++ b/proof/standin/scene/scene_test.go
@@ -43,7 +43,7 @@
 	program := build(t)
 	four := make(chan bool, 4) // more at once would make each other slow
 	t.Run("scenes", func(t *testing.T) {
-		for name, part := range map[string]float64{"calm": 0.98, "roll": 0.95, "kill-owner": 0.9, "release": 0.95, "evacuate": 0.95, "config": 0.95, "garble": 0.8, "crash": 0.9,
+		for name, part := range map[string]float64{"calm": 0.98, "roll": 0.95, "kill-leader": 0.9, "release": 0.95, "evacuate": 0.95, "config": 0.95, "garble": 0.8, "crash": 0.9,
 			"race": 0.95, "lost-disk": 0.9, "seeds": 0.6, "lapse": 0.7} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
--- a/proof/standin/scene/scenes.go
+++ b/proof/standin/scene/scenes.go
@@ -20,7 +20,7 @@
 
 // Scenes are what can be brought about.
 var Scenes = map[string]Scene{
-	"calm": calm, "roll": roll, "kill-owner": killLeader, "freeze-owner": freezeLeader, "lost-disk": lostDisk, "seeds": seeds, "end": closing,
+	"calm": calm, "roll": roll, "kill-leader": killLeader, "freeze-leader": freezeLeader, "lost-disk": lostDisk, "seeds": seeds, "end": closing,
 	"release": release, "crash": crash, "dark": dark, "garble": garble, "lapse": lapse, "stale-list": staleList, "pressed": pressed, "cold": cold,
 	"evacuate": evacuate, "config": config, "race": race, "storm": storm,
 }
@@ -64,7 +64,7 @@
 	}
 	for _, m := range list {
 		if m == nil {
-			w.Fail("the configuration has no owner")
+			w.Fail("the configuration has no leader")
 			return
 		}
 		from := time.Now()
@@ -82,18 +82,18 @@
 	}
 }
 
-// killOwner: the leaders of the configuration and of a service are killed.
+// killLeader: the leaders of the configuration and of a service are killed.
 func killLeader(ctx context.Context, w *World) {
 	for partition := range 3 {
 		m := w.Fleet.Leader(partition)
 		if m == nil {
-			w.Fail("part %d has no owner", partition)
+			w.Fail("partition %d has no leader", partition)
 			return
 		}
 		from := time.Now()
 		w.Fleet.Kill(m)
-		w.Until(ctx, w.Bounds.Recovery, "another owner", func() bool { return w.Fleet.Leader(partition) != nil })
-		w.Say("part %d: another owner %.1fs after the kill of %s", partition, time.Since(from).Seconds(), m.Name)
+		w.Until(ctx, w.Bounds.Recovery, "another leader", func() bool { return w.Fleet.Leader(partition) != nil })
+		w.Say("partition %d: another leader %.1fs after the kill of %s", partition, time.Since(from).Seconds(), m.Name)
 		w.Served(ctx, int(w.Rate/2))
 		if err := w.Fleet.Up(m); err != nil {
 			w.Fail("%v", err)
@@ -106,15 +106,15 @@
 	}
 }
 
-// freezeOwner: the leader of the configuration stands still for a while.
+// freezeLeader: the leader of the configuration stands still for a while.
 func freezeLeader(ctx context.Context, w *World) {
 	m := w.Fleet.Leader(0)
 	if m == nil {
-		w.Fail("the configuration has no owner")
+		w.Fail("the configuration has no leader")
 		return
 	}
 	w.Fleet.Freeze(m)
-	w.Until(ctx, w.Bounds.Recovery, "another owner", func() bool {
+	w.Until(ctx, w.Bounds.Recovery, "another leader", func() bool {
 		for _, o := range w.Fleet.Core() {
 			if o == m {
 				continue
@@ -144,7 +144,7 @@
 func lostDisk(ctx context.Context, w *World) {
 	m := w.Fleet.Leader(0)
 	if m == nil {
-		w.Fail("the configuration has no owner")
+		w.Fail("the configuration has no leader")
 		return
 	}
 	c := w.another(ctx, "before-loss")
--- a/proof/standin/scene/world.go
+++ b/proof/standin/scene/world.go
@@ -315,7 +315,7 @@
 	w.Log.Count(func(a *record.All) int {
 		for _, x := range a.Arrivals {
 			switch {
-			case x.Out == record.Ran && x.Leader != "":
+			case x.Out == record.Ran && x.HandleOf != "":
 				out["handed over"]++
 			case x.Out == record.Ran && x.After > 0:
 				out["gone on with"]++
--- a/proof/standin/server/engine.go
+++ b/proof/standin/server/engine.go
@@ -31,7 +31,7 @@
 
 // held is a handle: memory that nobody else may use until it is taken.
 type held struct {
-	owner  string // the attempt that it was read for
+	forTry string // the attempt that it was read for
 	tokens int
 	parts  []part
 	until  time.Time
@@ -164,7 +164,7 @@
 }
 
 // hold makes a handle.
-func (s *Server) hold(owner string, parts []part, tokens int) string {
+func (s *Server) hold(forTry string, parts []part, tokens int) string {
 	lapse := s.Hold
 	if s.faults.take(Lapse) {
 		lapse = 0
@@ -173,7 +173,7 @@
 	defer s.engine.mu.Unlock()
 	s.serial++
 	id := fmt.Sprintf("%s-%d", strings.TrimPrefix(s.ID, "i-"), s.serial)
-	s.handles[id] = held{owner, tokens, parts, time.Now().Add(lapse)}
+	s.handles[id] = held{forTry, tokens, parts, time.Now().Add(lapse)}
 	return id
 }
 
--- a/proof/standin/server/request.go
+++ b/proof/standin/server/request.go
@@ -155,7 +155,7 @@
 	if !ok {
 		return false
 	}
-	s.log.Do(func(*record.All) { at.Leader = h.owner })
+	s.log.Do(func(*record.All) { at.HandleOf = h.forTry })
 	bits := float64(h.tokens) * float64(s.TokenBytes) * 8
 	took := time.Duration(bits / (max(1, s.Mbps) * 1e6) * float64(time.Second))
 	if from.Zone != s.Zone {
--- a/proof/standin/server/server_test.go
+++ b/proof/standin/server/server_test.go
@@ -111,15 +111,15 @@
 	if code, _, _ := write(read(r)); code != 503 {
 		t.Error("lapsed and taken:", code)
 	}
-	var owner string
+	var came string
 	b.log.Count(func(a *record.All) int {
 		for _, x := range a.Arrivals {
-			owner += x.Out + x.Leader + " "
+			came += x.Out + x.HandleOf + " "
 		}
 		return 0
 	})
-	if owner != "read rana away read away read away " {
-		t.Error(owner)
+	if came != "read rana away read away read away " {
+		t.Error(came)
 	}
 }
 
--- a/proof/track/scenario.go
+++ b/proof/track/scenario.go
@@ -177,7 +177,7 @@
 	return st.Plan, ok && st.PlanOK
 }
 
-// change sends a named change of one tenant's budget and reports the verdict.
+// change sends a named change of one tenant's timeout and reports the verdict.
 func (f *Fleet) change(addr, id string, base uint64, timeout int) (int, fleetconfig.Verdict) {
 	code, b := f.Call("POST", addr, "/v1/plan/changes", fleetconfig.Changes{ID: id, Base: base, Changes: []fleetconfig.Change{
 		{Op: "set-tenant", Tenant: &fleetconfig.Tenant{Name: "regular", Priority: 4, Timeout: timeout, Queue: 0.6}}}})
@@ -232,9 +232,9 @@
 	return all
 }()
 
-// seated tells whether a daemon has a vote in every part, with the part's
+// voting tells whether a daemon has a vote in every part, with the part's
 // whole state, and no group is half changed.
-func (f *Fleet) seated(p *Proc) bool {
+func (f *Fleet) voting(p *Proc) bool {
 	me, ok := f.State(p)
 	if !ok {
 		return false
--- a/proof/track/scene_core.go
+++ b/proof/track/scene_core.go
@@ -34,7 +34,7 @@
 		f.heal()
 		f.back(ctx, r, 12*time.Second, "a single machine cut off for 4s")
 	},
-	"lost-cell": func(ctx context.Context, f *Fleet, r *Report) {
+	"lost-zone": func(ctx context.Context, f *Fleet, r *Report) {
 		zone := f.Daemons[0].Zone
 		var out []*Proc
 		for _, p := range append(append([]*Proc(nil), f.Daemons...), f.FakeServers...) {
@@ -58,10 +58,10 @@
 		v, _ := f.version(f.Daemons[0])
 		from := time.Now()
 		code, _ := f.change(f.Daemons[1].Addr, "stalled", v, 6000)
-		r.Say("a change while the owner's disk stalls: %d after %.1fs", code, time.Since(from).Seconds())
+		r.Say("a change while the leader's disk stalls: %d after %.1fs", code, time.Since(from).Seconds())
 		wait(ctx, 3*time.Second)
 		f.Call("POST", p.Addr, "/test/stall?for=0s", nil)
-		f.back(ctx, r, 12*time.Second, "owner's disk stalled")
+		f.back(ctx, r, 12*time.Second, "leader's disk stalled")
 	},
 	"disk-full": func(ctx context.Context, f *Fleet, r *Report) {
 		p := f.Leader(0)
@@ -77,7 +77,7 @@
 		}
 		v, _ := f.version(f.Daemons[1])
 		code, got := big("one-full", v, 400)
-		r.Say("the owner's disk is full: a plan that needs room: %d", code)
+		r.Say("the leader's disk is full: a plan that needs room: %d", code)
 		if code != 200 {
 			r.Fail("two of three disks had room: %d", code)
 		}
@@ -86,7 +86,7 @@
 		}
 		f.Kill(p) // what it could not write must not be missed
 		_ = f.Up(p)
-		f.back(ctx, r, 12*time.Second, "owner with a full disk killed")
+		f.back(ctx, r, 12*time.Second, "leader with a full disk killed")
 		if now, _ := f.version(f.Daemons[1]); code == 200 && now < got {
 			r.Fail("plan %d was acknowledged, %d is in force", got, now)
 		}
@@ -149,8 +149,8 @@
 				r.Fail("%v", err)
 				return
 			}
-			if !Until(ctx, 45*time.Second, func() bool { return f.seated(p) }) {
-				r.Fail("%s got no seat", p.Name)
+			if !Until(ctx, 45*time.Second, func() bool { return f.voting(p) }) {
+				r.Fail("%s got no replica", p.Name)
 				return
 			}
 			r.Say("%s exchanged for the empty %s", old.Name, p.Name)
--- a/proof/track/scene_daemon.go
+++ b/proof/track/scene_daemon.go
@@ -11,21 +11,21 @@
 // daemons is what befalls daemons.
 var daemons = map[string]Scenario{
 	"calm": func(context.Context, *Fleet, *Report) {},
-	"kill-owner": func(ctx context.Context, f *Fleet, r *Report) {
+	"kill-leader": func(ctx context.Context, f *Fleet, r *Report) {
 		for partition := 0; partition < 2; partition++ {
 			p := f.Leader(partition)
 			if p == nil {
-				r.Fail("part %d has no owner", partition)
+				r.Fail("partition %d has no leader", partition)
 				return
 			}
 			f.Kill(p)
 			from := time.Now()
 			if !Until(ctx, 12*time.Second, func() bool { return f.Leader(partition) != nil }) {
-				r.Fail("no new owner of part %d", partition)
+				r.Fail("no new leader of partition %d", partition)
 			}
-			r.Say("part %d: new owner %.1fs after kill -9 of %s", partition, time.Since(from).Seconds(), p.Name)
+			r.Say("partition %d: new leader %.1fs after kill -9 of %s", partition, time.Since(from).Seconds(), p.Name)
 			_ = f.Up(p)
-			f.back(ctx, r, 12*time.Second, "owner restarted")
+			f.back(ctx, r, 12*time.Second, "leader restarted")
 		}
 	},
 	"kill-all": func(ctx context.Context, f *Fleet, r *Report) {
@@ -54,21 +54,21 @@
 			r.Fail("%v", err)
 		}
 		_ = f.Up(p)
-		f.back(ctx, r, 12*time.Second, "owner killed right after an acknowledgement, disk lost")
+		f.back(ctx, r, 12*time.Second, "leader killed right after an acknowledgement, disk lost")
 		got, _ := f.version(f.Daemons[1])
 		if code == 200 && got < verdict.Version {
 			r.Fail("plan %d was acknowledged, %d is in force", verdict.Version, got)
 		}
-		if !Until(ctx, 30*time.Second, func() bool { return f.seated(p) }) {
-			r.Fail("the empty machine got no seat")
+		if !Until(ctx, 30*time.Second, func() bool { return f.voting(p) }) {
+			r.Fail("the empty machine got no replica")
 		}
-		r.Say("the empty machine has its seat in every part")
+		r.Say("the empty machine has its replica in every part")
 	},
-	"freeze-owner": func(ctx context.Context, f *Fleet, r *Report) {
+	"freeze-leader": func(ctx context.Context, f *Fleet, r *Report) {
 		for i := 0; i < 2; i++ {
 			p := f.Leader(i)
 			if p == nil {
-				r.Fail("part %d has no owner", i)
+				r.Fail("partition %d has no leader", i)
 				return
 			}
 			f.Signal(p, syscall.SIGSTOP)
@@ -93,7 +93,7 @@
 		// As after a suspend: the clock is far on, no timer has fired yet.
 		for i, p := range []*Proc{f.Leader(0), f.Leader(1), f.Daemons[len(f.Daemons)-1]} {
 			if p == nil {
-				r.Fail("no owner to suspend")
+				r.Fail("no leader to suspend")
 				return
 			}
 			code, b := f.Call("POST", p.Addr, "/test/leap?by=30s", nil)
--- a/proof/track/scene_plan.go
+++ b/proof/track/scene_plan.go
@@ -13,8 +13,8 @@
 // plans is what operators do.
 var plans = map[string]Scenario{
 	"evacuate": func(ctx context.Context, f *Fleet, r *Report) {
-		zone := "cell-b"
-		if code, b := f.Call("POST", f.Daemons[1].Addr, "/v1/cells/"+zone+"/evacuate", nil); code != 200 {
+		zone := "zone-b"
+		if code, b := f.Call("POST", f.Daemons[1].Addr, "/v1/zones/"+zone+"/evacuate", nil); code != 200 {
 			r.Fail("evacuate: %d %s", code, b)
 			return
 		}
@@ -26,10 +26,10 @@
 		}
 		wait(ctx, 6*time.Second)
 		f.Recorder.Put(history.Event{Ev: "returned", Zone: zone})
-		if code, b := f.Call("POST", f.Daemons[2].Addr, "/v1/cells/"+zone+"/return", nil); code != 200 {
+		if code, b := f.Call("POST", f.Daemons[2].Addr, "/v1/zones/"+zone+"/return", nil); code != 200 {
 			r.Fail("return: %d %s", code, b)
 		}
-		f.back(ctx, r, 12*time.Second, zone+" evacuated under load, an owner killed meanwhile, and returned")
+		f.back(ctx, r, 12*time.Second, zone+" evacuated under load, a leader killed meanwhile, and returned")
 	},
 	"leaving": func(ctx context.Context, f *Fleet, r *Report) {
 		svc := f.Layout.Order[0]
@@ -97,9 +97,9 @@
 				}
 			}
 		}
-		r.Say("%d changes won, %d were beaten", won, conflict)
+		r.Say("%d changes won, %d were in conflict", won, conflict)
 		if won < 6 || conflict < 6 {
-			r.Fail("too few races: %d won, %d beaten", won, conflict)
+			r.Fail("too few races: %d won, %d in conflict", won, conflict)
 		}
 	},
 	"plans-kills": func(ctx context.Context, f *Fleet, r *Report) {
@@ -112,15 +112,15 @@
 			_, got := f.change(f.Daemons[1].Addr, fmt.Sprintf("kill-%d", i), v, 7000+i)
 			if p := f.Leader(0); p != nil { // right after the acknowledgement
 				f.Kill(p)
-				// An operator's call meanwhile gets a prompt, truthful reply.
+				// An operator's call meanwhile gets a prompt, truthful answer.
 				from := time.Now()
 				code, _ := f.change(f.Daemons[1].Addr, fmt.Sprintf("during-%d", i), got.Version, 7100+i)
 				if took := time.Since(from); took > 6*time.Second {
-					r.Fail("a change without an owner took %v (%d)", took, code)
+					r.Fail("a change without a leader took %v (%d)", took, code)
 				}
 				_ = f.Up(p)
 			}
-			f.back(ctx, r, 12*time.Second, "owner of the configuration killed after an acknowledgement")
+			f.back(ctx, r, 12*time.Second, "leader of the configuration killed after an acknowledgement")
 		}
 	},
 }
--- a/proof/track/scene_server.go
+++ b/proof/track/scene_server.go
@@ -39,7 +39,7 @@
 		}
 		f.back(ctx, r, 20*time.Second, "handles lapsed and foreign, streams broken and gapped, servers deaf and slow, links slow")
 	},
-	"slow-readers": func(ctx context.Context, f *Fleet, r *Report) {
+	"slow-clients": func(ctx context.Context, f *Fleet, r *Report) {
 		for _, p := range f.FakeServers {
 			f.Call("POST", p.Addr, "/fault", map[string]any{"fast": true})
 		}
@@ -56,11 +56,11 @@
 				}
 			}()
 		}
-		// Their streams are broken off and their decode servers freed long before the budget.
-		if !Until(ctx, 10*time.Second, func() bool { return f.Told("the requester takes no pieces") >= 8 }) {
-			r.Fail("%d of 8 stuck requesters were broken off after 10s", f.Told("the requester takes no pieces"))
+		// Their streams are broken off and their decode servers freed long before the deadline.
+		if !Until(ctx, 10*time.Second, func() bool { return f.Told("the client takes no pieces") >= 8 }) {
+			r.Fail("%d of 8 stuck clients were broken off after 10s", f.Told("the client takes no pieces"))
 		}
-		r.Say("8 requesters that stopped reading were broken off within %.1fs of a budget of 60s", time.Since(from).Seconds())
+		r.Say("8 clients that stopped reading were broken off within %.1fs of a timeout of 60s", time.Since(from).Seconds())
 		wg.Wait()
 		if n := whole.Load(); n > 0 {
 			r.Fail("%d of the broken streams looked whole", n)
@@ -75,7 +75,7 @@
 		for _, t := range load.Tenants {
 			r.Say("crowd: %s served %.2f, median %v, 99th %v", t.Name, sum.Served[t.Name], sum.P50[t.Name].Round(time.Millisecond), sum.P99[t.Name].Round(time.Millisecond))
 		}
-		r.Say("crowd: results %v, shed told at the 99th in %v", sum.Results, sum.Refusal.Round(time.Millisecond))
+		r.Say("crowd: results %v, refused told at the 99th in %v", sum.Results, sum.Refusal.Round(time.Millisecond))
 		if sum.Served["express"] < sum.Served["bulk"] {
 			r.Fail("the urgent tenant was served less than the least urgent")
 		}
--- a/proof/track/track.go
+++ b/proof/track/track.go
@@ -93,7 +93,7 @@
 	var seeds []string
 	for c, n := range l.Zones {
 		for j := 0; j < n; j++ {
-			p := &Proc{Name: fmt.Sprintf("box-%d", i), Wire: fmt.Sprintf("127.0.0.1:%d", base+i), Addr: fmt.Sprintf("127.0.0.1:%d", base+100+i), Zone: fmt.Sprintf("cell-%c", 'a'+c), bin: "mulleinmast"}
+			p := &Proc{Name: fmt.Sprintf("box-%d", i), Wire: fmt.Sprintf("127.0.0.1:%d", base+i), Addr: fmt.Sprintf("127.0.0.1:%d", base+100+i), Zone: fmt.Sprintf("zone-%c", 'a'+c), bin: "mulleinmast"}
 			if j == 0 {
 				p.Data = filepath.Join(dir, p.Name)
 				seeds = append(seeds, p.Wire)
@@ -111,10 +111,10 @@
 	d := 0
 	for _, svc := range l.Order {
 		for k := 0; k < l.Services[svc]; k++ {
-			p := &Proc{Name: fmt.Sprintf("depot-%d", d), Addr: fmt.Sprintf("127.0.0.1:%d", base+200+d), Zone: fmt.Sprintf("cell-%c", 'a'+k%len(l.Zones)), bin: "fakeserver"}
+			p := &Proc{Name: fmt.Sprintf("fakeserver-%d", d), Addr: fmt.Sprintf("127.0.0.1:%d", base+200+d), Zone: fmt.Sprintf("zone-%c", 'a'+k%len(l.Zones)), bin: "fakeserver"}
 			j := filepath.Join(dir, p.Name+".jsonl")
 			f.files = append(f.files, j)
-			p.args = []string{"-addr", p.Addr, "-cell", p.Zone, "-capacity", "8", "-journal", j}
+			p.args = []string{"-addr", p.Addr, "-zone", p.Zone, "-capacity", "8", "-journal", j}
 			f.FakeServers = append(f.FakeServers, p)
 			f.Svc[svc] = append(f.Svc[svc], fleetconfig.Server{Addr: p.Addr, Zone: p.Zone, Capacity: 8})
 			if err := f.Up(p); err != nil {
@@ -137,7 +137,7 @@
 }
 
 func (f *Fleet) daemonArgs(p *Proc, seeds []string) {
-	p.args = []string{"-fleet", f.Layout.Name, "-wire", p.Wire, "-web", p.Addr, "-cell", p.Zone, "-seeds", strings.Join(seeds, ","), "-test-switches"}
+	p.args = []string{"-fleet", f.Layout.Name, "-wire", p.Wire, "-web", p.Addr, "-zone", p.Zone, "-seeds", strings.Join(seeds, ","), "-test-switches"}
 	if p.Data != "" {
 		p.args = append(p.args, "-data", p.Data)
 	}
@@ -390,7 +390,7 @@
 				why += fmt.Sprintf("\n%s %s: %d %s", p.Name, p.Wire, code, b)
 				if len(st.Partitions) > 0 {
 					n := st.Partitions[0].Node
-					why += fmt.Sprintf("  members %d, owner of part 0 %v, parent %v, lease %d ms", len(st.Members), st.Partitions[0].Leader, n.Parent, n.Left)
+					why += fmt.Sprintf("  members %d, leader of part 0 %v, parent %v, lease %d ms", len(st.Members), st.Partitions[0].Leader, n.Parent, n.Left)
 				}
 			}
 		}
@@ -433,7 +433,7 @@
 	if c.Targets == nil {
 		c.Pick = f.Plat.Pick
 		for i := range f.Layout.Zones {
-			c.Zones = append(c.Zones, fmt.Sprintf("cell-%c", 'a'+i))
+			c.Zones = append(c.Zones, fmt.Sprintf("zone-%c", 'a'+i))
 		}
 	}
 	if c.Most == 0 {
--- a/style_test.go
+++ b/style_test.go
@@ -13,17 +13,29 @@
 )
 
 // withdrawn are the words of an earlier vocabulary that hid the field's own
-// terms, with the term that stands in their place. No identifier uses them.
-var withdrawn = map[string]string{
-	"budget": "deadline or timeout", "wakeup": "timer", "requester": "client", "requesters": "clients", "partner": "peer",
-	"shed": "refuse", "sheds": "refusals", "cell": "zone", "cells": "zones", "reply": "answer or response", "replies": "responses",
-	"berth": "server record", "berths": "server records", "waybill": "attempt ledger", "parley": "call", "yard": "server pool",
-	"seat": "replica", "seats": "replicas", "ballot": "term", "ballots": "terms", "duty": "leadership", "notary": "quorum",
-	"cabin": "daemon", "roster": "membership", "survey": "digest", "archive": "storage", "tariff": "fleet configuration",
-	"interlock": "placement", "regulator": "clock", "daybook": "event log", "telegraph": "transport", "errand": "call",
-	"errands": "calls", "depot": "fake server", "depots": "fake servers", "carrier": "load generator", "signalbox": "daemon",
-	"testtrack": "lab", "enquiry": "query", "maker": "decode server", "makers": "decode servers", "readers": "prefill servers",
-	"purge": "invalidation", "purged": "invalidated", "purges": "invalidations", "beaten": "conflict",
+// terms, with the term that stands in their place. No name, comment or text of
+// the code says them; vocabulary_test.go looks everywhere.
+var withdrawn = vocabulary(map[string]string{
+	"budget budgets": "deadline or timeout", "wakeup wakeups": "timer", "requester requesters": "client", "partner partners": "peer",
+	"shed sheds shedding": "refuse", "cell cells": "zone", "reply replies": "answer or response",
+	"berth berths": "server record", "waybill waybills": "attempt ledger", "parley parleys": "call", "yard yards": "server pool", "desk desks": "native API",
+	"seat seats seated": "replica", "ballot ballots": "term", "owner owners": "leader", "duty duties": "leadership", "master masters": "leader",
+	"notary notaries": "quorum", "cabin cabins": "daemon", "roster rosters": "membership", "survey surveys": "digest", "archive archives": "storage",
+	"tariff tariffs": "fleet configuration", "interlock interlocks": "placement", "regulator regulators": "clock", "daybook daybooks": "event log",
+	"telegraph telegraphs": "transport", "errand errands": "call", "depot depots": "fake server", "carrier carriers": "load generator",
+	"signalbox": "mulleinmast", "testtrack": "fleetlab", "enquiry enquiries": "mulleinctl or query",
+	"maker makers": "decode server", "readers": "prefill servers", "purge purged purges purging": "invalidation", "beaten": "conflict",
+})
+
+// vocabulary gives each of several forms of a word its term.
+func vocabulary(forms map[string]string) map[string]string {
+	words := map[string]string{}
+	for list, term := range forms {
+		for word := range strings.FieldsSeq(list) {
+			words[word] = term
+		}
+	}
+	return words
 }
 
 var humps = regexp.MustCompile(`[A-Z]?[a-z]+|[A-Z]+`)
@@ -67,33 +79,10 @@
 				t.Errorf("%s: %d lines, not a small module", path, lines)
 			}
 		}
-		ast.Inspect(file, func(n ast.Node) bool {
-			if id, ok := n.(*ast.Ident); ok && id.Obj != nil {
-				word(t, path, id)
-			}
-			return true
-		})
-		word(t, path, file.Name)
 		for _, d := range file.Decls {
-			switch d := d.(type) {
-			case *ast.FuncDecl:
-				word(t, path, d.Name)
-				if !test && d.Name.IsExported() && file.Name.Name != "main" && !strings.Contains(d.Doc.Text(), "Example:") {
-					t.Errorf("%s: %s has no example in its comment", path, d.Name.Name)
-				}
-			case *ast.GenDecl:
-				for _, s := range d.Specs {
-					if ts, ok := s.(*ast.TypeSpec); ok {
-						word(t, path, ts.Name)
-						if st, ok := ts.Type.(*ast.StructType); ok {
-							for _, f := range st.Fields.List {
-								for _, n := range f.Names {
-									word(t, path, n)
-								}
-							}
-						}
-					}
-				}
+			f, ok := d.(*ast.FuncDecl)
+			if ok && !test && f.Name.IsExported() && file.Name.Name != "main" && !strings.Contains(f.Doc.Text(), "Example:") {
+				t.Errorf("%s: %s has no example in its comment", path, f.Name.Name)
 			}
 		}
 	})
@@ -101,13 +90,3 @@
 		t.Errorf("%d lines of tests beside %d of code: more than two fifths", tests, code)
 	}
 }
-
-// word fails an identifier that uses a withdrawn word.
-func word(t *testing.T, path string, name *ast.Ident) {
-	t.Helper()
-	for _, w := range humps.FindAllString(name.Name, -1) {
-		if term, ok := withdrawn[strings.ToLower(w)]; ok {
-			t.Errorf("%s: %s says %q, the term here is %q", path, name.Name, w, term)
-		}
-	}
-}
--- a/traffic/attempt/attempt.go
+++ b/traffic/attempt/attempt.go
@@ -1,4 +1,4 @@
-// Package ledger is the ledger of one request: each attempt and what is known
+// Package attempt is the ledger of one request: each attempt and what is known
 // of it. The next move is a pure function of the ledger.
 package attempt
 
@@ -17,7 +17,7 @@
 	Lapsed               // a decode was turned away: its handle is gone or not ours
 	Lost                 // sent, and no word
 	First                // a piece has gone out to the client, more may come
-	Ended                // the whole reply has gone out
+	Ended                // the whole answer has gone out
 )
 
 var names = [...]string{"open", "not sent", "shed", "handle", "lapsed", "lost", "first piece", "ended"}
@@ -130,7 +130,7 @@
 }
 
 // Next derives the next move; again tells whether it is a retry and so needs
-// a token. Where none is to be had, End tells the final reply.
+// a token. Where none is to be had, End tells the final answer.
 //
 // Example: move, again := l.Next()
 func (l Ledger) Next() (m Move, again bool) {
--- a/traffic/attempt/attempt_test.go
+++ b/traffic/attempt/attempt_test.go
@@ -43,11 +43,11 @@
 				}
 				pieces = pieces || k == First || k == Ended
 				if l.Once && sent > 1 {
-					t.Fatal("a once request reached a maker twice")
+					t.Fatal("a once request reached a decode server twice")
 				}
 			case Refuse:
 				if sent > 0 {
-					t.Fatal("shed, but it may have run")
+					t.Fatal("refused, but it may have run")
 				}
 				return
 			case Unsure:
--- a/traffic/board/board.go
+++ b/traffic/board/board.go
@@ -36,7 +36,7 @@
 	uses map[uint64]Use
 }
 
-// message is a Kept with the daemon that told it, which need not be told again.
+// loadReport is a Kept with the daemon that told it, which need not be told again.
 type loadReport struct {
 	Kept
 	from string
--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -423,7 +423,7 @@
 }
 
 // What one daemon sends beyond the first call of each request stays within its
-// part of the budget in every window, whatever fails.
+// part of the allowance in every window, whatever fails.
 func TestFurtherSendsStayInBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := bounds
@@ -474,7 +474,7 @@
 	})
 }
 
-// tries is the greatest number of servers that one try may be sent to; the
+// A route's tries are the greatest number of servers that one try may be sent to; the
 // first reading is not counted.
 func TestNoMoreServersThanTries(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/traffic/forward/shape.go
+++ b/traffic/forward/shape.go
@@ -125,7 +125,7 @@
 
 // Final tells whether the request ends with this move.
 //
-// Example: if move.Kind.Final() { reply(move) }
+// Example: if move.Kind.Final() { respond(move) }
 func (k Kind) Final() bool { return k >= Refuse }
 
 // Move is what to do next for a request.
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -90,7 +90,7 @@
 // Example: if now < source.Until(p) { route() }
 func (s source) Until(partition int) time.Duration { return s.LastUntil(partition) }
 
-// messages is the board as one service's lane sees it.
+// notes is the board as one service's lane sees it.
 type notes struct {
 	g   *Gateway
 	svc string
--- a/traffic/gateway/gateway_test.go
+++ b/traffic/gateway/gateway_test.go
@@ -349,7 +349,7 @@
 		{"not sent anywhere", []forward.Outcome{forward.OK}, []any{forward.NotSent, forward.NotSent, forward.NotSent}, "read|write h1|write h1|write h1", "refuse 503", "h1"},
 		{"lost with the memory", []forward.Outcome{forward.OK}, []any{forward.Lost}, "read|write h1", "fail 502", ""},
 		{"memory gone, read anew", []forward.Outcome{forward.OK}, []any{forward.Gone, events(1, 1, nil)}, "read|write h1|read|write h2", "head 200 1;", "h1"},
-		{"one reader is full", []forward.Outcome{forward.Full, forward.OK}, []any{events(1, 1, nil)}, "read|read|write h2", "head 200 1;", ""},
+		{"one prefill server is full", []forward.Outcome{forward.Full, forward.OK}, []any{events(1, 1, nil)}, "read|read|write h2", "head 200 1;", ""},
 	} {
 		f := &fake{read: read(x.read...), write: outcomes(x.write...)}
 		log := serve(t, f, "/stream/", &ears{}, long)
--- a/traffic/nativeapi/nativeapi.go
+++ b/traffic/nativeapi/nativeapi.go
@@ -1,5 +1,5 @@
-// Package native API is the clients' side of the daemon over HTTP. It carries out
-// what traffic/scheduler decides: claims, calls to servers, pieces and replies.
+// Package nativeapi is the clients' side of the daemon over HTTP. It carries out
+// what traffic/scheduler decides: claims, calls to servers, pieces and answers.
 package nativeapi
 
 import (
@@ -16,6 +16,7 @@
 	"mulleinmast/control/leadercall"
 	"mulleinmast/control/storage"
 	"mulleinmast/traffic/scheduler"
+	"mulleinmast/traffic/serverpool"
 	"mulleinmast/traffic/slots"
 	"mulleinmast/wire/message"
 )
@@ -24,6 +25,8 @@
 	mostBody  = 4 << 20
 	mostParts = 256
 	explained = 256 // requests whose ledger is kept for the query shell
+
+	dialRatio = 0.25 // of the plan bound: connecting to a model server
 )
 
 // lane is one service's shard: the machine under its lock.
@@ -35,9 +38,10 @@
 	rides     map[string]*ride
 }
 
-// Native API serves clients.
+// API serves clients by the product's own calls.
 type API struct {
 	c     *daemon.Daemon
+	hands *serverpool.Hands
 	lanes sync.Map // service -> *lane
 	plan  atomic.Pointer[scheduler.Sheet]
 	bad   atomic.Int64
@@ -50,11 +54,13 @@
 	told    int
 }
 
-// New lays out the clients' calls on the daemon's mux.
+// New lays out the clients' calls on the daemon's mux, and makes the daemon's
+// own calls to model servers unless the caller sets others.
 //
 // Example: d := nativeapi.New(ctx, c)
 func New(ctx context.Context, c *daemon.Daemon) *API {
-	d := &API{c: c, ctx: ctx}
+	d := &API{c: c, ctx: ctx, hands: serverpool.NewHands(time.Duration(float64(c.Cfg.Bounds.Plan) * dialRatio))}
+	c.Polls, c.Orders = d.hands, d.hands
 	c.Mux.HandleFunc("POST /v1/generate", d.generate)
 	c.Mux.HandleFunc("GET /metrics", d.metrics)
 	c.Mux.HandleFunc("GET /v1/why/{request}", d.why)
@@ -100,7 +106,7 @@
 		r := l.rides[a.Trip]
 		switch {
 		case a.Kind == scheduler.Settle:
-			go d.settleClaim(l, a) // goes on when its request has been replied to
+			go d.settleClaim(l, a) // goes on when its request has been answered to
 			continue
 		case r == nil:
 			continue
@@ -188,7 +194,7 @@
 		f.Add("tokens: %d, expected 0 to 100000", q.Tokens)
 	}
 	if q.Timeout != nil && (*q.Timeout <= 0 || *q.Timeout > 600000) {
-		f.Add("budget_ms: %d, expected 1 to 600000: a budget that is spent can't be met", *q.Timeout)
+		f.Add("budget_ms: %d, expected 1 to 600000: a deadline that has passed can't be met", *q.Timeout)
 	}
 	if len(q.Once) > 128 || strings.ContainsAny(q.Once, "/\n") {
 		f.Add("once: expected at most 128 characters without '/'")
@@ -196,7 +202,7 @@
 	return f
 }
 
-// refused refuses a request that came to no lane. Whether a once key ran before
+// refuse refuses a request that came to no lane. Whether a once key ran before
 // is not known then, so it is told that.
 func (d *API) refuse(w http.ResponseWriter, q scheduler.Asked, why string, after time.Duration) {
 	d.early.Add(1)
--- a/traffic/nativeapi/ride.go
+++ b/traffic/nativeapi/ride.go
@@ -57,13 +57,13 @@
 // unblock ends a write that the client doesn't take.
 func (r *ride) unblock() { _ = r.rc.SetWriteDeadline(time.Unix(1, 0)) }
 
-// ride sees a request through to its final reply.
+// ride sees a request through to its final answer.
 func (d *API) ride(w http.ResponseWriter, q *http.Request, l *lane, req scheduler.Request) {
 	ctx, done := context.WithCancel(q.Context())
 	defer done()
 	r := &ride{d: d, l: l, req: req, ctx: ctx, rc: http.NewResponseController(w), wake: make(chan struct{}, 1), calls: map[int]context.CancelFunc{}, ahead: make(chan struct{}, Config(d.c.Cfg).Ahead)}
 	w.Header().Set("X-Request", req.ID)
-	// Whatever the machine decides, no write outlives the budget by much.
+	// Whatever the machine decides, no write outlives the deadline by much.
 	_ = r.rc.SetWriteDeadline(time.Now().Add(req.Due - d.c.Now() + d.c.Cfg.Bounds.Plan))
 	defer func() { _ = r.rc.SetWriteDeadline(time.Time{}) }() // the connection may carry another request
 	l.mu.Lock()
@@ -119,7 +119,7 @@
 	return r.rc.Flush() == nil
 }
 
-// reply is the final word. A stream that broke off is ended by an error piece
+// respond writes the final word. A stream that broke off is ended by an error piece
 // and a cut connection, so that it can't look whole.
 func (r *ride) respond(w http.ResponseWriter, e scheduler.End, begun bool) {
 	switch {
@@ -166,14 +166,14 @@
 func (r *ride) prefill(a scheduler.Act) {
 	ctx, done := r.call(a)
 	defer done()
-	hd, out, why := r.d.c.Hands.Prefill(ctx, a.Addr, a.Read, r.may(a))
+	hd, out, why := r.d.hands.Prefill(ctx, a.Addr, a.Read, r.may(a))
 	r.d.step(r.l, func(now time.Duration) scheduler.Out { return r.l.Handed(now, a.Trip, a.No, hd, out, why) })
 }
 
 func (r *ride) decode(a scheduler.Act) {
 	ctx, done := r.call(a)
 	defer done()
-	st, out, why := r.d.c.Hands.Decode(ctx, a.Addr, a.Make, r.may(a))
+	st, out, why := r.d.hands.Decode(ctx, a.Addr, a.Make, r.may(a))
 	if out == serverpool.OK {
 		defer st.Close()
 		out = serverpool.Lost
--- a/traffic/nativeapi/show.go
+++ b/traffic/nativeapi/show.go
@@ -87,7 +87,7 @@
 		_, _ = fmt.Fprintf(w, "mulleinmast_%s %d\n", k, n[k])
 	}
 	for _, k := range slices.Sorted(maps.Keys(why)) {
-		_, _ = fmt.Fprintf(w, "mulleinmast_sheds{why=%q} %d\n", k, why[k])
+		_, _ = fmt.Fprintf(w, "mulleinmast_refusals{why=%q} %d\n", k, why[k])
 	}
 	st := d.c.State()
 	mine, left := 0, int64(0)
@@ -99,6 +99,6 @@
 			left++
 		}
 	}
-	_, _ = fmt.Fprintf(w, "mulleinmast_members %d\nsignalbox_parts_owned %d\nsignalbox_volume_leases %d\nsignalbox_plan_version %d\nsignalbox_wire_sent %d\nsignalbox_wire_got %d\nsignalbox_wire_lost %d\n",
+	_, _ = fmt.Fprintf(w, "mulleinmast_members %d\nmulleinmast_partitions_led %d\nmulleinmast_volume_leases %d\nmulleinmast_plan_version %d\nmulleinmast_wire_sent %d\nmulleinmast_wire_got %d\nmulleinmast_wire_lost %d\n",
 		len(st.Members), mine, left, st.Plan, st.Wire[0], st.Wire[1], st.Wire[2])
 }
--- a/traffic/scheduler/call.go
+++ b/traffic/scheduler/call.go
@@ -43,7 +43,7 @@
 	a := Act{Trip: t.ID, No: t.no, Addr: addr, Wait: half}
 	if t.side == slots.Read {
 		t.led.Add(attempt.Prefill, addr)
-		t.choice = append(t.choice, fmt.Sprintf("reader %s (%s, %s) holds %d of %d prompt parts", addr, b.Zone, b.Status, t.deep[addr], len(t.chain)))
+		t.choice = append(t.choice, fmt.Sprintf("prefill server %s (%s, %s) holds %d of %d prompt parts", addr, b.Zone, b.Status, t.deep[addr], len(t.chain)))
 		t.zone = b.Zone
 		t.pairs = map[string]bool{}
 		for _, m := range b.Pairs {
@@ -54,7 +54,7 @@
 		a.Read = serverpool.Prefill{Request: t.ID, Attempt: t.no, Term: l.term(), Ver: t.ver, Parts: t.Parts, Prefix: t.chain, Timeout: (t.Due - now).Milliseconds()}
 	} else {
 		t.led.Add(attempt.Decode, addr)
-		t.choice = append(t.choice, fmt.Sprintf("maker %s, paired with %s", addr, t.handle.PrefillServer))
+		t.choice = append(t.choice, fmt.Sprintf("decode server %s, paired with %s", addr, t.handle.PrefillServer))
 		t.run = fmt.Sprintf("%s-%d", t.ID, t.no)
 		a.Kind = Decode
 		a.Wait = t.Due - now
@@ -121,7 +121,7 @@
 	return t
 }
 
-// Handed takes a prefill server's reply, or its silence.
+// Handed takes a prefill server's answer, or its silence.
 //
 // Example: out := l.Handed(now, id, no, handle, serverpool.OK, "")
 func (l *Lane) Handed(now time.Duration, id string, no int, hd serverpool.Handle, out serverpool.Outcome, why string) (o Out) {
--- a/traffic/scheduler/end.go
+++ b/traffic/scheduler/end.go
@@ -19,9 +19,9 @@
 		return o
 	}
 	l.look(now)
-	l.halt(now, t, "the requester went away", &o)
+	l.halt(now, t, "the client went away", &o)
 	l.n.Gone++
-	t.why = "the requester went away"
+	t.why = "the client went away"
 	if t.led.Once && !t.led.Ran() {
 		l.act(&o, Act{Trip: id, Kind: Settle, Key: t.key(), State: "shed"})
 	}
@@ -67,7 +67,7 @@
 		if now >= t.limit || now >= t.Due {
 			l.act(o, Act{Trip: t.ID, Kind: Cut, No: t.no})
 			if t.side == slots.Read {
-				t.led.Learn(attempt.Lost, "no reply in time")
+				t.led.Learn(attempt.Lost, "no answer in time")
 				l.free(now, t, serverpool.Lost)
 				l.next(now, t, o)
 			} else {
@@ -79,9 +79,9 @@
 		if !slow && now < t.Due {
 			return
 		}
-		why := "its budget ended"
+		why := "its deadline passed"
 		if slow {
-			why = "the requester takes no pieces"
+			why = "the client takes no pieces"
 		}
 		l.halt(now, t, why, o)
 		t.why = why
--- a/traffic/scheduler/lane.go
+++ b/traffic/scheduler/lane.go
@@ -160,7 +160,7 @@
 	return l.list
 }
 
-// server record is a server's record if it may get new work now: both leases valid,
+// serverRecord is a server's record if it may get new work now: both leases valid,
 // listed, in a part, not leaving, not excluded, its zone in service.
 func (l *Lane) serverRecord(addr string) (b placement.ServerRecord, ok bool) {
 	rec, ok := l.src(l.partition, fleetconfig.ServerRecordKey(l.svc, addr))
--- a/traffic/scheduler/pick.go
+++ b/traffic/scheduler/pick.go
@@ -23,7 +23,7 @@
 	return l.pickDecode(t, free)
 }
 
-// prefill server is the one that holds most of the prompt; random among equals.
+// pickPrefill is the one that holds most of the prompt; random among equals.
 func (l *Lane) pickPrefill(t *trip, free []string) string {
 	best, top, n := "", -1, uint64(0)
 	for _, a := range free {
@@ -43,7 +43,7 @@
 	return best
 }
 
-// decode server is one that the prefill server is paired with, in its zone if there is one.
+// pickDecode is one that the prefill server is paired with, in its zone if there is one.
 func (l *Lane) pickDecode(t *trip, free []string) string {
 	best, n, near := "", uint64(0), false
 	for _, a := range free {
--- a/traffic/scheduler/scheduler_test.go
+++ b/traffic/scheduler/scheduler_test.go
@@ -17,7 +17,7 @@
 	decode  = "10.0.0.2:1"
 )
 
-// stage is a lane over records that a test may change.
+// world is a lane over records that a test may change.
 type world struct {
 	*Lane
 	recs map[string]message.Rec
@@ -88,15 +88,15 @@
 // last look before the first byte sees it.
 func TestTheLastLookSeesEveryWithdrawal(t *testing.T) {
 	for what, change := range map[string]func(*world){
-		"berth purged": func(w *world) { delete(w.recs, fleetconfig.ServerRecordKey("m", decode)) },
-		"list purged":  func(w *world) { delete(w.recs, fleetconfig.ListKey("m")) },
-		"plan purged":  func(w *world) { delete(w.recs, fleetconfig.PlanKey) },
-		"cells purged": func(w *world) { delete(w.recs, fleetconfig.ZoneKey) },
+		"server record invalidated": func(w *world) { delete(w.recs, fleetconfig.ServerRecordKey("m", decode)) },
+		"list invalidated":          func(w *world) { delete(w.recs, fleetconfig.ListKey("m")) },
+		"plan invalidated":          func(w *world) { delete(w.recs, fleetconfig.PlanKey) },
+		"zones invalidated":         func(w *world) { delete(w.recs, fleetconfig.ZoneKey) },
 		"evacuated": func(w *world) {
 			w.recs[fleetconfig.ZoneKey] = message.Rec{Ver: message.Ver{Term: 1, Seq: 2}, Val: []byte(`["a"]`)}
 		},
 		"share lapsed":   func(w *world) { w.now += time.Hour },
-		"budget over":    func(w *world) { w.now += 10 * time.Second },
+		"deadline over":  func(w *world) { w.now += 10 * time.Second },
 		"excluded":       func(w *world) { w.plan(fleetconfig.Service{Name: "m", Exclude: []string{decode}}) },
 		"leaving listed": func(w *world) { w.list(fleetconfig.Server{Addr: decode, Zone: "a", Capacity: 2, Leaving: true}) },
 	} {
@@ -220,7 +220,7 @@
 		mutate(&h)
 		for _, x := range w.Handed(w.now, "r", a.No, h, serverpool.OK, "").Acts {
 			if x.Kind == Decode {
-				t.Errorf("%s: a maker was called with it", what)
+				t.Errorf("%s: a decode server was called with it", what)
 			}
 		}
 	}
--- a/traffic/scheduler/shape.go
+++ b/traffic/scheduler/shape.go
@@ -1,7 +1,7 @@
 // Package scheduler decides what becomes of each request of one service on one
-// daemon: queue, prefill server, hand-over, decode server, stream, final reply. It is a plain
+// daemon: queue, prefill server, hand-over, decode server, stream, final answer. It is a plain
 // state machine: it takes requests, shares, outcomes of calls and time, and
-// returns calls, pieces and replies. The native API carries them out over HTTP, the
+// returns calls, pieces and answers. The native API carries them out over HTTP, the
 // simulator over simulated servers.
 package scheduler
 
@@ -56,7 +56,7 @@
 	Decode                   // call a decode server and read its stream
 	Cut                      // end the call with this number
 	Pass                     // hand a piece to the client
-	Response                 // the final reply
+	Response                 // the final answer
 )
 
 // String names a kind.
@@ -81,7 +81,7 @@
 	End   End
 }
 
-// End is a final reply.
+// End is a final answer.
 type End struct {
 	Result string // finish, refused, uncertain, break, duplicate, gone
 	Code   int
--- a/traffic/scheduler/trip.go
+++ b/traffic/scheduler/trip.go
@@ -125,7 +125,7 @@
 		return
 	}
 	if now >= t.Due {
-		t.why = "its budget ended"
+		t.why = "its deadline passed"
 		l.final(now, t, t.led.End(), o)
 		return
 	}
--- a/traffic/serverpool/prefix.go
+++ b/traffic/serverpool/prefix.go
@@ -35,9 +35,9 @@
 // Example: p := serverpool.NewPrefixes(65536)
 func NewPrefixes(most int) *Prefixes { return &Prefixes{most: most, at: map[uint64][]string{}} }
 
-// Message remembers that a prefill server now holds every prefix of the chain.
+// Note remembers that a prefill server now holds every prefix of the chain.
 //
-// Example: p.Message(chain, addr)
+// Example: p.Note(chain, addr)
 func (p *Prefixes) Note(chain []uint64, addr string) {
 	for _, c := range chain {
 		list, known := p.at[c]
--- a/traffic/serverpool/serverpool.go
+++ b/traffic/serverpool/serverpool.go
@@ -1,4 +1,4 @@
-// Package server pool speaks to the model servers over HTTP and knows the shapes of
+// Package serverpool speaks to the model servers over HTTP and knows the shapes of
 // what is said; it remembers which prefill server holds which prefix.
 package serverpool
 
@@ -122,7 +122,7 @@
 	return hd, OK, ""
 }
 
-// Decode has a decode server take up the cache and stream the reply.
+// Decode has a decode server take up the cache and stream the answer.
 //
 // Example: stream, out, why := h.Decode(ctx, "127.0.0.1:9001", d, standing)
 func (h *Hands) Decode(ctx context.Context, addr string, d Decode, may func() bool) (*Stream, Outcome, string) {
@@ -133,7 +133,7 @@
 	return &Stream{body: res.Body, r: bufio.NewReaderSize(res.Body, 16<<10)}, OK, ""
 }
 
-// Stream is a reply under way.
+// Stream is an answer under way.
 type Stream struct {
 	body io.ReadCloser
 	r    *bufio.Reader
@@ -182,7 +182,7 @@
 
 // Order tells a server its part.
 //
-// Example: err := h.Order(ctx, order, holder, stillOwner)
+// Example: err := h.Order(ctx, order, holder, stillLeader)
 func (h *Hands) Order(ctx context.Context, o placement.Order, holder string, may func() bool) error {
 	res, out, why := h.post(ctx, "http://"+o.Addr+"/order", struct {
 		placement.Order
--- a/traffic/serverpool/shape.go
+++ b/traffic/serverpool/shape.go
@@ -49,7 +49,7 @@
 	Timeout int64  `json:"budget_ms"`
 }
 
-// Piece is one line of a reply.
+// Piece is one line of an answer.
 type Piece struct {
 	Request string `json:"request"`
 	Run     string `json:"run"`
--- a/traffic/slots/slots.go
+++ b/traffic/slots/slots.go
@@ -23,7 +23,7 @@
 	Side   Side
 	Prio   int
 	Tenant string
-	Due    time.Duration // its budget ends
+	Due    time.Duration // its deadline
 	Pick   func(free []string) string
 	Like   string // the server it hopes for
 
@@ -114,7 +114,7 @@
 		return
 	}
 	if est := time.Duration(ahead) * q.pace[w.Side]; now+est >= w.Due {
-		q.refuse(now, w, "its budget would end in the queue", ahead)
+		q.refuse(now, w, "its deadline would pass in the queue", ahead)
 		return
 	}
 	if len(q.list) >= q.cfg.Most {
@@ -156,7 +156,7 @@
 	}
 }
 
-// Turn gives out the free slots in order and refuses what ran out of budget.
+// Turn gives out the free slots in order and refuses what ran out of time.
 //
 // Example: q.Turn(now)
 func (q *Queue) Turn(now time.Duration) {
@@ -173,8 +173,8 @@
 		sort.Strings(free)
 	}
 	for _, w := range q.list {
-		// Given up on now, not near the end of the budget: once the queue ahead
-		// can't be through in time, or half of the budget went by waiting.
+		// Given up on now, not near the deadline: once the queue ahead
+		// can't be through in time, or half of the time went by waiting.
 		if est := time.Duration(ahead[w.Side]) * q.pace[w.Side]; now+est >= w.Due || now-w.at > (w.Due-w.at)/2 {
 			late = append(late, w)
 			continue
@@ -203,7 +203,7 @@
 	}
 	q.list = rest
 	for _, w := range late {
-		q.refuse(now, w, "its budget would end in the queue", len(rest))
+		q.refuse(now, w, "its deadline would pass in the queue", len(rest))
 	}
 }
 
--- a/traffic/slots/slots_test.go
+++ b/traffic/slots/slots_test.go
@@ -40,7 +40,7 @@
 	}
 	q.Turn(5100 * time.Millisecond)
 	if len(q.Tickets()) == 0 {
-		t.Error("still held with half of its budget gone")
+		t.Error("still held with half of its time gone")
 	}
 }
 
--- a/wire/message/message.go
+++ b/wire/message/message.go
@@ -1,4 +1,4 @@
-// Package form holds the shapes that daemons send one another: one Message with
+// Package message holds the shapes that daemons send one another: one Message with
 // a kind and the fields this kind uses, framed by wire/transport.
 package message
 
@@ -59,13 +59,13 @@
 	kindEnd
 )
 
-var kindNames = [...]string{"none", "renew", "grant", "reconnect", "listing", "synced", "connect", "purge", "purged", "deny", "steer",
+var kindNames = [...]string{"none", "renew", "grant", "reconnect", "listing", "synced", "connect", "invalidate", "invalidated", "deny", "steer",
 	"ask", "promise", "refuse", "fill", "filled", "unfit", "accept", "accepted", "support", "void", "supported",
 	"hello", "welcome", "gossip", "census", "count", "call", "back", "found", "board"}
 
 // String names a kind.
 //
-// Example: message.Invalidation.String() == "invalidation"
+// Example: message.Invalidate.String() == "invalidate"
 func (k Kind) String() string {
 	if int(k) < len(kindNames) {
 		return kindNames[k]
--- a/wire/transport/transport.go
+++ b/wire/transport/transport.go
@@ -20,7 +20,7 @@
 )
 
 // Error is the class of this package's errors.
-var Error = errs.Class("telegraph")
+var Error = errs.Class("transport")
 
 // Most is the largest frame taken.
 const Most = 32 << 20
@@ -226,7 +226,7 @@
 		}
 		l.Together(func() {
 			l.take(n, size)
-			for err == nil && whole(r) { // what came together is replied to together
+			for err == nil && whole(r) { // what came together is answered to together
 				if n, size, err = s.read(r); err == nil && n.Fleet == l.Fleet {
 					l.take(n, size)
 				}
