--- /dev/null
+++ b/proof/track/proc.go
@@ -0,0 +1,94 @@
+package track
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+)
+
+// Proc is one process of the fleet.
+type Proc struct {
+	Name string
+	Addr string // web address
+	Wire string
+	Zone string
+	Data string
+	args []string
+	bin  string
+	old  bool // runs the other build
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  string
+}
+
+// Up starts a process (again).
+//
+// Example: err := f.Up(f.Daemons[0])
+func (f *Fleet) Up(p *Proc) error {
+	bin := f.bin
+	if p.old {
+		bin = f.Old
+	}
+	return p.Run(filepath.Join(bin, p.bin), p.args, nil, filepath.Join(f.Dir, p.Name+".log"))
+}
+
+// Run starts a program as this process; env is added to our own variables and
+// its output to a file. It ends with us at the latest.
+//
+// Example: err := p.Run("bin/mulleinmast", nil, []string{"A=1"}, "run/box-1.log")
+func (p *Proc) Run(program string, args, env []string, log string) error {
+	p.log = log
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if env != nil {
+		cmd.Env = append(os.Environ(), env...)
+	}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() { _ = cmd.Wait(); close(done) }()
+	return nil
+}
+
+// Signal sends a signal to a process.
+//
+// Example: f.Signal(p, syscall.SIGSTOP)
+func (f *Fleet) Signal(p *Proc, s syscall.Signal) { p.Signal(s) }
+
+// Signal sends it a signal.
+//
+// Example: p.Signal(syscall.SIGTERM)
+func (p *Proc) Signal(s syscall.Signal) {
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill kills a process and waits until it is gone.
+//
+// Example: f.Kill(f.Daemons[0])
+func (f *Fleet) Kill(p *Proc) { p.Kill() }
+
+// Kill kills it and waits until it is gone.
+//
+// Example: p.Kill()
+func (p *Proc) Kill() {
+	p.Signal(syscall.SIGKILL)
+	if p.done != nil {
+		<-p.done
+	}
+}
+
+// Wipe removes a daemon's data folder.
+//
+// Example: f.Kill(p); f.Wipe(p); f.Up(p)
+func (f *Fleet) Wipe(p *Proc) error { return os.RemoveAll(p.Data) }
--- /dev/null
+++ b/wire/transport/frame.go
@@ -0,0 +1,82 @@
+package transport
+
+import (
+	"encoding/binary"
+	"io"
+
+	"mulleinmast/wire/message"
+)
+
+// Pack makes a frame of a message.
+//
+// Example: b, err := transport.Pack(message)
+func Pack(n message.Message) ([]byte, error) { return pack(n, message.Version) }
+
+func pack(n message.Message, version byte) ([]byte, error) {
+	b := make([]byte, head, head+256+n.Msgsize()/4)
+	b, err := n.MarshalMsg(b)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if len(b)-head > Most {
+		return nil, Error.New("note of %d bytes, at most %d go in a frame", len(b)-head, Most)
+	}
+	b[0] = version
+	binary.BigEndian.PutUint32(b[1:], uint32(len(b)-head))
+	return b, nil
+}
+
+// Read takes one message off a stream.
+//
+// Example: message, err := transport.Read(conn)
+func Read(r io.Reader) (message.Message, error) {
+	var s spoken
+	n, _, err := s.read(r)
+	return n, err
+}
+
+// read takes a message off this connection and gives the length of its frame.
+func (s *spoken) read(r io.Reader) (n message.Message, whole int, err error) {
+	var h [head]byte
+	if _, err = io.ReadFull(r, h[:]); err != nil {
+		return n, 0, err
+	}
+	if h[0] != message.Version && h[0] != message.Short {
+		return n, 0, Error.New("frame of wire version %d, expected %d or %d", h[0], message.Version, message.Short)
+	}
+	size := int(binary.BigEndian.Uint32(h[1:]))
+	if size > Most {
+		return n, 0, Error.New("frame of %d bytes, at most %d are taken", size, Most)
+	}
+	b := make([]byte, min(size, trust))
+	got, err := io.ReadFull(r, b)
+	if err == nil && got < size {
+		var rest []byte
+		rest, err = io.ReadAll(io.LimitReader(r, int64(size-got)))
+		b = append(b, rest...)
+		got = len(b)
+	}
+	if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF {
+		return n, 0, err
+	}
+	if got < size {
+		return n, 0, Error.New("frame cut short: %d of %d bytes", got, size)
+	}
+	rest, err := n.UnmarshalMsg(b)
+	if err != nil {
+		return n, 0, Error.New("frame can't be read: %v", err)
+	}
+	if len(rest) > 0 {
+		return n, 0, Error.New("%d bytes left over in a frame", len(rest))
+	}
+	if !n.Kind.Known() {
+		return n, 0, Error.New("note of unknown kind %d", n.Kind)
+	}
+	if h[0] == message.Short {
+		if err := s.lengthen(&n); err != nil {
+			return n, 0, err
+		}
+	}
+	s.keep(n)
+	return n, head + size, nil
+}
--- a/wire/transport/transport.go
+++ b/wire/transport/transport.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"io"
 	"net"
 	"sync"
@@ -32,80 +31,6 @@
 	trust  = 64 << 10 // bytes made room for at a frame's word
 )
 
-// Pack makes a frame of a message.
-//
-// Example: b, err := transport.Pack(message)
-func Pack(n message.Message) ([]byte, error) { return pack(n, message.Version) }
-
-func pack(n message.Message, version byte) ([]byte, error) {
-	b := make([]byte, head, head+256+n.Msgsize()/4)
-	b, err := n.MarshalMsg(b)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	if len(b)-head > Most {
-		return nil, Error.New("note of %d bytes, at most %d go in a frame", len(b)-head, Most)
-	}
-	b[0] = version
-	binary.BigEndian.PutUint32(b[1:], uint32(len(b)-head))
-	return b, nil
-}
-
-// Read takes one message off a stream.
-//
-// Example: message, err := transport.Read(conn)
-func Read(r io.Reader) (message.Message, error) {
-	var s spoken
-	n, _, err := s.read(r)
-	return n, err
-}
-
-// read takes a message off this connection and gives the length of its frame.
-func (s *spoken) read(r io.Reader) (n message.Message, whole int, err error) {
-	var h [head]byte
-	if _, err = io.ReadFull(r, h[:]); err != nil {
-		return n, 0, err
-	}
-	if h[0] != message.Version && h[0] != message.Short {
-		return n, 0, Error.New("frame of wire version %d, expected %d or %d", h[0], message.Version, message.Short)
-	}
-	size := int(binary.BigEndian.Uint32(h[1:]))
-	if size > Most {
-		return n, 0, Error.New("frame of %d bytes, at most %d are taken", size, Most)
-	}
-	b := make([]byte, min(size, trust))
-	got, err := io.ReadFull(r, b)
-	if err == nil && got < size {
-		var rest []byte
-		rest, err = io.ReadAll(io.LimitReader(r, int64(size-got)))
-		b = append(b, rest...)
-		got = len(b)
-	}
-	if err != nil && err != io.EOF && err != io.ErrUnexpectedEOF {
-		return n, 0, err
-	}
-	if got < size {
-		return n, 0, Error.New("frame cut short: %d of %d bytes", got, size)
-	}
-	rest, err := n.UnmarshalMsg(b)
-	if err != nil {
-		return n, 0, Error.New("frame can't be read: %v", err)
-	}
-	if len(rest) > 0 {
-		return n, 0, Error.New("%d bytes left over in a frame", len(rest))
-	}
-	if !n.Kind.Known() {
-		return n, 0, Error.New("note of unknown kind %d", n.Kind)
-	}
-	if h[0] == message.Short {
-		if err := s.lengthen(&n); err != nil {
-			return n, 0, err
-		}
-	}
-	s.keep(n)
-	return n, head + size, nil
-}
-
 // Line is this daemon's end of the wire.
 type Line struct {
 	Fleet string
@@ -133,43 +58,6 @@
 	ctx   context.Context
 }
 
-// queue is what waits for one address.
-type queue struct {
-	mu   sync.Mutex
-	list []message.Message
-	wake chan struct{}
-}
-
-func (q *queue) put(n message.Message) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.list) >= depth {
-		return false
-	}
-	q.list = append(q.list, n)
-	return true
-}
-
-// take empties the queue; spare is room from before, if it isn't much.
-func (q *queue) take(spare []message.Message) []message.Message {
-	clear(spare)
-	if cap(spare) > 32 {
-		spare = nil
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	list := q.list
-	q.list = spare[:0]
-	return list
-}
-
-func (q *queue) ring() {
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Listen opens the port.
 //
 // Example: err := line.Listen("127.0.0.1:7000")
@@ -257,15 +145,6 @@
 	l.took(n.Kind, time.Since(at))
 }
 
-// whole tells whether a whole frame is in the buffer already.
-func whole(r *bufio.Reader) bool {
-	if r.Buffered() < head {
-		return false
-	}
-	h, err := r.Peek(head)
-	return err == nil && r.Buffered()-head >= int(binary.BigEndian.Uint32(h[1:]))
-}
-
 func (l *Line) cut(addr string) bool {
 	m := l.Cut.Load()
 	return m != nil && ((*m)[addr] || (*m)["*"])
