--- a/proof/fakeserver/fakeserver.go
+++ b/proof/fakeserver/fakeserver.go
@@ -175,15 +175,23 @@
 	d.mu.Unlock()
 }
 
+// read takes a call's body and tells how the server is to misbehave now.
+func (d *FakeServer) read(w http.ResponseWriter, r *http.Request, call any) (bad Fault, ok bool) {
+	if err := json.NewDecoder(r.Body).Decode(call); err != nil {
+		respond(w, 400, map[string]string{"why": err.Error()})
+		return bad, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.bad, true
+}
+
 func (d *FakeServer) prefill(w http.ResponseWriter, r *http.Request) {
 	var p serverpool.Prefill
-	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
-		respond(w, 400, map[string]string{"why": err.Error()})
+	bad, ok := d.read(w, r, &p)
+	if !ok {
 		return
 	}
-	d.mu.Lock()
-	bad := d.bad
-	d.mu.Unlock()
 	if bad.Deaf {
 		<-r.Context().Done()
 		return
@@ -265,13 +273,10 @@
 
 func (d *FakeServer) decode(w http.ResponseWriter, r *http.Request) {
 	var p serverpool.Decode
-	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
-		respond(w, 400, map[string]string{"why": err.Error()})
+	bad, ok := d.read(w, r, &p)
+	if !ok {
 		return
 	}
-	d.mu.Lock()
-	bad := d.bad
-	d.mu.Unlock()
 	if bad.Deaf {
 		d.recorder.Put(history.Event{Who: d.cfg.Addr, Ev: "decode", Request: p.Handle.Request, Run: p.Run, Once: p.Once, CacheOf: p.Handle.Request})
 		<-r.Context().Done()
--- a/proof/standin/wire/wire.go
+++ b/proof/standin/wire/wire.go
@@ -3,6 +3,8 @@
 // that a name misread there is not misread here as well.
 package wire
 
+import "slices"
+
 // Headers of requests and answers.
 const (
 	Attempt   = "X-Mulleinmast-Attempt-Id"
@@ -209,48 +211,29 @@
 //
 // Example: next := config.With(change)
 func (c Config) With(ch Change) Config {
-	out := Config{Version: ch.Version, Limits: c.Limits}
-	routes := map[string]Route{}
-	for _, r := range ch.Replace.Routes {
-		routes[r.Name] = r
-	}
-	services := map[string]Service{}
-	for _, s := range ch.Replace.Services {
-		services[s.Name] = s
-	}
-	gone := map[string]bool{}
-	for _, n := range ch.Remove.Routes {
-		gone["r/"+n] = true
-	}
-	for _, n := range ch.Remove.Services {
-		gone["s/"+n] = true
-	}
-	for _, r := range c.Routes {
-		if n, ok := routes[r.Name]; ok {
-			r = n
-			delete(routes, r.Name)
-		}
-		if !gone["r/"+r.Name] {
-			out.Routes = append(out.Routes, r)
-		}
-	}
-	for _, r := range ch.Replace.Routes {
-		if _, ok := routes[r.Name]; ok {
-			out.Routes = append(out.Routes, r)
-		}
+	return Config{Version: ch.Version, Limits: c.Limits,
+		Routes:   changed(c.Routes, ch.Replace.Routes, ch.Remove.Routes, func(r Route) string { return r.Name }),
+		Services: changed(c.Services, ch.Replace.Services, ch.Remove.Services, func(s Service) string { return s.Name })}
+}
+
+// changed is a list of named items after some were replaced, added or removed.
+func changed[T any](list, replace []T, remove []string, name func(T) string) (out []T) {
+	fresh := map[string]T{}
+	for _, item := range replace {
+		fresh[name(item)] = item
 	}
-	for _, s := range c.Services {
-		if n, ok := services[s.Name]; ok {
-			s = n
-			delete(services, s.Name)
+	for _, item := range list {
+		if next, ok := fresh[name(item)]; ok {
+			item = next
+			delete(fresh, name(item))
 		}
-		if !gone["s/"+s.Name] {
-			out.Services = append(out.Services, s)
+		if !slices.Contains(remove, name(item)) {
+			out = append(out, item)
 		}
 	}
-	for _, s := range ch.Replace.Services {
-		if _, ok := services[s.Name]; ok {
-			out.Services = append(out.Services, s)
+	for _, item := range replace {
+		if _, ok := fresh[name(item)]; ok {
+			out = append(out, item)
 		}
 	}
 	return out
--- a/traffic/board/board.go
+++ b/traffic/board/board.go
@@ -9,7 +9,6 @@
 import (
 	"hash/fnv"
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -250,13 +249,6 @@
 	return room == 0 || b.clocks[server]-p.clock < room*b.cfg.Keep
 }
 
-// Anywhere tells whether any server of the list keeps a prompt's shared parts.
-//
-// Example: if !b.Anywhere(prefix, ids) { chooseHome() }
-func (b *Board) Anywhere(prefix uint64, servers []uint64) bool {
-	return slices.ContainsFunc(servers, func(s uint64) bool { return b.Has(prefix, s) })
-}
-
 // Forget drops a server that is gone.
 //
 // Example: b.Forget(id)
--- a/traffic/forward/shape.go
+++ b/traffic/forward/shape.go
@@ -8,7 +8,6 @@
 import (
 	"time"
 
-	"mulleinmast/traffic/attempt"
 	"mulleinmast/wire/message"
 )
 
@@ -141,17 +140,6 @@
 	Why    string
 }
 
-// Story is a request as the query shell explains it.
-type Story struct {
-	Request string            `json:"request"`
-	Model   string            `json:"model"`
-	Result  string            `json:"result"`
-	Why     string            `json:"why,omitempty"`
-	Ledger  []attempt.Attempt `json:"ledger"`
-	Choice  []string          `json:"choice,omitempty"`
-	Took    int64             `json:"took_ms"`
-}
-
 // Counts are a lane's numbers.
 type Counts struct {
 	First, Again, Served, Refused, Unknown, Broken, Left, Split, Direct, Resumed int64
