--- a/proof/standin/mutants/mutants.sh
+++ b/proof/standin/mutants/mutants.sh
@@ -49,7 +49,7 @@
 lane=traffic/forward/lane.go engine=platform/engine.go gate=traffic/gateway/gateway.go
 mutant drain release 120 DRAIN $lane 's.Leaving || out[s.Zone]' 'out[s.Zone]' $lane '|| b.Status != placement.Up && b.Status != placement.Warming' ''
 mutant evacuation evacuate 80 EVAC $lane 's.Leaving || out[s.Zone]' 's.Leaving || out[""]' $lane '|| b.Status != placement.Up && b.Status != placement.Warming' ''
-mutant stray-answer garble 120 MIXED $engine 'id != "" && got != id {' 'id != "" && got == "never" {'
+mutant stray-answer garble 120 MIXED platform/exchange.go 'return id == "" && len(got) == 0 || len(got) == 1 && got[0] == id' 'return id != "never" || len(got) == 0'
 mutant no-seal garble 80 MIXED $engine 'if why := unfit(r); why != "" {' 'if why := unfit(r); why == "never" {'
 mutant run-twice garble 120 TWICE $gate 'Repeat: r.Kind == "safe" ||' 'Repeat: true ||'
 mutant false-promise garble 80 REFUSED traffic/gateway/run.go 'w.Fail(http.StatusBadGateway, m.Why)' 'w.Refuse(503, 1e8, m.Why)'
