--- a/control/daemon/call.go
+++ b/control/daemon/call.go
@@ -53,7 +53,7 @@
 // Contact is how this daemon stands to a partition's leader.
 type Contact struct {
 	Lapsed time.Duration    // since when it has no lease on the part; 0: it has one
-	Away   bool             // for longer than a change of owner takes
+	Away   bool             // for longer than a change of leader takes
 	Others []message.Member // control daemons to send callers to when this one is cut off
 }
 
--- a/control/leader/cutoff_test.go
+++ b/control/leader/cutoff_test.go
@@ -9,10 +9,10 @@
 	"mulleinmast/wire/message"
 )
 
-// An owner whose duty lease has lapsed by its own clock, and that nobody has
-// told so, says to every call that it is not the owner: it confirms nothing,
+// A leader whose leader lease has lapsed by its own clock, and that nobody has
+// told so, says to every call that it is not the leader: it confirms nothing,
 // refuses nothing, and finds no fault with a call either.
-func TestALapsedOwnerSaysNothing(t *testing.T) {
+func TestALapsedLeaderSaysNothing(t *testing.T) {
 	a := open(t, 0, nil)
 	base := fleetconfig.Plan{ID: "one", Tenants: []fleetconfig.Tenant{}}
 	plan, err := fleetconfig.Pack(base)
@@ -22,14 +22,14 @@
 	calls := []struct {
 		op   string
 		body []byte
-		code int // from the owner
+		code int // from the leader
 	}{
 		{"plan", plan, 200}, {"plan", leadercall.Pack(fleetconfig.Plan{ID: "two"}), 409}, {"plan", []byte("{"), 400}, {"changes", leadercall.Pack(fleetconfig.Changes{ID: "c", Base: 9}), 409},
 		{"evacuate", []byte("north"), 200}, {"seat", leadercall.Pack(ReplicaCall{Out: "nobody"}), 409}, {"no such call", nil, 400},
 	}
 	for i, x := range calls {
 		if code, word := a.call("d", uint64(i+1), uint64(i+1), x.op, x.body); code != x.code {
-			t.Errorf("%s, by the owner: %d %s, expected %d", x.op, code, word, x.code)
+			t.Errorf("%s, by the leader: %d %s, expected %d", x.op, code, word, x.code)
 		}
 	}
 	a.now = a.m.Partition().Replica.Lease()
--- a/control/membership/lost_test.go
+++ b/control/membership/lost_test.go
@@ -8,7 +8,7 @@
 	"mulleinmast/wire/message"
 )
 
-// net carries notes between rosters, but for those between two sides of a cut.
+// net carries notes between members, but for those between two sides of a cut.
 type net struct {
 	now  time.Duration
 	all  map[string]*Table // by address
@@ -65,7 +65,7 @@
 }
 
 // A daemon without a disk starts while a core machine is cut off, and its seeds
-// name only that one: it finds the others all the same, and the owner that they
+// name only that one: it finds the others all the same, and the leader that they
 // have by now.
 func TestSeedsThatNameOnlyOneThatIsCutOff(t *testing.T) {
 	n := newNet(func(int) []string { return []string{at(1), at(2), at(3)} }, core(3)...)
@@ -80,7 +80,7 @@
 	n.run(2 * time.Second)
 	v := n.all[at(4)].View()
 	if !v.Live || v.Owns[0].Num != 8 {
-		t.Errorf("live %v, owner %v", v.Live, v.Owns[0])
+		t.Errorf("live %v, leader %v", v.Live, v.Owns[0])
 	}
 	for _, id := range []string{"b", "c"} {
 		if _, ok := v.Find(id); !ok {
