--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -71,6 +71,8 @@
 	ledAt   time.Duration
 	ownedAt map[int]time.Duration // when each part was last seen led
 	calm    bool
+	held    []heldUp
+	acks    []acked
 
 	fakeServers map[string]*fakeServer
 	addrs       []string // of fake servers, in order
@@ -80,6 +82,8 @@
 	ready       []*node
 	crowd       time.Duration // until when requests come thick
 	mix         float64
+	open        int    // changes of the races that have no clear end yet
+	known       uint64 // the newest version that an operator knows of
 	cost        time.Duration
 	costs       int
 }
@@ -109,6 +113,9 @@
 	if o.Calls > 0 {
 		w.traffic()
 	}
+	if o.Many > 0 {
+		w.at(6*time.Second, w.events)
+	}
 	for len(w.q) > 0 && w.now < o.Length {
 		it := heap.Pop(&w.q).(item)
 		w.now = it.at
--- a/wire/transport/frame.go
+++ b/wire/transport/frame.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"encoding/binary"
 	"io"
 
@@ -80,3 +81,12 @@
 	s.keep(n)
 	return n, head + size, nil
 }
+
+// whole tells whether a whole frame is in the buffer already.
+func whole(r *bufio.Reader) bool {
+	if r.Buffered() < head {
+		return false
+	}
+	h, err := r.Peek(head)
+	return err == nil && r.Buffered()-head >= int(binary.BigEndian.Uint32(h[1:]))
+}
--- a/wire/transport/queue.go
+++ b/wire/transport/queue.go
@@ -1,8 +1,6 @@
 package transport
 
 import (
-	"bufio"
-	"encoding/binary"
 	"sync"
 
 	"mulleinmast/wire/message"
@@ -12,13 +10,14 @@
 type queue struct {
 	mu   sync.Mutex
 	list []message.Message
+	shut bool // it is forgotten
 	wake chan struct{}
 }
 
 func (q *queue) put(n message.Message) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.list) >= depth {
+	if q.shut || len(q.list) >= depth {
 		return false
 	}
 	q.list = append(q.list, n)
@@ -45,11 +44,26 @@
 	}
 }
 
-// whole tells whether a whole frame is in the buffer already.
-func whole(r *bufio.Reader) bool {
-	if r.Buffered() < head {
+// forget takes down an address that nothing waits for.
+func (l *Line) forget(addr string, q *queue) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.list) > 0 {
 		return false
 	}
-	h, err := r.Peek(head)
-	return err == nil && r.Buffered()-head >= int(binary.BigEndian.Uint32(h[1:]))
+	q.shut = true
+	delete(l.outs, addr)
+	delete(l.heard, addr)
+	return true
+}
+
+// Addresses is how many addresses have a queue here.
+//
+// Example: line.Addresses() == 3
+func (l *Line) Addresses() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.outs)
 }
--- a/wire/transport/transport.go
+++ b/wire/transport/transport.go
@@ -29,6 +29,10 @@
 	depth  = 4096     // messages that wait for one address, at most
 	buffer = 4 << 10  // of a connection, each way; longer frames go round it
 	trust  = 64 << 10 // bytes made room for at a frame's word
+
+	// An address that nothing was sent to for so long is forgotten, with its
+	// queue and its connection: machines are replaced at new ones all the time.
+	resting = time.Minute
 )
 
 // Line is this daemon's end of the wire.
@@ -232,12 +236,19 @@
 	dial := l.dialer()
 	var fail time.Time
 	var list []message.Message
+	idle := time.NewTimer(resting)
+	defer idle.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-idle.C:
+			if l.forget(addr, q) {
+				return
+			}
 		case <-q.wake:
 		}
+		idle.Reset(resting)
 		list = q.take(list)
 		if len(list) == 0 {
 			continue
