--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -1,4 +1,4 @@
-// Package voter is one partition's replica on a control daemon: it votes, stands for
+// Package quorum is one partition's replica on a control daemon: it votes, stands for
 // the leader's leadership when that falls vacant, and as leader commits writes to a
 // majority. It is a plain state machine: inputs in, messages and saves out.
 //
