--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -75,10 +75,11 @@
 	readyAt  atomic.Int64 // when it was last
 	standing standing     // the furthest that it came; the membership table's loop writes it
 
-	dmu   sync.Mutex
-	dq    []quorum.Save
-	dwake chan struct{}
-	stall atomic.Int64 // test switch: every disk write takes this long more
+	dmu     sync.Mutex
+	dq      storage.Batch
+	dwake   chan struct{}
+	stall   atomic.Int64 // test switch: every disk write takes this long more
+	refused atomic.Int64 // writes in a row that the disk refused
 
 	cmu   sync.Mutex
 	runs  *leadercall.Calls
@@ -106,7 +107,7 @@
 	c.Orders = c.Hands
 	c.me = message.Replica{Ident: storage.NewIdent(), Addr: cfg.Wire}
 	if cfg.Data != "" {
-		a, err := storage.Open(cfg.Data, cfg.Fleet)
+		a, err := openFolder(cfg, events)
 		if err != nil {
 			return nil, err
 		}
@@ -117,6 +118,9 @@
 		if a.Spoilt > 0 {
 			events.Say("disk", "%d records are spoilt and count as missing; the other copies have them", a.Spoilt)
 		}
+		if len(a.Short) > 0 {
+			events.Say("disk", "parts %v aren't what was written: they have no vote until the other copies have filled them", a.Short)
+		}
 		for p := range a.Partitions {
 			if p > cfg.Partitions {
 				a.Close()
@@ -164,7 +168,7 @@
 			}
 			return message.Replica{}
 		}
-		m := leader.New(leader.Config{Works: cfg.Works(), Keep: cfg.Keep()}, p, c.me, partition.New(p, c.me, c.epoch, replica, node))
+		m := leader.New(leader.Config{Works: cfg.Works(), Keep: cfg.Keep(), Again: cfg.Again()}, p, c.me, partition.New(p, c.me, c.epoch, replica, node))
 		c.shards = append(c.shards, &shard{partition: p, Controller: m, guide: membership.Guide{Partition: p, Vol: cfg.Vol()}})
 	}
 	c.Pin(0, fleetconfig.PlanKey)
@@ -176,6 +180,20 @@
 	return c, nil
 }
 
+// openFolder opens the data folder. A disk that is full or in trouble is waited
+// for: without its epoch on disk a daemon must not speak, and what is on the
+// disk is worth more than an early start.
+func openFolder(cfg Config, events *eventlog.Log) (*storage.Store, error) {
+	for {
+		a, err := storage.Open(cfg.Data, cfg.Fleet)
+		if err == nil || !storage.Passing(err) {
+			return a, err
+		}
+		events.Trouble("disk", "%v; trying again", err)
+		time.Sleep(cfg.Vol() / 4)
+	}
+}
+
 func (c *Daemon) close() {
 	if c.arch != nil {
 		c.arch.Close()
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -12,7 +12,7 @@
 func (s *Replica) asked(now time.Duration, from message.Replica, n message.Message, o *Out) {
 	own := s.meta.Group
 	switch {
-	case !n.Group.Has(n.From): // only a replica stands
+	case !n.Group.Has(n.From) || s.meta.Short: // only a replica stands, and what its disk lost may be all that a majority has
 		s.refuse(now, from, n, o)
 		return
 	case n.Group.Num > own.Num && n.Group.Has(s.me.Ident):
@@ -55,7 +55,7 @@
 			recs = append(recs, r)
 		}
 	}
-	rep := message.Message{Kind: message.Promise, Partition: s.partition, Num: n.Num, LastComplete: s.meta.LastComplete, Digs: s.records.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Len: int64(max(0, s.quiet-now))}
+	rep := message.Message{Kind: message.Promise, Partition: s.partition, Num: n.Num, LastComplete: s.meta.LastComplete, Digs: s.records.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Ref: n.Epoch, Len: int64(max(0, s.quiet-now))}
 	s.save(o, nil, nil, message.Send{Addr: from.Addr, Message: rep})
 }
 
@@ -93,7 +93,8 @@
 		o.Done = append(o.Done, Done{Tag: w.tag, Fate: Uncertain})
 	}
 	s.writes = map[uint64]*write{}
-	s.mode, s.votes, s.filled, s.stuck = idle, nil, nil, nil
+	s.mode, s.votes, s.filled, s.stuck, s.behind = idle, nil, nil, nil, nil
+	s.few = map[uint64]*write{}
 	s.rounds, s.yes = map[uint64]time.Duration{}, map[uint64]map[string]bool{}
 }
 
@@ -147,7 +148,9 @@
 		}
 		return
 	}
-	if s.mode != asking || n.Op == probe {
+	// A life that ended before its own vote was on disk leaves the same term to
+	// the next. What it was promised holds only the records that its copy lacked.
+	if s.mode != asking || n.Op == probe || n.Ref != 0 && n.Ref != s.lives[s.me.Ident] {
 		return
 	}
 	s.votes[n.From] = vote{lastComplete: n.LastComplete, digs: n.Digs, recs: n.Recs}
@@ -161,7 +164,7 @@
 	// A majority supports nobody else, so no older leader's lease stands.
 	s.wonAt = now
 	s.mode = filling
-	s.filled, s.fillAt, s.seenAt = map[string]bool{}, map[string]time.Duration{}, map[string]time.Duration{}
+	s.filled, s.fillAt, s.seenAt, s.behind = map[string]bool{}, map[string]time.Duration{}, map[string]time.Duration{}, map[string]*behind{}
 	s.follow(now)
 	s.lease = s.askAt + s.cfg.LeaderLease
 	s.merge(o)
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -10,6 +10,9 @@
 // plan lays out a run's failures.
 func (w *world) plan() {
 	w.at(5*time.Second, w.write)
+	if w.o.Races > 0 {
+		w.at(8*time.Second, w.races)
+	}
 	end := w.o.Length - w.o.Calm
 	for _, kind := range kinds(w.o.Faults) {
 		if kind == "ackkill" {
@@ -164,6 +167,8 @@
 			}
 		}
 		w.sever(made, heal)
+	case "cutcore", "halfcut":
+		w.cutCore(kind == "halfcut")
 	case "alone":
 		var made [][2]string
 		for _, b := range w.nodes {
@@ -212,6 +217,7 @@
 		for _, c := range made {
 			delete(w.cut, c)
 		}
+		w.healed()
 	})
 }
 
@@ -233,6 +239,7 @@
 	}
 	w.lost = true
 	n.kill()
+	n.disk.rot = true
 	if w.rng.Intn(2) == 0 {
 		delete(n.disk.recs[p], k)
 	} else {
