--- a/control/membership/membership_test.go
+++ b/control/membership/membership_test.go
@@ -39,6 +39,22 @@
 	}
 }
 
+// A gossip says which of the other's it has: the later life's, whose earlier
+// one is known still.
+func TestAGossipNamesTheLaterLife(t *testing.T) {
+	for range 20 {
+		a := New(cfg, disk("a", "10.0.0.1:1"), nil)
+		for i, id := range []string{"old", "new"} {
+			a.Hear(time.Duration(i)*100*time.Millisecond, message.Message{Kind: message.Gossip, Self: disk(id, "10.0.0.2:1"), LastComplete: uint64(i + 5)})
+		}
+		for _, m := range a.Tick(time.Second, disk("a", "10.0.0.1:1"), nil).Sends {
+			if m.Message.Kind == message.Gossip && m.Addr == "10.0.0.2:1" && m.Message.Ref != 6 {
+				t.Fatalf("names the digest %d", m.Message.Ref)
+			}
+		}
+	}
+}
+
 // A seed without a disk holds no session and says who can.
 func TestSeeds(t *testing.T) {
 	near := New(cfg, message.Member{Ident: "n", Addr: "10.0.0.5:1"}, []string{"10.0.0.1:1"})
@@ -78,7 +94,7 @@
 	}
 	v.Owns = map[int]message.Own{0: {Num: 5, Replica: message.Replica{Ident: "b", Addr: "b"}}}
 	if p := g.Parent(3*time.Second, v); p.Ident == "a" {
-		t.Error("still at the old owner")
+		t.Error("still at the old leader")
 	}
 	relay := v.Relay(0, "c")
 	g.Steered(4*time.Second, relay)
@@ -144,7 +160,7 @@
 	cut = home
 	run(2*time.Second, 6*time.Second)
 	if member.home == cut || member.owns[0].Num != 2 {
-		t.Errorf("still with %s, knows owner %+v", member.home, member.owns[0])
+		t.Errorf("still with %s, knows leader %+v", member.home, member.owns[0])
 	}
 }
 
--- a/proof/judge/linear.go
+++ b/proof/judge/linear.go
@@ -118,7 +118,7 @@
 // layOut lays out what was seen until a moment, of the calls that say when
 // they were sent. A call that was heard to be taken came into force between its
 // first sending and that; one that nobody heard of may have, or may still; one
-// that was beaten never did.
+// that was in conflict never did.
 func layOut(ev []history.Event, until int64) (ops []porcupine.Operation) {
 	calls := map[string]*call{}
 	var order []string
