--- a/control/membership/view_test.go
+++ b/control/membership/view_test.go
@@ -47,10 +47,10 @@
 		}
 	}
 	v := zoneOf(2, 40)
-	owner := v.Relay(0, "c")
-	v.Owns[0] = message.Own{Num: 2, Replica: owner}
+	leader := v.Relay(0, "c")
+	v.Owns[0] = message.Own{Num: 2, Replica: leader}
 	v.memo.Clear()
-	if next := v.Relay(0, "c"); next == owner || next.Ident == "" {
-		t.Errorf("the owner's zone has %v", next)
+	if next := v.Relay(0, "c"); next == leader || next.Ident == "" {
+		t.Errorf("the leader's zone has %v", next)
 	}
 }
