--- a/control/storage/storage_test.go
+++ b/control/storage/storage_test.go
@@ -258,3 +258,19 @@
 		t.Errorf("%d records, %d sums, %v", recs, sums, err)
 	}
 }
+
+// A back-up that is written while the folder is in use opens as the state was.
+func TestABackupIsWhole(t *testing.T) {
+	s := stock(t, 7)
+	want := s.records[0].Sum()
+	dir := t.TempDir()
+	if err := s.Backup(filepath.Join(dir, "state.db")); err != nil {
+		t.Fatal(err)
+	}
+	s.write(t)
+	a := open(t, dir)
+	defer a.Close()
+	if a.Ident != s.Ident || len(a.Short) > 0 || a.Partitions[0].Records.Sum() != want {
+		t.Errorf("%s, short %v, %x instead of %x", a.Ident, a.Short, a.Partitions[0].Records.Sum(), want)
+	}
+}
