--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -1,14 +1,12 @@
-// Package controller is one partition on one daemon, with the works of its leader: it
+// Package leader is one partition on one daemon, with the works of its leader: it
 // takes calls, keeps the group's replicas filled, lets old once keys go and holds
 // the servers. A plain state machine round control/partition; the daemon and the
 // simulator drive the same one.
 package leader
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -114,7 +112,7 @@
 	if s.Won {
 		m.holder, m.marks, m.wants = nil, nil, map[string][2]uint64{}
 		m.orders.since, m.orders.at = m.sec.Replica.Since(), map[string]time.Duration{}
-		o.say("duty", "part %d: owner with ballot %d", m.partition, m.sec.Replica.Num())
+		o.say("leader", "partition %d: leader with term %d", m.partition, m.sec.Replica.Num())
 	}
 	o.Out = s
 	return o
@@ -237,36 +235,6 @@
 	return o
 }
 
-// wanted gives a daemon its share of the slots; shares live in memory only.
-func (m *Controller) wanted(now time.Duration, n message.Message) {
-	var w placement.Want
-	switch err := json.Unmarshal(n.Body, &w); {
-	case err != nil:
-		m.back(n, http.StatusBadRequest, leadercall.Pack(leadercall.Word{Result: "broken", Faults: []string{err.Error()}}))
-	case !m.sec.Leader(now) || m.holder == nil || now < m.sec.Calm(): // an earlier leader's shares may stand
-		m.back(n, leadercall.Other, nil)
-	case m.overtaken(n, w.Service):
-		m.back(n, leadercall.Other, nil)
-	default:
-		m.back(n, http.StatusOK, leadercall.Pack(m.holder.Asked(now, n.From, w, m.sec.Replica.Lease()-now)))
-	}
-}
-
-// overtaken tells whether a later report of the same daemon came before this
-// one: what it says is in flight is no longer so.
-func (m *Controller) overtaken(n message.Message, service string) bool {
-	if n.Ref == 0 { // a build that doesn't number its calls
-		return false
-	}
-	id := service + "/" + n.From
-	last, now := m.wants[id], [2]uint64{n.Epoch, n.Ref}
-	if slices.Compare(now[:], last[:]) <= 0 {
-		return true
-	}
-	m.wants[id] = now
-	return false
-}
-
 // Works runs the leader's systems over its group, its once keys and its servers.
 //
 // Example: out := m.Works(now, sight)
@@ -319,7 +287,7 @@
 	return m.holder != nil && m.sec.Leader(now) && m.sec.Replica.Num() == term
 }
 
-// Polled takes a server's reply to a poll of this term, or its silence.
+// Polled takes a server's answer to a poll of this term, or its silence.
 //
 // Example: m.Polled(now, term, key, usage, true)
 func (m *Controller) Polled(now time.Duration, term uint64, key string, u placement.Usage, ok bool) {
@@ -328,7 +296,7 @@
 	}
 }
 
-// Ordered takes a server's reply to an order.
+// Ordered takes a server's answer to an order.
 //
 // Example: m.Ordered(now, order, true)
 func (m *Controller) Ordered(now time.Duration, ord placement.Order, ok bool) {
--- a/control/leader/orders_test.go
+++ b/control/leader/orders_test.go
@@ -12,27 +12,27 @@
 
 const again = 5 * time.Second
 
-// desk is an leader that keeps orders for as long as they may be sent again, and
+// keeper is a leader that keeps orders for as long as they may be sent again, and
 // daemons that send them there as control/leadercall does.
-type desk struct {
+type keeper struct {
 	*office
 	no uint64
 }
 
-func openDesk(t *testing.T, old *desk) *desk {
+func openKeeper(t *testing.T, old *keeper) *keeper {
 	t.Helper()
 	if old == nil {
-		d := &desk{office: open(t, 0, nil)}
+		d := &keeper{office: open(t, 0, nil)}
 		d.m.orders.again = again
 		return d
 	}
-	d := &desk{office: open(t, 0, old.office), no: old.no}
+	d := &keeper{office: open(t, 0, old.office), no: old.no}
 	d.m.orders.again = again
 	return d
 }
 
 // pass lets time pass, with the leader's works.
-func (d *desk) pass(long time.Duration) {
+func (d *keeper) pass(long time.Duration) {
 	for end := d.now + long; d.now < end; {
 		d.step()
 		d.carry(d.m.Works(d.now, Sight{}))
@@ -40,13 +40,13 @@
 }
 
 // try sends one try of a call, on a mark.
-func (d *desk) try(from string, ref uint64, op, zone string, on message.Ver) (code int, mark message.Ver) {
+func (d *keeper) try(from string, ref uint64, op, zone string, on message.Ver) (code int, mark message.Ver) {
 	d.t.Helper()
 	d.no++
 	d.back = nil
 	d.carry(d.m.Hear(d.now, message.Message{Kind: message.Call, From: from, Epoch: 1, Addr: "10.0.0.9:1", Ref: ref, No: d.no, Op: op, Body: []byte(zone), Ver: on}))
 	if len(d.back) != 1 {
-		d.t.Fatalf("%s: replies %+v", op, d.back)
+		d.t.Fatalf("%s: answers %+v", op, d.back)
 	}
 	return d.back[0].Code, d.back[0].Ver
 }
@@ -54,7 +54,7 @@
 var unknown = message.Ver{Seq: 1 << 60}
 
 // order sends a call until it is not behind.
-func (d *desk) order(from string, ref uint64, op, zone string) int {
+func (d *keeper) order(from string, ref uint64, op, zone string) int {
 	d.t.Helper()
 	code, mark := d.try(from, ref, op, zone, unknown)
 	if code == leadercall.Behind {
@@ -63,7 +63,7 @@
 	return code
 }
 
-func (d *desk) out(zone string) bool { return fleetconfig.Zones(d.read(fleetconfig.ZoneKey))[zone] }
+func (d *keeper) out(zone string) bool { return fleetconfig.Zones(d.read(fleetconfig.ZoneKey))[zone] }
 
 // An order that was taken and undone since, and comes again as another call, has
 // no clear answer for as long as it may be a late repeat, whoever is leader; then
@@ -71,7 +71,7 @@
 func TestAnUndoneOrderComesBackOnlyAsANewOne(t *testing.T) {
 	for _, x := range []struct{ first, undo string }{{"evacuate", "return"}, {"return", "evacuate"}} {
 		for _, moved := range []bool{false, true} {
-			d := openDesk(t, nil)
+			d := openKeeper(t, nil)
 			if x.first == "return" {
 				d.order("q", 1, "evacuate", "north")
 				d.pass(2 * again)
@@ -82,7 +82,7 @@
 				}
 			}
 			if moved {
-				d = openDesk(t, d)
+				d = openKeeper(t, d)
 			}
 			if code := d.order("r", 1, x.first, "north"); code != leadercall.NotDone || d.out("north") != (x.undo == "evacuate") {
 				t.Errorf("%s, leader changed %v: a late repeat: %d, out %v", x.first, moved, code, d.out("north"))
@@ -104,14 +104,14 @@
 // An order that is too old to be sent again isn't taken for a late one by the
 // next leader, which can't know its age.
 func TestAnOldOrderIsForgottenBeforeTheNextLeader(t *testing.T) {
-	d := openDesk(t, nil)
+	d := openKeeper(t, nil)
 	for i, op := range []string{"evacuate", "return"} {
 		if code := d.order("p", uint64(i+1), op, "north"); code != 200 {
 			t.Fatal(code)
 		}
 	}
 	d.pass(2 * again)
-	d = openDesk(t, d)
+	d = openKeeper(t, d)
 	if code := d.order("q", 1, "evacuate", "north"); code != 200 || !d.out("north") {
 		t.Errorf("a new order to a new leader: %d", code)
 	}
@@ -120,7 +120,7 @@
 // A try that was held up on its way, and was never carried out, does nothing
 // once the zones are others than its caller was told.
 func TestATryOnOlderZonesDoesNothing(t *testing.T) {
-	d := openDesk(t, nil)
+	d := openKeeper(t, nil)
 	code, mark := d.try("p", 1, "evacuate", "north", unknown)
 	if code != leadercall.Behind || mark == (message.Ver{}) {
 		t.Fatalf("%d %v", code, mark)
@@ -141,7 +141,7 @@
 // Orders that may be sent again are kept, and when there are very many no
 // further one is taken rather than one forgotten.
 func TestOrdersAreBoundedInMemory(t *testing.T) {
-	d := openDesk(t, nil)
+	d := openKeeper(t, nil)
 	for i := range uint64(mostCalls + 20) {
 		want := 200
 		if i >= mostCalls {
--- a/control/storage/crash_test.go
+++ b/control/storage/crash_test.go
@@ -59,7 +59,7 @@
 	out := fmt.Sprint("set aside ", a.Moved, " short ", a.Short, " empty ", a.Empty)
 	for p := range 3 {
 		if h, ok := a.Partitions[p]; ok {
-			out += fmt.Sprintf(" part %d promised %d of %d records %x", p, h.Meta.Promised, h.Records.Size(), h.Records.Sum())
+			out += fmt.Sprintf(" partition %d promised %d of %d records %x", p, h.Meta.Promised, h.Records.Size(), h.Records.Sum())
 		}
 	}
 	return out
--- a/control/storage/storage_test.go
+++ b/control/storage/storage_test.go
@@ -176,7 +176,7 @@
 }
 
 // roomKey names the room that a child of the test has on its disk.
-const roomKey = "ARCHIVE_TEST_ROOM"
+const roomKey = "STORAGE_TEST_ROOM"
 
 // The same where the disk has no room for one more byte.
 func TestAFullDiskAtTheStartIsNoDamage(t *testing.T) {
