--- a/control/daemon/host.go
+++ b/control/daemon/host.go
@@ -16,7 +16,7 @@
 // tens of ms, in which requests wait for it, and hundreds of changes in a row
 // make no daemon unready.
 //
-// Example: if c.Ready() { reply(200) }
+// Example: if c.Ready() { respond(200) }
 func (c *Daemon) Ready() bool {
 	return c.ready.Load() && c.isReady() || c.wasReady(c.Cfg.Vol())
 }
--- a/control/fleetconfig/taken.go
+++ b/control/fleetconfig/taken.go
@@ -10,7 +10,7 @@
 )
 
 // Accepted changes are remembered beside the plan's record, so that a call that
-// is sent again gets its reply again. The memory is a ring of pages, each a
+// is sent again gets its answer again. The memory is a ring of pages, each a
 // record of its own: a change is written together with the one page that it is
 // added to, and no daemon but the replicas keeps a page.
 const (
@@ -106,7 +106,7 @@
 }
 
 // Decide judges a next plan by the records: one that was accepted before gets
-// its reply again, one that is accepted now is written with its memory. plans
+// its answer again, one that is accepted now is written with its memory. plans
 // reads the plan's record; number is the one that the call names, if any.
 //
 // Example: recs, verdict := fleetconfig.Decide(read, plans, "id-1", 4, 7, next)
--- a/control/leadercall/leadercall.go
+++ b/control/leadercall/leadercall.go
@@ -1,4 +1,4 @@
-// Package call carries a call to the leader of a partition, wherever that is, and
+// Package leadercall carries a call to the leader of a partition, wherever that is, and
 // waits out a change of leader. It is a plain state machine: a call that was
 // sent and not answered is "uncertain", one that nobody took is "not done". All
 // tries of a call go under one number, so that a leader carries it out once.
@@ -15,12 +15,12 @@
 	"mulleinmast/wire/message"
 )
 
-// Codes of control replies beside those of HTTP.
+// Codes of control answers beside those of HTTP.
 const (
 	Other     = http.StatusMisdirectedRequest // not the leader
 	Uncertain = http.StatusGatewayTimeout
 	NotDone   = http.StatusServiceUnavailable
-	Behind    = http.StatusTooEarly // the order was on another version of what it changes; the reply names the present one
+	Behind    = http.StatusTooEarly // the order was on another version of what it changes; the answer names the present one
 )
 
 // nowhere is the mark of a call that hasn't heard yet what its order is on: no
@@ -59,7 +59,7 @@
 	lost      bool        // a try was sent and had no word
 }
 
-// try is one message of a call: only the daemon that it went to may reply to it.
+// try is one message of a call: only the daemon that it went to may answer to it.
 type try struct {
 	call uint64
 	to   string
@@ -74,7 +74,7 @@
 }
 
 // lifeBits is how many messages a life may number, as a power of two. A daemon
-// with a disk keeps its identity over a restart, so that a reply to its earlier
+// with a disk keeps its identity over a restart, so that an answer to its earlier
 // life reaches it: the earlier life's numbers must be nobody's now.
 const lifeBits = 40
 
@@ -139,6 +139,8 @@
 		if c.ref == 0 {
 			c.due = now + e.cfg.Pause
 		}
+	case n.Code == Uncertain && c.ref != 0: // a later try is out, and knows the call by its number
+		c.lost = true
 	case n.Code == Other || n.Code == Uncertain:
 		c.lost = c.lost || n.Code == Uncertain
 		e.end(no, c, &o)
@@ -170,9 +172,9 @@
 // end gives a call up with what is known of it.
 func (e *Calls) end(no uint64, c *call, o *Out) {
 	e.drop(no, c)
-	w, code := Word{Result: "not done", Why: "part " + strconv.Itoa(c.partition) + " has no owner now", After: e.cfg.After.Milliseconds()}, NotDone
+	w, code := Word{Result: "not done", Why: "part " + strconv.Itoa(c.partition) + " has no leader now", After: e.cfg.After.Milliseconds()}, NotDone
 	if c.lost || c.ref != 0 {
-		w, code = Word{Result: "uncertain", Why: "no word from the owner of part " + strconv.Itoa(c.partition) + "; ask again with the same id", After: e.cfg.After.Milliseconds()}, Uncertain
+		w, code = Word{Result: "uncertain", Why: "no word from the leader of part " + strconv.Itoa(c.partition) + "; ask again with the same id", After: e.cfg.After.Milliseconds()}, Uncertain
 	}
 	o.Done = append(o.Done, Done{no, code, Pack(w)})
 }
--- a/control/storage/storage.go
+++ b/control/storage/storage.go
@@ -1,4 +1,4 @@
-// Package store keeps a control daemon's state in one SQLite file. A batch
+// Package storage keeps a control daemon's state in one SQLite file. A batch
 // of saves is one transaction; it is on disk when Write returns.
 package storage
 
