A vote supports a lease once it is on disk; messages of an earlier life are nobody's

A voter answered Support as soon as its vote was in memory. One that joined a term by a fill which didn't fit had saved nothing at all. After a restart it is bound to the leader before; where that one is known to have restarted too, it promises itself at once, while the lease that it supported stands. Now a vote is saved when it is taken, and Support is answered once that is on disk. 2. A candidate that ended before its number was on disk uses the number again. A void or a question of the first life, late, freed the vote of the second life or bound it to a life known to be over, so that it was given to another at once. A message of an earlier life than the latest known is dropped.

--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -44,6 +44,8 @@
 		// A replica that missed the term joins it: a majority has settled it.
 		s.meta.Promised, s.meta.To, s.meta.ToEpoch = n.Num, n.From, n.Epoch
 		s.drop(o)
+		s.save(o, nil, nil)
+		s.bound = s.tick
 	}
 	done := message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Partition: s.partition, Num: n.Num, To: from.Ident}}
 	if s.meta.LastComplete == n.Num && n.Op == compare {
@@ -116,6 +118,7 @@
 // Example: out := s.Saved(save.Ticket)
 func (s *Replica) Saved(ticket uint64) Out {
 	o := Out{Sends: s.after[ticket]}
+	s.synced = max(s.synced, ticket)
 	delete(s.after, ticket)
 	return o
 }
--- a/control/quorum/lease.go
+++ b/control/quorum/lease.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// uphold supports a leader's lease once our vote for it is on disk: a restart
+// that forgot the vote would not wait the lease out.
+func (s *Replica) uphold(from message.Replica, n message.Message, o *Out) {
+	if n.To = from.Ident; s.synced >= s.bound {
+		o.send(from, n)
+		return
+	}
+	s.after[s.bound] = append(s.after[s.bound], message.Send{Addr: from.Addr, Message: n})
+}
+
 func (s *Replica) beat(now time.Duration, o *Out) {
 	s.beatAt = now
 	s.round++
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -133,6 +133,8 @@
 	undo    uint64        // the term of that promise; none since the start
 
 	tick   uint64
+	synced uint64                    // the last ticket that is on disk
+	bound  uint64                    // the ticket with which our present vote is
 	after  map[uint64][]message.Send // sends held until the ticket is synced
 	mode   mode
 	num    uint64
@@ -259,7 +261,7 @@
 // Example: out := s.Hear(now, message)
 func (s *Replica) Hear(now time.Duration, n message.Message) (o Out) {
 	from := message.Replica{Ident: n.From, Addr: n.Addr}
-	if !s.audible(n) {
+	if !s.audible(n) || n.Epoch < s.lives[n.From] { // what an earlier life sent is nobody's
 		return o
 	}
 	s.live(now, n)
@@ -303,7 +305,7 @@
 			if s.quit {
 				rep.Op = parting
 			}
-			o.send(from, rep)
+			s.uphold(from, rep, &o)
 		} else {
 			s.refuse(now, from, n, &o)
 		}
@@ -313,6 +315,7 @@
 		if s.meta.Promised == n.Num && s.meta.To == n.From && s.undo == n.Num {
 			s.meta.Promised, s.meta.To, s.meta.ToEpoch = s.before.Promised, s.before.To, s.before.ToEpoch
 			s.save(&o, nil, nil)
+			s.bound = s.tick
 		}
 	case message.Supported:
 		s.supported(now, n)
--- a/control/quorum/step_test.go
+++ b/control/quorum/step_test.go
@@ -33,3 +33,54 @@
 		t.Errorf("the step isn't finished a beat later: %s", c.group())
 	}
 }
+
+// A voter supports a lease only once its vote is on disk: one that restarted
+// without it would take the leader before for the one it is bound to, and if that
+// one has restarted as well, promise itself to another while the lease stands.
+func TestAVoteIsOnDiskBeforeItSupports(t *testing.T) {
+	for what, bind := range map[string]message.Message{
+		"it joined the term by a fill": {Kind: message.Fill, Num: 6, Group: three},
+		"it promised":                  {Kind: message.Ask, Num: 6, Group: three, Len: int64(whole)},
+	} {
+		v := restarted(t)
+		at := 2 * whole
+		hear := func(n message.Message) Out {
+			n.From, n.Addr, n.Epoch, n.Partition = "b", "b", 1, 1
+			return v.s.Hear(at, n)
+		}
+		saves := hear(bind).Saves
+		early := hear(message.Message{Kind: message.Support, Num: 6, No: 1}).Sends
+		if len(early) > 0 || len(saves) == 0 || saves[len(saves)-1].Meta.Promised != 6 {
+			t.Errorf("%s: it supports with %+v, to be saved is %+v", what, early, saves)
+		}
+		var late []message.Send
+		for _, s := range saves {
+			late = append(late, v.s.Saved(s.Ticket).Sends...)
+		}
+		if len(late) == 0 || late[len(late)-1].Message.Kind != message.Supported {
+			t.Errorf("%s: once that is on disk: %+v", what, late)
+		}
+	}
+}
+
+// What a daemon sent in an earlier life counts for nothing once a later life is
+// known: its void would free a vote that the later life won with, its question
+// would bind the vote to a life that is over.
+func TestMessagesOfAnEarlierLifeAreNobodys(t *testing.T) {
+	for what, late := range map[string]message.Message{
+		"void": {Kind: message.Void, Num: 6},
+		"ask":  {Kind: message.Ask, Num: 6, Len: int64(whole)},
+	} {
+		v := restarted(t)
+		at := 2 * whole
+		for life := uint64(1); life <= 2; life++ { // the first life's number was not on its disk yet
+			if ok, _ := v.ask(at, "b", life, 6); !ok {
+				t.Fatalf("%s: life %d is not promised", what, life)
+			}
+		}
+		v.hear(at, "b", 1, late)
+		if m := v.s.Meta(); m.Promised != 6 || m.To != "b" || m.ToEpoch != 2 || v.s.free(at+1) {
+			t.Errorf("%s of life 1 after life 2 won: bound to %+v, free %v", what, m, v.s.free(at+1))
+		}
+	}
+}
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -57,6 +57,7 @@
 	}
 	rep := message.Message{Kind: message.Promise, Partition: s.partition, Num: n.Num, LastComplete: s.meta.LastComplete, Digs: s.records.Digs(), Recs: recs, Group: s.meta.Group, To: from.Ident, Len: int64(max(0, s.quiet-now))}
 	s.save(o, nil, nil, message.Send{Addr: from.Addr, Message: rep})
+	s.bound = s.tick
 }
 
 func sameReplicas(a, b message.Group) bool {
--- a/proof/modelcheck/plant.go
+++ b/proof/modelcheck/plant.go
@@ -87,8 +87,8 @@
 		}
 	case p == blankVote && n.Kind == message.Promise && n.Op == "":
 		n.LastComplete, n.Digs, n.Recs = n.Num, digest.NewRecords().Digs(), nil
-	case p == laterLife && n.Kind == message.Support:
-		n.Epoch++
+	case p == laterLife && n.Kind == message.Support && len(w.changes)%4 == 3:
+		return []message.Message{n, {Kind: message.Refuse, Partition: part, From: n.From, Epoch: n.Epoch + 1, To: n.To}}
 	case p == twoVoices && n.Kind == message.Accepted:
 		other := n
 		for _, r := range w.want {
