--- a/proof/modelcheck/modelcheck_test.go
+++ b/proof/modelcheck/modelcheck_test.go
@@ -39,6 +39,7 @@
 func TestPlantedFaultsAreCaught(t *testing.T) {
 	for _, p := range plants {
 		t.Run(string(p), func(t *testing.T) {
+			t.Parallel()
 			for seed := int64(1); seed <= 20; seed++ {
 				for _, k := range Walks(seed, 3000) {
 					k.Setup.Plant = p
