--- a/control/quorum/lease.go
+++ b/control/quorum/lease.go
@@ -23,7 +23,8 @@
 	if s.meta.Group.Quorum(func(id string) bool { return s.yes[n.Ref][id] }) {
 		// A lease that has lapsed is not revived: others may have been promised since.
 		if now < s.lease {
-			s.lease, s.under = max(s.lease, at+s.cfg.LeaderLease), s.meta.Group.Num
+			s.lease = max(s.lease, at+s.cfg.LeaderLease)
+			s.leased = s.leased || n.Ref > s.stepRound
 		}
 		delete(s.rounds, n.Ref)
 		delete(s.yes, n.Ref)
@@ -33,7 +34,10 @@
 // uphold supports a leader's lease once our vote for it is on disk: a restart
 // that forgot the vote would not wait the lease out.
 func (s *Replica) uphold(from message.Replica, n message.Message, o *Out) {
-	if n.To = from.Ident; s.synced >= s.bound {
+	if s.bound > s.tick {
+		s.save(o, nil, nil)
+	}
+	if n.To = from.Ident; !s.waits(s.bound) {
 		o.send(from, n)
 		return
 	}
@@ -59,6 +63,11 @@
 //
 // Example: out := s.Tick(now)
 func (s *Replica) Tick(now time.Duration) (o Out) {
+	s.now = now
+	if s.stalled(now) && s.mode != idle {
+		s.drop(&o)
+		return o
+	}
 	for _, since := range s.stuck {
 		if s.mode == owning && now-since > every*s.cfg.LeaderLease && len(s.writes) == 0 {
 			s.drop(&o)
@@ -70,7 +79,7 @@
 		s.next = now + s.cfg.LeaderLease/4 + s.delay()
 		return o
 	}
-	if s.quit || !s.meta.Group.Has(s.me.Ident) {
+	if s.quit || s.meta.Short || s.stalled(now) || !s.meta.Group.Has(s.me.Ident) {
 		return o
 	}
 	switch s.mode {
@@ -95,6 +104,7 @@
 			}
 		}
 		s.repair(now, &o)
+		s.chase(now, &o)
 		for _, no := range slices.Sorted(maps.Keys(s.writes)) {
 			w := s.writes[no]
 			if now-w.sent >= s.cfg.Beat {
--- a/control/quorum/step_test.go
+++ b/control/quorum/step_test.go
@@ -49,7 +49,9 @@
 			return v.s.Hear(at, n)
 		}
 		saves := hear(bind).Saves
-		early := hear(message.Message{Kind: message.Support, Num: 6, No: 1}).Sends
+		support := hear(message.Message{Kind: message.Support, Num: 6, No: 1})
+		early := support.Sends
+		saves = append(saves, support.Saves...)
 		if len(early) > 0 || len(saves) == 0 || saves[len(saves)-1].Meta.Promised != 6 {
 			t.Errorf("%s: it supports with %+v, to be saved is %+v", what, early, saves)
 		}
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -23,6 +23,8 @@
 	meta  map[int]quorum.Meta
 	recs  map[int]map[string]message.Rec
 	sums  map[string]uint64 // by part and key, as control/storage keeps them
+	sum   map[int]uint64    // of each partition, too
+	rot   bool              // what it holds isn't what was written
 }
 
 type node struct {
@@ -32,7 +34,8 @@
 	zone    string
 	disk    *folder
 	hasDisk bool
-	life    int // counts starts; old events of a past life are dropped
+	only    string // the one seed that its settings name now, if so
+	life    int    // counts starts; old events of a past life are dropped
 	up      bool
 	gone    bool          // for good
 	leaving bool          // told to end for good
@@ -44,6 +47,8 @@
 	slowTil time.Duration
 	busy    bool          // the disk is at work
 	pend    []quorum.Save // what waits for it
+	writing []quorum.Save // what it is at
+	jam     time.Duration // until when it takes nothing
 
 	ident  string
 	epoch  uint64
@@ -59,6 +64,8 @@
 	rides map[string]*ride
 	early map[int]*caller        // requests that wait for the plan
 	past  map[string]message.Rec // what a sabotaged daemon goes on reading
+
+	recalls uint64 // the term at whose beginning a sabotaged leader forgot
 }
 
 func (n *node) sec(p int) *partition.Partition { return n.parts[p].Partition() }
@@ -67,6 +74,9 @@
 func (n *node) local() time.Duration { return n.base + time.Duration(float64(n.w.now)*n.rate) }
 
 func (n *node) seeds() []string {
+	if n.only != "" {
+		return []string{n.only}
+	}
 	var out []string
 	for _, m := range n.w.nodes {
 		if m.hasDisk != n.w.o.Bare && !m.gone && len(out) < 3 {
@@ -105,7 +115,7 @@
 	now := n.local()
 	if n.hasDisk {
 		if n.disk == nil {
-			n.disk = &folder{ident: n.ident, meta: map[int]quorum.Meta{}, recs: map[int]map[string]message.Rec{}, sums: map[string]uint64{}}
+			n.disk = &folder{ident: n.ident, meta: map[int]quorum.Meta{}, recs: map[int]map[string]message.Rec{}, sums: map[string]uint64{}, sum: map[int]uint64{}}
 			if w.o.Sabotage == "samename" {
 				n.disk.ident = n.name
 			}
@@ -138,13 +148,7 @@
 	for p := 0; p <= w.o.Partitions; p++ {
 		var replica *quorum.Replica
 		if n.hasDisk {
-			records := digest.NewRecords()
-			for k, r := range n.disk.recs[p] {
-				if n.disk.sums[sumKey(p, k)] == digest.Print(r) { // else it is spoilt and counts as missing
-					records.Put(r)
-				}
-			}
-			meta := n.disk.meta[p]
+			meta, records := n.loadReplica(p)
 			if w.o.Sabotage == "forget" {
 				meta.Promised, meta.To = 0, ""
 			}
@@ -166,7 +170,7 @@
 		if w.o.Sabotage == "nocalm" {
 			sec.Calm = func() time.Duration { return 0 }
 		}
-		s := leader.New(leader.Config{Works: w.works(), Keep: w.cfg.Keep()}, p, me, sec)
+		s := leader.New(leader.Config{Works: w.works(), Keep: w.cfg.Keep(), Again: w.cfg.Again()}, p, me, sec)
 		n.parts = append(n.parts, s)
 		n.guides = append(n.guides, membership.Guide{Partition: p, Vol: w.cfg.Vol()})
 		for k := 0; k < w.o.Keys; k++ {
@@ -185,6 +189,30 @@
 	n.in(w.exp(w.o.Reads), n.read)
 }
 
+// loadReplica is what a replica's disk holds: a partition that isn't what was written, for
+// a record that is lost or spoilt, is short.
+func (n *node) loadReplica(p int) (quorum.Meta, *digest.Records) {
+	records := digest.NewRecords()
+	spoilt := false
+	for k, r := range n.disk.recs[p] {
+		if n.disk.sums[sumKey(p, k)] == digest.Print(r) { // else it is spoilt and counts as missing
+			records.Put(r)
+		} else {
+			spoilt = true
+			delete(n.disk.recs[p], k)
+		}
+	}
+	meta := n.disk.meta[p]
+	if sum := n.disk.sum[p]; spoilt || sum != 0 && sum != meta.Sum(records) {
+		if !n.disk.rot {
+			n.w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("reads partition %d back as what was never written", p)})
+		}
+		meta.Short = n.w.o.Sabotage != "rotvote"
+		n.disk.meta[p], n.disk.sum[p] = meta, meta.Sum(records)
+	}
+	return meta, records
+}
+
 func key(k int) string { return fmt.Sprintf("plan/%d", k) }
 
 func (n *node) member() message.Member {
@@ -321,11 +349,12 @@
 func (n *node) flush() {
 	w := n.w
 	list := n.pend
-	n.pend, n.busy = nil, true
+	n.pend, n.busy, n.writing = nil, true, list
 	d := 200*time.Microsecond + w.exp(time.Millisecond)
 	if w.now < n.slowTil {
 		d += n.slow
 	}
+	d = max(d, n.jam-w.now)
 	life := n.life
 	told := func() {
 		for _, s := range list {
@@ -370,13 +399,14 @@
 				}
 			}
 		}
-		for _, k := range s.Drop {
-			delete(f.recs[s.Partition], k)
-		}
 		for _, r := range s.Recs {
 			f.recs[s.Partition][r.Key] = r
 			f.sums[sumKey(s.Partition, r.Key)] = digest.Print(r)
 		}
+		for _, k := range s.Drop {
+			delete(f.recs[s.Partition], k)
+		}
+		f.sum[s.Partition] = s.Sum
 	}
 }
 
@@ -391,6 +421,7 @@
 	if rec, ok := n.source(0, fleetconfig.PlanKey); ok && w.o.Calls > 0 {
 		p := fleetconfig.Open(rec)
 		w.jot(history.Event{Who: n.name, Ev: "serves", Plan: p.ID, Ver: p.Version})
+		w.jot(history.Event{Who: n.name, Ev: "read", Plan: p.ID, Ver: p.Version})
 	}
 	w.leaders()
 	if w.o.Lame > 0 && w.now > 25*time.Second && w.now < 55*time.Second && n.zone == w.nodes[len(w.nodes)-1].zone && !w.lame(n) {
