--- a/proof/modelcheck/plant.go
+++ b/proof/modelcheck/plant.go
@@ -101,7 +101,7 @@
 		w.forge(to, n, message.Message{Kind: message.Invalidated, Key: n.Key, Ref: n.Ref, Mark: n.Mark})
 		return nil
 	case p == emptyFill && n.Kind == message.Fill:
-		n.Recs = nil
+		n.Recs, n.LastComplete = nil, 0 // and the sum by which that is noticed
 	case p == voidedWon && n.Kind == message.Fill && n.Op == "":
 		void := message.Message{Kind: message.Void, Partition: part, Num: n.Num, From: n.From, Epoch: n.Epoch, Addr: n.Addr, To: n.To}
 		return []message.Message{n, void}
