--- a/proof/modelcheck/plant.go
+++ b/proof/modelcheck/plant.go
@@ -28,7 +28,7 @@
 	unheard    plant = "an invalidation is confirmed by the network and not delivered"
 	impatient  plant = "a granter waits out less than the lease that it granted"
 	noBase     plant = "a change is written whatever its base"
-	emptyFill  plant = "a fill loses its records on the way"
+	emptyFill  plant = "a fill loses its records on the way, and the sum that tells of it"
 	voidedWon  plant = "a term that was won is given up as void"
 	slowClock  plant = "a daemon's clock runs at half the speed of the others"
 	rolledBack plant = "a disk holds at a restart what it held at the start before"
