--- a/control/fleetconfig/taken_test.go
+++ b/control/fleetconfig/taken_test.go
@@ -37,7 +37,7 @@
 }
 
 // A change that was accepted is acknowledged again with thousands of others in
-// between, and one that was beaten stays beaten; neither comes into force.
+// between, and one that was in conflict stays in conflict; neither comes into force.
 func TestAnAcceptedChangeIsKnownAfterThousands(t *testing.T) {
 	s := &shelf{held: map[string]message.Rec{}}
 	const changes = 5000
@@ -50,7 +50,7 @@
 			t.Fatalf("a second change on version %d: %+v", version(i-1), v)
 		}
 		if s.bytes != 0 {
-			t.Fatalf("a beaten change wrote %d bytes", s.bytes)
+			t.Fatalf("a in conflict change wrote %d bytes", s.bytes)
 		}
 	}
 	for _, i := range []uint64{1, 2, 31, 32, 33, 64, 65, 200, 900, changes - 1, changes} {
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -30,7 +30,7 @@
 			yes, reads, ok, taken := sweep(t, name, 1, n)
 			if o.Calls > 0 {
 				if ok < 150*int(n) || taken < 4*int(n) {
-					t.Errorf("too little happened: %d whole replies, %d plans taken", ok, taken)
+					t.Errorf("too little happened: %d whole answers, %d plans taken", ok, taken)
 				}
 			} else if yes < 20*int(n) || reads < 300*int(n) {
 				t.Errorf("too little happened: %d writes in force, %d reads", yes, reads)
@@ -91,7 +91,7 @@
 		"noramp":       {"servers", "flood:"},        // a server that starts gets its whole share
 		"lategone":     {"secondloss", "nobody"},     // a lost replica is filled after one and a half recovery bounds
 		"nohandover":   {"secondloss", "nobody"},     // a daemon that ends doesn't say so and isn't waited for
-		"unchecked":    {"successors", "without"},    // a newcomer counts whatever it holds
+		"nocopies":     {"secondloss", "nobody"},     // standbys are sent no copies
 		"noswap":       {"reboot", "holders:"},       // a new holder orders at once
 		"noafter":      {"servers", "told:"},         // nobody is told when to come back
 		"samenumbers":  {"answers", "plan"},          // calls of two lives go under the same numbers
