--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -44,6 +44,7 @@
 		// A replica that missed the term joins it: a majority has settled it.
 		s.meta.Promised, s.meta.To, s.meta.ToEpoch = n.Num, n.From, n.Epoch
 		s.drop(o)
+		s.bound = s.tick + 1 // with the next save
 	}
 	done := message.Send{Addr: from.Addr, Message: message.Message{Kind: message.Filled, Partition: s.partition, Num: n.Num, To: from.Ident}}
 	held := s.meta.LastComplete == n.Num && !s.meta.Short
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -135,6 +135,7 @@
 	undo    uint64        // the term of that promise; none since the start
 
 	tick      uint64
+	bound     uint64                    // the ticket with which our present vote is on disk
 	after     map[uint64][]message.Send // sends held until the ticket is synced
 	mode      mode
 	num       uint64
@@ -267,7 +268,7 @@
 func (s *Replica) Hear(now time.Duration, n message.Message) (o Out) {
 	from := message.Replica{Ident: n.From, Addr: n.Addr}
 	s.now = now
-	if !s.audible(n) {
+	if !s.audible(n) || n.Epoch < s.lives[n.From] { // what an earlier life sent is nobody's
 		return o
 	}
 	s.live(now, n)
@@ -314,7 +315,7 @@
 			if s.quit {
 				rep.Op = parting
 			}
-			o.send(from, rep)
+			s.uphold(from, rep, &o)
 			if s.meta.Short { // the leader may take this for a whole copy
 				o.send(from, message.Message{Kind: message.Unfit, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
 			}
@@ -328,6 +329,7 @@
 		if s.meta.Promised == n.Num && s.meta.To == n.From && s.meta.ToEpoch == n.Epoch && s.undo == n.Num {
 			s.meta.Promised, s.meta.To, s.meta.ToEpoch = s.before.Promised, s.before.To, s.before.ToEpoch
 			s.save(&o, nil, nil)
+			s.bound = s.tick
 		}
 	case message.Supported:
 		s.supported(now, n)
--- a/control/quorum/whole.go
+++ b/control/quorum/whole.go
@@ -65,6 +65,9 @@
 	u.list = slices.DeleteFunc(u.list, func(t ticket) bool { return t.no <= no })
 }
 
+// waits tells whether a save is not on disk yet.
+func (u *unsynced) waits(no uint64) bool { return len(u.list) > 0 && u.list[0].no <= no }
+
 // stalled tells whether the disk has kept a save waiting too long.
 func (s *Replica) stalled(now time.Duration) bool {
 	return len(s.list) > 0 && now-s.list[0].at >= patience*s.cfg.LeaderLease
--- a/proof/modelcheck/plant.go
+++ b/proof/modelcheck/plant.go
@@ -28,7 +28,7 @@
 	unheard    plant = "an invalidation is confirmed by the network and not delivered"
 	impatient  plant = "a granter waits out less than the lease that it granted"
 	noBase     plant = "a change is written whatever its base"
-	emptyFill  plant = "a fill loses its records on the way"
+	emptyFill  plant = "a fill loses its records on the way, and the sum that tells of it"
 	voidedWon  plant = "a term that was won is given up as void"
 	slowClock  plant = "a daemon's clock runs at half the speed of the others"
 	rolledBack plant = "a disk holds at a restart what it held at the start before"
@@ -87,8 +87,8 @@
 		}
 	case p == blankVote && n.Kind == message.Promise && n.Op == "":
 		n.LastComplete, n.Digs, n.Recs = n.Num, digest.NewRecords().Digs(), nil
-	case p == laterLife && n.Kind == message.Support:
-		n.Epoch++
+	case p == laterLife && n.Kind == message.Support && len(w.changes)%4 == 3:
+		return []message.Message{n, {Kind: message.Refuse, Partition: part, From: n.From, Epoch: n.Epoch + 1, To: n.To}}
 	case p == twoVoices && n.Kind == message.Accepted:
 		other := n
 		for _, r := range w.want {
@@ -101,7 +101,7 @@
 		w.forge(to, n, message.Message{Kind: message.Invalidated, Key: n.Key, Ref: n.Ref, Mark: n.Mark})
 		return nil
 	case p == emptyFill && n.Kind == message.Fill:
-		n.Recs = nil
+		n.Recs, n.LastComplete = nil, 0 // and the sum by which that is noticed
 	case p == voidedWon && n.Kind == message.Fill && n.Op == "":
 		void := message.Message{Kind: message.Void, Partition: part, Num: n.Num, From: n.From, Epoch: n.Epoch, Addr: n.Addr, To: n.To}
 		return []message.Message{n, void}
