--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"mulleinmast/control/digest"
 	"mulleinmast/control/fleetconfig"
 	"mulleinmast/control/leader"
 	"mulleinmast/control/leadercall"
@@ -16,17 +15,6 @@
 	"time"
 )
 
-// folder is what a simulated disk holds, synced.
-type folder struct {
-	ident string
-	epoch uint64
-	meta  map[int]quorum.Meta
-	recs  map[int]map[string]message.Rec
-	sums  map[string]uint64 // by part and key, as control/storage keeps them
-	sum   map[int]uint64    // of each partition, too
-	rot   bool              // what it holds isn't what was written
-}
-
 type node struct {
 	w       *world
 	name    string
@@ -189,30 +177,6 @@
 	n.in(w.exp(w.o.Reads), n.read)
 }
 
-// loadReplica is what a replica's disk holds: a partition that isn't what was written, for
-// a record that is lost or spoilt, is short.
-func (n *node) loadReplica(p int) (quorum.Meta, *digest.Records) {
-	records := digest.NewRecords()
-	spoilt := false
-	for k, r := range n.disk.recs[p] {
-		if n.disk.sums[sumKey(p, k)] == digest.Print(r) { // else it is spoilt and counts as missing
-			records.Put(r)
-		} else {
-			spoilt = true
-			delete(n.disk.recs[p], k)
-		}
-	}
-	meta := n.disk.meta[p]
-	if sum := n.disk.sum[p]; spoilt || sum != 0 && sum != meta.Sum(records) {
-		if !n.disk.rot {
-			n.w.note(Event{Kind: Silent, Node: n.name, Tag: fmt.Sprintf("reads partition %d back as what was never written", p)})
-		}
-		meta.Short = n.w.o.Sabotage != "rotvote"
-		n.disk.meta[p], n.disk.sum[p] = meta, meta.Sum(records)
-	}
-	return meta, records
-}
-
 func key(k int) string { return fmt.Sprintf("plan/%d", k) }
 
 func (n *node) member() message.Member {
@@ -334,82 +298,6 @@
 	}
 }
 
-// save syncs after the disk's time; a crash before that loses it. What comes
-// while the disk is busy is one batch, as in the daemon.
-func (n *node) save(list []quorum.Save) {
-	if !n.up { // killed by what this very step brought about
-		return
-	}
-	n.pend = append(n.pend, list...)
-	if !n.busy {
-		n.flush()
-	}
-}
-
-func (n *node) flush() {
-	w := n.w
-	list := n.pend
-	n.pend, n.busy, n.writing = nil, true, list
-	d := 200*time.Microsecond + w.exp(time.Millisecond)
-	if w.now < n.slowTil {
-		d += n.slow
-	}
-	d = max(d, n.jam-w.now)
-	life := n.life
-	told := func() {
-		for _, s := range list {
-			n.carry(s.Partition, n.parts[s.Partition].Saved(n.local(), s.Ticket))
-		}
-	}
-	if w.o.Sabotage == "nosync" { // says saved, and writes only much later
-		n.busy = false
-		n.in(0, told)
-		w.at(d+time.Second, func() {
-			if n.up && n.life == life && n.disk != nil {
-				n.disk.sync(list)
-			}
-		})
-		return
-	}
-	w.at(d, func() {
-		if !n.up || n.life != life || n.disk == nil {
-			return
-		}
-		n.disk.sync(list)
-		n.in(0, told)
-		if n.busy = false; len(n.pend) > 0 {
-			n.flush()
-		}
-	})
-}
-
-func sumKey(p int, key string) string { return fmt.Sprintf("%d/%s", p, key) }
-
-// sync is what a transaction leaves behind.
-func (f *folder) sync(list []quorum.Save) {
-	for _, s := range list {
-		f.meta[s.Partition] = s.Meta
-		if f.recs[s.Partition] == nil {
-			f.recs[s.Partition] = map[string]message.Rec{}
-		}
-		for _, sp := range s.Wipe {
-			for k := range f.recs[s.Partition] {
-				if digest.Span(k) == sp {
-					delete(f.recs[s.Partition], k)
-				}
-			}
-		}
-		for _, r := range s.Recs {
-			f.recs[s.Partition][r.Key] = r
-			f.sums[sumKey(s.Partition, r.Key)] = digest.Print(r)
-		}
-		for _, k := range s.Drop {
-			delete(f.recs[s.Partition], k)
-		}
-		f.sum[s.Partition] = s.Sum
-	}
-}
-
 // read is a daemon using a record, as traffic does.
 func (n *node) read() {
 	w := n.w
--- /dev/null
+++ b/proof/standin/fleet/fault.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"syscall"
+)
+
+// Kill kills a daemon at once.
+//
+// Example: f.Kill(m); f.Up(m)
+func (f *Fleet) Kill(m *Machine) {
+	f.begin(m, "killed", false)
+	m.Kill()
+}
+
+// KillAll kills daemons at the same moment.
+//
+// Example: f.KillAll(f.Machines())
+func (f *Fleet) KillAll(list []*Machine) {
+	for _, m := range list {
+		f.begin(m, "killed", false)
+	}
+	for _, m := range list {
+		m.Signal(syscall.SIGKILL)
+	}
+	for _, m := range list {
+		m.Kill()
+	}
+}
+
+// Term asks a daemon to end.
+//
+// Example: f.Term(m); track.Until(ctx, grace, func() bool { return !m.Up() })
+func (f *Fleet) Term(m *Machine) {
+	f.begin(m, "SIGTERM", true)
+	m.Signal(syscall.SIGTERM)
+}
+
+// Freeze stops a daemon where it stands; Thaw lets it go on.
+//
+// Example: f.Freeze(m); wait(); f.Thaw(m)
+func (f *Fleet) Freeze(m *Machine) {
+	f.begin(m, "frozen", false)
+	m.Signal(syscall.SIGSTOP)
+}
+
+// Thaw lets a frozen daemon go on.
+//
+// Example: f.Thaw(m)
+func (f *Fleet) Thaw(m *Machine) {
+	m.Signal(syscall.SIGCONT)
+	f.end(m)
+}
+
+// Cut cuts a core machine off from the rest of the core, both ways; the other
+// machines, clients and the operator still reach it.
+//
+// Example: err := f.Cut(m); err = f.Join(m)
+func (f *Fleet) Cut(m *Machine) error {
+	var others []string
+	for _, o := range f.Core() {
+		if o != m {
+			others = append(others, fmt.Sprintf("%s:%d", o.IP, firstPort))
+		}
+	}
+	f.begin(m, "cut off", false)
+	return f.sever(m, others)
+}
+
+// Join ends a cut.
+//
+// Example: err := f.Join(m)
+func (f *Fleet) Join(m *Machine) error {
+	err := f.sever(m, []string{})
+	f.end(m)
+	return err
+}
+
+// sever has a daemon neither send to nor hear other daemons at some addresses.
+func (f *Fleet) sever(m *Machine, from []string) error {
+	b, err := json.Marshal(from)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	res, err := f.web.Post(fmt.Sprintf("http://%s:%d/test/cut", m.IP, firstPort+1), "application/json", bytes.NewReader(b))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return Error.New("%s takes no cut: %d", m.Name, res.StatusCode)
+	}
+	return nil
+}
+
+// Wipe removes a daemon's disk.
+//
+// Example: f.Kill(m); err := f.Wipe(m); err = f.Up(m)
+func (f *Fleet) Wipe(m *Machine) error { return Error.Wrap(os.RemoveAll(f.folder(m))) }
+
+// Remove takes a machine away for good.
+//
+// Example: f.Remove(m)
+func (f *Fleet) Remove(m *Machine) {
+	f.begin(m, "removed", false)
+	m.Kill()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.gone = true
+}
--- a/proof/standin/scene/world.go
+++ b/proof/standin/scene/world.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -282,57 +281,6 @@
 	return out
 }
 
-// tally counts tries of clients: all, those that were served, and the rest by
-// their ends.
-func (w *World) tally() (all, served int, ends map[string]int) {
-	ends = map[string]int{}
-	w.Log.Count(func(a *record.All) int {
-		for _, t := range a.Tries {
-			if t.ID == "" || t.Probe || t.End == 0 {
-				continue
-			}
-			all++
-			switch {
-			case t.Served():
-				served++
-				ends["served"]++
-			case t.Status == 0 && len(t.Pieces) == 0:
-				ends["no answer"]++
-			case !t.Complete:
-				ends["broken off"]++
-			default:
-				ends[fmt.Sprint(t.Status)]++
-			}
-		}
-		return 0
-	})
-	return all, served, ends
-}
-
-// seen counts what servers saw.
-func (w *World) seen() map[string]int {
-	out := map[string]int{}
-	w.Log.Count(func(a *record.All) int {
-		for _, x := range a.Arrivals {
-			switch {
-			case x.Out == record.Ran && x.HandleOf != "":
-				out["handed over"]++
-			case x.Out == record.Ran && x.After > 0:
-				out["gone on with"]++
-			case x.Out == record.Open:
-				out["open"]++
-			default:
-				out[x.Out]++
-			}
-		}
-		if n := len(a.Orders); n > 0 {
-			out["orders"] = n
-		}
-		return 0
-	})
-	return out
-}
-
 // Served waits until so many more tries were served.
 //
 // Example: w.Served(ctx, 100)
@@ -381,52 +329,3 @@
 	}
 	return true
 }
-
-// Report is what a scene came to.
-type Report struct {
-	Notes  []string
-	Broken []rules.Broken
-	All    int
-	Served int
-	Ends   map[string]int
-	Calls  int            // to the list
-	Denied int            // of these
-	Seen   map[string]int // at servers: what became of arrivals, and orders
-	Failed bool
-}
-
-// String tells it in lines.
-//
-// Example: fmt.Print(rep)
-func (r Report) String() string {
-	out := strings.Join(r.Notes, "\n") + fmt.Sprintf("\n%d tries, %d served: %v; at servers %v; %d calls to the list, %d of them over its rate\n", r.All, r.Served, r.Ends, r.Seen, r.Calls, r.Denied)
-	for _, b := range r.Broken {
-		out += "BROKEN " + b.String() + "\n"
-	}
-	return out
-}
-
-// Play runs a scene from its beginning to the judge's word.
-//
-// Example: rep, err := scene.Play(ctx, cfg, scene.Scenes["calm"])
-func Play(ctx context.Context, c Config, s Scene) (Report, error) {
-	w, err := New(c)
-	defer w.End()
-	if err == nil {
-		err = w.Begin(ctx)
-	}
-	if err != nil {
-		return Report{}, err
-	}
-	w.Served(ctx, int(c.Rate))
-	s(ctx, w)
-	w.Served(ctx, int(c.Rate))
-	w.Op.ReadBack(ctx)
-	calls, denied := w.Cloud.Calls()
-	w.End()
-	rep := Report{Calls: calls, Denied: denied, Notes: w.notes, Failed: w.failed}
-	rep.All, rep.Served, rep.Ends = w.tally()
-	rep.Seen = w.seen()
-	rep.Broken = rules.Check(w.Log.Copy(), w.Bounds)
-	return rep, nil
-}
