--- a/proof/standin/scene/orders.go
+++ b/proof/standin/scene/orders.go
@@ -47,17 +47,7 @@
 		return
 	}
 	back := w.Log.Now()
-	w.Until(ctx, w.Bounds.Evacuate+10*time.Second, "the zone is used again", func() bool {
-		return w.Log.Count(func(a *record.All) int {
-			n := 0
-			for _, x := range a.Arrivals {
-				if x.Zone == zone && x.At > back && x.Out == record.Ran {
-					n++
-				}
-			}
-			return n
-		}) > 0
-	})
+	w.usedAgain(ctx, zone, back)
 }
 
 // config: routes move to other services, are added and removed, time-outs
@@ -143,3 +133,18 @@
 	}
 	w.Served(ctx, int(w.Rate))
 }
+
+// usedAgain waits until a server of a zone that was brought back has run a request.
+func (w *World) usedAgain(ctx context.Context, zone string, back time.Duration) {
+	w.Until(ctx, w.Bounds.Evacuate+10*time.Second, "the zone is used again", func() bool {
+		return w.Log.Count(func(a *record.All) int {
+			n := 0
+			for _, x := range a.Arrivals {
+				if x.Zone == zone && x.At > back && x.Out == record.Ran {
+					n++
+				}
+			}
+			return n
+		}) > 0
+	})
+}
--- a/proof/standin/scene/repeats.go
+++ b/proof/standin/scene/repeats.go
@@ -6,9 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
-	"mulleinmast/proof/standin/record"
 	"mulleinmast/proof/standin/wire"
 )
 
@@ -153,15 +151,5 @@
 			w.Fail("an evacuation that was withdrawn came again %.2fs later, and was answered %d", (w.Log.Now() - back).Seconds(), code)
 		}
 	}
-	w.Until(ctx, w.Bounds.Evacuate+10*time.Second, "the zone is used again", func() bool {
-		return w.Log.Count(func(a *record.All) int {
-			n := 0
-			for _, x := range a.Arrivals {
-				if x.Zone == zone && x.At > back && x.Out == record.Ran {
-					n++
-				}
-			}
-			return n
-		}) > 0
-	})
+	w.usedAgain(ctx, zone, back)
 }
