A side that has lost its last server gets one of the other side's

Cause: servers were shifted only from a side at ease to one that is pressed, never where a side had none left.

Change: without a decode server in use or warming up one prefill server is shifted at once, the last one too, since a decode server reads prompts itself; without a prefill server one of two or more decode servers is, after the settling time. One shift at a time and the wait of a new holder stay.

--- a/control/placement/balance.go
+++ b/control/placement/balance.go
@@ -61,12 +61,14 @@
 }
 
 // balance shifts a server of a listed service from the side that is at ease to
-// the one that has been pressed; never the last, never below the plan.
+// the one that has been pressed, never the last, never below the plan; and to one
+// that has none left.
 func (h *Holder) balance(now time.Duration, svc string, keys []string, o *Out) {
 	if h.Strain == nil || !h.listed(keys) {
 		return
 	}
 	var side = map[string][]string{}
+	present := map[string]int{}
 	moving, all := false, 0
 	for _, k := range keys {
 		s := h.servers[k]
@@ -78,6 +80,9 @@
 		now := h.Strain(svc, s.key())
 		s.strain.Read += (now.Read - s.strain.Read) / 8
 		s.strain.Write += (now.Write - s.strain.Write) / 8
+		if s.To == "" && s.Status != Dark {
+			present[s.Part]++
+		}
 		if s.Status == Up && s.To == "" {
 			side[s.Part] = append(side[s.Part], k)
 		}
@@ -86,7 +91,10 @@
 	if _, ok := h.share[svc]; !ok && all > 0 && prefillServers+decodeServers == all {
 		h.share[svc] = float64(prefillServers) / float64(all)
 	}
-	if moving || prefillServers == 0 || decodeServers == 0 || now-h.moved[svc] < h.cfg.Settle || !h.mayOrder(now) {
+	if moving || now-h.moved[svc] < h.cfg.Settle || !h.mayOrder(now) {
+		return
+	}
+	if h.fillVacant(now, svc, sides{inUse: side, present: present}, o) || prefillServers == 0 || decodeServers == 0 {
 		return
 	}
 	read, write := 0.0, 0.0
@@ -117,18 +125,13 @@
 			continue
 		}
 		delete(h.short, key)
-		at := h.easiest(side[x.from])
-		pick := h.servers[at]
-		h.moved[svc], pick.leftAt = now, now
 		if x.to == Prefill {
 			prefillServers++
 		} else {
 			prefillServers--
 		}
 		h.share[svc] = float64(prefillServers) / float64(all)
-		b := pick.ServerRecord
-		b.To, b.Status, b.Pairs = x.to, Leaving, nil
-		h.write(o, at, pick, b, fmt.Sprintf("%s side is pressed %.2f, %s side would be %.2f with one less", x.to, x.press, x.from, x.relief))
+		h.shiftTo(now, svc, x.to, side[x.from], fmt.Sprintf("%s side is pressed %.2f, %s side would be %.2f with one less", x.to, x.press, x.from, x.relief), o)
 		return
 	}
 }
