--- a/proof/sim/net.go
+++ b/proof/sim/net.go
@@ -43,7 +43,7 @@
 	if w.o.Sabotage == "nomend" && m.Kind == message.Fill && m.Op != "" {
 		return
 	}
-	if (w.o.Sabotage == "nochase" || w.o.Sabotage == "unchecked") && m.Kind == message.Fill && m.Op == "compare" && m.No > 0 {
+	if w.o.Sabotage == "nochase" && m.Kind == message.Fill && m.Op == "compare" && m.No > 0 {
 		return
 	}
 	if w.o.Sabotage == "cutshort" && m.Kind == message.Fill && len(m.Recs) > 1 {
