A shift of a server's part begins in one place

The six lines that begin a shift stood in balance, fillVacant and the shift of polled services. beginShift has them; each caller still picks its server by its own measure. No behaviour changes; control/... and root tests run.

--- a/control/placement/roles.go
+++ b/control/placement/roles.go
@@ -163,11 +163,7 @@
 			continue
 		}
 		delete(h.short, key)
-		h.moved[svc] = now
-		pick.leftAt = now
-		b := pick.ServerRecord
-		b.To, b.Status, b.Pairs = to, Leaving, nil
-		h.write(o, at, pick, b, fmt.Sprintf("%s side needs %.2f of its slots, %s side %.2f", to, need[to], from, need[from]))
+		h.beginShift(now, svc, at, to, fmt.Sprintf("%s side needs %.2f of its slots, %s side %.2f", to, need[to], from, need[from]), o)
 		return
 	}
 }
--- a/control/placement/vacant.go
+++ b/control/placement/vacant.go
@@ -40,7 +40,12 @@
 
 // shiftTo begins the shift of the server of a side that has the least to do.
 func (h *Holder) shiftTo(now time.Duration, svc, to string, from []string, why string, o *Out) {
-	at := h.easiest(from)
+	h.beginShift(now, svc, h.easiest(from), to, why, o)
+}
+
+// beginShift has a server leave its part for another; the order follows once
+// nothing of the old part is under way there.
+func (h *Holder) beginShift(now time.Duration, svc, at, to, why string, o *Out) {
 	pick := h.servers[at]
 	h.moved[svc], pick.leftAt = now, now
 	b := pick.ServerRecord
