--- a/control/leader/once.go
+++ b/control/leader/once.go
@@ -71,14 +71,16 @@
 
 // open tells whether an order may still be sent again by its caller.
 func (o *orders) open(p pastCall) bool {
-	if o == nil || p.What == "" {
-		return false
-	}
-	at, ok := o.at[p.What]
+	return o != nil && p.What != "" && o.left(p.What) > 0
+}
+
+// left is how long an order may still be sent again.
+func (o *orders) left(what string) time.Duration {
+	at, ok := o.at[what]
 	if !ok {
 		at = o.since
 	}
-	return o.now < at+o.again
+	return max(0, at+o.again-o.now)
 }
 
 func (o *orders) took(what string) {
@@ -136,15 +138,6 @@
 	}}
 }
 
-// left is how long an order may still be sent again.
-func (o *orders) left(what string) time.Duration {
-	at, ok := o.at[what]
-	if !ok {
-		at = o.since
-	}
-	return max(0, at+o.again-o.now)
-}
-
 // lapse takes the orders out of the record that can't be sent again any more, so
 // that the next leader, who can't know their age, doesn't hold them for new.
 func (m *Controller) lapse(now time.Duration, o *Out) {
