--- a/control/leader/replicas.go
+++ b/control/leader/replicas.go
@@ -45,7 +45,7 @@
 func standbys(core []message.Member, g message.Group) (out []message.Replica) {
 	for _, m := range core {
 		if !g.Has(m.Ident) {
-			out = append(out, message.Replica{Ident: m.Ident, Addr: m.Addr})
+			out = append(out, m.Replica())
 		}
 	}
 	return out
@@ -117,7 +117,7 @@
 	taken, zone := c.taken(out), ""
 	for _, m := range c.core {
 		if !c.group.Has(m.Ident) && c.replica.AtHand(c.now, m.Ident) && (in.Ident == "" || taken[m.Zone] < taken[zone]) {
-			in, zone = message.Replica{Ident: m.Ident, Addr: m.Addr}, m.Zone
+			in, zone = m.Replica(), m.Zone
 		}
 	}
 	return in
@@ -153,7 +153,7 @@
 		}
 		for _, next := range c.core {
 			if !c.group.Has(next.Ident) && c.replica.AtHand(c.now, next.Ident) && taken[next.Zone]+2 <= taken[m.Zone] {
-				return m.Ident, message.Replica{Ident: next.Ident, Addr: next.Addr}
+				return m.Ident, next.Replica()
 			}
 		}
 	}
--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -123,7 +123,7 @@
 
 func (c *chosen) offer(partition int, m message.Member) {
 	if w := weight(partition, m.Addr); c.Ident == "" || w > c.top {
-		c.top, c.Replica = w, message.Replica{Ident: m.Ident, Addr: m.Addr}
+		c.top, c.Replica = w, m.Replica()
 	}
 }
 
--- a/wire/message/message.go
+++ b/wire/message/message.go
@@ -182,6 +182,11 @@
 	Build string `msg:"b" json:"build"`
 }
 
+// Replica is the member's identity and address.
+//
+// Example: Member{Ident: "a", Addr: "10.0.0.1:7"}.Replica() == Replica{"a", "10.0.0.1:7"}
+func (m Member) Replica() Replica { return Replica{Ident: m.Ident, Addr: m.Addr} }
+
 // Own says that a daemon claims the leadership of a partition.
 type Own struct {
 	Partition int     `msg:"p" json:"part"`
