Comments: what the mechanical rename had left unreadable

The verb "notes" had become "messages", a book of records "a records", and the leader's duty lease "the leader's leader lease".

--- a/control/daemon/fleet.go
+++ b/control/daemon/fleet.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// turned messages that the daemon became ready, or no longer is; the first time
+// turned records that the daemon became ready, or no longer is; the first time
 // is written out.
 func (c *Daemon) turned(ready bool) {
 	switch {
--- a/control/fleetconfig/fleetconfig.go
+++ b/control/fleetconfig/fleetconfig.go
@@ -109,7 +109,7 @@
 	List []string `json:"faults"`
 }
 
-// Add messages a fault.
+// Add records a fault.
 //
 // Example: f.Add("tenants[%d].name: %v", i, err)
 func (f *Faults) Add(how string, args ...any) { f.List = append(f.List, fmt.Sprintf(how, args...)) }
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -1,7 +1,7 @@
 // Package lease is one daemon's place in a partition's tree of volume leases
 // (Yin, Alvisi, Dahlin, Lin: Hierarchical Cache Consistency in a WAN, 1999).
 // A Node is a child of its parent and a parent to its children at once; at
-// the root it stands on the leader's leader lease instead of a parent's.
+// the root it stands on the leader lease instead of a parent's.
 //
 // A record is served only under its object lease and the volume lease. A
 // holder counts a lease from when it sent the request; a granter from when it
--- a/control/lease/shape.go
+++ b/control/lease/shape.go
@@ -39,7 +39,7 @@
 // Example: if n.Cost() > 20*time.Millisecond { look() }
 func (n *Node) Cost() time.Duration { return n.cost }
 
-// costed messages a measured renewal at the parent.
+// costed records a measured renewal at the parent.
 func (n *Node) costed(d time.Duration) {
 	if n.cost == 0 {
 		n.cost = d
@@ -48,7 +48,7 @@
 	n.cost += (d - n.cost) / 4
 }
 
-// counted messages a child's renewal and whether it was served from here.
+// counted records a child's renewal and whether it was served from here.
 func (n *Node) counted(now time.Duration, k *kid, local bool) {
 	n.asked++
 	if local {
--- a/control/partition/partition.go
+++ b/control/partition/partition.go
@@ -1,6 +1,6 @@
 // Package partition is one part of the state on one daemon: its place in the
 // lease tree, its replica in the group if the daemon has a disk, and the writes
-// that join the two. A write goes: stop granting, invalidation the tree, commit to a
+// that join the two. A write goes: stop granting, invalidate down the tree, commit to a
 // majority, grant again and answer. Messages a partition sends to itself never
 // leave it.
 package partition
--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -9,7 +9,7 @@
 	"mulleinmast/wire/message"
 )
 
-// sendFill brings a replica whose records has the given digests to this one.
+// sendFill brings a replica whose records have the given digests to this one.
 func (s *Replica) sendFill(now time.Duration, to message.Replica, digs []uint64, o *Out) {
 	if to.Ident == s.me.Ident {
 		return
@@ -23,7 +23,7 @@
 }
 
 // fill makes this replica's records equal to the leader's. Ranges are replaced whole
-// only when the records is still the one the leader saw and was not yet brought
+// only when the records are still those the leader saw and was not yet brought
 // to this term; later fills only add what is newer.
 func (s *Replica) fill(from message.Replica, n message.Message, o *Out) {
 	if !n.Group.Has(n.From) || n.From == s.me.Ident || n.Group.Num < s.meta.Group.Num {
@@ -60,7 +60,7 @@
 		s.save(o, nil, recs, done)
 		return
 	}
-	// What it would make of this book must be the leader's: a copy that was cut
+	// What it would make of these records must be the leader's: a copy that was cut
 	// short is none. A build that doesn't tell its sum is believed.
 	if len(digest.Differ(s.records.Digs(), n.Digs)) > 0 || n.LastComplete != 0 && n.LastComplete != s.records.After(n.Spans, n.Recs) {
 		o.send(from, message.Message{Kind: message.Unfit, Partition: s.partition, Num: n.Num, Digs: s.records.Digs()})
--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -12,9 +12,9 @@
 // the new, in which both majorities are needed; once that group is committed
 // and the newcomer has said that it holds all that the leader held when the step
 // began, and both majorities have renewed the leader's lease, the new replicas
-// stand alone: so none of them elects another while that lasts. Either way is open until then: the step is
-// undone if the newcomer falls silent. The next leader finds the step in its
-// group and finishes or undoes it.
+// stand alone: so none of them elects another while that lasts. Either way is
+// open until then: the step is undone if the newcomer falls silent. The next
+// leader finds the step in its group and finishes or undoes it.
 
 // parting marks a Supported of a daemon that was told to end.
 const parting = "parting"
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -1,12 +1,12 @@
 // Package quorum is one partition's replica on a control daemon: it votes, stands for
-// the leader's leadership when that falls vacant, and as leader commits writes to a
+// the leadership when that falls vacant, and as leader commits writes to a
 // majority. It is a plain state machine: inputs in, messages and saves out.
 //
-// There is no log. A replica's state is a records of versioned records and the
-// term ("set") under which that whole records was last made equal to an
-// leader's. A candidate reads a majority, takes the records of the highest set,
-// merges them by version, and fills every replica with the result under its own
-// term before it serves.
+// There is no log. A replica's state is a set of versioned records and the last
+// complete term: the one under which all of them were last made equal to a
+// leader's. A candidate reads a majority, takes the records of the highest
+// complete term, merges them by version, and fills every replica with the result
+// under its own term before it serves.
 package quorum
 
 import (
@@ -18,7 +18,7 @@
 
 // Config holds the bounds a replica works by.
 type Config struct {
-	LeaderLease time.Duration // length of the leader's leader lease
+	LeaderLease time.Duration // length of a leader lease
 	Drift       float64       // most by which one clock runs faster than another
 	Margin      time.Duration // added to every wait on another's clock
 	Beat        time.Duration // renew and resend interval
@@ -203,7 +203,7 @@
 // told how long to write nothing.
 func (s *Replica) free(now time.Duration) bool { return now >= s.till || s.over() }
 
-// live messages the life of a daemon that a message came from.
+// live records the life of a daemon that a message came from.
 func (s *Replica) live(now time.Duration, n message.Message) {
 	if n.Epoch <= s.lives[n.From] {
 		return
@@ -232,7 +232,7 @@
 // Example: mark.Term = s.Num()
 func (s *Replica) Num() uint64 { return s.num }
 
-// Lease is when the leader's leader lease ends.
+// Lease is when the leader lease ends.
 //
 // Example: left := s.Lease() - now
 func (s *Replica) Lease() time.Duration { return s.lease }
--- a/proof/hollow/client.go
+++ b/proof/hollow/client.go
@@ -41,7 +41,7 @@
 // hints are a board without other daemons.
 type hints struct{ *board.Board }
 
-// Begin messages work sent to a server.
+// Begin records work sent to a server.
 //
 // Example: h.Begin(server, 1460, 0)
 func (h hints) Begin(server string, tokens, writing int) {
@@ -61,7 +61,7 @@
 // Example: h.Paused(server, time.Millisecond)
 func (hints) Paused(string, time.Duration) {}
 
-// Came messages the end of a call.
+// Came records the end of a call.
 //
 // Example: h.Came(now, server, true)
 func (h hints) Came(now time.Duration, server string, answered bool) {
@@ -75,7 +75,7 @@
 	return h.Board.Down(now, board.Name("", server))
 }
 
-// Keeps messages that a server has a prompt.
+// Keeps records that a server has a prompt.
 //
 // Example: h.Keeps(prefix, server, 1460)
 func (h hints) Keeps(prefix uint64, server string, tokens int) {
--- a/proof/sim/losses.go
+++ b/proof/sim/losses.go
@@ -155,7 +155,7 @@
 	return count
 }
 
-// vacancy messages a part that nobody led for too long.
+// vacancy records a part that nobody led for too long.
 func (w *world) vacancy(p int, owned bool) {
 	if w.o.Rounds == 0 {
 		return
--- a/proof/standin/cloud/cloud.go
+++ b/proof/standin/cloud/cloud.go
@@ -104,7 +104,7 @@
 	c.down = down
 }
 
-// turn messages how the list is from now on; what it shows lags behind.
+// turn records how the list is from now on; what it shows lags behind.
 func (c *Cloud) turn() {
 	now := c.log.Now()
 	s := state{from: now}
--- a/proof/standin/fleet/fleet.go
+++ b/proof/standin/fleet/fleet.go
@@ -203,7 +203,7 @@
 	return Error.Wrap(m.Run(f.Program, []string{"-say", "-test-switches"}, []string{variable + "=" + f.settings(m)}, filepath.Join(f.Dir, m.Name+".log")))
 }
 
-// begin messages that trouble begins.
+// begin records that trouble begins.
 func (f *Fleet) begin(m *Machine, what string, planned bool) {
 	t := &record.Trouble{Daemon: m.Name, Core: m.Core, What: what, From: f.log.Now(), Planned: planned}
 	f.log.Do(func(a *record.All) { a.Troubles = append(a.Troubles, t) })
--- a/traffic/board/board.go
+++ b/traffic/board/board.go
@@ -85,7 +85,7 @@
 	return h.Sum64()
 }
 
-// Begin messages work sent to a server from here; End takes it off with the signs
+// Begin records work sent to a server from here; End takes it off with the signs
 // turned round.
 //
 // Example: b.Begin(id, 1460, 0)
@@ -103,7 +103,7 @@
 // mark is what became of a daemon's own calls to a server.
 type mark struct{ good, bad time.Duration }
 
-// Came messages the end of a call to a server: with an answer of any kind, or
+// Came records the end of a call to a server: with an answer of any kind, or
 // without a word.
 //
 // Example: b.Came(now, id, false)
@@ -150,7 +150,7 @@
 	return u.Bad > 0 && u.Bad >= u.Good
 }
 
-// Paused messages the time between two events of an answer.
+// Paused records the time between two events of an answer.
 //
 // Example: b.Paused(id, 42*time.Millisecond)
 func (b *Board) Paused(server uint64, d time.Duration) {
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -13,18 +13,18 @@
 // prompts servers keep. What it says may be old or lacking: it makes a choice
 // better, never safe.
 type Board interface {
-	// Begin messages work sent from here; with the signs turned round, its end.
+	// Begin records work sent from here; with the signs turned round, its end.
 	Begin(server string, tokens, writing int)
 	// Load is what is under way at a server from all daemons: prompt tokens to
 	// be read, answers being written, and the pause between their events of late.
 	Load(now time.Duration, server string) (tokens, writing int, pause time.Duration)
-	// Paused messages the time between two events of an answer.
+	// Paused records the time between two events of an answer.
 	Paused(server string, d time.Duration)
-	// Came messages the end of a call: with an answer of any kind, or without a word.
+	// Came records the end of a call: with an answer of any kind, or without a word.
 	Came(now time.Duration, server string, answered bool)
 	// Down tells whether a server most likely answers nobody.
 	Down(now time.Duration, server string) bool
-	// Keeps messages that a server read or took up a prompt, and how many tokens
+	// Keeps records that a server read or took up a prompt, and how many tokens
 	// it had to keep anew.
 	Keeps(prefix uint64, server string, tokens int)
 	// Has tells whether a server most likely keeps a prompt's shared parts.
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -159,7 +159,7 @@
 	return min(9, t.Urgency)
 }
 
-// came messages the end of the call under way.
+// came records the end of the call under way.
 func (l *Lane) came(now time.Duration, t *trip, out Outcome) {
 	st := l.stat(t.to.Key)
 	st.open--
@@ -193,7 +193,7 @@
 	}
 }
 
-// keeps messages that the server under way has the prompt now.
+// keeps records that the server under way has the prompt now.
 func (l *Lane) keeps(t *trip, tokens int) {
 	if n, key := shared(t.Parts); n > 0 {
 		l.board.Keeps(key, t.to.Key, tokens)
--- a/traffic/gateway/notes.go
+++ b/traffic/gateway/notes.go
@@ -12,7 +12,7 @@
 	svc string
 }
 
-// Begin messages work sent from here.
+// Begin records work sent from here.
 //
 // Example: n.Begin(server, 1460, 0)
 func (n notes) Begin(server string, tokens, writing int) {
@@ -34,7 +34,7 @@
 	return u.Tokens, u.Writing, pause
 }
 
-// Paused messages the time between two events.
+// Paused records the time between two events.
 //
 // Example: n.Paused(server, 42*time.Millisecond)
 func (n notes) Paused(server string, d time.Duration) {
@@ -43,7 +43,7 @@
 	n.g.board.Paused(board.Name(n.svc, server), d)
 }
 
-// Came messages the end of a call.
+// Came records the end of a call.
 //
 // Example: n.Came(now, server, true)
 func (n notes) Came(now time.Duration, server string, answered bool) {
@@ -61,7 +61,7 @@
 	return n.g.board.Down(now, board.Name(n.svc, server))
 }
 
-// Keeps messages that a server has a prompt.
+// Keeps records that a server has a prompt.
 //
 // Example: n.Keeps(prefix, server, 1460)
 func (n notes) Keeps(prefix uint64, server string, tokens int) {
