--- a/control/daemon/contact_test.go
+++ b/control/daemon/contact_test.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"io"
 	"testing"
 	"time"
 
-	"mulleinmast/control/eventlog"
 	"mulleinmast/control/membership"
 	"mulleinmast/wire/message"
 )
@@ -14,24 +12,9 @@
 // to control daemons that the same cut took away, or that a daemon without a
 // session can't reach; while nobody has a leader they are sent nowhere.
 func TestWhereACutOffDaemonSendsCallers(t *testing.T) {
-	cfg := Default()
-	cfg.Wire, cfg.Web, cfg.Partitions = "127.0.0.1:0", "127.0.0.1:0", 1
-	cfg.Bounds.Plan = 200 * time.Second // a pause of this machine is nothing then
-	c, err := Open(cfg, eventlog.New(64, io.Discard))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.close()
-	node := c.shards[0].Partition().Node
-	node.Adopt(c.Now(), message.Replica{Ident: "p", Addr: "p"})
-	no := uint64(0)
-	hear := func(n message.Message) []message.Send {
-		no++
-		n.From, n.Addr, n.Mark, n.No, n.Num = "p", "p", message.Mark{Ident: "p", Epoch: 1}, no, c.epoch
-		return node.Hear(c.Now(), n).Sends
-	}
-	list := hear(message.Message{Kind: message.Reconnect})[0].Message
-	hear(message.Message{Kind: message.Synced, Ref: list.No, Len: int64(cfg.Vol()), Long: int64(time.Hour)})
+	c := alone(t, steady)
+	cfg := c.Cfg
+	leased(c)
 
 	disk := func(addr string) message.Member { return message.Member{Ident: addr, Addr: addr, Disk: true} }
 	session := cfg.Sessions().Session
--- a/control/daemon/disk_test.go
+++ b/control/daemon/disk_test.go
@@ -66,14 +66,7 @@
 // that makes no daemon unready, a volume lease without it does, and an order to
 // stop at once.
 func TestAChangeMakesNoDaemonUnready(t *testing.T) {
-	cfg := Default()
-	cfg.Wire, cfg.Web, cfg.Partitions = "127.0.0.1:0", "127.0.0.1:0", 1
-	cfg.Bounds.Plan = 200 * time.Second // a pause of this machine is nothing then
-	c, err := Open(cfg, eventlog.New(64, io.Discard))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.close()
+	c := alone(t, steady)
 	if c.Ready() {
 		t.Error("ready though it never was")
 	}
@@ -82,7 +75,7 @@
 	if c.isReady() || !c.Ready() {
 		t.Errorf("under leases %v, ready %v", c.isReady(), c.Ready())
 	}
-	c.clock.Leap(cfg.Vol())
+	c.clock.Leap(c.Cfg.Vol())
 	if c.Ready() {
 		t.Error("ready a volume lease later")
 	}
--- a/control/daemon/handover_test.go
+++ b/control/daemon/handover_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"mulleinmast/control/eventlog"
 	"mulleinmast/control/membership"
 	"mulleinmast/wire/message"
 )
@@ -15,13 +13,7 @@
 // where a standby is there to take them, and not beyond its part of the grace
 // period; a plain restart isn't held up.
 func TestOnlyAStandbyIsWaitedFor(t *testing.T) {
-	cfg := Default()
-	cfg.Wire, cfg.Web, cfg.Partitions, cfg.Data, cfg.Grace = "127.0.0.1:0", "127.0.0.1:0", 1, t.TempDir(), time.Hour
-	c, err := Open(cfg, eventlog.New(64, io.Discard))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.close()
+	c := alone(t, func(cfg *Config) { cfg.Data, cfg.Grace = t.TempDir(), time.Hour })
 	c.found([]message.Replica{c.me, {Ident: "b", Addr: "127.0.0.1:1"}, {Ident: "c", Addr: "127.0.0.1:2"}})
 	c.Leave()
 	for what, x := range map[string]struct {
--- a/control/daemon/last_test.go
+++ b/control/daemon/last_test.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"io"
 	"testing"
 	"time"
 
-	"mulleinmast/control/eventlog"
 	"mulleinmast/control/fleetconfig"
 	"mulleinmast/control/leader"
 	"mulleinmast/wire/message"
@@ -16,23 +14,12 @@
 // it wakes from a standstill, and never once Overrun has passed; what is read
 // and told elsewhere needs leases all the while.
 func TestNothingIsServedAfterTheOverrun(t *testing.T) {
-	cfg := Default()
-	cfg.Wire, cfg.Web, cfg.Partitions = "127.0.0.1:0", "127.0.0.1:0", 1
-	cfg.Bounds.Plan, cfg.Bounds.Recover = 200*time.Second, 1200*time.Second // a pause of this machine is nothing then
-	c, err := Open(cfg, eventlog.New(64, io.Discard))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.close()
-	beat, node, no := cfg.Leases().Beat, c.shards[0].Partition().Node, uint64(0)
-	hear := func(n message.Message) []message.Send {
-		no++
-		n.From, n.Addr, n.Mark, n.No, n.Num = "p", "p", message.Mark{Ident: "p", Epoch: 1}, no, c.epoch
-		return node.Hear(c.Now(), n).Sends
-	}
-	node.Adopt(c.Now(), message.Replica{Ident: "p", Addr: "p"})
-	list := hear(message.Message{Kind: message.Reconnect})[0].Message
-	hear(message.Message{Kind: message.Synced, Ref: list.No, Len: int64(cfg.Vol()), Long: int64(time.Hour)})
+	c := alone(t, func(cfg *Config) {
+		steady(cfg)
+		cfg.Bounds.Recover = 1200 * time.Second
+	})
+	cfg, node, hear := c.Cfg, c.shards[0].Partition().Node, leased(c)
+	beat := cfg.Leases().Beat
 	hear(message.Message{Kind: message.Grant, Recs: []message.Rec{{Key: fleetconfig.PlanKey, Val: []byte("{}")}, {Key: fleetconfig.ZoneKey, Val: []byte("[]")}}, Long: int64(time.Hour)})
 
 	tick := func() {
--- a/control/daemon/source_test.go
+++ b/control/daemon/source_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 
-	"mulleinmast/control/eventlog"
 	"mulleinmast/control/fleetconfig"
 )
 
@@ -19,13 +17,7 @@
 // While a plan is being written it can't be read at its leader, and in a row of
 // changes that is nearly always so: the servers' lists go on all the same.
 func TestListsDoNotWaitForAPlan(t *testing.T) {
-	cfg := Default()
-	cfg.Wire, cfg.Web, cfg.Partitions = "127.0.0.1:0", "127.0.0.1:0", 1
-	c, err := Open(cfg, eventlog.New(64, io.Discard))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.close()
+	c := alone(t, func(*Config) {})
 	c.Source = oneList{}
 	if _, ok := c.Read(0, fleetconfig.PlanKey); ok {
 		t.Fatal("the plan can be read")
