--- a/wire/transport/deaf.go
+++ b/wire/transport/deaf.go
@@ -16,9 +16,9 @@
 
 const (
 	usualDial  = 300 * time.Millisecond
-	dialRatio  = 0.5 // of Dead: a new connection comes up
-	probeRatio = 4   // of Dead: an idle connection's other end is asked whether it is there
-	probes     = 3   // unanswered ones that end it
+	dialRatio  = 0.25 // of Dead: a new connection comes up; what waits for one is lost if it does not
+	probeRatio = 4    // of Dead: an idle connection's other end is asked whether it is there
+	probes     = 3    // unanswered ones that end it
 )
 
 // dialer makes connections to other daemons.
--- a/wire/transport/deaf_test.go
+++ b/wire/transport/deaf_test.go
@@ -82,3 +82,13 @@
 	defer func() { _ = second.Close() }()
 	t.Logf("spoken to again after %v", time.Since(at).Round(time.Millisecond))
 }
+
+// A machine that has no power answers no opening packet, and while one is waited
+// for, what goes to its address waits behind it: a question that a change of
+// leader needs is lost when the wait ends in vain. So the wait is short.
+func TestAMachineWithoutPowerIsDialledAnewSoon(t *testing.T) {
+	const dead = 800 * time.Millisecond
+	if most := (&Line{Dead: dead}).dialer().Timeout; most > dead/4 || most <= 0 {
+		t.Errorf("a connection is waited for %v where one that is deaf is closed after %v", most, dead)
+	}
+}
