--- a/cmd/mulleinctl/main.go
+++ b/cmd/mulleinctl/main.go
@@ -23,6 +23,7 @@
 	"mulleinmast/control/eventlog"
 	"mulleinmast/control/fleetconfig"
 	"mulleinmast/control/fleetconfig/openapi"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/traffic/scheduler"
 )
 
@@ -184,9 +185,9 @@
 		}
 		var rows [][]any
 		for _, m := range st.Members {
-			rows = append(rows, []any{m.Ident, m.Epoch, m.Zone, m.Web, m.Addr, m.Disk, m.Ready})
+			rows = append(rows, []any{m.Ident, incarnation.String(m.Epoch), m.Zone, m.Web, m.Addr, m.Disk, m.Ready})
 		}
-		return s.show(st.Members, "IDENT EPOCH ZONE WEB WIRE DISK READY", rows)
+		return s.show(st.Members, "IDENT START ZONE WEB WIRE DISK READY", rows)
 	case "plan":
 		var p fleetconfig.Plan
 		var err error
@@ -234,8 +235,8 @@
 		st := got[web]
 		switch what {
 		case "versions":
-			head = "DAEMON PLAN LEASES_STAND ZONES_OUT"
-			rows = append(rows, []any{web, st.Plan, st.PlanOK, strings.Join(st.Zones, ",")})
+			head = "DAEMON PLAN LEASES_STAND ZONES_OUT SUPERSEDED"
+			rows = append(rows, []any{web, st.Plan, st.PlanOK, strings.Join(st.Zones, ","), st.Superseded})
 		case "counts":
 			head = "DAEMON COUNTS REFUSALS"
 			rows = append(rows, []any{web, flat(st.Extra["counts"]), flat(st.Extra["sheds"])})
--- a/cmd/mulleinmast/main.go
+++ b/cmd/mulleinmast/main.go
@@ -66,7 +66,7 @@
 	go func() {
 		leave, cut := context.WithCancel(ctx)
 		defer cut()
-		follow(orders, host)
+		follow(orders, host, c.Superseded())
 		go func() {
 			<-orders.hurry
 			cut()
@@ -83,16 +83,25 @@
 		return 1
 	}
 	events.Say("stop", "stopped")
+	if c.WhySuperseded() != "" {
+		return exitSuperseded
+	}
 	return 0
 }
 
+// exitSuperseded is the exit code of a daemon whose state is superseded: started
+// again it begins empty.
+const exitSuperseded = 5
+
 // follow has the settings read anew when they have changed, and returns when the
 // process is to end.
-func follow(orders *signals, host *platform.Host) {
+func follow(orders *signals, host *platform.Host, superseded <-chan struct{}) {
 	for {
 		select {
 		case <-orders.stop:
 			return
+		case <-superseded:
+			return
 		case <-orders.reload:
 			if host != nil {
 				host.Reload()
--- a/control/daemon/config.go
+++ b/control/daemon/config.go
@@ -128,7 +128,7 @@
 	queue := fs.Int("queue", c.Queue, "most requests waiting, per service")
 	test := fs.Bool("test-switches", false, "open the switches that tests use (never in production)")
 	fs.Usage = func() {
-		_, _ = fmt.Fprintf(w, "usage: %s [flags]\n\nRuns one daemon of a router fleet. SIGTERM lets it finish its streams and go.\nExit codes: 0 stopped as asked, 1 failed while running, 2 bad flags or config, 3 bad data folder, 4 an address can't be used.\n\n", prog)
+		_, _ = fmt.Fprintf(w, "usage: %s [flags]\n\nRuns one daemon of a router fleet. SIGTERM lets it finish its streams and go.\nExit codes: 0 stopped as asked, 1 failed while running, 2 bad flags or config, 3 bad data folder, 4 an address can't be used, 5 the state in the data folder is superseded (started again it begins empty).\n\n", prog)
 		fs.PrintDefaults()
 	}
 	if err := fs.Parse(args); err != nil {
@@ -313,7 +313,7 @@
 
 // QuorumConfig is the config of the leaders' replicas.
 //
-// Example: replica := quorum.New(c.QuorumConfig(), 0, me, meta, records, now, false)
+// Example: replica := quorum.New(c.QuorumConfig(), 0, me, folder, meta, records, now, false)
 func (c Config) QuorumConfig() quorum.Config {
 	d := c.Bounds.Plan / 2
 	return quorum.Config{LeaderLease: d, Drift: c.Drift, Margin: c.margin(), Beat: d / 3, Gone: max(fraction(c.Catch, goneRatio), d+d/2)}
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"mulleinmast/control/digest"
 	"mulleinmast/control/eventlog"
 	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/control/leader"
 	"mulleinmast/control/leadercall"
 	"mulleinmast/control/lease"
@@ -80,6 +81,8 @@
 	readyAt  atomic.Int64 // when it was last
 	standing standing     // the furthest that it came; the membership table's loop writes it
 
+	superseded superseded
+
 	dmu        sync.Mutex
 	dq         storage.Batch
 	dwake      chan struct{}
@@ -115,7 +118,7 @@
 // Example: c, err := daemon.Open(cfg, records)
 func Open(cfg Config, events *eventlog.Log) (*Daemon, error) {
 	c := &Daemon{Cfg: cfg, Events: events, Mux: http.NewServeMux(), Metrics: metrics.NewSet(), Polls: undriven{}, Orders: undriven{}, clock: clock.New(), epoch: 1,
-		dwake: make(chan struct{}, 1), calls: map[uint64]chan leadercall.Done{}, news: make(chan struct{})}
+		dwake: make(chan struct{}, 1), calls: map[uint64]chan leadercall.Done{}, news: make(chan struct{}), superseded: superseded{told: make(chan struct{})}}
 	c.me = message.Replica{Ident: storage.NewIdent(), Addr: cfg.Wire}
 	if cfg.Data != "" {
 		a, err := openFolder(cfg, events)
@@ -126,6 +129,8 @@
 		switch {
 		case a.Copied:
 			events.Say("disk", "the state here is a back-up: set aside as %s, starting empty as %s; the other disks have what is newer. If a majority of the disks is lost, stop all daemons, put the back-ups back, each with an empty file %s beside it", a.Moved, a.Ident, storage.MajorityLost)
+		case a.Superseded:
+			events.Say("disk", "the state here was superseded; set aside as %s, starting empty as %s", a.Moved, a.Ident)
 		case a.Moved != "":
 			events.Say("disk", "state was damaged; set aside as %s, starting empty as %s", a.Moved, a.Ident)
 		}
@@ -153,7 +158,7 @@
 		return nil, InUse.Wrap(err)
 	}
 	c.web = ln
-	c.runs = leadercall.New(leadercall.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}, c.epoch) // calls may be sent twice: each is known by its id
+	c.runs = leadercall.New(leadercall.Config{Try: cfg.Vol() / 2, Pause: cfg.Vol() / 32, After: cfg.Bounds.Plan}, incarnation.Starts(c.epoch)) // calls may be sent twice: each is known by its id
 	c.rost = membership.New(cfg.Sessions(), c.member(), cfg.Seeds)
 	if c.arch != nil {
 		for _, h := range c.arch.Partitions {
@@ -164,6 +169,7 @@
 	}
 	c.view.Store(c.rost.View())
 	now := c.Now()
+	folder := c.folder()
 	for p := 0; p <= cfg.Partitions; p++ {
 		var replica *quorum.Replica
 		if c.arch != nil {
@@ -171,7 +177,7 @@
 			if !ok {
 				h = storage.Held{Records: digest.NewRecords()}
 			}
-			replica = quorum.New(cfg.QuorumConfig(), p, c.me, h.Meta, h.Records, now, h.Meta.Group.Num == 0)
+			replica = quorum.New(cfg.QuorumConfig(), p, c.me, folder, h.Meta, h.Records, now, h.Meta.Group.Num == 0)
 		}
 		node := lease.New(cfg.Leases(), p, c.me, c.epoch)
 		p := p
@@ -195,6 +201,18 @@
 	return c, nil
 }
 
+// folder is what the replicas here share; none without a data folder.
+func (c *Daemon) folder() *quorum.Folder {
+	if c.arch == nil {
+		return nil
+	}
+	var held []quorum.Meta
+	for _, h := range c.arch.Partitions {
+		held = append(held, h.Meta)
+	}
+	return quorum.OpenFolder(c.epoch, held...)
+}
+
 // openFolder opens the data folder. A disk that is full or in trouble is waited
 // for: without its epoch on disk a daemon must not speak, and what is on the
 // disk is worth more than an early start.
--- a/control/daemon/fleet.go
+++ b/control/daemon/fleet.go
@@ -66,6 +66,9 @@
 		c.reportStanding()
 		me := c.member() // takes the shards' locks, so before the membership table's
 		o := c.tickTable(me, owns)
+		if c.WhySuperseded() != "" { // the session is the other one's
+			continue
+		}
 		for _, m := range o.Sends {
 			c.Line.Send(m)
 		}
@@ -119,7 +122,7 @@
 }
 
 func (c *Daemon) isReady() bool {
-	if c.stop.Load() {
+	if c.stop.Load() || c.WhySuperseded() != "" {
 		return false
 	}
 	_, a := c.Last(0, fleetconfig.PlanKey)
--- a/control/daemon/handover.go
+++ b/control/daemon/handover.go
@@ -10,10 +10,13 @@
 const handOverRatio = 0.6
 
 // Held counts the partitions that still count on this daemon's copy though a standby
-// could take its place.
+// could take its place; none where the copy is superseded.
 //
 // Example: if c.Held() == 0 { end() }
 func (c *Daemon) Held() (n int) {
+	if c.WhySuperseded() != "" {
+		return 0
+	}
 	v := c.View()
 	for _, s := range c.shards {
 		s.mu.Lock()
--- a/control/daemon/operate.go
+++ b/control/daemon/operate.go
@@ -174,7 +174,10 @@
 }
 
 func (c *Daemon) unready() string {
+	why := c.WhySuperseded()
 	switch {
+	case why != "":
+		return "the state in " + c.Cfg.Data + " is superseded: " + why
 	case c.stop.Load():
 		return "stopping"
 	case !c.View().Live:
@@ -245,6 +248,7 @@
 	PlanOK     bool             `json:"plan_valid"`
 	Zones      []string         `json:"cells_out"`
 	Partitions []PartitionView  `json:"parts"`
+	Superseded string           `json:"superseded,omitempty"`
 	Wire       [3]int64         `json:"wire_sent_got_lost"`
 	Extra      map[string]any   `json:"traffic,omitempty"`
 }
@@ -254,7 +258,7 @@
 // Example: json.Marshal(c.State())
 func (c *Daemon) State() State {
 	v := c.View()
-	st := State{Fleet: c.Cfg.Fleet, Me: v.Me, Members: v.Members, Live: v.Live, Zones: []string{}, Wire: [3]int64{c.Line.Sent.Load(), c.Line.Got.Load(), c.Line.Lost.Load()}}
+	st := State{Superseded: c.WhySuperseded(), Fleet: c.Cfg.Fleet, Me: v.Me, Members: v.Members, Live: v.Live, Zones: []string{}, Wire: [3]int64{c.Line.Sent.Load(), c.Line.Got.Load(), c.Line.Lost.Load()}}
 	_, st.Plan, st.PlanOK = c.Plan()
 	if r, ok := c.Read(0, fleetconfig.ZoneKey); ok {
 		for zone := range fleetconfig.Zones(r) {
--- a/control/daemon/shard.go
+++ b/control/daemon/shard.go
@@ -30,6 +30,9 @@
 }
 
 func (c *Daemon) carry(s *shard, o leader.Out) {
+	if o.Superseded != "" {
+		c.supersede(s.partition, o.Superseded)
+	}
 	if len(o.Saves) > 0 {
 		c.toDisk(o.Saves)
 	}
@@ -74,7 +77,7 @@
 		return
 	}
 	// A replica is known by its identity; its machine may have a new address.
-	if at, ok := c.View().Find(m.Message.To); ok {
+	if at, ok := c.View().Find(m.Message.To); ok && !m.Exact {
 		m.Addr = at.Addr
 	}
 	c.Line.Send(m)
--- a/control/leader/cost_test.go
+++ b/control/leader/cost_test.go
@@ -24,10 +24,10 @@
 			t.Fatalf("%s %d: %d %s", op, no, code, w)
 		}
 		for _, r := range a.last {
-			m := message.Message{Recs: []message.Rec{r}}
-			group += m.Msgsize()
+			size := packed(t, message.Message{Kind: message.Accept, Recs: []message.Rec{r}})
+			group += size
 			if r.Key == fleetconfig.PlanKey {
-				daemons += m.Msgsize()
+				daemons += size
 			}
 		}
 		return group, daemons
@@ -50,3 +50,13 @@
 		t.Errorf("a change costs %d bytes a replica and %d a daemon, who had %d at first", group, daemons, first)
 	}
 }
+
+// packed is the length of a message as it goes on the wire.
+func packed(t *testing.T, m message.Message) int {
+	t.Helper()
+	b, err := m.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(b)
+}
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -127,6 +127,9 @@
 	if p.Steer.Ident != "" {
 		o.Steer = p.Steer
 	}
+	if p.Superseded != "" {
+		o.Superseded = p.Superseded
+	}
 	o.Polls = append(o.Polls, p.Polls...)
 	o.Orders = append(o.Orders, p.Orders...)
 	o.Lines = append(o.Lines, p.Lines...)
@@ -164,6 +167,13 @@
 	return m.wrap(m.sec.Found(now, g))
 }
 
+// Supersede takes this daemon's copy its voice.
+//
+// Example: out := m.Supersede(now, why)
+func (m *Controller) Supersede(now time.Duration, why string) Out {
+	return m.wrap(m.sec.Supersede(now, why))
+}
+
 // Adopt sets the parent in the tree.
 //
 // Example: out := m.Adopt(now, replica)
--- a/control/leader/once_test.go
+++ b/control/leader/once_test.go
@@ -44,7 +44,7 @@
 	quorumConfig := quorum.Config{LeaderLease: time.Second, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 333 * time.Millisecond}
 	tree := lease.Config{Vol: 800 * time.Millisecond, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 266 * time.Millisecond}
 	a.m = New(Config{Works: placement.Config{Share: time.Second}, Keep: time.Hour}, number, self,
-		partition.New(number, self, 1, quorum.New(quorumConfig, number, self, a.meta, held, 0, true), lease.New(tree, number, self, 1)))
+		partition.New(number, self, 1, quorum.New(quorumConfig, number, self, nil, a.meta, held, 0, true), lease.New(tree, number, self, 1)))
 	for a.step(); !a.m.Leader(a.now); a.step() {
 		if a.now > time.Minute {
 			t.Fatal("no leader")
--- a/control/partition/calm_test.go
+++ b/control/partition/calm_test.go
@@ -20,7 +20,7 @@
 		records := digest.NewRecords()
 		records.Put(message.Rec{Key: "k", Ver: message.Ver{Term: 4, Seq: 2}, Val: []byte("old")})
 		meta := quorum.Meta{Promised: 4, To: me.Ident, ToEpoch: 1, Tried: 4, LastComplete: 4, Group: message.Group{Num: 1, Replicas: []message.Replica{me}, Next: []message.Replica{me}}} // a change of the group was under way
-		s := New(1, me, 2, quorum.New(cfg, 1, me, meta, records, 0, false), lease.New(lease.Config{Vol: vol, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: vol / 3}, 1, me, 2))
+		s := New(1, me, 2, quorum.New(cfg, 1, me, nil, meta, records, 0, false), lease.New(lease.Config{Vol: vol, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: vol / 3}, 1, me, 2))
 		var now time.Duration
 		sync := func(o Out) (all Out) {
 			all = o
--- a/control/partition/partition.go
+++ b/control/partition/partition.go
@@ -60,6 +60,8 @@
 	Lost    bool
 	Orphan  bool
 	Steer   message.Replica
+	// Superseded says why this daemon's copy has no voice any more, if it lost it.
+	Superseded string
 }
 
 type job struct {
@@ -120,7 +122,7 @@
 }
 
 func (s *Partition) hear(now time.Duration, n message.Message, o *Out) {
-	if n.Kind >= message.Ask && n.Kind <= message.Supported {
+	if n.Kind >= message.Ask && n.Kind <= message.Supported || n.Kind == message.Incarnation {
 		if s.Replica != nil {
 			s.fromReplica(now, s.Replica.Hear(now, n), o)
 		}
@@ -191,6 +193,17 @@
 	return o
 }
 
+// Supersede takes this daemon's copy its voice: its identity is another's by now.
+//
+// Example: out := s.Supersede(now, why)
+func (s *Partition) Supersede(now time.Duration, why string) (o Out) {
+	if s.Replica != nil {
+		s.fromReplica(now, s.Replica.Supersede(why), &o)
+		s.turn(now, &o)
+	}
+	return o
+}
+
 // Do queues a write; its Result carries the tag (which must not be zero).
 //
 // Example: out := s.Do(now, 17, job)
@@ -320,6 +333,9 @@
 func (s *Partition) fromReplica(now time.Duration, n quorum.Out, o *Out) {
 	o.Sends = append(o.Sends, n.Sends...)
 	o.Saves = append(o.Saves, n.Saves...)
+	if n.Superseded != "" {
+		o.Superseded = n.Superseded
+	}
 	for _, d := range n.Done {
 		j := s.runs[d.Tag]
 		if j == nil {
--- a/control/partition/partition_test.go
+++ b/control/partition/partition_test.go
@@ -18,7 +18,7 @@
 func leader(t *testing.T) (*Partition, func(Out) Out) {
 	t.Helper()
 	cfg := quorum.Config{LeaderLease: time.Second, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: 333 * time.Millisecond}
-	replica := quorum.New(cfg, 1, me, quorum.Meta{Group: message.Group{Num: 1, Replicas: []message.Replica{me}}}, digest.NewRecords(), 0, true)
+	replica := quorum.New(cfg, 1, me, nil, quorum.Meta{Group: message.Group{Num: 1, Replicas: []message.Replica{me}}}, digest.NewRecords(), 0, true)
 	node := lease.New(lease.Config{Vol: vol, Obj: time.Minute, Drift: 0.02, Margin: 20 * time.Millisecond, Beat: vol / 3}, 1, me, 1)
 	s := New(1, me, 1, replica, node)
 	var now time.Duration
--- a/control/quorum/crowd_test.go
+++ b/control/quorum/crowd_test.go
@@ -36,10 +36,10 @@
 func newCrowd(t *testing.T, members, others []string) *crowd {
 	c := &crowd{t: t, replicas: map[string]*Replica{}, down: map[string]bool{}, lose: func(string, message.Message) bool { return false }}
 	for _, id := range members {
-		c.replicas[id] = New(timed, 1, replicaOf(id), Meta{Group: message.Group{Num: 1, Replicas: replicasOf(members...)}}, digest.NewRecords(), 0, true)
+		c.replicas[id] = New(timed, 1, replicaOf(id), nil, Meta{Group: message.Group{Num: 1, Replicas: replicasOf(members...)}}, digest.NewRecords(), 0, true)
 	}
 	for _, id := range others {
-		c.replicas[id] = New(timed, 1, replicaOf(id), Meta{}, digest.NewRecords(), 0, true)
+		c.replicas[id] = New(timed, 1, replicaOf(id), nil, Meta{}, digest.NewRecords(), 0, true)
 	}
 	return c
 }
--- a/control/quorum/early_test.go
+++ b/control/quorum/early_test.go
@@ -55,7 +55,7 @@
 
 // restarted is a voter that starts at 0 and was bound to term 5 of x's life 3.
 func restarted(t *testing.T) *voter {
-	return &voter{t: t, s: New(cfg, 1, three.Replicas[0], Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)}
+	return &voter{t: t, s: New(cfg, 1, three.Replicas[0], nil, Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)}
 }
 
 // running is a voter that supported x's life 3 at 10 s for the last time.
@@ -145,7 +145,7 @@
 	}
 	for _, to := range []string{"x", "a"} { // bound to another, or to itself
 		m.To = to
-		v := &voter{t: t, s: New(cfg, 1, three.Replicas[0], m, digest.NewRecords(), 0, false)}
+		v := &voter{t: t, s: New(cfg, 1, three.Replicas[0], nil, m, digest.NewRecords(), 0, false)}
 		v.hear(time.Millisecond, "x", 99, message.Message{Kind: message.Refuse})
 		if ok, left := v.ask(2*time.Millisecond, "b", 1, 6); ok || left != whole-2*time.Millisecond {
 			t.Errorf("bound to %s: promised %v, %v left", to, ok, left)
@@ -277,7 +277,7 @@
 	// void changes nothing, least of all to a lower term.
 	v = running(t)
 	v.ask(at, "b", 1, 6)
-	v.s = New(cfg, 1, three.Replicas[0], v.s.Meta(), digest.NewRecords(), at, false)
+	v.s = New(cfg, 1, three.Replicas[0], nil, v.s.Meta(), digest.NewRecords(), at, false)
 	v.hear(at, "b", 1, message.Message{Kind: message.Void, Num: 6})
 	if m := v.s.Meta(); m.Promised != 6 || m.To != "b" {
 		t.Errorf("after a restart and a void: bound to %+v", m)
--- a/control/quorum/fill.go
+++ b/control/quorum/fill.go
@@ -108,9 +108,13 @@
 // put gives the disk a save; then goes out once it is there.
 func (s *Replica) put(o *Out, v Save, then ...message.Send) {
 	s.tick++
+	if s.folder != nil {
+		s.meta.State, s.meta.History = s.folder.stamp(), s.folder.past
+	}
+	s.unsaved = false
 	v.Ticket, v.Partition, v.Meta, v.Sum = s.tick, s.partition, s.meta, s.meta.Sum(s.records)
 	o.Saves = append(o.Saves, v)
-	s.gave(s.tick)
+	s.gave(s.tick, s.meta.State.Saves)
 	if len(then) > 0 {
 		s.after[s.tick] = then
 	}
@@ -120,9 +124,16 @@
 //
 // Example: out := s.Saved(save.Ticket)
 func (s *Replica) Saved(ticket uint64) Out {
-	s.synced(ticket)
+	saves := s.synced(ticket)
+	if s.folder != nil {
+		s.folder.onDisk(saves)
+	}
 	o := Out{Sends: s.after[ticket]}
 	delete(s.after, ticket)
+	if s.superseded != "" {
+		return Out{}
+	}
+	s.sign(&o)
 	return o
 }
 
--- a/control/quorum/group.go
+++ b/control/quorum/group.go
@@ -31,6 +31,7 @@
 // Example: out := s.Found(now, message.Group{Num: 1, Replicas: three})
 func (s *Replica) Found(now time.Duration, g message.Group) (o Out) {
 	s.now = now
+	defer func() { s.sign(&o) }()
 	if s.meta.Group.Num == 0 && g.Has(s.me.Ident) {
 		s.join(now, g)
 		s.save(&o, nil, nil)
@@ -94,6 +95,7 @@
 // there, the leader before was there when we last supported it.
 func (s *Replica) follow(now time.Duration) {
 	s.learn, s.step = nil, 0
+	s.told, s.telling = map[string]uint64{}, map[string]telling{}
 	s.heard, s.ending, s.whole = map[string]time.Duration{}, map[string]time.Duration{}, map[string]bool{}
 	for _, replica := range s.meta.Group.All() {
 		s.heard[replica.Ident] = s.askAt
@@ -131,6 +133,7 @@
 	if !s.Leader(now) {
 		return o
 	}
+	defer func() { s.sign(&o) }()
 	next := make([]message.Replica, 0, len(list))
 	for _, l := range list {
 		if !s.meta.Group.Has(l.Ident) && l.Ident != s.me.Ident {
@@ -234,6 +237,7 @@
 	}
 	delete(s.whole, in.Ident)
 	s.regroup(now, tag, g.Replicas, next, &o)
+	s.sign(&o)
 	return o, true
 }
 
@@ -254,6 +258,7 @@
 	if !s.Leader(now) || len(g.Next) == 0 {
 		return o
 	}
+	defer func() { s.sign(&o) }()
 	ready, undo := true, !has(g.Next, s.me.Ident)
 	for _, replica := range g.Next {
 		if has(g.Replicas, replica.Ident) {
--- a/control/quorum/group_test.go
+++ b/control/quorum/group_test.go
@@ -155,7 +155,7 @@
 	c.wait(time.Second, c.learn())
 	meta := c.replicas[one].Meta()
 	meta.Promised, meta.To, meta.ToEpoch, meta.Tried = 40, one, 1, 40 // it stood while it was cut off
-	c.replicas[one] = New(timed, 1, replicaOf(one), meta, digest.NewRecords(), c.now, false)
+	c.replicas[one] = New(timed, 1, replicaOf(one), nil, meta, digest.NewRecords(), c.now, false)
 	c.down[one] = false
 	c.wait(2*time.Second, c.learn(one))
 	id, s := c.leader()
--- a/control/quorum/lease.go
+++ b/control/quorum/lease.go
@@ -11,6 +11,7 @@
 func (s *Replica) supported(now time.Duration, n message.Message) {
 	if n.Num == s.num {
 		delete(s.stuck, n.From)
+		s.heardPeers(n)
 	}
 	at, ok := s.rounds[n.Ref]
 	if !ok || n.Num != s.num {
@@ -55,15 +56,27 @@
 		}
 	}
 	for _, replica := range s.peers() {
-		o.send(replica, message.Message{Kind: message.Support, Partition: s.partition, Num: s.num, No: s.round})
+		s.askSupport(replica, o)
 	}
 }
 
+// askSupport asks a peer to support the present round of the leader's lease.
+func (s *Replica) askSupport(to message.Replica, o *Out) {
+	n := message.Message{Kind: message.Support, Partition: s.partition, Num: s.num, No: s.round, To: to.Ident}
+	s.tellPeers(&n)
+	o.send(to, n)
+}
+
 // Tick lets time pass.
 //
 // Example: out := s.Tick(now)
 func (s *Replica) Tick(now time.Duration) (o Out) {
 	s.now = now
+	if s.superseded != "" {
+		return o
+	}
+	defer func() { s.sign(&o) }()
+	s.notePeers(now, &o)
 	if s.stalled(now) && s.mode != idle {
 		s.drop(&o)
 		return o
--- a/control/quorum/lives_test.go
+++ b/control/quorum/lives_test.go
@@ -17,7 +17,7 @@
 		life uint64 // that b promised to; 0: b is of a build that doesn't say
 		won  bool
 	}{{"this life", 2, true}, {"an earlier life", 1, false}, {"a build that doesn't say", 0, true}} {
-		s := New(cfg, 1, three.Replicas[0], Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)
+		s := New(cfg, 1, three.Replicas[0], nil, Meta{Promised: 5, To: "x", ToEpoch: 3, LastComplete: 5, Group: three}, digest.NewRecords(), 0, false)
 		now := time.Duration(0)
 		var carry func(o Out)
 		carry = func(o Out) {
--- a/control/quorum/quorum.go
+++ b/control/quorum/quorum.go
@@ -60,6 +60,10 @@
 	LastComplete uint64 `json:"Set"` // the key on disk is that of older builds
 	Group        message.Group
 	Short        bool `json:",omitempty"` // the disk lost some of the records: no vote before they are filled
+
+	State   message.Stamp   `json:",omitzero"`  // the stamp of this state
+	History []message.Stamp `json:",omitempty"` // the last of each earlier incarnation, the latest at the end
+	Peers   []message.Peer  `json:",omitempty"` // what is known of the other replicas
 }
 
 // Fate is what became of a write.
@@ -84,6 +88,8 @@
 	Done  []Done
 	Won   bool // became leader
 	Lost  bool // is no longer leader
+	// Superseded says why this replica has no voice from now on, if it just lost it.
+	Superseded string
 }
 
 func (o *Out) send(to message.Replica, n message.Message) {
@@ -166,18 +172,21 @@
 	few       map[uint64]*write  // taken by a majority, and not yet by all
 	behind    map[string]*behind // replicas that missed writes
 	unsynced
+	guard
 	quit bool
 
 	Mended int // times that a replica's copy was found to differ and sent ours
 }
 
 // New makes a replica from what the disk held; a replica waits one full lease after
-// its start before it promises anything.
+// its start before it promises anything. Without a folder it neither tells of
+// incarnations nor judges them.
 //
-// Example: s := quorum.New(cfg, 0, me, meta, records, now, false)
-func New(cfg Config, partition int, me message.Replica, meta Meta, records *digest.Records, now time.Duration, fresh bool) *Replica {
+// Example: s := quorum.New(cfg, 0, me, folder, meta, records, now, false)
+func New(cfg Config, partition int, me message.Replica, folder *Folder, meta Meta, records *digest.Records, now time.Duration, fresh bool) *Replica {
 	s := &Replica{cfg: cfg, partition: partition, me: me, meta: meta, records: records, born: now, after: map[uint64][]message.Send{}, lives: map[string]uint64{},
 		rounds: map[uint64]time.Duration{}, yes: map[uint64]map[string]bool{}, writes: map[uint64]*write{}, few: map[uint64]*write{}}
+	s.guard = guard{folder: folder, admitted: map[string]bool{}}
 	s.now = now
 	s.till = now + cfg.Wait(cfg.LeaderLease)
 	if fresh {
@@ -268,7 +277,8 @@
 func (s *Replica) Hear(now time.Duration, n message.Message) (o Out) {
 	from := message.Replica{Ident: n.From, Addr: n.Addr}
 	s.now = now
-	if !s.audible(n) || n.Epoch < s.lives[n.From] { // what an earlier life sent is nobody's
+	defer func() { s.sign(&o) }()
+	if !s.counts(now, n, &o) || !s.audible(n) || n.Epoch < s.lives[n.From] { // what an earlier life sent is nobody's
 		return o
 	}
 	s.live(now, n)
--- a/control/quorum/quorum_test.go
+++ b/control/quorum/quorum_test.go
@@ -34,7 +34,7 @@
 func leader(t *testing.T) *alone {
 	a := &alone{}
 	g := message.Group{Num: 1, Replicas: []message.Replica{{Ident: "a", Addr: "x"}}}
-	a.s = New(cfg, 1, g.Replicas[0], Meta{Group: g}, digest.NewRecords(), 0, false)
+	a.s = New(cfg, 1, g.Replicas[0], nil, Meta{Group: g}, digest.NewRecords(), 0, false)
 	for ; a.now < 3*time.Second; a.now += 20 * time.Millisecond {
 		a.carry(a.s.Tick(a.now))
 		if a.s.Leader(a.now) && a.now < cfg.Wait(cfg.LeaderLease) {
--- a/control/quorum/term.go
+++ b/control/quorum/term.go
@@ -241,10 +241,14 @@
 	s.num = max(s.high, s.meta.Promised, s.meta.Tried, s.num) + 1
 	s.mode, s.askAt, s.probed = probing, now, map[string]bool{}
 	for _, replica := range s.meta.Group.All() {
-		o.send(replica, message.Message{Kind: message.Ask, Op: probe, Partition: s.partition, Num: s.num, Group: s.meta.Group, Len: s.wait()})
+		s.askProbe(replica, o)
 	}
 }
 
+func (s *Replica) askProbe(to message.Replica, o *Out) {
+	o.send(to, message.Message{Kind: message.Ask, Op: probe, Partition: s.partition, Num: s.num, Group: s.meta.Group, Len: s.wait()})
+}
+
 // wait is for how long at most this replica would write nothing as leader.
 func (s *Replica) wait() int64 { return int64(s.cfg.Wait(s.cfg.LeaderLease)) }
 
@@ -256,12 +260,16 @@
 	s.mode, s.askAt, s.stuck = asking, now, map[string]time.Duration{}
 	s.calm = 0
 	s.votes = map[string]vote{}
-	digs := s.records.Digs()
 	for _, replica := range s.meta.Group.All() {
-		o.send(replica, message.Message{Kind: message.Ask, Partition: s.partition, Num: s.num, Digs: digs, Group: s.meta.Group, Len: s.wait()})
+		s.ask(replica, o)
 	}
 }
 
+// ask asks a replica for its promise.
+func (s *Replica) ask(to message.Replica, o *Out) {
+	o.send(to, message.Message{Kind: message.Ask, Partition: s.partition, Num: s.num, Digs: s.records.Digs(), Group: s.meta.Group, Len: s.wait()})
+}
+
 // delay spaces candidates out: the replica first in this partition's order goes first.
 func (s *Replica) delay() time.Duration {
 	n := 0
--- a/control/quorum/trio_test.go
+++ b/control/quorum/trio_test.go
@@ -30,6 +30,8 @@
 	wait []message.Send
 	done []Done
 	tag  uint64
+
+	epochs bool // each replica has an incarnation of its own
 }
 
 func newTrio(t *testing.T) *trio {
@@ -51,7 +53,7 @@
 	}
 	m.queue = nil
 	i := slices.IndexFunc(three.Replicas, func(s message.Replica) bool { return s.Ident == id })
-	m.s = New(cfg, 1, three.Replicas[i], m.meta, records, w.now, false)
+	m.s = New(cfg, 1, three.Replicas[i], nil, m.meta, records, w.now, false)
 }
 
 func (w *trio) carry(id string, o Out) {
@@ -59,6 +61,9 @@
 	w.done = append(w.done, o.Done...)
 	for _, s := range o.Sends {
 		s.Message.From, s.Message.Addr, s.Message.Epoch, s.Message.Partition = id, id, 1, 1
+		if w.epochs {
+			s.Message.Epoch = m.s.folder.epoch
+		}
 		w.wait = append(w.wait, s)
 	}
 	m.queue = append(m.queue, o.Saves...)
@@ -291,7 +296,7 @@
 	w := newTrio(t)
 	w.pass(3*time.Second, true)
 	own := w.by[w.leader()].s
-	fresh := New(cfg, 1, three.Replicas[0], Meta{Group: three}, digest.NewRecords(), w.now, false)
+	fresh := New(cfg, 1, three.Replicas[0], nil, Meta{Group: three}, digest.NewRecords(), w.now, false)
 	var o Out
 	own.sendFill(w.now, message.Replica{Ident: "new"}, fresh.Records().Digs(), &o)
 	fill := o.Sends[0].Message
--- a/control/quorum/walk_test.go
+++ b/control/quorum/walk_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mulleinmast/control/digest"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/wire/message"
 )
 
@@ -115,12 +116,12 @@
 		d = &disk{recs: map[string]message.Rec{}}
 		w.disks[id] = d
 	}
-	w.epoch[id]++
+	w.epoch[id] = incarnation.Number(incarnation.Starts(w.epoch[id])+1, uint32(len(id)))
 	records := digest.NewRecords()
 	for _, r := range d.recs {
 		records.Put(r)
 	}
-	w.up[id] = New(timed, 1, replicaOf(id), d.meta, records, w.now, d.meta.Group.Num == 0)
+	w.up[id] = New(timed, 1, replicaOf(id), OpenFolder(w.epoch[id], d.meta), d.meta, records, w.now, d.meta.Group.Num == 0)
 }
 
 // newcomer starts an empty machine.
--- a/control/quorum/whole.go
+++ b/control/quorum/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"slices"
@@ -44,6 +45,19 @@
 	return h.Sum64() | 1 // 0 is none
 }
 
+// PastSum is of what a replica's state says of incarnations; a build that tells
+// nothing of them reads the rest of the state by Sum alone.
+//
+// Example: trusted := row.Past == row.PastSum()
+func (m Meta) PastSum() uint64 {
+	if m.State.Epoch == 0 && len(m.History)+len(m.Peers) == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%v %v %v", m.State, m.History, m.Peers)
+	return h.Sum64() | 1
+}
+
 // patience is how many leader leases a disk may take for one save before its replica
 // leaves the leadership to others.
 const patience = 4
@@ -55,14 +69,23 @@
 }
 
 type ticket struct {
-	no uint64
-	at time.Duration
+	no    uint64
+	at    time.Duration
+	saves uint64 // its number in the folder
 }
 
-func (u *unsynced) gave(no uint64) { u.list = append(u.list, ticket{no, u.now}) }
+func (u *unsynced) gave(no, saves uint64) { u.list = append(u.list, ticket{no, u.now, saves}) }
 
-func (u *unsynced) synced(no uint64) {
-	u.list = slices.DeleteFunc(u.list, func(t ticket) bool { return t.no <= no })
+// synced forgets the saves up to one that is on disk, and tells the highest number
+// in the folder among them.
+func (u *unsynced) synced(no uint64) (saves uint64) {
+	u.list = slices.DeleteFunc(u.list, func(t ticket) bool {
+		if t.no <= no {
+			saves = max(saves, t.saves)
+		}
+		return t.no <= no
+	})
+	return saves
 }
 
 // waits tells whether a save is not on disk yet.
--- a/control/quorum/write.go
+++ b/control/quorum/write.go
@@ -60,6 +60,7 @@
 		recs[i].Ver = message.Ver{Term: s.num, Seq: s.seq}
 	}
 	s.commit(now, tag, recs, &o)
+	s.sign(&o)
 	return o, recs
 }
 
--- a/control/storage/load.go
+++ b/control/storage/load.go
@@ -28,7 +28,8 @@
 // row is what the table of replicas holds of one.
 type row struct {
 	quorum.Meta
-	Sum uint64 `json:",omitempty"` // of the state as it was written; a build before this one writes none
+	Sum  uint64 `json:",omitempty"` // of the state as it was written; a build before this one writes none
+	Past uint64 `json:",omitempty"` // of what it says of incarnations
 }
 
 // load reads all partitions. What is there and isn't what was written, by its
@@ -46,6 +47,9 @@
 		if err := json.Unmarshal([]byte(v), &r); err != nil {
 			return damage{Error.Wrap(err)}
 		}
+		if r.Past != r.PastSum() { // it claims nothing rather than what was never written
+			r.State, r.History, r.Peers = message.Stamp{}, nil, nil
+		}
 		a.Partitions[partition], sums[partition] = Held{Meta: r.Meta, Records: digest.NewRecords()}, r.Sum
 		return nil
 	})
--- a/control/storage/storage.go
+++ b/control/storage/storage.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/rand"
 	"database/sql"
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -19,7 +20,9 @@
 	"github.com/zeebo/errs"
 
 	"mulleinmast/control/digest"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/control/quorum"
+	"mulleinmast/wire/message"
 )
 
 // Format is the version of the files written here.
@@ -37,6 +40,17 @@
 
 var errCopy = errors.New("it is a back-up, and no file " + MajorityLost + " stands beside it")
 
+// SupersededMark is the name of the file by which a daemon says that its state is
+// superseded: another process, or a later state, bears its identity.
+const SupersededMark = "superseded"
+
+var errSuperseded = errors.New("its identity is another's")
+
+// restoredStarts is by how many starts an identity is moved on when an operator
+// says that a back-up is the state that is left: past all that the others may know
+// of it, since they would count it for superseded otherwise.
+const restoredStarts = 1 << 16
+
 // Error is the class of this package's errors.
 var Error = errs.Class("data folder")
 
@@ -54,11 +68,13 @@
 type Store struct {
 	db         *sql.DB
 	lock       *os.File
+	dir        string
 	Ident      string
 	Epoch      uint64
 	Empty      bool   // nothing was here before
 	Moved      string // where a file that was damaged, or a back-up, was put, if one was found
 	Copied     bool   // what was moved is a back-up
+	Superseded bool   // what was moved is superseded: another process, or a later state, bears its identity
 	Partitions map[int]Held
 	Spoilt     int   // records whose value isn't what was written: they count as missing
 	Short      []int // partitions that are not what was written: they have no vote until they are filled
@@ -67,7 +83,8 @@
 // Open opens or makes the data folder, locks it, counts the epoch up and
 // reads all partitions. A damaged file is set aside and the folder starts empty,
 // with a new identity, and so is a back-up, unless a file MajorityLost stands
-// beside it; a file of another fleet or a newer format is refused.
+// beside it, and a state that was found superseded; a file of another fleet or a
+// newer format is refused.
 //
 // Example: a, err := storage.Open("/var/lib/mulleinmast", "rangsit")
 func Open(dir, fleet string) (*Store, error) {
@@ -82,17 +99,20 @@
 		_ = lock.Close()
 		return nil, Error.New("%s: another daemon has it open", dir)
 	}
-	a := &Store{lock: lock}
+	a := &Store{lock: lock, dir: dir}
 	path := filepath.Join(dir, "state.db")
-	if err := a.open(path, fleet); err != nil {
-		a.Copied = errors.Is(err, errCopy)
-		if !a.Copied && !damaged(err) {
+	if err := a.openOwn(dir, path, fleet); err != nil {
+		a.Copied, a.Superseded = errors.Is(err, errCopy), errors.Is(err, errSuperseded)
+		if !a.Copied && !a.Superseded && !damaged(err) {
 			a.Close()
 			return nil, err
 		}
 		as := "damaged"
-		if a.Copied {
+		switch {
+		case a.Copied:
 			as = "back-up"
+		case a.Superseded:
+			as = "superseded"
 		}
 		if a.Moved, err = setAside(path, as, err); err != nil {
 			a.Close()
@@ -103,9 +123,11 @@
 			return nil, err
 		}
 	}
-	if err := os.Remove(filepath.Join(dir, MajorityLost)); err != nil && !os.IsNotExist(err) { // it counts once
-		a.Close()
-		return nil, Error.Wrap(err)
+	for _, once := range []string{MajorityLost, SupersededMark} { // each counts for one start
+		if err := os.Remove(filepath.Join(dir, once)); err != nil && !os.IsNotExist(err) {
+			a.Close()
+			return nil, Error.Wrap(err)
+		}
 	}
 	if err := syncDir(dir); err != nil {
 		a.Close()
@@ -114,6 +136,30 @@
 	return a, nil
 }
 
+// openOwn opens the folder's file, unless it was found superseded before. An
+// operator's word that the majority is lost goes before that.
+func (a *Store) openOwn(dir, path, fleet string) error {
+	if exists(filepath.Join(dir, SupersededMark)) && !exists(filepath.Join(dir, MajorityLost)) {
+		return errSuperseded
+	}
+	return a.open(path, fleet)
+}
+
+// MarkSuperseded has the next start set this state aside and begin empty, under a
+// new identity.
+//
+// Example: err := a.MarkSuperseded()
+func (a *Store) MarkSuperseded() error {
+	f, err := os.OpenFile(filepath.Join(a.dir, SupersededMark), os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if err := errors.Join(f.Sync(), f.Close()); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(syncDir(a.dir))
+}
+
 type damage struct{ error }
 
 // damaged tells whether a file's content is at fault. A disk that is full, slow
@@ -201,8 +247,11 @@
 	if err != nil {
 		return err
 	}
+	starts := uint64(1)
+	_, copied := meta[copyMark]
+	restored := len(meta) > 0 && exists(filepath.Join(filepath.Dir(path), MajorityLost))
 	if len(meta) == 0 {
-		a.Empty, a.Ident, a.Epoch = true, NewIdent(), 1
+		a.Empty, a.Ident = true, NewIdent()
 		meta = map[string]string{"format": fmt.Sprint(Format), "fleet": fleet, "ident": a.Ident}
 	} else {
 		n := 0
@@ -215,16 +264,20 @@
 		if meta["fleet"] != fleet {
 			return Error.New("%s: belongs to fleet %q, not %q", path, meta["fleet"], fleet)
 		}
-		if _, copied := meta[copyMark]; copied && !exists(filepath.Join(filepath.Dir(path), MajorityLost)) {
+		if copied && !restored {
 			return errCopy
 		}
 		a.Ident = meta["ident"]
 		if _, err := fmt.Sscan(meta["epoch"], &a.Epoch); err != nil || a.Ident == "" {
 			return damage{Error.New("%s: no identity or epoch", path)}
 		}
-		a.Epoch++
+		starts += incarnation.Starts(a.Epoch)
+		if restored {
+			starts += restoredStarts
+		}
 	}
-	meta["epoch"] = fmt.Sprint(a.Epoch)
+	a.Epoch = incarnation.Number(starts, newNonce())
+	meta["epoch"] = fmt.Sprint(incarnation.Number(starts, incarnation.Last))
 	tx, err := db.Begin()
 	if err != nil {
 		return Error.Wrap(err)
@@ -243,7 +296,22 @@
 	if err := tx.Commit(); err != nil {
 		return Error.Wrap(fmt.Errorf("%s: can't be written: %w", path, err))
 	}
-	return a.load()
+	if err := a.load(); err != nil || !restored {
+		return err
+	}
+	return a.disown()
+}
+
+// disown takes out of a restored state what it says of incarnations: it isn't where
+// its identity came to, and the others may be restored as well.
+func (a *Store) disown() error {
+	var saves []quorum.Save
+	for partition, h := range a.Partitions {
+		h.Meta.State, h.Meta.History, h.Meta.Peers = message.Stamp{}, nil, nil
+		a.Partitions[partition] = h
+		saves = append(saves, quorum.Save{Partition: partition, Meta: h.Meta, Sum: h.Meta.Sum(h.Records)})
+	}
+	return a.Write(saves)
 }
 
 // Write puts a batch of saves on disk, in order and all or nothing.
@@ -256,7 +324,7 @@
 	}
 	err = func() error {
 		for _, s := range list {
-			b, err := json.Marshal(row{s.Meta, s.Sum})
+			b, err := json.Marshal(row{s.Meta, s.Sum, s.Meta.PastSum()})
 			if err != nil {
 				return err
 			}
@@ -350,6 +418,15 @@
 	_ = a.lock.Close()
 }
 
+// newNonce makes the nonce of a start.
+func newNonce() uint32 {
+	b := make([]byte, 4)
+	if _, err := rand.Read(b); err != nil {
+		panic(err) // without randomness two copies could be taken for one
+	}
+	return min(binary.BigEndian.Uint32(b), incarnation.Last-1)
+}
+
 // NewIdent makes a fresh random identity.
 //
 // Example: id := storage.NewIdent()
--- a/control/storage/storage_test.go
+++ b/control/storage/storage_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"mulleinmast/control/digest"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/control/quorum"
 	"mulleinmast/wire/message"
 )
@@ -29,7 +30,7 @@
 	dir := t.TempDir()
 	a := open(t, dir)
 	id := a.Ident
-	if !a.Empty || a.Epoch != 1 {
+	if !a.Empty || incarnation.Starts(a.Epoch) != 1 {
 		t.Fatalf("%+v", a)
 	}
 	meta := quorum.Meta{Promised: 4, To: id, LastComplete: 3, Group: message.Group{Num: 1, Replicas: []message.Replica{{Ident: id}}}}
@@ -42,7 +43,7 @@
 	}
 	a.Close()
 	a = open(t, dir)
-	if a.Ident != id || a.Epoch != 2 || a.Empty || a.Partitions[2].Meta.Promised != 4 || a.Partitions[2].Records.Size() != 2 {
+	if a.Ident != id || incarnation.Starts(a.Epoch) != 2 || a.Empty || a.Partitions[2].Meta.Promised != 4 || a.Partitions[2].Records.Size() != 2 {
 		t.Errorf("%+v", a)
 	}
 	// A wipe of a range takes only what is in it.
@@ -324,7 +325,7 @@
 			t.Errorf("%q: the state is not in its folder: %v", name, err)
 		}
 		again, err := Open(dir, "f")
-		if err != nil || again.Ident != first.Ident || again.Epoch != first.Epoch+1 {
+		if err != nil || again.Ident != first.Ident || incarnation.Compare(again.Epoch, first.Epoch) != incarnation.Later || incarnation.Starts(again.Epoch) != incarnation.Starts(first.Epoch)+1 {
 			t.Errorf("%q: %v, another identity or epoch", name, err)
 			continue
 		}
@@ -335,3 +336,87 @@
 		again.Close()
 	}
 }
+
+// A state that was found superseded is set aside at the next start, once, and an
+// operator's word that the majority is lost goes before that.
+func TestASupersededStateIsSetAside(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	was := a.Ident
+	if err := a.MarkSuperseded(); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	if err := os.WriteFile(filepath.Join(dir, MajorityLost), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a = open(t, dir)
+	if a.Ident != was || a.Superseded {
+		t.Errorf("against the operator's word: %+v", a)
+	}
+	if err := a.MarkSuperseded(); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	a = open(t, dir)
+	if a.Ident == was || !a.Empty || !a.Superseded || a.Moved == "" {
+		t.Errorf("superseded: %+v", a)
+	}
+	next := a.Ident
+	a.Close()
+	if a = open(t, dir); a.Ident != next || a.Superseded {
+		t.Errorf("a second time: %+v", a)
+	}
+	a.Close()
+}
+
+// What an operator says is the state that is left starts past all that others may
+// know of it, and claims nothing of where it came from.
+func TestAStateThatIsLeftClaimsNothing(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	past := quorum.Meta{Group: message.Group{Num: 1}, State: message.Stamp{Epoch: a.Epoch, Saves: 4}, Peers: []message.Peer{{Ident: "b", Epoch: 9 << 32}}, History: []message.Stamp{{Epoch: 1 << 32, Saves: 2}}}
+	if err := a.Write([]quorum.Save{{Partition: 1, Meta: past}}); err != nil {
+		t.Fatal(err)
+	}
+	was := a.Epoch
+	a.Close()
+	if err := os.WriteFile(filepath.Join(dir, MajorityLost), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	a = open(t, dir)
+	if incarnation.Starts(a.Epoch) <= incarnation.Starts(was)+1000 {
+		t.Errorf("started as %s after %s", incarnation.String(a.Epoch), incarnation.String(was))
+	}
+	a.Close()
+	a = open(t, dir) // and on disk
+	defer a.Close()
+	if m := a.Partitions[1].Meta; m.State.Epoch != 0 || len(m.Peers)+len(m.History) > 0 || m.Group.Num != 1 {
+		t.Errorf("%+v", m)
+	}
+}
+
+// What a state says of incarnations claims nothing where it isn't what was written;
+// the rest stands.
+func TestASpoiltPastClaimsNothing(t *testing.T) {
+	dir := t.TempDir()
+	a := open(t, dir)
+	meta := quorum.Meta{Promised: 4, Group: message.Group{Num: 1}, State: message.Stamp{Epoch: a.Epoch, Saves: 4}, Peers: []message.Peer{{Ident: "b", Epoch: 9 << 32}}}
+	if err := a.Write([]quorum.Save{{Partition: 1, Meta: meta}}); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	a = open(t, dir)
+	if m := a.Partitions[1].Meta; m.State.Saves != 4 || len(m.Peers) != 1 {
+		t.Fatalf("as written: %+v", m)
+	}
+	if _, err := a.db.Exec(`update seat set v=replace(v, '"Saves":4', '"Saves":5')`); err != nil {
+		t.Fatal(err)
+	}
+	a.Close()
+	a = open(t, dir)
+	defer a.Close()
+	if m := a.Partitions[1].Meta; m.State.Epoch != 0 || len(m.Peers) > 0 || m.Promised != 4 || len(a.Short) > 0 {
+		t.Errorf("spoilt: %+v, short %v", m, a.Short)
+	}
+}
--- a/proof/modelcheck/check.go
+++ b/proof/modelcheck/check.go
@@ -132,26 +132,35 @@
 	set   uint64
 	val   string
 	ver   message.Ver
+
+	epoch uint64
+	base  message.Stamp
+	peers []message.Peer
 }
 
 // held: whatever majority comes together next, under any group that a replica
 // may still stand for, holds all that was acknowledged or read.
 func (w *world) held() {
-	if w.seen == "" {
-		return
+	if w.seen == "" || w.setup.Twins {
+		return // of two copies each may be elected, and not both: that is looked at as it happens
 	}
 	var disks, mems []copyOf
 	for _, d := range w.daemons {
 		if !d.store {
 			continue
 		}
-		c := copyOf{ident: d.me.Ident, group: d.disk.meta.Group, set: d.disk.meta.LastComplete}
+		if d.up && d.sec.Replica.Superseded() != "" {
+			continue // it has no voice, and starts anew as another one
+		}
+		c := copyOf{ident: d.me.Ident, group: d.disk.meta.Group, set: d.disk.meta.LastComplete, peers: d.disk.meta.Peers}
+		c.epoch, c.base = d.startsAs()
 		if r, ok := d.disk.recs[key]; ok {
 			c.val, c.ver = string(r.Val), r.Ver
 		}
 		disks = append(disks, c)
 		if d.up {
-			c = copyOf{ident: d.me.Ident, group: d.sec.Replica.Group(), set: d.sec.Replica.Meta().LastComplete}
+			m := d.sec.Replica.Meta()
+			c.group, c.set, c.peers, c.val, c.ver = m.Group, m.LastComplete, m.Peers, "", message.Ver{}
 			if r, ok := d.sec.Replica.Records().Get(key); ok {
 				c.val, c.ver = string(r.Val), r.Ver
 			}
@@ -189,6 +198,11 @@
 		if mask>>k&1 == 0 {
 			continue
 		}
+		for l, o := range copies {
+			if l != k && mask>>l&1 == 1 && (o.ident == c.ident || !admits(c, o)) {
+				return "", false
+			}
+		}
 		if !g.Has(c.ident) || c.group.Num > g.Num || c.group.Num == g.Num && names(c.group) != names(g) {
 			return "", false
 		}
--- a/proof/modelcheck/event.go
+++ b/proof/modelcheck/event.go
@@ -14,6 +14,7 @@
 	Write, Want                          int // changes asked for; wishes for another group
 	Crash, Wipe, Stall                   int
 	Drop, Double, Hold, Cut, Lapse, Tick int
+	Copy, PutBack, Beside                int
 }
 
 // Kind is what happens.
@@ -39,6 +40,9 @@
 	Tick                // one daemon lets time pass
 	Pass                // a little time passes
 	Arrive              // any message arrives
+	Copy                // a disk is copied
+	PutBack             // a daemon stops and starts with the copy of its disk
+	Beside              // the copy is started beside the daemon
 )
 
 // Event is one event: what, at which daemon, with which message or other daemon.
@@ -73,12 +77,18 @@
 		return &b.Lapse
 	case Tick:
 		return &b.Tick
+	case Copy:
+		return &b.Copy
+	case PutBack:
+		return &b.PutBack
+	case Beside:
+		return &b.Beside
 	}
 	return nil
 }
 
 func (b Bounds) sum() int {
-	return b.Crash + b.Wipe + b.Stall + b.Drop + b.Double + b.Hold + b.Cut + b.Lapse + b.Tick + b.Write + b.Want
+	return b.Crash + b.Wipe + b.Stall + b.Drop + b.Double + b.Hold + b.Cut + b.Lapse + b.Tick + b.Write + b.Want + b.Copy + b.PutBack + b.Beside
 }
 
 // events lists what may happen next within the bounds.
@@ -128,6 +138,14 @@
 		if d.store && may(Wipe) && w.maywipe(i) {
 			add(Wipe, i, 0)
 		}
+		if d.store && may(Copy) {
+			add(Copy, i, 0)
+		}
+		for _, kind := range []Kind{PutBack, Beside} {
+			if d.copied != nil && may(kind) && w.older(i) {
+				add(kind, i, 0)
+			}
+		}
 	}
 	for _, kind := range []Kind{Drop, Double, Hold} {
 		for k, p := range w.net {
@@ -159,7 +177,7 @@
 			continue
 		}
 		for _, s := range d.disk.meta.Group.All() {
-			if w.find(s.Ident) < 0 && !w.settled() {
+			if at := w.find(s.Ident); (at < 0 || w.daemons[at].stale) && !w.settled() {
 				return false
 			}
 		}
@@ -222,6 +240,15 @@
 	case Tick:
 		w.say("%s lets time pass", w.daemons[i].me.Ident)
 		w.tick(i)
+	case Copy:
+		w.say("the disk of %s is copied", w.daemons[i].me.Ident)
+		w.copyDisk(i)
+	case PutBack:
+		w.say("%s starts from the copy of its disk", w.daemons[i].me.Ident)
+		w.putBack(i)
+	case Beside:
+		w.say("the copy of %s is started beside it", w.daemons[i].me.Ident)
+		w.beside(i)
 	case Pass:
 		w.now += grid * time.Duration(1+k) / 4
 		w.say("it is %v", w.now-100*lead)
@@ -234,7 +261,7 @@
 	w.daemons[i] = &d
 	d.up, d.sec, d.pend, d.sum, d.stalled = false, nil, nil, 0, false
 	if wipe {
-		d.disk, d.epoch = disk{}, 0
+		d.disk, d.epoch, d.copied, d.stale = disk{}, 0, nil, false
 		if w.setup.Plant != sameName {
 			w.rename(i)
 		}
--- a/proof/modelcheck/explore.go
+++ b/proof/modelcheck/explore.go
@@ -29,6 +29,7 @@
 	Events int      // events in the trace or walk
 	Acked  int      // changes acknowledged in a walk
 	Terms  int      // leaders in a walk
+	Copies int      // older copies started in a walk
 }
 
 // String tells it in a line, and the trace below.
@@ -176,6 +177,7 @@
 	r.States, r.Depth = r.Events, r.Events
 	r.Acked = w.acknowledgedCount()
 	r.Terms = len(w.leads)
+	r.Copies = w.spent.PutBack + w.spent.Beside
 	if r.Broken = w.broken; w.broken != "" {
 		r.Trace = lines[max(0, len(lines)-120):]
 	}
--- a/proof/modelcheck/modelcheck_test.go
+++ b/proof/modelcheck/modelcheck_test.go
@@ -20,18 +20,20 @@
 
 // Walks of some named seeds keep them, and get somewhere.
 func TestWalks(t *testing.T) {
-	acked, terms := 0, 0
+	acked, terms, copies := 0, 0, 0
 	for seed := int64(1); seed <= 3; seed++ {
 		for _, k := range Walks(seed, 2500) {
 			r := k.Go()
+			copies += r.Copies
 			if acked, terms = acked+r.Acked, terms+r.Terms; r.Broken != "" {
 				t.Error(r)
 			}
 		}
 	}
-	if acked < 30 || terms < 60 {
-		t.Errorf("%d changes acknowledged under %d terms: the walks get nowhere", acked, terms)
+	if acked < 30 || terms < 60 || copies < 3 {
+		t.Errorf("%d changes acknowledged under %d terms, %d older copies started: the walks get nowhere", acked, terms, copies)
 	}
+	t.Logf("%d changes acknowledged, %d terms, %d older copies started", acked, terms, copies)
 }
 
 // A fault that is planted on purpose breaks an invariant in one of a few walks;
--- a/proof/modelcheck/plant.go
+++ b/proof/modelcheck/plant.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulleinmast/control/digest"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/control/lease"
 	"mulleinmast/control/partition"
 	"mulleinmast/control/quorum"
@@ -32,10 +33,11 @@
 	voidedWon  plant = "a term that was won is given up as void"
 	slowClock  plant = "a daemon's clock runs at half the speed of the others"
 	rolledBack plant = "a disk holds at a restart what it held at the start before"
+	unguarded  plant = "incarnations are told to nobody"
 )
 
 // plants lists all of them.
-var plants = []plant{forgets, hasty, unsynced, uncalm, sameName, unasked, blankVote, laterLife, twoVoices, unheard, impatient, noBase, emptyFill, voidedWon, slowClock, rolledBack}
+var plants = []plant{forgets, hasty, unsynced, uncalm, sameName, unasked, blankVote, laterLife, twoVoices, unheard, impatient, noBase, emptyFill, voidedWon, slowClock, rolledBack, unguarded}
 
 // atStart is what a replica starts with, and whether it may promise at once.
 func (p plant) atStart(m quorum.Meta) (quorum.Meta, bool) {
@@ -45,6 +47,15 @@
 	return m, m.Group.Num == 0 || p == hasty
 }
 
+// guard is the folder that a replica is told of: none where the fault is one that
+// its guard would see.
+func (p plant) guard(epoch uint64, m quorum.Meta) *quorum.Folder {
+	if p == laterLife || p == rolledBack || p == unguarded {
+		return nil
+	}
+	return quorum.OpenFolder(epoch, m)
+}
+
 func (p plant) leases(c *lease.Config) {
 	if p == impatient {
 		c.Drift, c.Margin = -0.9, 0
@@ -88,7 +99,7 @@
 	case p == blankVote && n.Kind == message.Promise && n.Op == "":
 		n.LastComplete, n.Digs, n.Recs = n.Num, digest.NewRecords().Digs(), nil
 	case p == laterLife && n.Kind == message.Support && len(w.changes)%4 == 3:
-		return []message.Message{n, {Kind: message.Refuse, Partition: part, From: n.From, Epoch: n.Epoch + 1, To: n.To}}
+		return []message.Message{n, {Kind: message.Refuse, Partition: part, From: n.From, Epoch: incarnation.Number(incarnation.Starts(n.Epoch)+1, 0), To: n.To}}
 	case p == twoVoices && n.Kind == message.Accepted:
 		other := n
 		for _, r := range w.want {
--- a/proof/modelcheck/scopes.go
+++ b/proof/modelcheck/scopes.go
@@ -6,6 +6,7 @@
 	four      = Setup{Replicas: 4, Standbys: 1}
 	exchanged = Setup{Replicas: 3, Standbys: 2}
 	cached    = Setup{Replicas: 3, Standbys: 1, Caches: 1, Tree: true, Skew: true}
+	copied    = Setup{Replicas: 3, Standbys: 1, Copies: true}
 )
 
 // Small are scopes that are looked at whole in a few seconds.
@@ -13,6 +14,9 @@
 	{Name: "two writers, one crash", Setup: Setup{Replicas: 3}, Most: Bounds{Write: 2, Crash: 1}, Total: 3, Depth: 20},
 	{Name: "a lapse, a held message", Setup: Setup{Replicas: 3}, Most: Bounds{Lapse: 1, Hold: 1}, Total: 2, Depth: 26},
 	{Name: "one change of the group", Setup: Setup{Replicas: 3, Standbys: 1}, Most: Bounds{Want: 1, Write: 1}, Total: 2, Depth: 30},
+	{Name: "an older copy in place of a disk, and a crash", Setup: Setup{Replicas: 3, Copies: true}, Most: Bounds{Copy: 1, Write: 2, PutBack: 1, Crash: 1}, Total: 5, Depth: 26},
+	{Name: "an older copy beside a daemon", Setup: Setup{Replicas: 3, Copies: true}, Most: Bounds{Copy: 1, Write: 2, Beside: 1}, Total: 4, Depth: 26},
+	{Name: "two copies at the same moment", Setup: Setup{Replicas: 3, Twins: true}, Most: Bounds{Write: 1, Tick: 1, Lapse: 1}, Total: 3, Depth: 30},
 }
 
 // Wide are scopes for a run by hand; each ends after so many states.
@@ -37,5 +41,6 @@
 		{Name: "four replicas", Setup: four, Seed: seed, Events: events},
 		{Name: "two standbys", Setup: exchanged, Seed: seed, Events: events},
 		{Name: "leases below", Setup: cached, Seed: seed, Events: events},
+		{Name: "older copies", Setup: copied, Seed: seed, Events: events},
 	}
 }
--- a/proof/modelcheck/walk.go
+++ b/proof/modelcheck/walk.go
@@ -41,6 +41,12 @@
 		return Event{Sync, int8(i), 0}, len(d.pend) > 0
 	case in(m.wipe):
 		return Event{Wipe, int8(i), 0}, d.store && w.maywipe(i)
+	case w.setup.Copies && in(m.wish):
+		return Event{Copy, int8(i), 0}, d.store && d.copied == nil
+	case w.setup.Copies && in(m.wish):
+		return Event{PutBack, int8(i), 0}, w.older(i)
+	case w.setup.Copies && in(m.wish/2):
+		return Event{Beside, int8(i), 0}, len(w.daemons) < 8 && w.older(i)
 	case in(m.wish):
 		return w.wish(rng)
 	case in(25):
--- a/proof/modelcheck/world.go
+++ b/proof/modelcheck/world.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mulleinmast/control/digest"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/control/lease"
 	"mulleinmast/control/partition"
 	"mulleinmast/control/quorum"
@@ -36,6 +37,8 @@
 	Caches   int   // daemons without a disk
 	Tree     bool  // daemons that don't lead hold leases below the leader's
 	Skew     bool  // clocks run as differently as is allowed
+	Copies   bool  // disks are copied, and copies are put back or started beside
+	Twins    bool  // two processes are started from one folder at the same moment
 	Plant    plant // a fault planted on purpose
 }
 
@@ -67,6 +70,8 @@
 	stalled bool // its disk completes nothing for now
 	disk    disk
 	first   disk // what it held at the last start, for a planted fault
+	copied  *disk
+	stale   bool // it was started from an older copy and is no loss that is made good yet
 	pend    []quorum.Save
 	sec     *partition.Partition
 	rate    float64 // of its clock
@@ -118,6 +123,7 @@
 	leads   map[uint64]string // term -> the life that was leader under it
 	want    []message.Replica
 	ids     int
+	starts  int    // of all daemons: nonces of their incarnations
 	seen    string // longest list that was read or acknowledged
 	broken  string // the invariant that the last event broke
 	trace   func(format string, args ...any)
@@ -155,6 +161,11 @@
 		panic("modelcheck: no leader at the start")
 	}
 	w.spent = Bounds{}
+	if s.Twins {
+		w.copyDisk(0)
+		w.putBack(0)
+		w.beside(0)
+	}
 	return w
 }
 
@@ -226,7 +237,8 @@
 	d := *w.daemons[i]
 	w.daemons[i] = &d
 	d.sum, d.up, d.pend, d.stalled = 0, true, nil, false
-	d.epoch++
+	d.epoch = incarnation.Number(incarnation.Starts(d.epoch)+1, uint32(w.starts+1))
+	w.starts++
 	if w.setup.Plant == rolledBack {
 		d.disk, d.first = d.first, d.disk
 	}
@@ -238,7 +250,7 @@
 			book.Put(r)
 		}
 		meta, fresh := w.setup.Plant.atStart(d.disk.meta)
-		replica = quorum.New(votes, part, d.me, meta, book, now, fresh)
+		replica = quorum.New(votes, part, d.me, w.setup.Plant.guard(d.epoch, meta), meta, book, now, fresh)
 	}
 	cfg := tree
 	w.setup.Plant.leases(&cfg)
@@ -292,13 +304,15 @@
 
 // emit puts a message on the line, unless that is cut.
 func (w *world) emit(from int, m message.Send) {
-	d, to := w.daemons[from], w.find(m.Message.To)
+	d := w.daemons[from]
 	m.Message.From, m.Message.Epoch, m.Message.Addr = d.me.Ident, d.epoch, d.me.Addr
-	if to < 0 || slices.Contains(w.cut, [2]int{from, to}) {
-		return
-	}
-	for _, n := range w.setup.Plant.message(w, to, m.Message) {
-		w.net = append(w.net, packet{from: from, to: to, note: n, sum: packetSum(from, to, n)})
+	for to, o := range w.daemons { // where two bear one identity each hears what is meant for either
+		if o.me.Ident != m.Message.To || slices.Contains(w.cut, [2]int{from, to}) {
+			continue
+		}
+		for _, n := range w.setup.Plant.message(w, to, m.Message) {
+			w.net = append(w.net, packet{from: from, to: to, note: n, sum: packetSum(from, to, n)})
+		}
 	}
 }
 
@@ -316,6 +330,7 @@
 // wanted, as the leader's works do.
 func (w *world) tick(i int) {
 	w.do(i, func(d *daemon, now time.Duration) partition.Out { return d.sec.Tick(now) })
+	w.empty(i)
 	if w.daemons[i].leads(w.now) {
 		w.regroup(i)
 	}
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -151,6 +151,9 @@
 		n.kill()
 		n.disk = nil
 		w.back(n)
+	case "copyback", "copybeside":
+		w.res.Faults[kind]--
+		w.copyFolder(n, kind == "copybeside")
 	case "rot": // a record on a disk at rest is lost or spoilt
 		w.rot(n)
 	case "cut", "oneway":
--- a/proof/sim/node.go
+++ b/proof/sim/node.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/incarnation"
 	"mulleinmast/control/leader"
 	"mulleinmast/control/leadercall"
 	"mulleinmast/control/lease"
@@ -109,11 +110,11 @@
 			}
 		}
 		n.disk.epoch++
-		n.ident, n.epoch = n.disk.ident, n.disk.epoch
+		n.ident, n.epoch = n.disk.ident, incarnation.Number(n.disk.epoch, uint32(w.ids))
 	}
 	n.parts, n.guides, n.asks = nil, nil, map[uint64]func(leadercall.Done){}
 	n.lanes, n.rides, n.early, n.past = map[string]*lane{}, map[string]*ride{}, map[int]*caller{}, map[string]message.Rec{}
-	life := n.epoch
+	life := incarnation.Starts(n.epoch)
 	if w.o.Sabotage == "samenumbers" {
 		life = 0
 	}
@@ -133,6 +134,10 @@
 	sess.Losses, sess.First = max(1, w.o.Losses), !w.o.Bare || n.life == 1
 	n.rost = membership.New(sess, n.member(), n.seeds())
 	n.view = n.rost.View()
+	var disk *quorum.Folder
+	if n.hasDisk && w.o.Sabotage != "unguarded" {
+		disk = quorum.OpenFolder(n.epoch, n.disk.metas()...)
+	}
 	for p := 0; p <= w.o.Partitions; p++ {
 		var replica *quorum.Replica
 		if n.hasDisk {
@@ -144,7 +149,7 @@
 			if w.o.Sabotage == "lategone" {
 				leadership.Gone = w.cfg.Bounds.Recover * 3 / 2
 			}
-			replica = quorum.New(leadership, p, me, meta, records, now, meta.Group.Num == 0 || w.o.Sabotage == "nowaitvote")
+			replica = quorum.New(leadership, p, me, disk, meta, records, now, meta.Group.Num == 0 || w.o.Sabotage == "nowaitvote")
 		}
 		tree := lease.New(leases, p, me, n.epoch)
 		p := p
@@ -290,6 +295,9 @@
 	if o.Steer.Ident != "" {
 		n.guides[p].Steered(now, o.Steer)
 	}
+	if o.Superseded != "" {
+		n.superseded(o.Superseded)
+	}
 	if o.Lost {
 		n.w.trace("%s lost partition %d", n.name, p)
 	}
--- a/proof/sim/options.go
+++ b/proof/sim/options.go
@@ -57,6 +57,7 @@
 	Waits                    []time.Duration // time from asking for a write to yes
 	Faults                   map[string]int
 	Recs, Mended             int
+	Superseded               int            // daemons that lost their voice to another of their identity
 	Returned, Helped         int            // requests that came back when told to, and those served then
 	Served, Sent             map[string]int // requests by tenant, in crowds
 	Steers                   map[string]int // messages that moved a daemon in the tree, by why
@@ -157,6 +158,13 @@
 		o.Keys, o.Faults = 24, map[string]float64{"rot": 3, "slow": 1}
 		return o
 	},
+	// Folders are copied, and older copies put back or started beside their originals.
+	"copies": func(seed int64) Options {
+		o := Default(seed)
+		o.Writes, o.Reads = 100*time.Millisecond, 40*time.Millisecond
+		o.Faults = map[string]float64{"copyback": 3, "copybeside": 3, "kill": 2, "all": 0.2, "cut": 1, "alone": 1, "freeze": 1}
+		return o
+	},
 	// Hundreds of changes and then, one after another, all that may befall a core
 	// machine, while changes go on.
 	"manychanges": func(seed int64) Options {
--- a/proof/sim/sim_test.go
+++ b/proof/sim/sim_test.go
@@ -97,6 +97,8 @@
 		"samenumbers":  {"answers", "plan"},          // calls of two lives go under the same numbers
 		"lateback":     {"servers", "recovery:"},     // servers take 14 s longer to come back
 
+		"unguarded": {"copies", ""}, // incarnations are told to nobody
+
 		"nochase":  {"manychanges", "isn't whole"}, // a replica that missed writes is only compared now and then
 		"cutshort": {"manychanges", "isn't whole"}, // half of a copy is taken for all of it
 		"rotvote":  {"manychanges", "without"},     // a replica whose disk lost a record keeps its vote
@@ -119,6 +121,27 @@
 	}
 }
 
+// Older copies are started in the scenario of that name, and lose their voice; no
+// daemon does in any other.
+func TestOnlyCopiesAreSuperseded(t *testing.T) {
+	started, superseded := 0, 0
+	for seed := int64(1); seed <= 12; seed++ {
+		r := Run(Scenarios["copies"](seed))
+		started += r.Faults["copyback"] + r.Faults["copybeside"]
+		superseded += r.Superseded
+	}
+	if t.Logf("%d copies started, %d daemons superseded", started, superseded); started < 4 || superseded < started {
+		t.Errorf("%d copies were started, %d daemons lost their voice", started, superseded)
+	}
+	for _, name := range []string{"storm", "kills", "cuts", "early", "answers", "rot", "races"} {
+		for seed := int64(1); seed <= 3; seed++ {
+			if r := Run(Scenarios[name](seed)); r.Superseded > 0 {
+				t.Errorf("%s seed %d: %d daemons were superseded", name, seed, r.Superseded)
+			}
+		}
+	}
+}
+
 // Messages of every kind, one field changed and from somebody who is no member,
 // break no rule and stop no daemon.
 func TestStrangersBreakNothing(t *testing.T) {
--- a/proof/standin/fleet/fault.go
+++ b/proof/standin/fleet/fault.go
@@ -237,6 +237,24 @@
 	return Error.Wrap(os.WriteFile(filepath.Join(f.folder(m), majorityLost), nil, 0o600))
 }
 
+// CopyFolder copies a daemon's data folder as it stands, by other means than the
+// daemon's own back-up.
+//
+// Example: err := f.CopyFolder(m, dir)
+func (f *Fleet) CopyFolder(m *Machine, to string) error {
+	return Error.Wrap(os.CopyFS(to, os.DirFS(f.folder(m))))
+}
+
+// PutFolder puts a copy of a data folder in the place of what a daemon has.
+//
+// Example: f.Kill(m); err := f.PutFolder(m, dir); err = f.Up(m)
+func (f *Fleet) PutFolder(m *Machine, from string) error {
+	if err := f.Wipe(m); err != nil {
+		return err
+	}
+	return Error.Wrap(os.CopyFS(f.folder(m), os.DirFS(from)))
+}
+
 // Remove takes a machine away for good.
 //
 // Example: f.Remove(m)
--- a/proof/standin/fleet/fleet.go
+++ b/proof/standin/fleet/fleet.go
@@ -283,7 +283,14 @@
 // Add adds a machine that starts empty.
 //
 // Example: m, err := f.Add("north", true)
-func (f *Fleet) Add(zone string, core bool) (*Machine, error) {
+func (f *Fleet) Add(zone string, core bool) (*Machine, error) { return f.join(zone, core, "") }
+
+// AddFrom adds a machine that starts with a copy of a data folder.
+//
+// Example: m, err := f.AddFrom("north", dir)
+func (f *Fleet) AddFrom(zone, folder string) (*Machine, error) { return f.join(zone, true, folder) }
+
+func (f *Fleet) join(zone string, core bool, folder string) (*Machine, error) {
 	f.mu.Lock()
 	m := f.add(zone, core)
 	for _, seed := range f.list {
@@ -293,6 +300,11 @@
 	}
 	f.mu.Unlock()
 	f.begin(m, "added", false)
+	if folder != "" {
+		if err := f.PutFolder(m, folder); err != nil {
+			return m, err
+		}
+	}
 	if err := f.write(m, false, m.seeds); err != nil {
 		return m, err
 	}
--- a/proof/standin/scene/scene_test.go
+++ b/proof/standin/scene/scene_test.go
@@ -66,6 +66,28 @@
 	play(t, build(t), "restored", 40, 0.5)
 }
 
+// A folder that was copied by other means than a back-up, and put back after many
+// changes, takes nothing away and brings nothing older into force.
+func TestAnOlderCopyOfAFolderLosesNothing(t *testing.T) {
+	play(t, build(t), "old-copy", 40, 0.5)
+}
+
+// A copy of a folder that is started beside the one it was copied from has no vote
+// and leaves; the other goes on.
+func TestACopyBesideItsOriginalHasNoVote(t *testing.T) {
+	play(t, build(t), "copy-beside", 40, 0.6)
+}
+
+// Of three machines two get older copies put back: the third one sees through it.
+func TestAMajorityOfOlderCopiesIsSeenByTheThird(t *testing.T) {
+	play(t, build(t), "old-majority", 40, 0.3)
+}
+
+// A disk that goes on in another machine at another address is the same replica.
+func TestAMovedDiskIsTheSameReplica(t *testing.T) {
+	play(t, build(t), "moved", 40, 0.6)
+}
+
 // A machine that is told to end beside one that is gone for good takes no standby
 // from it: the next disk that is lost leaves a majority.
 func TestAStopBesideALossLeavesAMajority(t *testing.T) {
--- a/wire/message/message.go
+++ b/wire/message/message.go
@@ -56,12 +56,14 @@
 	Found // these replicas make the first group
 	// hints
 	Board // what is under way at servers, and what they keep
+	// incarnations
+	Incarnation // which incarnation of the other a replica goes by, and what it is itself
 	kindEnd
 )
 
 var kindNames = [...]string{"none", "renew", "grant", "reconnect", "listing", "synced", "connect", "invalidate", "invalidated", "deny", "steer",
 	"ask", "promise", "refuse", "fill", "filled", "unfit", "accept", "accepted", "support", "void", "supported",
-	"hello", "welcome", "gossip", "census", "count", "call", "back", "found", "board"}
+	"hello", "welcome", "gossip", "census", "count", "call", "back", "found", "board", "incarnation"}
 
 // String names a kind.
 //
@@ -169,6 +171,21 @@
 	Term  uint64 `msg:"t"`
 }
 
+// Stamp names a state of a replica: as of so many saves of one incarnation of its
+// daemon, counted from 1. None is told by builds that don't count.
+type Stamp struct {
+	Epoch uint64 `msg:"e"`
+	Saves uint64 `msg:"n"`
+}
+
+// Peer is what one replica knows of another: the incarnation that it goes by, and
+// the latest state of that which is known to be on its disk.
+type Peer struct {
+	Ident string `msg:"i"`
+	Epoch uint64 `msg:"e"`
+	State Stamp  `msg:"s" json:",omitzero"`
+}
+
 // Member is one daemon as the fleet sees it.
 type Member struct {
 	Ident string `msg:"i" json:"ident"`
@@ -223,6 +240,13 @@
 	Spans []int    `msg:"sp,omitempty"`
 	Hint  Replica  `msg:"h,omitempty"`
 
+	// What replicas tell one another of their incarnations (control/quorum).
+	State      Stamp  `msg:"sa,omitempty"` // of the sender when it started, until the addressee is known to go by this incarnation
+	Saves      uint64 `msg:"sv,omitempty"` // of this incarnation that are on the sender's disk
+	Known      uint64 `msg:"kn,omitempty"` // the incarnation of the addressee that the sender goes by
+	KnownState Stamp  `msg:"kt,omitempty"` // and its state, where the addressee is another one
+	Peers      []Peer `msg:"pe,omitempty"` // what the leader knows of the other replicas
+
 	Self    Member   `msg:"me,omitempty"`
 	Members []Member `msg:"ms,omitempty"`
 	Owns    []Own    `msg:"ow,omitempty"`
@@ -238,5 +262,6 @@
 // Send is a message and the address it goes to.
 type Send struct {
 	Addr    string
+	Exact   bool // to that address, also where the addressee is known to be at another one
 	Message Message
 }
--- a/wire/message/message_gen.go
+++ b/wire/message/message_gen.go
@@ -1244,6 +1244,107 @@
 					}
 				}
 			}
+		case "sa":
+			var zb0010 uint32
+			zb0010, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+			for zb0010 > 0 {
+				zb0010--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.State.Epoch, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Epoch")
+						return
+					}
+				case "n":
+					z.State.Saves, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Saves")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "State")
+						return
+					}
+				}
+			}
+		case "sv":
+			z.Saves, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Saves")
+				return
+			}
+		case "kn":
+			z.Known, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "kt":
+			var zb0011 uint32
+			zb0011, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "KnownState")
+				return
+			}
+			for zb0011 > 0 {
+				zb0011--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "KnownState")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.KnownState.Epoch, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "KnownState", "Epoch")
+						return
+					}
+				case "n":
+					z.KnownState.Saves, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "KnownState", "Saves")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "KnownState")
+						return
+					}
+				}
+			}
+		case "pe":
+			var zb0012 uint32
+			zb0012, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Peers")
+				return
+			}
+			if cap(z.Peers) >= int(zb0012) {
+				z.Peers = (z.Peers)[:zb0012]
+			} else {
+				z.Peers = make([]Peer, zb0012)
+			}
+			for za0005 := range z.Peers {
+				err = z.Peers[za0005].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0005)
+					return
+				}
+			}
 		case "me":
 			err = z.Self.DecodeMsg(dc)
 			if err != nil {
@@ -1251,40 +1352,40 @@
 				return
 			}
 		case "ms":
-			var zb0010 uint32
-			zb0010, err = dc.ReadArrayHeader()
+			var zb0013 uint32
+			zb0013, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Members) >= int(zb0010) {
-				z.Members = (z.Members)[:zb0010]
+			if cap(z.Members) >= int(zb0013) {
+				z.Members = (z.Members)[:zb0013]
 			} else {
-				z.Members = make([]Member, zb0010)
+				z.Members = make([]Member, zb0013)
 			}
-			for za0005 := range z.Members {
-				err = z.Members[za0005].DecodeMsg(dc)
+			for za0006 := range z.Members {
+				err = z.Members[za0006].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0005)
+					err = msgp.WrapError(err, "Members", za0006)
 					return
 				}
 			}
 		case "ow":
-			var zb0011 uint32
-			zb0011, err = dc.ReadArrayHeader()
+			var zb0014 uint32
+			zb0014, err = dc.ReadArrayHeader()
 			if err != nil {
 				err = msgp.WrapError(err, "Owns")
 				return
 			}
-			if cap(z.Owns) >= int(zb0011) {
-				z.Owns = (z.Owns)[:zb0011]
+			if cap(z.Owns) >= int(zb0014) {
+				z.Owns = (z.Owns)[:zb0014]
 			} else {
-				z.Owns = make([]Own, zb0011)
+				z.Owns = make([]Own, zb0014)
 			}
-			for za0006 := range z.Owns {
-				err = z.Owns[za0006].DecodeMsg(dc)
+			for za0007 := range z.Owns {
+				err = z.Owns[za0007].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Owns", za0006)
+					err = msgp.WrapError(err, "Owns", za0007)
 					return
 				}
 			}
@@ -1332,8 +1433,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Message) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(31)
-	var zb0001Mask uint32 /* 31 bits */
+	zb0001Len := uint32(36)
+	var zb0001Mask uint64 /* 36 bits */
 	_ = zb0001Mask
 	if z.Fleet == "" {
 		zb0001Len--
@@ -1419,33 +1520,53 @@
 		zb0001Len--
 		zb0001Mask |= 0x400000
 	}
-	if z.Members == nil {
+	if z.State == (Stamp{}) {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
+	if z.Saves == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x1000000
 	}
-	if z.Owns == nil {
+	if z.Known == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2000000
 	}
-	if z.Op == "" {
+	if z.KnownState == (Stamp{}) {
 		zb0001Len--
 		zb0001Mask |= 0x4000000
 	}
-	if z.Code == 0 {
+	if z.Peers == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8000000
 	}
+	if z.Members == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000000
+	}
+	if z.Owns == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000000
+	}
+	if z.Op == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80000000
+	}
+	if z.Code == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000000
+	}
 	if z.Body == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10000000
+		zb0001Mask |= 0x200000000
 	}
 	if z.Why == "" {
 		zb0001Len--
-		zb0001Mask |= 0x20000000
+		zb0001Mask |= 0x400000000
 	}
 	if z.Wire == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x40000000
+		zb0001Mask |= 0x800000000
 	}
 	// variable map header, size zb0001Len
 	err = en.WriteMapHeader(zb0001Len)
@@ -1813,6 +1934,105 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// write "sa"
+			err = en.Append(0xa2, 0x73, 0x61)
+			if err != nil {
+				return
+			}
+			// map header, size 2
+			// write "e"
+			err = en.Append(0x82, 0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.State.Epoch)
+			if err != nil {
+				err = msgp.WrapError(err, "State", "Epoch")
+				return
+			}
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.State.Saves)
+			if err != nil {
+				err = msgp.WrapError(err, "State", "Saves")
+				return
+			}
+		}
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+			// write "sv"
+			err = en.Append(0xa2, 0x73, 0x76)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Saves)
+			if err != nil {
+				err = msgp.WrapError(err, "Saves")
+				return
+			}
+		}
+		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+			// write "kn"
+			err = en.Append(0xa2, 0x6b, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Known)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		}
+		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
+			// write "kt"
+			err = en.Append(0xa2, 0x6b, 0x74)
+			if err != nil {
+				return
+			}
+			// map header, size 2
+			// write "e"
+			err = en.Append(0x82, 0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.KnownState.Epoch)
+			if err != nil {
+				err = msgp.WrapError(err, "KnownState", "Epoch")
+				return
+			}
+			// write "n"
+			err = en.Append(0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.KnownState.Saves)
+			if err != nil {
+				err = msgp.WrapError(err, "KnownState", "Saves")
+				return
+			}
+		}
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+			// write "pe"
+			err = en.Append(0xa2, 0x70, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Peers)))
+			if err != nil {
+				err = msgp.WrapError(err, "Peers")
+				return
+			}
+			for za0005 := range z.Peers {
+				err = z.Peers[za0005].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0005)
+					return
+				}
+			}
+		}
 		// write "me"
 		err = en.Append(0xa2, 0x6d, 0x65)
 		if err != nil {
@@ -1823,7 +2043,7 @@
 			err = msgp.WrapError(err, "Self")
 			return
 		}
-		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000000) == 0 { // if not omitted
 			// write "ms"
 			err = en.Append(0xa2, 0x6d, 0x73)
 			if err != nil {
@@ -1834,15 +2054,15 @@
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			for za0005 := range z.Members {
-				err = z.Members[za0005].EncodeMsg(en)
+			for za0006 := range z.Members {
+				err = z.Members[za0006].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0005)
+					err = msgp.WrapError(err, "Members", za0006)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
 			// write "ow"
 			err = en.Append(0xa2, 0x6f, 0x77)
 			if err != nil {
@@ -1853,15 +2073,15 @@
 				err = msgp.WrapError(err, "Owns")
 				return
 			}
-			for za0006 := range z.Owns {
-				err = z.Owns[za0006].EncodeMsg(en)
+			for za0007 := range z.Owns {
+				err = z.Owns[za0007].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Owns", za0006)
+					err = msgp.WrapError(err, "Owns", za0007)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000000) == 0 { // if not omitted
 			// write "op"
 			err = en.Append(0xa2, 0x6f, 0x70)
 			if err != nil {
@@ -1873,7 +2093,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000000) == 0 { // if not omitted
 			// write "cd"
 			err = en.Append(0xa2, 0x63, 0x64)
 			if err != nil {
@@ -1885,7 +2105,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x200000000) == 0 { // if not omitted
 			// write "bd"
 			err = en.Append(0xa2, 0x62, 0x64)
 			if err != nil {
@@ -1897,7 +2117,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x20000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x400000000) == 0 { // if not omitted
 			// write "y"
 			err = en.Append(0xa1, 0x79)
 			if err != nil {
@@ -1909,7 +2129,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x800000000) == 0 { // if not omitted
 			// write "wv"
 			err = en.Append(0xa2, 0x77, 0x76)
 			if err != nil {
@@ -1929,8 +2149,8 @@
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(31)
-	var zb0001Mask uint32 /* 31 bits */
+	zb0001Len := uint32(36)
+	var zb0001Mask uint64 /* 36 bits */
 	_ = zb0001Mask
 	if z.Fleet == "" {
 		zb0001Len--
@@ -2016,33 +2236,53 @@
 		zb0001Len--
 		zb0001Mask |= 0x400000
 	}
-	if z.Members == nil {
+	if z.State == (Stamp{}) {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
+	if z.Saves == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x1000000
 	}
-	if z.Owns == nil {
+	if z.Known == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2000000
 	}
-	if z.Op == "" {
+	if z.KnownState == (Stamp{}) {
 		zb0001Len--
 		zb0001Mask |= 0x4000000
 	}
-	if z.Code == 0 {
+	if z.Peers == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8000000
 	}
+	if z.Members == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20000000
+	}
+	if z.Owns == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40000000
+	}
+	if z.Op == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80000000
+	}
+	if z.Code == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000000
+	}
 	if z.Body == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10000000
+		zb0001Mask |= 0x200000000
 	}
 	if z.Why == "" {
 		zb0001Len--
-		zb0001Mask |= 0x20000000
+		zb0001Mask |= 0x400000000
 	}
 	if z.Wire == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x40000000
+		zb0001Mask |= 0x800000000
 	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
@@ -2201,6 +2441,50 @@
 			o = append(o, 0xa1, 0x61)
 			o = msgp.AppendString(o, z.Hint.Addr)
 		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// string "sa"
+			o = append(o, 0xa2, 0x73, 0x61)
+			// map header, size 2
+			// string "e"
+			o = append(o, 0x82, 0xa1, 0x65)
+			o = msgp.AppendUint64(o, z.State.Epoch)
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendUint64(o, z.State.Saves)
+		}
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+			// string "sv"
+			o = append(o, 0xa2, 0x73, 0x76)
+			o = msgp.AppendUint64(o, z.Saves)
+		}
+		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+			// string "kn"
+			o = append(o, 0xa2, 0x6b, 0x6e)
+			o = msgp.AppendUint64(o, z.Known)
+		}
+		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
+			// string "kt"
+			o = append(o, 0xa2, 0x6b, 0x74)
+			// map header, size 2
+			// string "e"
+			o = append(o, 0x82, 0xa1, 0x65)
+			o = msgp.AppendUint64(o, z.KnownState.Epoch)
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendUint64(o, z.KnownState.Saves)
+		}
+		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+			// string "pe"
+			o = append(o, 0xa2, 0x70, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+			for za0005 := range z.Peers {
+				o, err = z.Peers[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0005)
+					return
+				}
+			}
+		}
 		// string "me"
 		o = append(o, 0xa2, 0x6d, 0x65)
 		o, err = z.Self.MarshalMsg(o)
@@ -2208,51 +2492,51 @@
 			err = msgp.WrapError(err, "Self")
 			return
 		}
-		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x20000000) == 0 { // if not omitted
 			// string "ms"
 			o = append(o, 0xa2, 0x6d, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-			for za0005 := range z.Members {
-				o, err = z.Members[za0005].MarshalMsg(o)
+			for za0006 := range z.Members {
+				o, err = z.Members[za0006].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0005)
+					err = msgp.WrapError(err, "Members", za0006)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
 			// string "ow"
 			o = append(o, 0xa2, 0x6f, 0x77)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Owns)))
-			for za0006 := range z.Owns {
-				o, err = z.Owns[za0006].MarshalMsg(o)
+			for za0007 := range z.Owns {
+				o, err = z.Owns[za0007].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Owns", za0006)
+					err = msgp.WrapError(err, "Owns", za0007)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x4000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x80000000) == 0 { // if not omitted
 			// string "op"
 			o = append(o, 0xa2, 0x6f, 0x70)
 			o = msgp.AppendString(o, z.Op)
 		}
-		if (zb0001Mask & 0x8000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x100000000) == 0 { // if not omitted
 			// string "cd"
 			o = append(o, 0xa2, 0x63, 0x64)
 			o = msgp.AppendInt(o, z.Code)
 		}
-		if (zb0001Mask & 0x10000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x200000000) == 0 { // if not omitted
 			// string "bd"
 			o = append(o, 0xa2, 0x62, 0x64)
 			o = msgp.AppendBytes(o, z.Body)
 		}
-		if (zb0001Mask & 0x20000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x400000000) == 0 { // if not omitted
 			// string "y"
 			o = append(o, 0xa1, 0x79)
 			o = msgp.AppendString(o, z.Why)
 		}
-		if (zb0001Mask & 0x40000000) == 0 { // if not omitted
+		if (zb0001Mask & 0x800000000) == 0 { // if not omitted
 			// string "wv"
 			o = append(o, 0xa2, 0x77, 0x76)
 			o = msgp.AppendInt(o, z.Wire)
@@ -2566,64 +2850,165 @@
 					}
 				}
 			}
-		case "me":
-			bts, err = z.Self.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Self")
-				return
-			}
-		case "ms":
+		case "sa":
 			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Members")
+				err = msgp.WrapError(err, "State")
 				return
 			}
-			if cap(z.Members) >= int(zb0010) {
-				z.Members = (z.Members)[:zb0010]
-			} else {
-				z.Members = make([]Member, zb0010)
-			}
-			for za0005 := range z.Members {
-				bts, err = z.Members[za0005].UnmarshalMsg(bts)
+			for zb0010 > 0 {
+				zb0010--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0005)
+					err = msgp.WrapError(err, "State")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.State.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Epoch")
+						return
+					}
+				case "n":
+					z.State.Saves, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Saves")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "State")
+						return
+					}
+				}
 			}
-		case "ow":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "sv":
+			z.Saves, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Owns")
+				err = msgp.WrapError(err, "Saves")
 				return
 			}
-			if cap(z.Owns) >= int(zb0011) {
-				z.Owns = (z.Owns)[:zb0011]
-			} else {
-				z.Owns = make([]Own, zb0011)
-			}
-			for za0006 := range z.Owns {
-				bts, err = z.Owns[za0006].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Owns", za0006)
-					return
-				}
-			}
-		case "op":
-			z.Op, bts, err = msgp.ReadStringBytes(bts)
+		case "kn":
+			z.Known, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Op")
+				err = msgp.WrapError(err, "Known")
 				return
 			}
-		case "cd":
-			z.Code, bts, err = msgp.ReadIntBytes(bts)
+		case "kt":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Code")
+				err = msgp.WrapError(err, "KnownState")
 				return
 			}
-		case "bd":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			for zb0011 > 0 {
+				zb0011--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "KnownState")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.KnownState.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "KnownState", "Epoch")
+						return
+					}
+				case "n":
+					z.KnownState.Saves, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "KnownState", "Saves")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "KnownState")
+						return
+					}
+				}
+			}
+		case "pe":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Peers")
+				return
+			}
+			if cap(z.Peers) >= int(zb0012) {
+				z.Peers = (z.Peers)[:zb0012]
+			} else {
+				z.Peers = make([]Peer, zb0012)
+			}
+			for za0005 := range z.Peers {
+				bts, err = z.Peers[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0005)
+					return
+				}
+			}
+		case "me":
+			bts, err = z.Self.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Self")
+				return
+			}
+		case "ms":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0013) {
+				z.Members = (z.Members)[:zb0013]
+			} else {
+				z.Members = make([]Member, zb0013)
+			}
+			for za0006 := range z.Members {
+				bts, err = z.Members[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0006)
+					return
+				}
+			}
+		case "ow":
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owns")
+				return
+			}
+			if cap(z.Owns) >= int(zb0014) {
+				z.Owns = (z.Owns)[:zb0014]
+			} else {
+				z.Owns = make([]Own, zb0014)
+			}
+			for za0007 := range z.Owns {
+				bts, err = z.Owns[za0007].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Owns", za0007)
+					return
+				}
+			}
+		case "op":
+			z.Op, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Op")
+				return
+			}
+		case "cd":
+			z.Code, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "bd":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
@@ -2662,13 +3047,17 @@
 	for za0002 := range z.Keys {
 		s += msgp.StringPrefixSize + len(z.Keys[za0002])
 	}
-	s += 2 + z.Group.Msgsize() + 3 + msgp.ArrayHeaderSize + (len(z.Digs) * (msgp.Uint64Size)) + 3 + msgp.ArrayHeaderSize + (len(z.Spans) * (msgp.IntSize)) + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.Hint.Ident) + 2 + msgp.StringPrefixSize + len(z.Hint.Addr) + 3 + z.Self.Msgsize() + 3 + msgp.ArrayHeaderSize
-	for za0005 := range z.Members {
-		s += z.Members[za0005].Msgsize()
+	s += 2 + z.Group.Msgsize() + 3 + msgp.ArrayHeaderSize + (len(z.Digs) * (msgp.Uint64Size)) + 3 + msgp.ArrayHeaderSize + (len(z.Spans) * (msgp.IntSize)) + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.Hint.Ident) + 2 + msgp.StringPrefixSize + len(z.Hint.Addr) + 3 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 3 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
+	for za0005 := range z.Peers {
+		s += z.Peers[za0005].Msgsize()
+	}
+	s += 3 + z.Self.Msgsize() + 3 + msgp.ArrayHeaderSize
+	for za0006 := range z.Members {
+		s += z.Members[za0006].Msgsize()
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0006 := range z.Owns {
-		s += z.Owns[za0006].Msgsize()
+	for za0007 := range z.Owns {
+		s += z.Owns[za0007].Msgsize()
 	}
 	s += 3 + msgp.StringPrefixSize + len(z.Op) + 3 + msgp.IntSize + 3 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Why) + 3 + msgp.IntSize
 	return
@@ -2907,6 +3296,239 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Peer) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Ident, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Ident")
+				return
+			}
+		case "e":
+			z.Epoch, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "s":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.State.Epoch, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Epoch")
+						return
+					}
+				case "n":
+					z.State.Saves, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Saves")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "State")
+						return
+					}
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Peer) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Ident)
+	if err != nil {
+		err = msgp.WrapError(err, "Ident")
+		return
+	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	// map header, size 2
+	// write "e"
+	err = en.Append(0x82, 0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.State.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "State", "Epoch")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.State.Saves)
+	if err != nil {
+		err = msgp.WrapError(err, "State", "Saves")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Peer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Ident)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	// map header, size 2
+	// string "e"
+	o = append(o, 0x82, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.State.Epoch)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.State.Saves)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Peer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Ident, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ident")
+				return
+			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "s":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.State.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Epoch")
+						return
+					}
+				case "n":
+					z.State.Saves, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "State", "Saves")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "State")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Peer) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Ident) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Rec) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -3362,6 +3984,12 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
+		case "Exact":
+			z.Exact, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Exact")
+				return
+			}
 		case "Message":
 			err = z.Message.DecodeMsg(dc)
 			if err != nil {
@@ -3381,9 +4009,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Send) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
 	// write "Addr"
-	err = en.Append(0x82, 0xa4, 0x41, 0x64, 0x64, 0x72)
+	err = en.Append(0x83, 0xa4, 0x41, 0x64, 0x64, 0x72)
 	if err != nil {
 		return
 	}
@@ -3392,6 +4020,16 @@
 		err = msgp.WrapError(err, "Addr")
 		return
 	}
+	// write "Exact"
+	err = en.Append(0xa5, 0x45, 0x78, 0x61, 0x63, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Exact)
+	if err != nil {
+		err = msgp.WrapError(err, "Exact")
+		return
+	}
 	// write "Message"
 	err = en.Append(0xa7, 0x4d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
 	if err != nil {
@@ -3408,10 +4046,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Send) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "Addr"
-	o = append(o, 0x82, 0xa4, 0x41, 0x64, 0x64, 0x72)
+	o = append(o, 0x83, 0xa4, 0x41, 0x64, 0x64, 0x72)
 	o = msgp.AppendString(o, z.Addr)
+	// string "Exact"
+	o = append(o, 0xa5, 0x45, 0x78, 0x61, 0x63, 0x74)
+	o = msgp.AppendBool(o, z.Exact)
 	// string "Message"
 	o = append(o, 0xa7, 0x4d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
 	o, err = z.Message.MarshalMsg(o)
@@ -3446,6 +4087,12 @@
 				err = msgp.WrapError(err, "Addr")
 				return
 			}
+		case "Exact":
+			z.Exact, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Exact")
+				return
+			}
 		case "Message":
 			bts, err = z.Message.UnmarshalMsg(bts)
 			if err != nil {
@@ -3466,7 +4113,135 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Send) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Addr) + 8 + z.Message.Msgsize()
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Addr) + 6 + msgp.BoolSize + 8 + z.Message.Msgsize()
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Stamp) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "n":
+			z.Saves, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Saves")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Stamp) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "e"
+	err = en.Append(0x82, 0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Saves)
+	if err != nil {
+		err = msgp.WrapError(err, "Saves")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Stamp) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "e"
+	o = append(o, 0x82, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Saves)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Stamp) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "n":
+			z.Saves, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Saves")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Stamp) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
