Changes of the plan that wait for one another are written together

Cause: each change is a withdrawal down the tree, a majority write and a grant of its own, one after another; up to eight are under way in a storm, and every daemon is without a plan once for each.

Change: jobs of the same keys that say Joins are made on one another and written at once; each gets its own answer when all are in force; what is refused on the ground of what isn't written yet is told with it, and is not refused if the write isn't done. Only changes of the plan join: calls whose mark is a record's version don't.

--- a/control/leader/job.go
+++ b/control/leader/job.go
@@ -100,7 +100,7 @@
 		id, base, number = named.ID, named.Base, named.Number
 		next = func(p fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return p.With(named) }
 	}
-	return partition.Job{Keys: []string{fleetconfig.PlanKey}, Make: func(read lease.Source) ([]message.Rec, any) {
+	return partition.Job{Keys: []string{fleetconfig.PlanKey}, Joins: true, Make: func(read lease.Source) ([]message.Rec, any) {
 		recs, verdict, err := fleetconfig.Decide(read, plans, id, base, number, next)
 		if err != nil {
 			return nil, notClear(err)
--- /dev/null
+++ b/control/partition/batch_test.go
@@ -0,0 +1,95 @@
+package partition
+
+import (
+	"testing"
+	"time"
+
+	"mulleinmast/control/lease"
+	"mulleinmast/wire/message"
+)
+
+// appends is a job that adds a letter to a record if that is as long as its base.
+func appends(letter byte, base int) Job {
+	return Job{Keys: []string{"k"}, Joins: true, Make: func(read lease.Source) ([]message.Rec, any) {
+		cur := read("k").Val
+		if len(cur) != base {
+			return nil, "conflict"
+		}
+		return []message.Rec{{Key: "k", Val: append(append([]byte(nil), cur...), letter)}}, "taken"
+	}}
+}
+
+// Jobs that come while an earlier one waits are written together, once it is done:
+// one withdrawal and one write; one that is built on what isn't written yet gets its
+// answer with it, also if it is refused.
+func TestJobsThatWaitAreWrittenTogether(t *testing.T) {
+	s, sync := leader(t)
+	now := s.Replica.Lease() - 900*time.Millisecond
+	first := s.Do(now, 1, appends('a', 0)) // its disk isn't asked yet
+	if len(first.Saves) != 1 || len(first.Results) != 0 {
+		t.Fatalf("%+v", first)
+	}
+	for tag, j := range []Job{appends('b', 1), appends('x', 1), appends('c', 2)} {
+		if o := s.Do(now, uint64(tag+2), j); len(o.Results)+len(o.Saves) > 0 {
+			t.Fatalf("job %d doesn't wait: %+v", tag+2, o)
+		}
+	}
+	o := s.Saved(now, first.Saves[0].Ticket)
+	if len(o.Saves) != 1 || len(o.Saves[0].Recs) != 1 || string(o.Saves[0].Recs[0].Val) != "abc" {
+		t.Fatalf("the three that waited: %+v", o.Saves)
+	}
+	if len(o.Results) != 1 || o.Results[0].Tag != 1 || o.Results[0].Fate != Done {
+		t.Errorf("told before it is on disk: %+v", o.Results)
+	}
+	o = sync(s.Saved(now, o.Saves[0].Ticket))
+	want := map[uint64]Result{2: {2, Done, "taken"}, 3: {3, Unchanged, "conflict"}, 4: {4, Done, "taken"}}
+	if len(o.Results) != len(want) {
+		t.Fatalf("%+v", o.Results)
+	}
+	for _, r := range o.Results {
+		if r != want[r.Tag] {
+			t.Errorf("job %d: %+v, expected %+v", r.Tag, r, want[r.Tag])
+		}
+	}
+}
+
+// What was joined and never committed was never in force: what wrote is uncertain,
+// and what was refused by it isn't refused.
+func TestWhatWasJoinedIsLostTogether(t *testing.T) {
+	s, _ := leader(t)
+	now := s.Replica.Lease() - 900*time.Millisecond
+	first := s.Do(now, 1, appends('a', 0))
+	s.Do(now, 2, appends('b', 1))
+	s.Do(now, 3, appends('x', 1))
+	s.Saved(now, first.Saves[0].Ticket)
+	o := s.Tick(s.Replica.Lease() + time.Millisecond)
+	want := map[uint64]Fate{2: Uncertain, 3: NotLeader}
+	for _, r := range o.Results {
+		if r.Fate != want[r.Tag] {
+			t.Errorf("job %d: %v", r.Tag, r.Fate)
+		}
+	}
+	if !o.Lost || len(o.Results) != 2 {
+		t.Errorf("%+v", o)
+	}
+}
+
+// A job that doesn't join, or touches other keys too, waits for its turn, and what
+// came after it isn't written before it.
+func TestWhatDoesNotJoin(t *testing.T) {
+	s, _ := leader(t)
+	now := s.Replica.Lease() - 900*time.Millisecond
+	first := s.Do(now, 1, appends('a', 0))
+	both := appends('b', 1)
+	both.Keys = []string{"k", "other"}
+	s.Do(now, 2, both)
+	s.Do(now, 3, appends('c', 2))
+	o := s.Saved(now, first.Saves[0].Ticket)
+	if len(o.Saves) != 1 || string(o.Saves[0].Recs[0].Val) != "ab" {
+		t.Fatalf("%+v", o.Saves)
+	}
+	o = s.Saved(now, o.Saves[0].Ticket)
+	if len(o.Saves) != 1 || string(o.Saves[0].Recs[0].Val) != "abc" {
+		t.Fatalf("%+v", o.Saves)
+	}
+}
--- a/control/partition/partition.go
+++ b/control/partition/partition.go
@@ -16,14 +16,6 @@
 	"mulleinmast/wire/message"
 )
 
-// Job is a write: the keys it touches, and what to write given what is there.
-// Make runs when no other write holds the keys; it returns the records of some
-// of them, or none when nothing is to be written, and any word for the caller.
-type Job struct {
-	Keys []string
-	Make func(read lease.Source) (recs []message.Rec, word any)
-}
-
 // Fate is what became of a job.
 type Fate uint8
 
@@ -64,15 +56,6 @@
 	Superseded string
 }
 
-type job struct {
-	Job
-	tag  uint64
-	due  int // holds not yet invalidated
-	recs []message.Rec
-	word any
-	held []string // the keys that it writes
-}
-
 // Partition is the state machine.
 type Partition struct {
 	partition int
@@ -86,14 +69,14 @@
 
 	queue []*job
 	busy  map[string]bool
-	runs  map[uint64]*job
+	runs  map[uint64]*batch // by the tag of the first job
 }
 
 // New joins a replica (or nil) and a node.
 //
 // Example: s := partition.New(0, me, epoch, replica, node)
 func New(partition int, me message.Replica, epoch uint64, replica *quorum.Replica, node *lease.Node) *Partition {
-	s := &Partition{partition: partition, me: me, epoch: epoch, Replica: replica, Node: node, busy: map[string]bool{}, runs: map[uint64]*job{}}
+	s := &Partition{partition: partition, me: me, epoch: epoch, Replica: replica, Node: node, busy: map[string]bool{}, runs: map[uint64]*batch{}}
 	if replica != nil {
 		s.Calm = replica.Calm
 	}
@@ -258,51 +241,6 @@
 	}
 }
 
-// abreast is how many writes run beside one another: each is waited for by
-// every daemon below, and what comes in a crowd (all servers of a model) would
-// else be on its way to all of them at once.
-const abreast = 32
-
-func (s *Partition) start(now time.Duration, o *Out) {
-	if len(s.queue) == 0 || !s.Leader(now) || now < s.Calm() {
-		return
-	}
-	var rest []*job
-	blocked := map[string]bool{}
-	for _, j := range s.queue {
-		free := true
-		for _, k := range j.Keys {
-			if s.busy[k] || blocked[k] {
-				free = false
-			}
-		}
-		if !free || len(s.runs) >= abreast {
-			for _, k := range j.Keys {
-				blocked[k] = true
-			}
-			rest = append(rest, j)
-			continue
-		}
-		j.recs, j.word = j.Make(s.read)
-		if len(j.recs) == 0 {
-			o.Results = append(o.Results, Result{Tag: j.tag, Fate: Unchanged, Word: j.word})
-			continue
-		}
-		s.runs[j.tag] = j
-		for _, k := range j.Keys {
-			s.busy[k] = true
-		}
-		for _, r := range j.recs {
-			j.held = append(j.held, r.Key)
-		}
-		j.due = len(j.held)
-		for _, k := range j.held {
-			s.fromNode(now, s.Node.Hold(now, k, j.tag), o)
-		}
-	}
-	s.queue = rest
-}
-
 func (s *Partition) fromNode(now time.Duration, p lease.Out, o *Out) {
 	o.Sends = append(o.Sends, p.Sends...)
 	o.Fresh = append(o.Fresh, p.Fresh...)
@@ -312,20 +250,21 @@
 		o.Steer = p.Steer
 	}
 	for _, tag := range p.Invalidated {
-		j := s.runs[tag]
-		if j == nil {
+		b := s.runs[tag]
+		if b == nil {
 			continue
 		}
-		if j.due--; j.due > 0 {
+		if b.due--; b.due > 0 {
 			continue
 		}
+		b.due = written
 		if !s.Leader(now) { // nothing was committed
 			delete(s.runs, tag)
-			o.Results = append(o.Results, Result{Tag: tag, Fate: NotLeader})
+			o.Results = append(o.Results, b.results(NotLeader)...)
 			continue
 		}
-		out, recs := s.Replica.Write(now, tag, j.recs)
-		j.recs = recs
+		out, recs := s.Replica.Write(now, tag, b.recs)
+		b.recs = recs
 		s.fromReplica(now, out, o)
 	}
 }
@@ -337,22 +276,22 @@
 		o.Superseded = n.Superseded
 	}
 	for _, d := range n.Done {
-		j := s.runs[d.Tag]
-		if j == nil {
+		b := s.runs[d.Tag]
+		if b == nil {
 			continue
 		}
 		delete(s.runs, d.Tag)
-		r := Result{Tag: d.Tag, Fate: Uncertain, Word: j.word}
+		fate := Uncertain
 		if d.Fate == quorum.Written {
-			r.Fate = Done
-			for _, k := range j.Keys {
+			fate = Done
+			for _, k := range b.jobs[0].Keys {
 				delete(s.busy, k)
 			}
-			for _, k := range j.held {
-				s.fromNode(now, s.Node.Free(now, k), o)
+			for _, r := range b.recs {
+				s.fromNode(now, s.Node.Free(now, r.Key), o)
 			}
 		}
-		o.Results = append(o.Results, r)
+		o.Results = append(o.Results, b.results(fate)...)
 	}
 	if n.Lost {
 		s.lose(o)
@@ -370,9 +309,9 @@
 		o.Results = append(o.Results, Result{Tag: j.tag, Fate: NotLeader})
 	}
 	for _, tag := range slices.Sorted(maps.Keys(s.runs)) { // invalidating, not yet committed
-		o.Results = append(o.Results, Result{Tag: tag, Fate: NotLeader})
+		o.Results = append(o.Results, s.runs[tag].results(NotLeader)...)
 	}
-	s.queue, s.busy, s.runs = nil, map[string]bool{}, map[uint64]*job{}
+	s.queue, s.busy, s.runs = nil, map[string]bool{}, map[uint64]*batch{}
 }
 
 // Digs is the digest of every range of this replica's records.
--- a/proof/sim/write.go
+++ b/proof/sim/write.go
@@ -50,7 +50,7 @@
 		}
 		w.note(e)
 	}
-	n.carry(p, n.parts[p].Do(n.local(), partition.Job{Keys: []string{k}, Make: func(read lease.Source) ([]message.Rec, any) {
+	n.carry(p, n.parts[p].Do(n.local(), partition.Job{Keys: []string{k}, Joins: true, Make: func(read lease.Source) ([]message.Rec, any) {
 		val, _ := json.Marshal(append(tags(read(k)), tag))
 		return []message.Rec{{Key: k, Val: val}}, nil
 	}}, then))
