--- a/control/daemon/config.go
+++ b/control/daemon/config.go
@@ -50,6 +50,7 @@
 	CPU        float64       // the share of a processor that this daemon gets
 	Memory     int64         // bytes, at most; 0: no bound
 	Retry      Retry         // of opaque requests, over the whole fleet
+	Admit      float64       // a request is refused at once that would wait for others beyond so many times its aim; 0: none is
 	Warm       Warm
 }
 
@@ -73,7 +74,7 @@
 // Example: c := daemon.Default()
 func Default() Config {
 	return Config{Fleet: "mulleinmast", Zone: "zone-1", Partitions: 8, Drift: 0.02, Queue: 512, Ring: 4096, Losses: 1, First: true,
-		Touch: 3 * time.Second, Catch: 4 * time.Second, Ack: 4 * time.Second, Grace: 12 * time.Second, CPU: 1, Retry: Retry{Ratio: 0.2, Window: 12 * time.Second}, Warm: Warm{Over: 1},
+		Touch: 3 * time.Second, Catch: 4 * time.Second, Ack: 4 * time.Second, Grace: 12 * time.Second, CPU: 1, Admit: 3, Retry: Retry{Ratio: 0.2, Window: 12 * time.Second}, Warm: Warm{Over: 1},
 		Bounds: Bounds{Plan: 2 * time.Second, Leave: 3 * time.Second, Evacuate: 5 * time.Second, Swap: 3 * time.Second, Recover: 12 * time.Second}}
 }
 
@@ -90,6 +91,7 @@
 	Ring       *int     `json:"ring"`
 	Losses     *int     `json:"losses"`
 	First      *bool    `json:"first"`
+	Admit      *float64 `json:"admit"`
 	Plan       *string  `json:"bound_plan"`
 	Leave      *string  `json:"bound_leave"`
 	Evacuate   *string  `json:"bound_evacuate"`
@@ -125,6 +127,7 @@
 	drift := fs.Float64("drift", c.Drift, "most by which one clock outruns another")
 	losses := fs.Int("losses", c.Losses, "daemons with a data folder that may be lost at once; the first group has twice as many replicas, and one")
 	first := fs.Bool("first", c.First, "the fleet may start for the first time; say false once it has, where a seed has no data folder")
+	admit := fs.Float64("admit", c.Admit, "a request is refused at once that would wait for others beyond so many times its route's aim; 0: none is")
 	queue := fs.Int("queue", c.Queue, "most requests waiting, per service")
 	test := fs.Bool("test-switches", false, "open the switches that tests use (never in production)")
 	fs.Usage = func() {
@@ -163,6 +166,8 @@
 			c.Losses = *losses
 		case "first":
 			c.First = *first
+		case "admit":
+			c.Admit = *admit
 		case "queue":
 			c.Queue = *queue
 		case "test-switches":
@@ -198,6 +203,7 @@
 	set(&c.Ring, in.Ring)
 	set(&c.Losses, in.Losses)
 	set(&c.First, in.First)
+	set(&c.Admit, in.Admit)
 	if in.Seeds != nil {
 		c.Seeds = in.Seeds
 	}
@@ -264,6 +270,9 @@
 	if c.Drift < 0 || c.Drift > 0.2 {
 		f.Add("drift: %v: expected 0 to 0.2", c.Drift)
 	}
+	if !(c.Admit >= 0 && c.Admit <= 100) {
+		f.Add("admit: %v: expected 0 to 100", c.Admit)
+	}
 	if c.Queue < 1 || c.Queue > 1<<20 {
 		f.Add("queue: %d: expected 1 to %d", c.Queue, 1<<20)
 	}
--- /dev/null
+++ b/proof/overload/front.go
@@ -0,0 +1,219 @@
+package overload
+
+import (
+	"encoding/json"
+	"time"
+
+	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/placement"
+	"mulleinmast/traffic/board"
+	"mulleinmast/traffic/forward"
+	"mulleinmast/wire/message"
+)
+
+// front is one daemon: its lane, its board, and the records that it reads.
+type front struct {
+	w     *world
+	me    message.Member
+	lane  *forward.Lane
+	board *board.Board
+	blind time.Duration // until when its leases don't stand
+}
+
+// Gen counts the changes of the records.
+//
+// Example: f.Gen(0)
+func (f *front) Gen(int) uint64 { return f.w.gen }
+
+// Until is when the leases lapse.
+//
+// Example: now < f.Until(0)
+func (f *front) Until(int) time.Duration {
+	if f.w.now < f.blind {
+		return f.w.now
+	}
+	return time.Hour
+}
+
+// Read serves a record under valid leases.
+//
+// Example: rec, ok := f.Read(1, fleetconfig.ListKey("models"))
+func (f *front) Read(partition int, key string) (message.Rec, bool) {
+	if f.w.now < f.blind {
+		return message.Rec{}, false
+	}
+	ver := message.Ver{Term: 1, Seq: f.w.gen}
+	if partition == 0 {
+		return message.Rec{Key: key, Ver: ver, Val: fleetconfig.PackZones(map[string]bool{})}, true
+	}
+	if key == fleetconfig.ListKey(service) {
+		var l fleetconfig.List
+		for _, s := range f.w.servers {
+			if s.up {
+				l.Servers = append(l.Servers, fleetconfig.Server{ID: s.key, Addr: s.key, Zone: s.zone, Capacity: slots})
+			}
+		}
+		return message.Rec{Key: key, Ver: ver, Val: pack(l)}, true
+	}
+	for _, s := range f.w.servers {
+		if s.up && key == fleetconfig.ServerRecordKey(service, s.key) {
+			return message.Rec{Key: key, Ver: ver, Val: pack(placement.ServerRecord{Addr: s.key, Zone: s.zone, Cap: slots, Part: s.part, Status: placement.Up})}, true
+		}
+	}
+	return message.Rec{Key: key, Ver: ver, Dead: true}, true
+}
+
+func pack(x any) []byte {
+	b, err := json.Marshal(x)
+	if err != nil {
+		panic(err) // our own types always pack
+	}
+	return b
+}
+
+// beat tells the other daemons what is due, again and again.
+func (f *front) beat() {
+	members := make([]message.Member, 0, len(f.w.daemons))
+	addrs := make([]string, 0, len(f.w.daemons))
+	for _, o := range f.w.daemons {
+		members, addrs = append(members, o.me), append(addrs, o.me.Addr)
+	}
+	f.lane.Fleet(f.w.now, f.me.Addr, addrs)
+	for _, s := range f.w.servers {
+		f.board.Memory(board.Name(service, s.key), memory)
+	}
+	for _, m := range f.board.Tick(f.w.now, f.me, members) {
+		for _, o := range f.w.daemons {
+			if o.me.Ident == m.Message.To {
+				f.w.after(hop, func() { o.board.Hear(o.w.now, m.Message) })
+			}
+		}
+	}
+	f.w.after(20*time.Millisecond, f.beat)
+}
+
+// hints is a daemon's board as its lane sees it.
+type hints struct{ f *front }
+
+// Begin records work sent from here.
+//
+// Example: h.Begin("server-01", 900, 0)
+func (h hints) Begin(server string, tokens, writing int) {
+	h.f.board.Begin(board.Name(service, server), tokens, writing)
+}
+
+// Load is what is under way at a server.
+//
+// Example: tokens, writing, pause := h.Load(now, "server-01")
+func (h hints) Load(now time.Duration, server string) (tokens, writing int, pause time.Duration) {
+	u := h.f.board.Load(now, board.Name(service, server))
+	if u.Writing > 0 {
+		pause = time.Duration(u.Pause/u.Writing) * time.Millisecond
+	}
+	return u.Tokens, u.Writing, pause
+}
+
+// Paused records the time between two events.
+//
+// Example: h.Paused("server-01", 40*time.Millisecond)
+func (h hints) Paused(server string, d time.Duration) {
+	h.f.board.Paused(board.Name(service, server), d)
+}
+
+// Came records the end of a call.
+//
+// Example: h.Came(now, "server-01", true)
+func (h hints) Came(now time.Duration, server string, answered bool) {
+	h.f.board.Came(now, board.Name(service, server), answered)
+}
+
+// Down tells whether a server most likely answers nobody.
+//
+// Example: h.Down(now, "server-01")
+func (h hints) Down(now time.Duration, server string) bool {
+	return h.f.board.Down(now, board.Name(service, server))
+}
+
+// Keeps records that a server keeps a prompt.
+//
+// Example: h.Keeps(prefix, "server-01", 900)
+func (h hints) Keeps(prefix uint64, server string, tokens int) {
+	h.f.board.Keeps(prefix, board.Name(service, server), tokens)
+}
+
+// Has tells whether a server keeps a prompt's shared parts.
+//
+// Example: h.Has(prefix, "server-01")
+func (h hints) Has(prefix uint64, server string) bool {
+	return h.f.board.Has(prefix, board.Name(service, server))
+}
+
+// try is one try of a client at one daemon.
+type try struct {
+	f     *front
+	call  forward.Call
+	over  bool
+	began bool
+	reads int                                      // tokens that servers read for it
+	told  func(k forward.Kind, back time.Duration) // its client, of its end
+	first func()                                   // its client, of the first event
+}
+
+// start brings a try to its daemon.
+func (t *try) start() { t.act(t.f.lane.Begin(t.f.w.now, t.call)) }
+
+// act carries a move out.
+func (t *try) act(m forward.Move) {
+	w := t.f.w
+	switch m.Kind {
+	case forward.Wait:
+		w.after(min(m.Until-w.now, w.cfg.Vol()/16), func() {
+			if !t.over {
+				t.act(t.f.lane.Again(w.now, t.call.ID))
+			}
+		})
+	case forward.Read:
+		t.send(m, func(out forward.Outcome, h forward.Handle) {
+			t.act(t.f.lane.ReadDone(w.now, t.call.ID, out, h, "test"))
+		})
+	case forward.Write:
+		t.send(m, func(out forward.Outcome, _ forward.Handle) {
+			t.act(t.f.lane.WriteDone(w.now, t.call.ID, out, "test"))
+		})
+	default:
+		t.over = true
+		if m.Kind != forward.Done {
+			w.result.Wasted += t.reads
+		}
+		t.told(m.Kind, m.Back)
+	}
+}
+
+// send puts a call before a server, unless the last look stops it; done hears of
+// its end once, at the latest when its time is up.
+func (t *try) send(m forward.Move, done func(forward.Outcome, forward.Handle)) {
+	w := t.f.w
+	if !t.f.lane.Standing(w.now, t.call.ID, m) {
+		done(forward.Barred, forward.Handle{})
+		return
+	}
+	ended := false
+	s := w.serverOf(m.To.Key)
+	j := &job{try: t, move: m, due: m.Until}
+	j.done = func(out forward.Outcome, h forward.Handle) {
+		if !ended && !t.over {
+			ended = true
+			if out != forward.Lost && out != forward.NotSent {
+				s.idle[t.f]++
+			}
+			done(out, h)
+		}
+	}
+	w.after(s.connect(t.f), func() { s.take(j) })
+	w.after(m.Until-w.now, func() {
+		if !ended {
+			j.cut = true
+			j.done(forward.Lost, forward.Handle{})
+		}
+	})
+}
--- a/traffic/forward/choose.go
+++ b/traffic/forward/choose.go
@@ -73,7 +73,8 @@
 // daemons together may use it.
 func (l *Lane) candidates(now time.Duration, t *trip, part string, phase attempt.Phase) []Server {
 	var good, shy []Server
-	for _, s := range l.rows {
+	for i := range l.order { // from another one for each request: where costs are equal the first is taken
+		s := l.rows[l.order[(uint64(i)+t.dice)%uint64(len(l.order))]]
 		switch {
 		case s.Part != part || t.led.Tried(phase, s.Key) || s.Warming && !l.bears(now, s.Key):
 		case now < l.stat(s.Key).shyUntil || l.board.Down(now, s.Key):
@@ -211,6 +212,7 @@
 	for _, o := range decodeServers {
 		if c := late(o.wait+o.took, t.Aim) + o.costs + l.stall(o) + l.slow(o); !ok || c < lowest {
 			m, ok, lowest, t.unread = Move{Kind: Write, To: o.Server}, true, c, o.unread
+			t.queued, t.took = o.wait, o.took
 		}
 	}
 	if !apart {
@@ -220,6 +222,7 @@
 		best, c := l.second(t, decodeServers, o.Server, o.wait+o.took, o.costs)
 		if best.Key != "" && (!ok || c < lowest) {
 			m, ok, lowest, t.unread = Move{Kind: Read, To: o.Server}, true, c, o.unread
+			t.queued, t.took = o.wait+best.wait/2, o.took
 		}
 	}
 	return m, ok
--- a/traffic/forward/lane.go
+++ b/traffic/forward/lane.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"mulleinmast/control/fleetconfig"
@@ -33,6 +35,7 @@
 	whole   bool // rows are what was read at gen
 	until   time.Duration
 	rows    map[string]Server
+	order   []string // the keys of rows, so that equal choices fall alike
 	keys    []string // of the list of this version
 	servers []fleetconfig.Server
 	records map[string]record
@@ -143,6 +146,7 @@
 	}
 	l.gen, l.whole = gen, false
 	clear(l.rows)
+	l.order = nil
 	listed, okList := l.src.Read(l.partition, fleetconfig.ListKey(l.svc))
 	zones, okZones := l.src.Read(0, fleetconfig.ZoneKey)
 	if !okList || !okZones || now >= l.until {
@@ -167,6 +171,7 @@
 		}
 		l.rows[s.Key()] = Server{Key: s.Key(), Addr: s.Addr, Zone: s.Zone, Part: b.Part, Slots: s.Capacity, Warming: b.Status == placement.Warming}
 	}
+	l.order = slices.Sorted(maps.Keys(l.rows))
 	for key, st := range l.stats {
 		if _, ok := l.rows[key]; !ok && st.open == 0 && now-st.seenAt > 10*l.cfg.Window {
 			delete(l.stats, key)
--- a/traffic/forward/shape.go
+++ b/traffic/forward/shape.go
@@ -43,6 +43,7 @@
 	Window   time.Duration // see attempt.Bucket
 	Slack    int           // second sends beyond that, of all daemons
 	Patience time.Duration // that a request waits for leases and servers
+	InTime   float64       // a request is refused at once that would wait for others so long that it is late: beyond this part of its aim; 0: none is
 	Shy      time.Duration // a server that failed is passed by this long
 	Turned   time.Duration // and one that turned a request away
 	Back     time.Duration // when to come back, where nothing better is known
--- a/traffic/forward/trip.go
+++ b/traffic/forward/trip.go
@@ -19,13 +19,15 @@
 	to     Server
 	sentAt time.Duration
 	handle *Handle
-	arrive int      // sends that count against Tries: all but the first reading that a server took up
-	taken  bool     // a server took a reading up
-	gone   []Handle // memory that a server could not get: it may be there still
-	begun  bool     // events have gone out to the client
-	again  bool     // the send under way is a second one
-	first  bool     // its first send was counted
-	unread int      // tokens that the server under way has to read, as far as known
+	arrive int           // sends that count against Tries: all but the first reading that a server took up
+	taken  bool          // a server took a reading up
+	gone   []Handle      // memory that a server could not get: it may be there still
+	begun  bool          // events have gone out to the client
+	again  bool          // the send under way is a second one
+	first  bool          // its first send was counted
+	unread int           // tokens that the server under way has to read, as far as known
+	queued time.Duration // that it waits for others, as the last choice predicts it
+	took   time.Duration // that its prompt takes to read, by the same
 	choice []string
 }
 
@@ -89,6 +91,9 @@
 	if !ok {
 		return l.wait(now, t, "no server to go to")
 	}
+	if !l.inTime(now, t) {
+		return l.end(now, t, "it can't be in time: the servers have too much under way")
+	}
 	again := t.arrive > 0 || m.Kind == Read && t.taken
 	if again && !l.spend(now) {
 		return l.end(now, t, "no further try to spare")
@@ -97,6 +102,18 @@
 	return l.send(now, t, m)
 }
 
+// inTime tells whether a request that hasn't begun waits so short for others, as far
+// as is known, that it can be in time; one whose own prompt takes most of its aim may
+// wait for half of that. One that can't would make others late as well; its client is
+// told at once and may come back to a shorter queue.
+func (l *Lane) inTime(now time.Duration, t *trip) bool {
+	if l.cfg.InTime == 0 || t.Aim == 0 || t.begun || t.handle != nil || t.led.Ran() {
+		return true
+	}
+	may := max(t.Aim-t.took, t.Aim/2)
+	return float64(now-t.at+t.queued) <= l.cfg.InTime*float64(may)
+}
+
 // spend takes a further try from the allowance, if there is one.
 func (l *Lane) spend(now time.Duration) bool {
 	if !l.bucket.Take(now) {
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -68,7 +68,7 @@
 // Example: l := forward.New(gateway.Config(cfg), svc, part, source)
 func Config(c daemon.Config) forward.Config {
 	return forward.Config{Zone: c.Zone, Retry: c.Retry.Ratio, Window: c.Retry.Window, Slack: c.Retry.Slack * 4 / 5, Patience: c.Vol() * 5 / 4,
-		Shy: c.Bounds.Plan / 2, Turned: c.Bounds.Plan / 8, Back: c.Vol() / 4, Pace: 50,
+		Shy: c.Bounds.Plan / 2, Turned: c.Bounds.Plan / 8, Back: c.Vol() / 4, Pace: 50, InTime: c.Admit,
 		Weights: forward.Weights{Far: 0.0023, Again: 0.05, Moved: 0.0022, Apart: 3, Miss: 0.05, Cold: 0.05, Stall: 0.3}}
 }
 
