--- a/control/lease/delta_test.go
+++ b/control/lease/delta_test.go
@@ -149,7 +149,7 @@
 		if i == count/2 {
 			give += n
 		}
-		raw := fmt.Sprintf(`{"name":"r-%07x","host-name":"host%05x.example","path-start":"/%06x/","route-kind":"streaming","give-up-ms":%d,"target-ms":400,"urgency":0,"service-name":"m","tries":2}`, i*7919, i*104729, i*31, give)
+		raw := fmt.Sprintf(`{"name":"r-%07x","host":"host%05x.example","prefix":"/%06x/","kind":"streaming","give_up":%d,"aim":400,"urgency":0,"service":"m","tries":2}`, i*7919, i*104729, i*31, give)
 		p.Routes = append(p.Routes, fleetconfig.Route{Name: fmt.Sprintf("r-%07x", i*7919), Host: fmt.Sprintf("host%05x.example", i*104729), Prefix: fmt.Sprintf("/%06x/", i*31), Kind: fleetconfig.Safe, GiveUp: give, Services: []fleetconfig.Share{{Service: "m", Weight: 1}}, Raw: json.RawMessage(raw)})
 	}
 	b, err := fleetconfig.Record(p)
--- /dev/null
+++ b/traffic/forward/admit_test.go
@@ -0,0 +1,41 @@
+package forward
+
+import (
+	"testing"
+	"time"
+)
+
+// A request is refused for what it would wait for others, not for what its own
+// prompt takes, and only before anything of it has begun.
+func TestWhoWaitsTooLongIsRefused(t *testing.T) {
+	const aim = 400 * time.Millisecond
+	now := time.Minute
+	for _, x := range []struct {
+		what                string
+		bound               float64
+		spent, queued, took time.Duration
+		begun, handle       bool
+		in                  bool
+	}{
+		{"nothing under way", 1, 0, 0, 100 * time.Millisecond, false, false, true},
+		{"in time just so", 1, 0, 300 * time.Millisecond, 100 * time.Millisecond, false, false, true},
+		{"late", 1, 0, 301 * time.Millisecond, 100 * time.Millisecond, false, false, false},
+		{"late by the time that it spent here", 1, 50 * time.Millisecond, 251 * time.Millisecond, 100 * time.Millisecond, false, false, false},
+		{"late, three times the aim are let in", 3, 0, 899 * time.Millisecond, 100 * time.Millisecond, false, false, true},
+		{"hopelessly late", 3, 0, 901 * time.Millisecond, 100 * time.Millisecond, false, false, false},
+		{"a prompt longer than the aim, nobody waits", 1, 0, 0, 900 * time.Millisecond, false, false, true},
+		{"a prompt longer than the aim, some wait", 1, 0, 201 * time.Millisecond, 900 * time.Millisecond, false, false, false},
+		{"its stream has begun", 1, 0, time.Hour, 0, true, false, true},
+		{"its prompt is read", 1, 0, time.Hour, 0, false, true, true},
+		{"the bound is off", 0, 0, time.Hour, 0, false, false, true},
+	} {
+		l := &Lane{cfg: Config{InTime: x.bound}}
+		tr := &trip{Call: Call{Aim: aim}, at: now - x.spent, queued: x.queued, took: x.took, begun: x.begun}
+		if x.handle {
+			tr.handle = &Handle{ID: "h"}
+		}
+		if in := l.inTime(now, tr); in != x.in {
+			t.Errorf("%s: let in %v", x.what, in)
+		}
+	}
+}
