--- a/control/storage/storage.go
+++ b/control/storage/storage.go
@@ -21,7 +21,6 @@
 	"mulleinmast/control/digest"
 	"mulleinmast/control/incarnation"
 	"mulleinmast/control/quorum"
-	"mulleinmast/wire/message"
 )
 
 // Format is the version of the files written here.
--- a/proof/modelcheck/net.go
+++ b/proof/modelcheck/net.go
@@ -32,6 +32,7 @@
 		w.do(p.to, func(d *daemon, now time.Duration) partition.Out { return d.sec.Hear(now, p.note) })
 	}
 }
+
 // head is the message that arrives next if nothing goes wrong, or -1.
 func (w *world) head() int {
 	return slices.IndexFunc(w.net, func(p packet) bool { return !p.held })
