A plan says which format a build must read; none is taken that a daemon couldn't read

Cause: a plan in force that a build can't read, or reads in part, was met only when it was read: nothing kept it from being acknowledged while older daemons were there.

Change: needs, in the plan and as a change; daemons tell the format that they read beside their build; the leader answers 409 not done while any reads less, before anything is written; a build that reads less serves nothing by it and /readyz names the format.

Left: a plan that no build at hand reads can't be changed over.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -32,9 +32,6 @@
 	"mulleinmast/wire/transport"
 )
 
-// Build names this build to others. "2" takes tellings of what changed (traffic/board).
-const Build = "2"
-
 const writeBuffer = 64 << 10
 
 // Error is the class of start-up errors; InUse marks an address that can't be used.
@@ -190,7 +187,7 @@
 			}
 			return message.Replica{}
 		}
-		m := leader.New(leader.Config{Works: cfg.Works(), Keep: cfg.Keep(), Again: cfg.Again()}, p, c.me, partition.New(p, c.me, c.epoch, replica, node))
+		m := leader.New(leader.Config{Works: cfg.Works(), Keep: cfg.Keep(), Again: cfg.Again(), Reads: c.formatRead}, p, c.me, partition.New(p, c.me, c.epoch, replica, node))
 		c.shards = append(c.shards, &shard{partition: p, Controller: m, guide: membership.Guide{Partition: p, Vol: cfg.Vol()}})
 	}
 	c.Pin(0, fleetconfig.PlanKey)
--- a/control/daemon/metrics.go
+++ b/control/daemon/metrics.go
@@ -21,7 +21,7 @@
 	gauge("partitions_led", func() float64 { return c.partitionsThat((*shard).led, c) })
 	gauge("volume_leases", func() float64 { return c.partitionsThat((*shard).leased, c) })
 	gauge("disk_refusals_in_a_row", func() float64 { return float64(c.refused.Load()) })
-	gauge("records_unreadable", func() float64 { return float64(c.unreadable()) })
+	gauge("records_unreadable", func() float64 { return float64(count(c.unreadable())) })
 	gauge("wire_sent", func() float64 { return float64(c.Line.Sent.Load()) })
 	gauge("wire_got", func() float64 { return float64(c.Line.Got.Load()) })
 	gauge("wire_lost", func() float64 { return float64(c.Line.Lost.Load()) })
@@ -34,6 +34,8 @@
 	c.terms = c.Metrics.NewCounter("mulleinmast_leaderships_won_total")
 }
 
+func count(n int, _ error) int { return n }
+
 func one(yes bool) float64 {
 	if yes {
 		return 1
--- a/control/daemon/operate.go
+++ b/control/daemon/operate.go
@@ -202,8 +202,8 @@
 			return fmt.Sprintf("partition %d: %d of its group's %d disks are here, a majority is needed; bring the others back, or restore their folders from a back-up", s.partition, here, len(g.All()))
 		}
 	}
-	if n := c.unreadable(); n > 0 {
-		return fmt.Sprintf("%d records can't be read by this build; the log names them", n)
+	if n, why := c.unreadable(); n > 0 {
+		return fmt.Sprintf("%d records can't be read by this build; the log names them, one is: %v", n, why)
 	}
 	return "no valid leases on the configuration"
 }
--- a/control/daemon/readable.go
+++ b/control/daemon/readable.go
@@ -33,16 +33,17 @@
 }
 
 // unreadable counts the records that this build can't read, of those that it
-// was asked for.
-func (c *Daemon) unreadable() (n int) {
+// was asked for, and tells why of one of them.
+func (c *Daemon) unreadable() (n int, why error) {
 	for _, s := range c.shards {
 		s.mu.Lock()
 		for _, x := range s.checks {
 			if x.err != nil {
 				n++
+				why = x.err
 			}
 		}
 		s.mu.Unlock()
 	}
-	return n
+	return n, why
 }
--- a/control/daemon/unreadable_test.go
+++ b/control/daemon/unreadable_test.go
@@ -45,8 +45,8 @@
 				if read || last || c.isReady() {
 					t.Errorf("read %v, routed by %v, ready %v", read, last, c.isReady())
 				}
-				if c.unreadable() != 1 {
-					t.Errorf("%d records can't be read", c.unreadable())
+				if count(c.unreadable()) != 1 {
+					t.Errorf("%d records can't be read", count(c.unreadable()))
 				}
 				if _, _, ok := c.Plan(); ok != (key != fleetconfig.PlanKey) {
 					t.Errorf("a plan is in force: %v", ok)
@@ -55,8 +55,8 @@
 				t.Fatalf("ended by %v", fault)
 			}
 			grant(3, good)
-			if !c.isReady() || c.unreadable() != 0 {
-				t.Errorf("ready %v, %d records can't be read", c.isReady(), c.unreadable())
+			if !c.isReady() || count(c.unreadable()) != 0 {
+				t.Errorf("ready %v, %d records can't be read", c.isReady(), count(c.unreadable()))
 			}
 		})
 	}
@@ -92,8 +92,8 @@
 	if code, answer := again.Ask(t.Context(), 0, "changes", next, 5*time.Second); code != leadercall.NotDone || !strings.Contains(string(answer), "can't be read") {
 		t.Errorf("a change: %d %s", code, answer)
 	}
-	if _, ok := again.Read(0, fleetconfig.PlanKey); ok || again.Ready() || again.unreadable() != 1 || !strings.Contains(again.unready(), "can't be read") {
-		t.Errorf("read %v, ready %v, %d records can't be read: %s", ok, again.Ready(), again.unreadable(), again.unready())
+	if _, ok := again.Read(0, fleetconfig.PlanKey); ok || again.Ready() || count(again.unreadable()) != 1 || !strings.Contains(again.unready(), "can't be read") {
+		t.Errorf("read %v, ready %v, %d records can't be read: %s", ok, again.Ready(), count(again.unreadable()), again.unready())
 	}
 }
 
--- a/control/fleetconfig/change.go
+++ b/control/fleetconfig/change.go
@@ -14,6 +14,7 @@
 	Route   *Route   `json:"route,omitempty"`
 	Limits  *Limits  `json:"limits,omitempty"`
 	Server  string   `json:"server,omitempty"`
+	Needs   int      `json:"needs,omitempty"`   // the format that a build must read; 0: any
 	Lenient bool     `json:"lenient,omitempty"` // to drop what isn't there is no fault
 }
 
@@ -25,7 +26,7 @@
 	Changes []Change `json:"changes"`
 }
 
-const ops = "expected set-tenant, drop-tenant, set-service, drop-service, set-route, drop-route, set-limits, exclude-server or include-server"
+const ops = "expected set-tenant, drop-tenant, set-service, drop-service, set-route, drop-route, set-limits, set-needs, exclude-server or include-server"
 
 // list is a plan's items under change, found by name; what is dropped is
 // taken out at the end, so that places hold until then.
@@ -81,6 +82,7 @@
 	services *list[Service]
 	routes   *list[Route]
 	limits   Limits
+	needs    int
 }
 
 // With applies named changes to a copy of the plan; faults name the change.
@@ -90,7 +92,7 @@
 	var f Faults
 	d := draft{tenants: newList(p.Tenants, func(t *Tenant) string { return t.Name }),
 		services: newList(p.Services, func(s *Service) string { return s.Name }),
-		routes:   newList(p.Routes, func(r *Route) string { return r.Name }), limits: p.Limits}
+		routes:   newList(p.Routes, func(r *Route) string { return r.Name }), limits: p.Limits, needs: p.Needs}
 	for i := range d.services.items {
 		d.services.items[i].Exclude = slices.Clone(d.services.items[i].Exclude)
 	}
@@ -107,7 +109,7 @@
 	}
 	out := p
 	out.ID, out.Number = c.ID, c.Number
-	out.Tenants, out.Services, out.Routes, out.Limits = d.tenants.left(), d.services.left(), d.routes.left(), d.limits
+	out.Tenants, out.Services, out.Routes, out.Limits, out.Needs = d.tenants.left(), d.services.left(), d.routes.left(), d.limits, d.needs
 	return out, out.Check()
 }
 
@@ -145,6 +147,8 @@
 			return "needs limits"
 		}
 		d.limits = *c.Limits
+	case "set-needs":
+		d.needs = c.Needs
 	case "exclude-server", "include-server":
 		return d.exclude(c)
 	default:
--- a/control/fleetconfig/fleetconfig.go
+++ b/control/fleetconfig/fleetconfig.go
@@ -84,6 +84,8 @@
 	// Number is the operator's own for the next version; it must be above the
 	// version in force. 0: the next version is one more. None is kept.
 	Number uint64 `json:"number,omitempty"`
+	// Needs is the format that a build must read to serve by this plan; 0: any does.
+	Needs int `json:"needs,omitempty"`
 	// Raw is what else the operator sent, an object of further fields.
 	Raw json.RawMessage `json:"raw,omitempty"`
 	// Past is what a build before this one remembered; see Taken.
@@ -157,6 +159,7 @@
 func (p Plan) Check() (f Faults) {
 	f.take("plan", v.ValidateStruct(&p,
 		v.Field(&p.ID, v.Required, v.Match(name).Error("expected 1 to 64 letters, digits, '.', '_' or '-'")),
+		v.Field(&p.Needs, v.Min(0), v.Max(mostFormat)),
 		v.Field(&p.Tenants, v.Length(0, MostTenants)),
 		v.Field(&p.Services, v.Length(0, MostServices))))
 	known := map[string]bool{}
@@ -266,7 +269,9 @@
 	switch {
 	case err != nil:
 	case packed:
-		_, err = p.UnmarshalMsg(b)
+		if _, err = p.UnmarshalMsg(b); err == nil {
+			err = p.unfit()
+		}
 	default: // an older build's
 		err = json.Unmarshal(b, &p)
 	}
--- a/control/fleetconfig/fleetconfig_gen.go
+++ b/control/fleetconfig/fleetconfig_gen.go
@@ -8,6 +8,51 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z Codec) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Codec) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Codec) Msgsize() (s int) {
+	s = 1
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Limits) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -204,8 +249,8 @@
 func (z *Plan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Routes == nil {
 		zb0001Len--
@@ -219,14 +264,18 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Raw == nil {
+	if z.Needs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Past == nil {
+	if z.Raw == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Past == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -288,11 +337,16 @@
 			o = msgp.AppendUint64(o, z.Number)
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "needs"
+			o = append(o, 0xa5, 0x6e, 0x65, 0x65, 0x64, 0x73)
+			o = msgp.AppendInt(o, z.Needs)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "raw"
 			o = append(o, 0xa3, 0x72, 0x61, 0x77)
 			o = msgp.AppendBytes(o, []byte(z.Raw))
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "past"
 			o = append(o, 0xa4, 0x70, 0x61, 0x73, 0x74)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Past)))
@@ -415,6 +469,12 @@
 				err = msgp.WrapError(err, "Number")
 				return
 			}
+		case "needs":
+			z.Needs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Needs")
+				return
+			}
 		case "raw":
 			{
 				var zb0005 []byte
@@ -499,7 +559,7 @@
 	for za0003 := range z.Routes {
 		s += z.Routes[za0003].Msgsize()
 	}
-	s += 7 + z.Limits.Msgsize() + 7 + msgp.Uint64Size + 4 + msgp.BytesPrefixSize + len([]byte(z.Raw)) + 5 + msgp.ArrayHeaderSize
+	s += 7 + z.Limits.Msgsize() + 7 + msgp.Uint64Size + 6 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len([]byte(z.Raw)) + 5 + msgp.ArrayHeaderSize
 	for za0004 := range z.Past {
 		s += 1 + 3 + msgp.StringPrefixSize + len(z.Past[za0004].ID) + 8 + msgp.Uint64Size
 	}
@@ -1199,6 +1259,51 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Taken) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Taken) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Taken) Msgsize() (s int) {
+	s = 1
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Tenant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/control/fleetconfig/fleetconfig_test.go
+++ b/control/fleetconfig/fleetconfig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -90,3 +91,32 @@
 		t.Errorf("%v", f.List)
 	}
 }
+
+// A plan says which format a build must read to serve by it; a build that reads less
+// reads nothing of it, and says which is needed.
+func TestAPlanThatNeedsANewerBuild(t *testing.T) {
+	p := Plan{ID: "p", Services: []Service{{Name: "m", PrefillServers: 1, DecodeServers: 1}}, Needs: Format()}
+	val, err := Record(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := ReadPlan(message.Rec{Key: PlanKey, Val: val}); err != nil || got.Needs != Format() {
+		t.Errorf("needs what this build reads: %v, %+v", err, got)
+	}
+	p.Needs = Format() + 1
+	if val, err = Record(p); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadPlan(message.Rec{Key: PlanKey, Val: val}); err == nil || !strings.Contains(err.Error(), fmt.Sprintf("format %d", Format()+1)) {
+		t.Errorf("needs more: %v", err)
+	}
+	next, f := p.With(Changes{ID: "c", Changes: []Change{{Op: "set-needs"}}})
+	if f.Any() || next.Needs != 0 {
+		t.Errorf("needs nothing any more: %v %d", f, next.Needs)
+	}
+	for _, needs := range []int{-1, mostFormat + 1} {
+		if p.Needs = needs; !p.Check().Any() {
+			t.Errorf("a format of %d is in order", needs)
+		}
+	}
+}
--- /dev/null
+++ b/control/fleetconfig/format.go
@@ -0,0 +1,33 @@
+package fleetconfig
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// formatRead is the newest format of plans that this build reads; a test's build may
+// be told another.
+var formatRead = "1"
+
+// mostFormat bounds the format that a plan may need.
+const mostFormat = 1000
+
+// Format is the newest format of plans that this build reads and serves by. A plan
+// says which it needs; what a build can't read it serves nothing by.
+//
+// Example: if plan.Needs > fleetconfig.Format() { serveNothing() }
+func Format() int {
+	n, err := strconv.Atoi(formatRead)
+	if err != nil {
+		panic(err) // a build that doesn't know what it reads serves nothing
+	}
+	return n
+}
+
+// unfit gives the error of a plan that needs a newer format than this build reads.
+func (p Plan) unfit() error {
+	if p.Needs <= Format() {
+		return nil
+	}
+	return fmt.Errorf("it needs a build that reads format %d, and this one reads up to %d", p.Needs, Format())
+}
--- a/control/leader/job.go
+++ b/control/leader/job.go
@@ -52,7 +52,7 @@
 	}
 	switch op {
 	case "plan", "changes":
-		return planJob(plans, op, body)
+		return planJob(plans, by, op, body)
 	case "evacuate", "return":
 		return by.onceOnly(op+"/"+string(body), zoneJob(op, string(body))), ""
 	case "seat":
@@ -78,7 +78,7 @@
 	return j, fault
 }
 
-func planJob(plans *fleetconfig.PlanReader, op string, body []byte) (partition.Job, string) {
+func planJob(plans *fleetconfig.PlanReader, by ask, op string, body []byte) (partition.Job, string) {
 	var whole fleetconfig.Plan
 	var named fleetconfig.Changes
 	var f fleetconfig.Faults
@@ -101,10 +101,21 @@
 		next = func(p fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) { return p.With(named) }
 	}
 	return partition.Job{Keys: []string{fleetconfig.PlanKey}, Joins: true, Make: func(read lease.Source) ([]message.Rec, any) {
-		recs, verdict, err := fleetconfig.Decide(read, plans, id, base, number, next)
+		needs := 0
+		readable := func(p fleetconfig.Plan) (fleetconfig.Plan, fleetconfig.Faults) {
+			out, f := next(p)
+			if needs = out.Needs; by.reads > 0 && needs > by.reads && !f.Any() {
+				f.Add("needs: %d", needs) // it is not written; the answer below says why
+			}
+			return out, f
+		}
+		recs, verdict, err := fleetconfig.Decide(read, plans, id, base, number, readable)
 		if err != nil {
 			return nil, notClear(err)
 		}
+		if recs == nil && verdict.Result == "broken" && by.reads > 0 && needs > by.reads {
+			return nil, leadercall.Word{Result: "not done", Why: fmt.Sprintf("the plan needs a build that reads format %d, and there are daemons that read up to %d", needs, by.reads)}
+		}
 		return recs, verdict
 	}}, ""
 }
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -24,6 +24,9 @@
 	Works placement.Config
 	Keep  time.Duration // once keys are kept this long
 	Again time.Duration // for how long a caller may send an order again
+	// Reads tells the format of plans that all daemons of the fleet read; none: no
+	// plan is turned away for what it needs.
+	Reads func() int
 }
 
 // Line is something for the ring.
@@ -210,7 +213,11 @@
 		return m.wrap(partition.Out{})
 	}
 	m.orders.now = now
-	j, fault := job(&m.plans, askOf(n, &m.orders), n.Op, n.Body, m.replicas()...)
+	by := askOf(n, &m.orders)
+	if m.cfg.Reads != nil {
+		by.reads = m.cfg.Reads()
+	}
+	j, fault := job(&m.plans, by, n.Op, n.Body, m.replicas()...)
 	if fault != "" {
 		m.back(n, http.StatusBadRequest, leadercall.Pack(leadercall.Word{Result: "broken", Faults: []string{fault}}))
 		return m.wrap(partition.Out{})
--- a/control/leader/once.go
+++ b/control/leader/once.go
@@ -45,6 +45,7 @@
 	call   string      // names it over all its tries; "" where its daemon's build doesn't
 	on     message.Ver // the mark of what it changes that it was told; none: its daemon's build knows no marks
 	orders *orders
+	reads  int // the format of plans that all daemons read; 0: not known
 }
 
 func askOf(n message.Message, o *orders) ask {
--- a/control/leader/plan_test.go
+++ b/control/leader/plan_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"strings"
 	"testing"
 
 	"mulleinmast/control/fleetconfig"
@@ -52,3 +53,20 @@
 		}
 	}
 }
+
+// A plan that some daemon of the fleet couldn't read isn't taken, and nothing is written.
+func TestAPlanThatNotAllDaemonsRead(t *testing.T) {
+	none := func(key string) message.Rec { return message.Rec{Key: key, Dead: true} }
+	plan := fleetconfig.Plan{ID: "p", Services: []fleetconfig.Service{{Name: "m", PrefillServers: 1, DecodeServers: 1}}, Needs: 3}
+	for reads, taken := range map[int]bool{0: true, 1: false, 2: false, 3: true, 4: true} {
+		j, fault := job(new(fleetconfig.PlanReader), ask{reads: reads}, "plan", leadercall.Pack(plan))
+		if fault != "" {
+			t.Fatal(fault)
+		}
+		recs, word := j.Make(none)
+		w, refused := word.(leadercall.Word)
+		if (len(recs) > 0) != taken || refused == taken || refused && (w.Result != "not done" || !strings.Contains(w.Why, "format 3")) {
+			t.Errorf("daemons read up to %d: %d records, %+v", reads, len(recs), word)
+		}
+	}
+}
--- a/traffic/board/flow_test.go
+++ b/traffic/board/flow_test.go
@@ -24,7 +24,7 @@
 func newZone(t *testing.T, daemons int) *zone {
 	z := &zone{t: t, now: time.Second, boards: map[string]*Board{}, bytes: map[string]int{}}
 	for i := range daemons {
-		m := message.Member{Ident: fmt.Sprint("d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Zone: "north", Build: Build}
+		m := message.Member{Ident: fmt.Sprint("d", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Zone: "north", Build: "2/1"}
 		z.members = append(z.members, m)
 		z.boards[m.Ident] = New(told)
 	}
@@ -146,7 +146,7 @@
 	if n := z.until(3*inTurn, func() bool { return z.equal(deaf, servers) }); n > inTurn+2 {
 		t.Errorf("it knows all after %d tellings", n)
 	}
-	z.members = append(z.members, message.Member{Ident: "new", Addr: "10.0.0.99:1", Zone: "north", Build: Build})
+	z.members = append(z.members, message.Member{Ident: "new", Addr: "10.0.0.99:1", Zone: "north", Build: "2/1"})
 	z.boards["new"] = New(told)
 	if n := z.until(3*inTurn, func() bool { return z.equal("new", servers) }); n > inTurn+4 {
 		t.Errorf("one that joins knows all after %d tellings", n)
@@ -160,7 +160,7 @@
 	if Head(z.members, "north").Ident == z.members[old].Ident {
 		old = 1
 	}
-	z.members[old].Build = "1"
+	z.members[old].Build = before
 	for i := range 300 {
 		z.boards[Head(z.members, "north").Ident].Begin(server(i), 100, 1)
 	}
--- a/traffic/board/part.go
+++ b/traffic/board/part.go
@@ -20,9 +20,6 @@
 	wholePart
 )
 
-// Build is the first build that takes sheets which say what changed.
-const Build = "2"
-
 const (
 	mostUses = 128 // servers in one telling of what changed
 	inTurn   = 16  // tellings in which all servers come up, changed or not
@@ -35,8 +32,11 @@
 	turn uint64
 }
 
+// before is the last build that takes no sheets which say what changed.
+const before = "1"
+
 // takesParts tells whether a daemon takes sheets that say what changed.
-func takesParts(m message.Member) bool { return m.Build != "" && m.Build != "1" }
+func takesParts(m message.Member) bool { return m.Build != "" && m.Build != before }
 
 // part is what is told next of the present uses.
 func (t *telling) part(now map[uint64]Use) []Change {
