--- /dev/null
+++ b/proof/standin/mutants/rules.sh
@@ -0,0 +1,46 @@
+#!/usr/bin/env bash
+# Plants a fault at a time of those that keep a rule, an incarnation, a patch or a
+# telling in order, in a copy of the committed sources, and asks whether the named test
+# fails. Usage: proof/standin/mutants/rules.sh [NAME...]
+set -uo pipefail
+cd "$(dirname "$0")/../../.."
+source proof/standin/mutants/unit.sh
+
+guard=control/quorum/incarnation.go delta=control/lease/delta.go
+# rules of the users that no other script breaks
+mutant tries-unbounded traffic/forward TestNoMoreServersThanTries traffic/forward/trip.go 't.arrive >= t.most() ||' 't.arrive >= 9+t.most() ||'
+mutant whole-time platform TestARequestReachesTheServerAsItWasSent platform/exchange.go 'max(1, (due-e.now()).Milliseconds())' '3600000'
+mutant goes-on-for-nobody traffic/gateway TestAClientThatIsGone traffic/gateway/run.go 'for !m.Kind.Final() {
+		if ctx.Err() != nil || has.unread {' 'for !m.Kind.Final() {
+		if has.unread {'
+mutant past-give-up traffic/gateway TestTheTimeOfARequest traffic/gateway/gateway.go 'c.Due = at + time.Duration(r.GiveUp)*time.Millisecond' 'c.Due = at + time.Hour'
+mutant weights-passed-over traffic/route TestPickFollowsTheWeights traffic/route/route.go 'if at < s.Weight {' 'if at < 50*s.Weight {'
+mutant unready-at-changes control/daemon TestAChangeMakesNoDaemonUnready control/daemon/fleet.go 'return c.wasReady(c.Cfg.Sessions().Session)' 'return false'
+mutant prompts-count-as-waiting traffic/forward TestWhoWaitsTooLongIsRefused traffic/forward/admit.go 'may := max(t.Aim-t.took, t.Aim/2)' 'may := t.Aim - t.took'
+# incarnations
+mutant any-incarnation control/quorum TestWhichIncarnationsCount $guard 'if n.State.Epoch != 0 && precedes(n.State, known.State) {' 'if n.State.Epoch != 0 && false {'
+mutant blind-to-itself control/quorum TestWhatSupersedes $guard 'if !s.folder.descends(n.KnownState) {' 'if s.folder.descends(n.KnownState) && false {'
+mutant strangers-count control/quorum TestAStrangerSupersedesNobody $guard 'n.Known != 0 && s.trusted(n) &&' 'n.Known != 0 &&'
+mutant heard-too-early control/quorum TestAPeerIsToldBeforeItIsHeard $guard 'Addr: n.Addr}, o)
+	return false
+}' 'Addr: n.Addr}, o)
+	return true
+}'
+mutant not-asked-anew control/quorum TestAQuestionGoesToTheNextIncarnation $guard 'if !s.probed[to.Ident] {' 'if s.probed[to.Ident] {'
+mutant peers-in-memory-only control/quorum TestWhatIsKnownOfOthersIsSaved $guard 'if s.unsaved && now' 'if s.unsaved && s.quit && now'
+mutant leader-tells-nobody control/quorum TestALeaderTellsOfTheOthers control/quorum/lease.go '	s.tellPeers(&n)
+' ''
+mutant superseded-goes-on control/storage TestASupersededStateIsSetAside control/storage/aside.go 'return errSuperseded' 'return a.open(path, fleet)'
+mutant left-state-claims control/storage TestAStateThatIsLeftClaimsNothing control/storage/storage.go 'starts += restoredStarts' 'starts += 0'
+mutant spoilt-past-counts control/storage TestASpoiltPastClaimsNothing control/storage/load.go 'if r.Past != r.PastSum() {' 'if r.Past == 0 && r.PastSum() != 0 {'
+# what goes down the tree, joined changes, formats
+mutant patch-on-any-base control/lease TestASpoiltPatchIsNoRecord $delta 'err != nil || l.From != from.Ver' 'err != nil && l.From != from.Ver'
+mutant patches-end-at-relays control/lease TestAChangeCostsWhatItChanges $delta '	n.extend(r.Key, kept)
+' ''
+mutant patch-without-sum control/fleetconfig TestAPatchFitsOnlyItsBase control/fleetconfig/codec.go 'zstd.WithEncoderLevel(zstd.SpeedFastest),' 'zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderCRC(false),'
+mutant refused-by-what-is-lost control/partition TestWhatWasJoinedIsLostTogether control/partition/batch.go 'case j.none && f == Done:' 'case j.none:'
+mutant format-not-asked control/leader TestAPlanThatNotAllDaemonsRead control/leader/job.go 'by.reads > 0 && needs > by.reads && !f.Any()' 'by.reads > 9 && needs > by.reads && !f.Any()'
+# what is told of the servers' load
+mutant all-is-told traffic/board TestWhatADaemonIsToldIsBounded traffic/board/tell.go 'if !takesParts(to) {' 'if takesParts(to) {'
+mutant never-in-turn traffic/board TestWhoMissedATellingKnowsAllInTurn traffic/board/part.go 'key%inTurn == t.turn%inTurn &&' 'key%inTurn == t.turn%inTurn && t.turn == 0 &&'
+exit $missed
