--- a/proof/standin/mutants/rules.sh
+++ b/proof/standin/mutants/rules.sh
@@ -9,7 +9,7 @@
 guard=control/quorum/incarnation.go delta=control/lease/delta.go
 # rules of the users that no other script breaks
 mutant tries-unbounded traffic/forward TestNoMoreServersThanTries traffic/forward/trip.go 't.arrive >= t.most() ||' 't.arrive >= 9+t.most() ||'
-mutant whole-time platform TestARequestReachesTheServerAsItWasSent platform/exchange.go 'max(1, (due-e.now()).Milliseconds())' '3600000'
+mutant whole-time platform TestAServerIsHandedTheTimeThatIsLeft platform/exchange.go 'max(1, (due-e.now()).Milliseconds())' '3600000'
 mutant goes-on-for-nobody traffic/gateway TestAClientThatIsGone traffic/gateway/run.go 'for !m.Kind.Final() {
 		if ctx.Err() != nil || has.unread {' 'for !m.Kind.Final() {
 		if has.unread {'
