--- a/proof/standin/mutants/rules.sh
+++ b/proof/standin/mutants/rules.sh
@@ -13,9 +13,9 @@
 mutant goes-on-for-nobody traffic/gateway TestAClientThatIsGone traffic/gateway/run.go 'for !m.Kind.Final() {
 		if ctx.Err() != nil || has.unread {' 'for !m.Kind.Final() {
 		if has.unread {'
-mutant past-give-up traffic/gateway TestTheTimeOfARequest traffic/gateway/gateway.go 'c.Due = at + time.Duration(r.GiveUp)*time.Millisecond' 'c.Due = at + time.Hour'
+mutant past-give-up traffic/gateway TestARequestIsGivenUpWhenItsRouteSaysSo traffic/gateway/gateway.go 'c.Due = at + time.Duration(r.GiveUp)*time.Millisecond' 'c.Due = at + time.Hour'
 mutant weights-passed-over traffic/route TestPickFollowsTheWeights traffic/route/route.go 'if at < s.Weight {' 'if at < 50*s.Weight {'
-mutant unready-at-changes control/daemon TestAChangeMakesNoDaemonUnready control/daemon/fleet.go 'return c.wasReady(c.Cfg.Sessions().Session)' 'return false'
+mutant unready-at-changes control/daemon TestAChangeMakesNoDaemonUnready control/daemon/host.go ' || c.wasReady(c.Cfg.Vol())' ''
 mutant prompts-count-as-waiting traffic/forward TestWhoWaitsTooLongIsRefused traffic/forward/admit.go 'may := max(t.Aim-t.took, t.Aim/2)' 'may := t.Aim - t.took'
 # incarnations
 mutant any-incarnation control/quorum TestWhichIncarnationsCount $guard 'if n.State.Epoch != 0 && precedes(n.State, known.State) {' 'if n.State.Epoch != 0 && false {'
--- a/proof/standin/mutants/unit.sh
+++ b/proof/standin/mutants/unit.sh
@@ -11,7 +11,7 @@
 	mkdir -p "$src" && git archive HEAD | tar x -C "$src"
 	OLD=$5 NEW=$6 perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/ or die "no such place\n"' "$src/$file" 2>"$out" || { echo "$name: does not apply to $file"; missed=1; return 0; }
 	(cd "$src" && go vet "./$package") >"$out" 2>&1 || { echo "$name: does not build: $(tail -1 "$out")"; missed=1; return 0; }
-	if (cd "$src" && go test "./$package" -run "$test" -count=1) >"$out" 2>&1; then
+	if (cd "$src" && go test "./$package" -run "$test" -count=1 -timeout 90s) >"$out" 2>&1; then
 		echo "$name: NOT CAUGHT by $test"
 		missed=1
 	else
--- a/traffic/gateway/gateway_test.go
+++ b/traffic/gateway/gateway_test.go
@@ -317,6 +317,28 @@
 	}
 }
 
+// However long its client would wait, a request is given up when its route says so:
+// no server is given more time.
+func TestARequestIsGivenUpWhenItsRouteSaysSo(t *testing.T) {
+	const giveUp = 5 * time.Second // of the routes here
+	g, _ := gate()
+	for _, left := range []time.Duration{0, time.Hour, time.Second} {
+		var until time.Duration
+		f := &fake{write: func(_ int, _ context.Context, m forward.Move, _ string) (Answer, forward.Outcome) {
+			until = m.Until - g.c.Now()
+			return nil, forward.Lost
+		}}
+		serve(t, f, "/stream/", &ears{}, func(q *Request) { q.Left = left })
+		most := giveUp
+		if left > 0 {
+			most = min(most, left)
+		}
+		if until <= most/2 || until > most {
+			t.Errorf("a client that waits %v: given up after %v", left, until)
+		}
+	}
+}
+
 // Only a stream whose last event the client can be told of goes on elsewhere;
 // what else has begun can't be joined.
 func TestWhatCanNotBeTakenUpElsewhere(t *testing.T) {
