The two simulations share one queue of events; one comparison of folders' states

proof/overload had written proof/sim's queue again. Both use proof/eventqueue; copies.go compared stamps in two places.

--- a/proof/overload/overload.go
+++ b/proof/overload/overload.go
@@ -6,13 +6,13 @@
 package overload
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"time"
 
 	"mulleinmast/control/daemon"
 	"mulleinmast/control/placement"
+	"mulleinmast/proof/eventqueue"
 	"mulleinmast/traffic/board"
 	"mulleinmast/traffic/forward"
 	"mulleinmast/traffic/gateway"
@@ -125,46 +125,6 @@
 	return -1
 }
 
-type event struct {
-	at time.Duration
-	no int
-	do func()
-}
-
-type events []event
-
-// Len is for container/heap.
-//
-// Example: q.Len() == 0
-func (q events) Len() int { return len(q) }
-
-// Less is for container/heap.
-//
-// Example: q.Less(0, 1)
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].no < q[j].no
-}
-
-// Swap is for container/heap.
-//
-// Example: q.Swap(0, 1)
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push is for container/heap.
-//
-// Example: heap.Push(&q, e)
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop is for container/heap.
-//
-// Example: e := heap.Pop(&q).(event)
-func (q *events) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 const (
 	service = "models"
 	hop     = time.Millisecond // one way, everywhere
@@ -176,8 +136,7 @@
 	cfg     daemon.Config
 	rng     *rand.Rand
 	now     time.Duration
-	queue   events
-	no      int
+	queue   eventqueue.Queue
 	servers []*server
 	daemons []*front
 	gen     uint64
@@ -212,10 +171,13 @@
 	for _, c := range o.Classes {
 		w.arrive(c)
 	}
-	for len(w.queue) > 0 && w.now < o.Length {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for w.now < o.Length {
+		at, do, ok := w.queue.Next()
+		if !ok {
+			break
+		}
+		w.now = at
+		do()
 	}
 	return w.result
 }
@@ -223,8 +185,7 @@
 func zoneOf(i int) string { return fmt.Sprint("zone-", i%3) }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.no++
-	heap.Push(&w.queue, event{w.now + max(0, d), w.no, do})
+	w.queue.Add(w.now+max(0, d), do)
 }
 
 // arrive brings the next request of a class, and the one after it.
--- a/proof/sim/copies.go
+++ b/proof/sim/copies.go
@@ -25,13 +25,18 @@
 // latest is the stamp of a folder's state.
 func (f *folder) latest() (s message.Stamp) {
 	for _, m := range f.meta {
-		if incarnation.Starts(m.State.Epoch) > incarnation.Starts(s.Epoch) || m.State.Epoch == s.Epoch && m.State.Saves > s.Saves {
+		if later(m.State, s) {
 			s = m.State
 		}
 	}
 	return s
 }
 
+// later tells whether one state of a folder came after another.
+func later(a, b message.Stamp) bool {
+	return incarnation.Starts(a.Epoch) > incarnation.Starts(b.Epoch) || a.Epoch == b.Epoch && a.Saves > b.Saves
+}
+
 // copyFolder copies a core machine's disk, and starts the copy some time later.
 func (w *world) copyFolder(n *node, beside bool) {
 	for n.gone || !n.hasDisk || n.disk == nil {
@@ -94,8 +99,7 @@
 			continue
 		}
 		for _, known := range n.disk.meta[p].Peers {
-			s := known.State
-			if known.Ident == of && (s.Epoch == than.Epoch && s.Saves > than.Saves || incarnation.Starts(s.Epoch) > incarnation.Starts(than.Epoch)) {
+			if known.Ident == of && later(known.State, than) {
 				return true
 			}
 		}
--- a/proof/sim/fault.go
+++ b/proof/sim/fault.go
@@ -1,7 +1,6 @@
 package sim
 
 import (
-	"container/heap"
 	"fmt"
 	"mulleinmast/control/digest"
 	"slices"
@@ -281,10 +280,7 @@
 // does at some moment of a short while, or it differs for good.
 func (w *world) copies() {
 	last := w.differing()
-	for end := w.now + settleFor; len(last) > 0 && len(w.q) > 0 && w.now < end; {
-		it := heap.Pop(&w.q).(item)
-		w.now = it.at
-		it.f()
+	for end := w.now + settleFor; len(last) > 0 && w.now < end && w.step(); {
 		now := w.differing()
 		last = slices.DeleteFunc(last, func(x string) bool { return !slices.Contains(now, x) })
 	}
--- a/proof/sim/sim.go
+++ b/proof/sim/sim.go
@@ -4,64 +4,22 @@
 package sim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"mulleinmast/control/daemon"
 	"mulleinmast/control/fleetconfig"
+	"mulleinmast/proof/eventqueue"
 	"mulleinmast/proof/history"
 	"mulleinmast/proof/judge"
 	"time"
 )
 
-type item struct {
-	at time.Duration
-	no int
-	f  func()
-}
-
-type queue []item
-
-// Len is for container/heap.
-//
-// Example: q.Len() == 0
-func (q queue) Len() int { return len(q) }
-
-// Less is for container/heap.
-//
-// Example: q.Less(0, 1)
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].no < q[j].no
-}
-
-// Swap is for container/heap.
-//
-// Example: q.Swap(0, 1)
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push is for container/heap.
-//
-// Example: heap.Push(&q, it)
-func (q *queue) Push(x any) { *q = append(*q, x.(item)) }
-
-// Pop is for container/heap.
-//
-// Example: it := heap.Pop(&q).(item)
-func (q *queue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	old[len(old)-1] = item{}
-	*q = old[:len(old)-1]
-	return x
-}
-
 type world struct {
 	o       Options
 	cfg     daemon.Config
 	rng     *rand.Rand
 	now     time.Duration
-	q       queue
-	no      int
+	q       eventqueue.Queue
 	nodes   []*node
 	cut     map[[2]string]bool
 	res     Result
@@ -116,13 +74,7 @@
 	if o.Many > 0 {
 		w.at(6*time.Second, w.events)
 	}
-	for len(w.q) > 0 && w.now < o.Length {
-		it := heap.Pop(&w.q).(item)
-		w.now = it.at
-		it.f()
-		if len(w.res.History) > 400000 {
-			break
-		}
+	for w.now < o.Length && w.step() && len(w.res.History) <= 400000 {
 	}
 	w.last()
 	w.res.Renewal = w.cost / time.Duration(max(1, w.costs))
@@ -141,8 +93,17 @@
 }
 
 func (w *world) at(d time.Duration, f func()) {
-	w.no++
-	heap.Push(&w.q, item{w.now + d, w.no, f})
+	w.q.Add(w.now+d, f)
+}
+
+// step lets the next thing happen, if there is any.
+func (w *world) step() bool {
+	at, do, ok := w.q.Next()
+	if ok {
+		w.now = at
+		do()
+	}
+	return ok
 }
 
 func (w *world) exp(mean time.Duration) time.Duration {
