--- a/control/lease/delta.go
+++ b/control/lease/delta.go
@@ -32,16 +32,13 @@
 // mostLinks is how many changes of a record a parent has patches for.
 const mostLinks = 32
 
-// link leads from one version of a record to the next.
-type link = message.Link
-
 // delta is what a node knows of changes: as a child the values that it held last, as
 // a parent the patches that lead from earlier versions to the present one.
 type delta struct {
 	codec Codec // none: all is sent whole
 	least int
 	bases map[string]base
-	links map[string][]link
+	links map[string][]message.Link
 	whole map[string]message.Rec // as they go to those who hold none
 
 	SentChanges, SentWhole int // records that went to children as what changed, and whole
@@ -58,7 +55,7 @@
 // Example: node.UseCodec(fleetconfig.Codec{}, lease.LeastDelta)
 func (n *Node) UseCodec(c Codec, least int) {
 	n.least = least
-	n.codec, n.bases, n.links, n.whole = c, map[string]base{}, map[string][]link{}, map[string]message.Rec{}
+	n.codec, n.bases, n.links, n.whole = c, map[string]base{}, map[string][]message.Link{}, map[string]message.Rec{}
 }
 
 // retire keeps a value that is withdrawn, to take the next one as what changed.
@@ -115,13 +112,13 @@
 		list = nil
 	}
 	if patch := n.codec.Patch(b.rec.Val, rec.Val); patch != nil {
-		n.extend(rec.Key, list, link{From: b.rec.Ver, To: rec.Ver, Patch: patch})
+		n.extend(rec.Key, list, message.Link{From: b.rec.Ver, To: rec.Ver, Patch: patch})
 	} else {
 		delete(n.links, rec.Key)
 	}
 }
 
-func (n *Node) extend(key string, list []link, more ...link) {
+func (n *Node) extend(key string, list []message.Link, more ...message.Link) {
 	list = append(slices.Clone(list), more...)
 	n.links[key] = list[max(0, len(list)-mostLinks):]
 }
@@ -152,9 +149,9 @@
 
 // between are the links from one version to another, if they are all there and
 // shorter than the whole would be.
-func (n *Node) between(key string, from, to message.Ver) []link {
+func (n *Node) between(key string, from, to message.Ver) []message.Link {
 	list := n.links[key]
-	first := slices.IndexFunc(list, func(l link) bool { return l.From == from })
+	first := slices.IndexFunc(list, func(l message.Link) bool { return l.From == from })
 	if first < 0 || list[len(list)-1].To != to {
 		return nil
 	}
