--- a/proof/standin/scene/copies.go
+++ b/proof/standin/scene/copies.go
@@ -104,7 +104,7 @@
 	w.Fleet.Remove(gone)
 	w.Fleet.Term(stopped)
 	w.Until(ctx, w.Bounds.Grace+time.Second, stopped.Name+" has ended", func() bool { return !stopped.Up() })
-	w.Until(ctx, w.Bounds.Recovery, successor.Name+" counts", func() bool { return w.Counts(successor) })
+	w.untilCount(ctx, successor)
 	w.Pass(ctx, catchUp)
 	w.Fleet.Kill(wiped)
 	if err := w.Fleet.Wipe(wiped); err != nil {
@@ -113,9 +113,7 @@
 	w.up(wiped)
 	w.up(stopped)
 	w.ready(ctx, "all are back")
-	for _, m := range w.Fleet.Core() {
-		w.Until(ctx, w.Bounds.Recovery, m.Name+" counts", func() bool { return w.Counts(m) })
-	}
+	w.untilCount(ctx, w.Fleet.Core()...)
 	if c := w.another(ctx, "after-all"); c.Status != 200 {
 		w.Fail("a change was not taken: %d", c.Status)
 	}
@@ -139,6 +137,13 @@
 	return true
 }
 
+// untilCount waits until machines with a disk have a vote in every partition.
+func (w *World) untilCount(ctx context.Context, list ...*fleet.Machine) {
+	for _, m := range list {
+		w.Until(ctx, w.Bounds.Recovery, m.Name+" counts", func() bool { return w.Counts(m) })
+	}
+}
+
 // watched has machines asked for the configuration all the time while something
 // goes on.
 func (w *World) watched(ctx context.Context, list []*fleet.Machine, meanwhile func()) {
--- a/proof/standin/scene/folders.go
+++ b/proof/standin/scene/folders.go
@@ -60,9 +60,7 @@
 	w.up(copied)
 	w.up(away)
 	w.ready(ctx, "all are back")
-	for _, m := range w.Fleet.Core() {
-		w.Until(ctx, w.Bounds.Recovery, m.Name+" counts", func() bool { return w.Counts(m) })
-	}
+	w.untilCount(ctx, w.Fleet.Core()...)
 	w.probe(ctx, "/missed-0/", true)
 	w.changes(ctx, "after-all", 1)
 }
@@ -142,9 +140,7 @@
 		w.up(old[1])
 		w.ready(ctx, "all are back")
 	})
-	for _, m := range w.Fleet.Core() {
-		w.Until(ctx, w.Bounds.Recovery, m.Name+" counts", func() bool { return w.Counts(m) })
-	}
+	w.untilCount(ctx, w.Fleet.Core()...)
 	w.probe(ctx, "/hours-later-3/", true)
 	w.changes(ctx, "after-all", 1)
 }
@@ -166,7 +162,7 @@
 		return
 	}
 	w.ready(ctx, to.Name+" is in")
-	w.Until(ctx, w.Bounds.Recovery, to.Name+" counts", func() bool { return w.Counts(to) })
+	w.untilCount(ctx, to)
 	if w.superseded(to) {
 		w.Fail("%s is superseded", to.Name)
 	}
