--- a/proof/standin/client/load.go
+++ b/proof/standin/client/load.go
@@ -22,7 +22,8 @@
 	Actors  int     // clients that keep their connections
 	Zones   []string
 	Seed    int64
-	Name    string // begins the ids of its tries
+	Name    string   // begins the ids of its tries
+	Keys    []string // of tenants, one for each client in turn; none: clients send no key
 }
 
 // Load is a crowd of clients.
@@ -54,6 +55,7 @@
 	keep bool
 	line *line
 	rng  *rand.Rand
+	key  string // of its tenant
 }
 
 // Run sends requests until the context ends, and waits for their ends.
@@ -88,6 +90,9 @@
 		default:
 			c = &client{name: fmt.Sprintf("%s-new-%d", l.Name, n), zone: l.Zones[rng.Intn(len(l.Zones))], rng: rand.New(rand.NewSource(rng.Int63()))}
 		}
+		if c.key == "" && len(l.Keys) > 0 {
+			c.key = l.Keys[n%len(l.Keys)]
+		}
 		a := pick(*l.asks.Load(), c.rng)
 		l.wait.Go(func() {
 			l.request(context.WithoutCancel(ctx), c, a)
@@ -116,7 +121,7 @@
 func (l *Load) message(c *client, a Ask) message {
 	m := message{
 		Ask: a, host: a.Route.Host, method: "POST", target: fmt.Sprintf("%s%s?n=%d", a.Route.Start, a.Path, c.rng.Intn(1000)), chunked: c.rng.Intn(4) == 0,
-		body: strings.Repeat("prompt ", 1+c.rng.Intn(60)),
+		body: strings.Repeat("prompt ", 1+c.rng.Intn(60)), key: c.key,
 	}
 	if a.In > 0 {
 		var parts []string
@@ -220,7 +225,7 @@
 	now := l.log.Now()
 	t := &record.Try{
 		ID: m.id, Daemon: d.Name, Life: d.Life, Host: m.host, Target: m.target, Method: m.method, Body: server.Digest([]byte(m.body)), Route: m.Route.Name,
-		Resume: m.after, Prompt: m.prompt(), Sent: now, Deadline: now + time.Until(until),
+		Resume: m.after, Prompt: m.prompt(), Key: m.key, Sent: now, Deadline: now + time.Until(until),
 	}
 	l.log.Do(func(a *record.All) { a.Tries = append(a.Tries, t) })
 	return t
@@ -230,8 +235,27 @@
 //
 // Example: t := l.Probe(ctx, daemon, "new.example", "/a/", route)
 func (l *Load) Probe(ctx context.Context, d entry.Daemon, host, path string, r wire.Route) *record.Try {
+	key := ""
+	if len(l.Keys) > 0 {
+		key = l.Keys[0]
+	}
+	return l.ProbeAs(ctx, d, host, path, r, Identity{Key: key})
+}
+
+// Identity is what a client says of itself.
+type Identity struct {
+	Key    string // none: it sends none
+	Tenant string // that it claims to be, which no client may; none: it claims nothing
+}
+
+// ProbeAs is Probe with a key.
+//
+// Example: t := l.ProbeAs(ctx, daemon, "new.example", "/a/", route, client.Identity{Key: "unknown"})
+func (l *Load) ProbeAs(
+	ctx context.Context, d entry.Daemon, host, path string, r wire.Route, who Identity,
+) *record.Try {
 	until := time.Now().Add(2 * time.Second)
-	m := &message{Ask: Ask{Route: r}, id: fmt.Sprintf("%sprobe%06x", l.Name, l.ids.Add(1)), host: host, method: "POST", target: path + "probe", body: "probe", left: 2 * time.Second}
+	m := &message{Ask: Ask{Route: r}, id: fmt.Sprintf("%sprobe%06x", l.Name, l.ids.Add(1)), host: host, method: "POST", target: path + "probe", body: "probe", left: 2 * time.Second, key: who.Key, tenant: who.Tenant}
 	to, err := dial(ctx, d)
 	if err != nil {
 		return nil
--- a/proof/standin/client/try.go
+++ b/proof/standin/client/try.go
@@ -75,6 +75,8 @@
 	after      int
 	left       time.Duration
 	extra      string // more lines of the head
+	key        string // of its tenant; none: it sends none
+	tenant     string // that it claims to be; none: it claims nothing
 	halfCloses bool   // the client closes its side once the request is out
 }
 
@@ -95,6 +97,12 @@
 	if m.after > 0 {
 		fmt.Fprintf(&b, "%s: %d\r\n", wire.LastEvent, m.after)
 	}
+	if m.key != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", wire.Key, m.key)
+	}
+	if m.tenant != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", wire.Tenant, m.tenant)
+	}
 	b.WriteString(m.extra)
 	b.WriteString("X-Note: kept\r\nCookie: a=1\r\n")
 	if m.chunked {
--- a/proof/standin/fleet/settings.go
+++ b/proof/standin/fleet/settings.go
@@ -41,7 +41,7 @@
 		say("data-folder = %q", f.folder(m))
 	}
 	say("discovered-by = \"cloud_api\"\nentry-kind = \"shared_address\"\nbeat-every-ms = 1200\nnew-field = {a = 1}")
-	say("rules-in-force = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"split\",\"stream\",\"engine\",\"places\"]")
+	say("rules-in-force = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"split\",\"stream\",\"engine\",\"places\",\"tenants\",\"quota\"]")
 	say("[zones]")
 	for _, z := range f.Zones {
 		say("%s = \"one\"", z)
@@ -54,6 +54,8 @@
 		ms(t.InTouch), ms(f.Ack), ms(t.Drain), sec(t.Grace), ms(t.LostSlack), ms(t.Apply), ms(t.GoBack))
 	say("retry-ratio = %v\nretry-window-s = %s\nretry-slack = %d\ncold-overrun = %v\ncold-slack = %v\nevacuate-ms = %d\nrecovery-s = %s\ntransit-ms = 120\nchecks-fence = %v\nlease-length-ms = %d\nthaw-slack-ms = 300",
 		t.RetryRatio, sec(t.RetryWindow), t.RetrySlack, t.ColdOverrun, t.ColdSlack, ms(t.Evacuate), sec(t.Recovery), t.ChecksFence, ms(t.Lease))
+	say("revoked-fail = false\nrevoke-within-ms = 5000\nquota-window-s = %s\nquota-overrun = %v\nquota-slack = %v",
+		sec(t.QuotaWindow), t.QuotaOverrun, t.QuotaSlack)
 	say("[cloud-api]\naddress = %q\nrate-per-s = %v\nduties = []\nmax-lag-ms = %d", f.Cloud, f.Rate, ms(f.Lag))
 	return b.String()
 }
--- a/proof/standin/record/record.go
+++ b/proof/standin/record/record.go
@@ -44,6 +44,7 @@
 	GaveUp   bool          // the client itself ended it
 	Left     time.Duration // the client closed its connection then, before the end; 0: it didn't
 	Prompt   string        // model, tokens and parts, as the client sent them
+	Key      string        // that the client sent; none: it sent none
 }
 
 // Promised tells whether the answer promises that the request has not run.
@@ -97,6 +98,8 @@
 	Last     bool
 	ClientID string // kept for messages
 	Prompt   string // model, tokens and parts, as the server got them
+	Tenant   string // that the server was told
+	Key      string // of the client, which no server should get
 }
 
 // Life is one life of a server.
--- a/proof/standin/rules/rules.go
+++ b/proof/standin/rules/rules.go
@@ -30,7 +30,11 @@
 	ColdOverrun float64       // what a cold server's rate is multiplied by
 	ColdSlack   float64       // requests that are allowed beyond that
 	ChecksFence bool          // servers check fences themselves: a lower one is no fault
-	Core        int           // machines that make up the core; 0: as many as keep it settled
+
+	QuotaWindow  time.Duration // the limit of a tenant holds in every window of this length; 0: no limits are checked
+	QuotaOverrun float64       // a part of the limit that is allowed beyond it
+	QuotaSlack   float64       // requests that are allowed beyond that
+	Core         int           // machines that make up the core; 0: as many as keep it settled
 }
 
 // Broken is one rule broken once.
@@ -74,6 +78,11 @@
 	{"RECOVER", checkRecovery},
 	{"GONE", checkClientsLeft},
 	{"LOST", checkClosed},
+	{"UNASKED", checkTenants},
+	{"ROUTE", checkKeys},
+	{"CONFIG", checkKeysApplied},
+	{"DENIED", checkKeysKnown},
+	{"QUOTA", checkQuotas},
 }
 
 const maxReported = 20 // of one check
--- a/proof/standin/rules/rules_test.go
+++ b/proof/standin/rules/rules_test.go
@@ -28,6 +28,10 @@
 	RetrySlack:  2,
 	ColdOverrun: 1.5,
 	ColdSlack:   1,
+
+	QuotaWindow:  5 * s,
+	QuotaOverrun: 0.1,
+	QuotaSlack:   20,
 }
 
 var routes = []wire.Route{
@@ -49,9 +53,13 @@
 // daemons, four servers, a request of each route every second.
 func day() *record.All {
 	a := &record.All{End: 60 * s}
-	first := wire.Config{Version: 5, Routes: routes}
+	first := wire.Config{Version: 5, Routes: routes, Customers: []wire.Customer{
+		{Name: "ten", Keys: []string{"k", "old"}, Rate: 10, Burst: 2}, {Name: "free", Keys: []string{"f"}},
+	}}
 	added := wire.Route{Name: "new", Host: "h", Start: "/new/", Kind: wire.Safe, GiveUpMs: 3000, Service: "one"}
-	next := wire.Config{Version: 9, Routes: append(append([]wire.Route{}, routes...), added)}
+	next := wire.Config{Version: 9, Routes: append(append([]wire.Route{}, routes...), added), Customers: []wire.Customer{
+		{Name: "ten", Keys: []string{"k"}, Rate: 10, Burst: 2}, {Name: "free", Keys: []string{"f"}},
+	}}
 	a.Changes = []*record.Change{
 		{Version: 5, Sent: 1, Done: s / 2, Status: 200, Valid: true, Config: packed(first)},
 		{Version: 9, Base: 5, Sent: 30 * s, Done: 30*s + s/2, Status: 200, Valid: true, Config: packed(next)},
@@ -101,6 +109,7 @@
 		Complete: true,
 		Length:   4,
 		Digest:   9,
+		Key:      "k",
 	}
 	arr := &record.Arrival{
 		At:      at + s/50,
@@ -120,6 +129,7 @@
 		Whole:   true,
 		Length:  4,
 		Digest:  9,
+		Tenant:  "ten",
 	}
 	if r.Kind == wire.Streaming {
 		for k := 1; k <= 3; k++ {
@@ -195,6 +205,28 @@
 	{"UNASKED", "another path", func(a *record.All) { _, x := of(a, "safe", 0); x.Target = "/safe/y?q=1" }},
 	{"UNASKED", "another body", func(a *record.All) { _, x := of(a, "safe", 0); x.Body++ }},
 	{"UNASKED", "another method", func(a *record.All) { _, x := of(a, "safe", 0); x.Method = "GET" }},
+	{"UNASKED", "another tenant", func(a *record.All) { _, x := of(a, "safe", 0); x.Tenant = "free" }},
+	{"UNASKED", "no tenant, and its prompt was only read", func(a *record.All) {
+		_, x := of(a, "stream", 0)
+		again(a, x, func(x *record.Arrival) { x.Out, x.Run, x.Seal, x.Tenant = record.Read, "", "", "" })
+	}},
+	{"UNASKED", "the key shown to a server", func(a *record.All) { _, x := of(a, "safe", 0); x.Key = "k" }},
+	{"ROUTE", "a key that nobody ever had", func(a *record.All) {
+		t, x := of(a, "safe", 0)
+		t.Key, x.Tenant = "guessed", "ten"
+	}},
+	{"ROUTE", "no key", func(a *record.All) { t, _ := of(a, "safe", 0); t.Key = "" }},
+	{"CONFIG", "a key that was taken away", func(a *record.All) { t, _ := of(a, "safe", 40*s); t.Key = "old" }},
+	{"DENIED", "401 for a key that stands", func(a *record.All) {
+		t, x := of(a, "safe", 0)
+		t.Status, t.Seal, x.Out = 401, "", record.Away
+	}},
+	{"QUOTA", "more than a tenant's limit in a window", func(a *record.All) {
+		_, x := of(a, "safe", 20*s)
+		for i := range 60 {
+			again(a, x, func(x *record.Arrival) { x.At += time.Duration(i) * s / 20 })
+		}
+	}},
 	{"UNASKED", "another prompt", func(a *record.All) { _, x := of(a, "stream", 0); x.Prompt = "other 1,2 a:1" }},
 	{"GONE", "requests that reach servers late", func(a *record.All) {
 		for _, t := range a.Tries[:8] {
--- a/proof/standin/scene/scenes.go
+++ b/proof/standin/scene/scenes.go
@@ -22,7 +22,7 @@
 var Scenes = map[string]Scene{
 	"calm": calm, "roll": roll, "kill-leader": killLeader, "freeze-leader": freezeLeader, "lost-disk": lostDisk, "seeds": seeds, "end": closing,
 	"release": release, "crash": crash, "dark": dark, "garble": garble, "lapse": lapse, "stale-list": staleList, "pressed": pressed, "cold": cold,
-	"evacuate": evacuate, "config": config, "race": race, "repeats": repeats, "storm": storm, "cut-off": cutOff, "answers": answers, "back-up": backUp, "restored": restored, "old-copy": oldCopy, "copy-beside": copyBeside, "old-majority": oldMajority, "moved": moved, "stop-beside-loss": stopBesideLoss,
+	"evacuate": evacuate, "config": config, "race": race, "repeats": repeats, "storm": storm, "cut-off": cutOff, "answers": answers, "back-up": backUp, "restored": restored, "old-copy": oldCopy, "copy-beside": copyBeside, "old-majority": oldMajority, "moved": moved, "stop-beside-loss": stopBesideLoss, "tenants": tenants,
 }
 
 // Names lists the scenes.
--- a/proof/standin/scene/world.go
+++ b/proof/standin/scene/world.go
@@ -37,6 +37,9 @@
 	Short   bool    // scenes that go on for long do less
 	Rate    float64 // requests a second
 	Seed    int64
+	// Customers are those of the first configuration; clients come with their first keys in turn. None: clients
+	// need no key.
+	Customers []wire.Customer
 }
 
 // Zones are the places of every deployment here.
@@ -50,6 +53,7 @@
 	return rules.Bounds{
 		InTouch: d(3000), Drain: d(3000), Grace: max(d(8000), 4500*time.Millisecond), LostSlack: 200 * time.Millisecond, Apply: d(2000), GoBack: 250 * time.Millisecond,
 		Evacuate: d(5000), Recovery: d(12000), Lease: d(3000), RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdOverrun: 1.5, ColdSlack: 5,
+		QuotaWindow: 5 * time.Second, QuotaOverrun: 0.1, QuotaSlack: 20,
 	}
 }
 
@@ -129,7 +133,13 @@
 	}, w.Log)
 	w.Door = entry.New(w.Fleet.Daemons)
 	w.Op = operator.New(w.Log, w.Fleet.Daemons, 20*time.Second)
-	w.Load = client.New(client.Config{Rate: c.Rate, Further: 2, Actors: 12, Zones: Zones, Seed: c.Seed, Name: fmt.Sprintf("%04x", c.Seed&0xffff)}, w.Log, w.Door)
+	crowd := client.Config{
+		Rate: c.Rate, Further: 2, Actors: 12, Zones: Zones, Seed: c.Seed, Name: fmt.Sprintf("%04x", c.Seed&0xffff),
+	}
+	for _, customer := range c.Customers {
+		crowd.Keys = append(crowd.Keys, customer.Keys[0])
+	}
+	w.Load = client.New(crowd, w.Log, w.Door)
 	for i := range 6 {
 		if _, err := w.Serve("gen", Zones[i%3], []string{wire.Reading, wire.Writing}[i/3], 0); err != nil {
 			return w, err
@@ -273,7 +283,7 @@
 		r.GiveUpMs, r.TargetMs, r.GapMs, r.Tries, r.Urgency = 5000, 800, 250, 3, len(c.Routes)
 		c.Routes = append(c.Routes, r)
 	}
-	w.Routes = c.Routes
+	w.Routes, c.Customers = c.Routes, w.Customers
 	return c
 }
 
--- a/proof/standin/server/request.go
+++ b/proof/standin/server/request.go
@@ -51,6 +51,7 @@
 		At: s.log.Now(), Server: s.ID, Service: s.Service, Zone: s.Zone, Attempt: req.Header.Get(wire.Attempt), Host: req.Host, Target: req.RequestURI,
 		Method: req.Method, Body: Digest(req.body), Reading: req.Header.Get(wire.Stage) == wire.Reading, Memory: req.Header.Get(wire.Memory),
 		Prompt: req.Header.Get(wire.Model) + " " + req.Header.Get(wire.Tokens) + " " + req.Header.Get(wire.Prefix),
+		Tenant: req.Header.Get(wire.Tenant), Key: req.Header.Get(wire.Key),
 	}
 	at.After, _ = strconv.Atoi(req.Header.Get(wire.LastEvent))
 	s.log.Do(func(a *record.All) { a.Arrivals = append(a.Arrivals, at) })
--- a/proof/standin/wire/wire.go
+++ b/proof/standin/wire/wire.go
@@ -24,6 +24,8 @@
 	LastEvent = "Last-Event-Id"
 	RetryIn   = "Retry-After"
 	Encoding  = "Content-Encoding"
+	Tenant    = "X-Mulleinmast-Tenant"
+	Key       = "Api-Key"
 
 	Events = "text/event-stream"
 )
@@ -131,6 +133,7 @@
 	Sticky   bool       `json:"stick-to-server"`
 	Resume   bool       `json:"can-resume"`
 	GapMs    int        `json:"gap-target-ms,omitempty"`
+	Public   bool       `json:"public"`
 }
 
 // Services lists where a route may send requests.
@@ -177,6 +180,15 @@
 	Runtime  *Runtime `json:"runtime,omitempty"`
 }
 
+// Customer is a tenant: an item of a configuration.
+type Customer struct {
+	Name    string   `json:"name"`
+	Keys    []string `json:"api-keys"`
+	Urgency *int     `json:"urgency,omitempty"`
+	Rate    float64  `json:"rate-per-s,omitempty"` // requests a second; 0: no limit
+	Burst   float64  `json:"burst-size,omitempty"`
+}
+
 // Limits bound what clients send.
 type Limits struct {
 	HeaderBytes  int `json:"max-header-bytes"`
@@ -191,6 +203,20 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+
+	Customers []Customer `json:"customers,omitempty"`
+}
+
+// Holder names the customer that has a key.
+//
+// Example: name, ok := config.Holder("x42q492cqf75rjvz48wu")
+func (c Config) Holder(key string) (name string, ok bool) {
+	for _, customer := range c.Customers {
+		if slices.Contains(customer.Keys, key) {
+			return customer.Name, true
+		}
+	}
+	return "", false
 }
 
 // Change is a change of named items.
@@ -199,10 +225,14 @@
 	Replace struct {
 		Routes   []Route   `json:"routes,omitempty"`
 		Services []Service `json:"services,omitempty"`
+
+		Customers []Customer `json:"customers,omitempty"`
 	} `json:"replace"`
 	Remove struct {
 		Routes   []string `json:"routes,omitempty"`
 		Services []string `json:"services,omitempty"`
+
+		Customers []string `json:"customers,omitempty"`
 	} `json:"remove"`
 }
 
@@ -215,6 +245,8 @@
 		Version: ch.Version, Limits: c.Limits,
 		Routes:   changed(c.Routes, ch.Replace.Routes, ch.Remove.Routes, func(r Route) string { return r.Name }),
 		Services: changed(c.Services, ch.Replace.Services, ch.Remove.Services, func(s Service) string { return s.Name }),
+		Customers: changed(c.Customers, ch.Replace.Customers, ch.Remove.Customers,
+			func(customer Customer) string { return customer.Name }),
 	}
 }
 
