--- a/control/fleetconfig/fleetconfig_gen.go
+++ b/control/fleetconfig/fleetconfig_gen.go
@@ -521,12 +521,82 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Proposal) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "ID"
+	o = append(o, 0x83, 0xa2, 0x49, 0x44)
+	o = msgp.AppendString(o, z.ID)
+	// string "Base"
+	o = append(o, 0xa4, 0x42, 0x61, 0x73, 0x65)
+	o = msgp.AppendUint64(o, z.Base)
+	// string "Number"
+	o = append(o, 0xa6, 0x4e, 0x75, 0x6d, 0x62, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Proposal) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ID":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "Base":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "Number":
+			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Proposal) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 5 + msgp.Uint64Size + 7 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.TargetMillis == 0 {
 		zb0001Len--
@@ -552,10 +622,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
-	if z.Raw == nil {
+	if z.Public == false {
 		zb0001Len--
 		zb0001Mask |= 0x2000
 	}
+	if z.Raw == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -625,6 +699,11 @@
 			}
 		}
 		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "public"
+			o = append(o, 0xa6, 0x70, 0x75, 0x62, 0x6c, 0x69, 0x63)
+			o = msgp.AppendBool(o, z.Public)
+		}
+		if (zb0001Mask & 0x4000) == 0 { // if not omitted
 			// string "raw"
 			o = append(o, 0xa3, 0x72, 0x61, 0x77)
 			o = msgp.AppendBytes(o, []byte(z.Raw))
@@ -784,6 +863,12 @@
 					return
 				}
 			}
+		case "public":
+			z.Public, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Public")
+				return
+			}
 		case "raw":
 			{
 				var zb0005 []byte
@@ -816,7 +901,7 @@
 	for za0002 := range z.Regions {
 		s += msgp.StringPrefixSize + len(z.Regions[za0002])
 	}
-	s += 4 + msgp.BytesPrefixSize + len([]byte(z.Raw))
+	s += 7 + msgp.BoolSize + 4 + msgp.BytesPrefixSize + len([]byte(z.Raw))
 	return
 }
 
@@ -1218,13 +1303,37 @@
 func (z *Tenant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Services == nil {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.ByKey == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Keys == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Urgency == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Rate == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Burst == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Raw == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1250,6 +1359,43 @@
 		// string "queue"
 		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
 		o = msgp.AppendFloat64(o, z.QueueFraction)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "by_key"
+			o = append(o, 0xa6, 0x62, 0x79, 0x5f, 0x6b, 0x65, 0x79)
+			o = msgp.AppendBool(o, z.ByKey)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "keys"
+			o = append(o, 0xa4, 0x6b, 0x65, 0x79, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Keys)))
+			for za0002 := range z.Keys {
+				o = msgp.AppendString(o, z.Keys[za0002])
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "urgency"
+			o = append(o, 0xa7, 0x75, 0x72, 0x67, 0x65, 0x6e, 0x63, 0x79)
+			if z.Urgency == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o = msgp.AppendInt(o, *z.Urgency)
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "rate"
+			o = append(o, 0xa4, 0x72, 0x61, 0x74, 0x65)
+			o = msgp.AppendFloat64(o, z.Rate)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "burst"
+			o = append(o, 0xa5, 0x62, 0x75, 0x72, 0x73, 0x74)
+			o = msgp.AppendFloat64(o, z.Burst)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "raw"
+			o = append(o, 0xa3, 0x72, 0x61, 0x77)
+			o = msgp.AppendBytes(o, []byte(z.Raw))
+		}
 	}
 	return
 }
@@ -1315,6 +1461,70 @@
 				err = msgp.WrapError(err, "QueueFraction")
 				return
 			}
+		case "by_key":
+			z.ByKey, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ByKey")
+				return
+			}
+		case "keys":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Keys")
+				return
+			}
+			if cap(z.Keys) >= int(zb0003) {
+				z.Keys = (z.Keys)[:zb0003]
+			} else {
+				z.Keys = make([]string, zb0003)
+			}
+			for za0002 := range z.Keys {
+				z.Keys[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Keys", za0002)
+					return
+				}
+			}
+		case "urgency":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Urgency = nil
+			} else {
+				if z.Urgency == nil {
+					z.Urgency = new(int)
+				}
+				*z.Urgency, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Urgency")
+					return
+				}
+			}
+		case "rate":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		case "burst":
+			z.Burst, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Burst")
+				return
+			}
+		case "raw":
+			{
+				var zb0004 []byte
+				zb0004, bts, err = msgp.ReadBytesBytes(bts, []byte(z.Raw))
+				if err != nil {
+					err = msgp.WrapError(err, "Raw")
+					return
+				}
+				z.Raw = json.RawMessage(zb0004)
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1333,6 +1543,16 @@
 	for za0001 := range z.Services {
 		s += msgp.StringPrefixSize + len(z.Services[za0001])
 	}
-	s += 10 + msgp.IntSize + 6 + msgp.Float64Size
+	s += 10 + msgp.IntSize + 6 + msgp.Float64Size + 7 + msgp.BoolSize + 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Keys {
+		s += msgp.StringPrefixSize + len(z.Keys[za0002])
+	}
+	s += 8
+	if z.Urgency == nil {
+		s += msgp.NilSize
+	} else {
+		s += msgp.IntSize
+	}
+	s += 5 + msgp.Float64Size + 6 + msgp.Float64Size + 4 + msgp.BytesPrefixSize + len([]byte(z.Raw))
 	return
 }
--- a/control/fleetconfig/format.go
+++ b/control/fleetconfig/format.go
@@ -7,7 +7,11 @@
 
 // formatRead is the newest format of plans that this build reads; a test's build sets
 // another at link time.
-var formatRead = "1"
+var formatRead = "2"
+
+// formatOfKeys is the first format that has tenants known by keys, and their limits. A
+// build that doesn't read it would serve everybody.
+const formatOfKeys = 2
 
 // maxFormat bounds the format that a plan may need.
 const maxFormat = 1000
@@ -24,6 +28,17 @@
 	return n
 }
 
+// RequiredFormat is the format that a build must read to serve by the plan: what the
+// operator says, or more where the plan holds what older builds would pass over.
+//
+// Example: if plan.RequiredFormat() > format { refuse() }
+func (p Plan) RequiredFormat() int {
+	if p.NeedsKeys() {
+		return max(p.Needs, formatOfKeys)
+	}
+	return p.Needs
+}
+
 // checkFormat gives the error of a plan that needs a newer format than this build reads.
 func (p Plan) checkFormat() error {
 	if p.Needs <= NewestFormat() {
--- a/control/fleetconfig/judge.go
+++ b/control/fleetconfig/judge.go
@@ -69,6 +69,7 @@
 		plan.Version, plan.Number = plan.Number, 0
 	}
 	plan.PastChanges = nil // see AcceptedChanges
+	plan.Needs = plan.RequiredFormat()
 	value, err := EncodePlan(plan)
 	if err != nil {
 		return nil, Verdict{Result: VerdictInvalid, Version: current.Version, Faults: []string{err.Error()}}
--- a/control/fleetconfig/plan.go
+++ b/control/fleetconfig/plan.go
@@ -44,8 +44,22 @@
 	Services      []string `json:"services,omitempty"` // that it may use; none means all
 	TimeoutMillis int      `json:"budget_ms"`          // for requests that name none; 1 to 600,000
 	QueueFraction float64  `json:"queue"`              // of a daemon's queue that it may fill at most; 0.001 to 1
+
+	// The rest is for tenants whose clients are known by a key.
+	ByKey bool `json:"by_key,omitempty"` // its clients come with keys; it may have none just now
+	// Keys are secrets: they stand in the plan alone, and in what operators read back.
+	Keys    []string        `json:"keys,omitempty"`
+	Urgency *int            `json:"urgency,omitempty"` // of its requests, before that of their route; none: the route's
+	Rate    float64         `json:"rate,omitempty"`    // requests a second, over all daemons; 0: no limit
+	Burst   float64         `json:"burst,omitempty"`   // requests on top of the rate
+	Raw     json.RawMessage `json:"raw,omitempty"`     // the item as its operator sent it
 }
 
+// IsLimited tells whether the tenant's requests have a limit.
+//
+// Example: fleetconfig.Tenant{Rate: 20}.IsLimited() == true
+func (t Tenant) IsLimited() bool { return t.Rate > 0 }
+
 // Service is what a plan says of one model.
 type Service struct {
 	Name           string   `json:"name"`              // 1 to 1024 bytes without a '/'
--- a/control/fleetconfig/route.go
+++ b/control/fleetconfig/route.go
@@ -38,8 +38,9 @@
 	Sticky       bool            `json:"sticky,omitempty"`    // requests that share a prompt should meet at a server
 	Resume       bool            `json:"resume,omitempty"`    // a stream may be resumed in its middle
 	Services     []Share         `json:"services"`
-	Regions      []string        `json:"homes,omitempty"` // that its requests may go to; none: all
-	Raw          json.RawMessage `json:"raw,omitempty"`   // the item as its operator sent it
+	Regions      []string        `json:"homes,omitempty"`  // that its requests may go to; none: all
+	Public       bool            `json:"public,omitempty"` // its requests need no key
+	Raw          json.RawMessage `json:"raw,omitempty"`    // the item as its operator sent it
 }
 
 // Limits bound what a client may send and how long it may take; 0 is no bound.
--- a/control/fleetconfig/stored_test.go
+++ b/control/fleetconfig/stored_test.go
@@ -12,13 +12,31 @@
 
 // completePlan is a plan with every field set.
 func completePlan() Plan {
+	plan := planWithoutKeys()
+	plan.Tenants[0], plan.Routes[0] = completeTenant(), completeRoute()
+	return plan
+}
+
+func completeTenant() Tenant {
+	tenant, urgency := tenantWithoutKeys(), 3
+	tenant.ByKey, tenant.Keys, tenant.Urgency = true, []string{"key-1", "key-2"}, &urgency
+	tenant.Rate, tenant.Burst, tenant.Raw = 12.5, 25, json.RawMessage(`{"item":4}`)
+	return tenant
+}
+
+func tenantWithoutKeys() Tenant {
+	return Tenant{
+		Name: "express", Priority: 2, Services: []string{"timetable"}, TimeoutMillis: 30000, QueueFraction: 0.25,
+	}
+}
+
+// planWithoutKeys is a plan with every field that builds have which know no keys.
+func planWithoutKeys() Plan {
 	return Plan{
 		Version: 12, ID: "plan-12", Base: 11, Number: 13, Needs: 1, Raw: json.RawMessage(`{"further":true}`),
-		Tenants: []Tenant{
-			{Name: "express", Priority: 2, Services: []string{"timetable"}, TimeoutMillis: 30000, QueueFraction: 0.25},
-		},
+		Tenants:  []Tenant{tenantWithoutKeys()},
 		Services: []Service{completeService()},
-		Routes:   []Route{completeRoute()},
+		Routes:   []Route{routeWithoutKeys()},
 		Limits: Limits{
 			HeaderBytes: 8192, BodyBytes: 65536, HeaderTimeoutMillis: 2000, IdleTimeoutMillis: 60000,
 			Raw: json.RawMessage(`{"limit":1}`),
@@ -36,6 +54,12 @@
 }
 
 func completeRoute() Route {
+	route := routeWithoutKeys()
+	route.Public = true
+	return route
+}
+
+func routeWithoutKeys() Route {
 	return Route{
 		Name: "route-1", Host: "a.example", Prefix: "/x/", Kind: Stream, GiveUpMillis: 5000, TargetMillis: 400, GapMillis: 100, Urgency: 3,
 		MaxAttempts: 2, Sticky: true, Resume: true, Services: []Share{{Service: "timetable", Weight: 0.75}},
@@ -46,20 +70,21 @@
 // The record of a plan is what earlier builds wrote, byte for byte, and theirs are read.
 func TestStoredPlanKeepsItsBytes(t *testing.T) {
 	read := func(value []byte) (Plan, error) { return ReadPlan(message.Record{Key: PlanKey, Value: value}) }
-	plan := completePlan()
-	golden.Check(t, "plan.record", plan, golden.Encoding[Plan]{Encode: EncodePlan, Decode: read})
-	golden.Check(t, "plan.msgp", plan, golden.Encoding[Plan]{
-		Encode: func(p Plan) ([]byte, error) { return p.MarshalMsg(nil) },
-		Decode: func(value []byte) (Plan, error) { return read(append([]byte{'o'}, value...)) },
-	})
-	golden.Check(t, "plan.json", plan, golden.Encoding[Plan]{
-		Encode: func(p Plan) ([]byte, error) { return json.Marshal(p) },
-		Decode: read, // a record of the first builds
-	})
-	golden.Check(t, "plan.packed", plan, golden.Encoding[Plan]{
-		Encode: func(p Plan) ([]byte, error) { return EncodeCall(p) },
-		Decode: read, // the body of a call
-	})
+	encodings := map[string]golden.Encoding[Plan]{
+		"record": {Encode: EncodePlan, Decode: read},
+		"msgp": {
+			Encode: func(p Plan) ([]byte, error) { return p.MarshalMsg(nil) },
+			Decode: func(value []byte) (Plan, error) { return read(append([]byte{'o'}, value...)) },
+		},
+		// a record of the first builds
+		"json": {Encode: func(p Plan) ([]byte, error) { return json.Marshal(p) }, Decode: read},
+		// the body of a call
+		"packed": {Encode: func(p Plan) ([]byte, error) { return EncodeCall(p) }, Decode: read},
+	}
+	for form, encoding := range encodings {
+		golden.CheckEarlier(t, "plan."+form, planWithoutKeys(), encoding)
+		golden.Check(t, "plan-keys."+form, completePlan(), encoding)
+	}
 	empty, err := (&Plan{}).MarshalMsg(nil)
 	if err != nil {
 		t.Fatal(err)
@@ -85,11 +110,16 @@
 
 // Named changes, zones, server lists and verdicts are the JSON that earlier builds wrote.
 func TestStoredJSONKeepsItsBytes(t *testing.T) {
-	tenant, service, route, limits := completePlan().Tenants[0], completeService(), completeRoute(), completePlan().Limits
-	golden.Check(t, "changes.json", Changes{ID: "change-1", Base: 12, Number: 14, Changes: []Change{{
-		Op: "set-tenant", Name: "name", Tenant: &tenant, Service: &service, Route: &route, Limits: &limits,
-		Server: "10.0.0.9:9000", Needs: 1, Lenient: true,
-	}}}, golden.JSON[Changes]())
+	changes := func(tenant Tenant, route Route) Changes {
+		service, limits := completeService(), completePlan().Limits
+		return Changes{ID: "change-1", Base: 12, Number: 14, Changes: []Change{{
+			Op: "set-tenant", Name: "name", Tenant: &tenant, Service: &service, Route: &route, Limits: &limits,
+			Server: "10.0.0.9:9000", Needs: 1, Lenient: true,
+		}}}
+	}
+	encoding := golden.JSON[Changes]()
+	golden.CheckEarlier(t, "changes.json", changes(tenantWithoutKeys(), routeWithoutKeys()), encoding)
+	golden.Check(t, "changes-keys.json", changes(completeTenant(), completeRoute()), encoding)
 	golden.Check(t, "zones.json", map[string]bool{"north": true, "south": true}, golden.Encoding[map[string]bool]{
 		Encode: func(zones map[string]bool) ([]byte, error) { return EncodeZones(zones), nil },
 		Decode: func(value []byte) (map[string]bool, error) {
--- a/control/fleetconfig/validate.go
+++ b/control/fleetconfig/validate.go
@@ -121,6 +121,7 @@
 			}
 		}
 	}
+	p.validateKeys(f)
 }
 
 func (t Tenant) validate() error {
@@ -128,7 +129,10 @@
 		v.Field(&t.Name, v.Required, v.Match(namePattern).Error(nameExpected)),
 		v.Field(&t.Priority, v.Min(0), v.Max(9)),
 		v.Field(&t.TimeoutMillis, v.Required, v.Min(1), v.Max(600000)),
-		v.Field(&t.QueueFraction, v.Required, v.Min(0.001), v.Max(1.0)))
+		v.Field(&t.QueueFraction, v.Required, v.Min(0.001), v.Max(1.0)),
+		v.Field(&t.Urgency, v.Min(0), v.Max(9)),
+		v.Field(&t.Rate, v.Min(0.0), v.Max(maxRate)),
+		v.Field(&t.Burst, v.Min(0.0), v.Max(maxRate)))
 }
 
 func (s Service) validate() error {
--- a/control/fleetconfig/validate_test.go
+++ b/control/fleetconfig/validate_test.go
@@ -22,11 +22,22 @@
 		t.Fatal(f)
 	}
 	for where, change := range map[string]func(*Plan){
-		"plan.id":               func(p *Plan) { p.ID = "" },
-		"tenants[0].name":       func(p *Plan) { p.Tenants[0].Name = "a/b" },
-		"tenants[0].priority":   func(p *Plan) { p.Tenants[0].Priority = 10 },
-		"tenants[0].budget_ms":  func(p *Plan) { p.Tenants[0].TimeoutMillis = 0 },
-		"tenants[0].queue":      func(p *Plan) { p.Tenants[0].QueueFraction = 1.5 },
+		"plan.id":              func(p *Plan) { p.ID = "" },
+		"tenants[0].name":      func(p *Plan) { p.Tenants[0].Name = "a/b" },
+		"tenants[0].priority":  func(p *Plan) { p.Tenants[0].Priority = 10 },
+		"tenants[0].budget_ms": func(p *Plan) { p.Tenants[0].TimeoutMillis = 0 },
+		"tenants[0].queue":     func(p *Plan) { p.Tenants[0].QueueFraction = 1.5 },
+		"tenants[0].keys":      func(p *Plan) { p.Tenants[0].Keys = []string{"k"} },
+		"tenants[0].keys[1]":   func(p *Plan) { p.Tenants[0].ByKey, p.Tenants[0].Keys = true, []string{"k", ""} },
+		"tenants[0].urgency":   func(p *Plan) { urgency := 10; p.Tenants[0].Urgency = &urgency },
+		"tenants[0].rate":      func(p *Plan) { p.Tenants[0].Rate = -1 },
+		"tenants[0].burst":     func(p *Plan) { p.Tenants[0].Burst = 2e9 },
+		"tenants[1].keys[1]": func(p *Plan) {
+			first, second := p.Tenants[0], p.Tenants[0]
+			first.ByKey, first.Keys = true, []string{"a", "shared"}
+			second.Name, second.ByKey, second.Keys = "y", true, []string{"b", "shared"}
+			p.Tenants = []Tenant{first, second}
+		},
 		"tenants[0].services":   func(p *Plan) { p.Tenants[0].Services = []string{"q"} },
 		"tenants[1].name":       func(p *Plan) { p.Tenants = append(p.Tenants, p.Tenants[0]) },
 		"services[1].name":      func(p *Plan) { p.Services = append(p.Services, p.Services[0]) },
@@ -137,3 +148,36 @@
 		}
 	}
 }
+
+// A fault of a key names the tenants that have it in common, and not the key.
+func TestFaultsNameNoKey(t *testing.T) {
+	p := validPlan()
+	for _, name := range []string{"first", "second"} {
+		tenant := p.Tenants[0]
+		tenant.Name, tenant.ByKey, tenant.Keys = name, true, []string{"s3cret"}
+		p.Tenants = append(p.Tenants, tenant)
+	}
+	f := p.Validate()
+	if len(f.List) != 1 || !strings.Contains(f.List[0], `"first" and "second" have a key in common`) {
+		t.Fatal(f)
+	}
+	if strings.Contains(f.List[0], "s3cret") {
+		t.Error(f.List[0])
+	}
+}
+
+// A plan whose clients need keys is one that no older build serves by: it would serve all.
+func TestAPlanWithKeysNeedsTheFormatOfKeys(t *testing.T) {
+	p := validPlan()
+	p.Tenants[0].ByKey = true
+	value, verdict := Judge(Plan{}, p.Propose())
+	if verdict.Result != VerdictAccepted {
+		t.Fatal(verdict)
+	}
+	if got := OpenPlan(message.Record{Value: value}).Needs; got != formatOfKeys {
+		t.Errorf("it needs format %d, expected %d", got, formatOfKeys)
+	}
+	if got := validPlan().RequiredFormat(); got != 0 {
+		t.Errorf("a plan without keys needs format %d", got)
+	}
+}
--- a/control/internal/golden/golden.go
+++ b/control/internal/golden/golden.go
@@ -40,6 +40,16 @@
 func Check[T any](t *testing.T, name string, value T, encoding Encoding[T]) {
 	t.Helper()
 	checkAllSet(t, name, reflect.ValueOf(value))
+	CheckEarlier(t, name, value, encoding)
+}
+
+// CheckEarlier is Check for a value of an earlier build, which had fewer fields: what that
+// build wrote is written still where the later fields are unset. The same type with every
+// field set has a file of its own.
+//
+// Example: golden.CheckEarlier(t, "zones.json", zonesOfFirstBuild, encoding)
+func CheckEarlier[T any](t *testing.T, name string, value T, encoding Encoding[T]) {
+	t.Helper()
 	encoded, err := encoding.Encode(value)
 	if err != nil {
 		t.Fatalf("%s: %v", name, err)
--- a/control/leader/configcalls.go
+++ b/control/leader/configcalls.go
@@ -68,12 +68,13 @@
 
 // whyUnreadable says why a plan can't be accepted: there are daemons that couldn't read it. "": all can.
 func (r request) whyUnreadable(p fleetconfig.Plan) string {
-	if r.readableFormat == nil || p.Needs == 0 {
+	needs := p.RequiredFormat()
+	if r.readableFormat == nil || needs == 0 {
 		return ""
 	}
-	if format := r.readableFormat(); format > 0 && p.Needs > format {
+	if format := r.readableFormat(); format > 0 && needs > format {
 		return fmt.Sprintf(
-			"the plan needs a build that reads format %d, and there are daemons that read up to %d", p.Needs, format)
+			"the plan needs a build that reads format %d, and there are daemons that read up to %d", needs, format)
 	}
 	return ""
 }
--- a/proof/standin/mutants/rules.sh
+++ b/proof/standin/mutants/rules.sh
@@ -10,9 +10,7 @@
 # rules of the users that no other script breaks
 mutant tries-unbounded traffic/forward TestNoMoreServersThanTries traffic/forward/request.go 'r.countedSends >= r.maxAttempts() ||' 'r.countedSends >= 9+r.maxAttempts() ||'
 mutant whole-time platform TestAServerIsHandedTheTimeThatIsLeft platform/exchange.go 'max(1, (call.deadline-e.now()).Milliseconds())' '3600000'
-mutant goes-on-for-nobody traffic/gateway TestAClientThatIsGone traffic/gateway/execute.go 'for !m.Action.Final() {
-		if ctx.Err() != nil || has.clientGone {' 'for !m.Action.Final() {
-		if has.clientGone {'
+mutant goes-on-for-nobody traffic/gateway TestAClientThatIsGone traffic/gateway/execute.go 'm, ctx.Err() != nil || has.clientGone)' 'm, has.clientGone)'
 mutant past-give-up traffic/gateway TestARequestIsGivenUpWhenItsRouteSaysSo traffic/gateway/gateway.go 'arrivedAt + time.Duration(r.GiveUpMillis)*time.Millisecond' 'arrivedAt + time.Hour'
 mutant weights-passed-over traffic/route TestPickFollowsTheWeights traffic/route/route.go 'if at < s.Weight {' 'if at < 50*s.Weight {'
 mutant unready-at-changes control/daemon TestAChangeMakesNoDaemonUnready control/daemon/readiness.go ' || d.readiness.wasReadyWithin(d.Now(), d.Cfg.VolumeLease())' ''
--- a/traffic/forward/model_test.go
+++ b/traffic/forward/model_test.go
@@ -243,6 +243,14 @@
 		return
 	}
 	mv := j.m
+	if mv.Action != Wait && rapid.IntRange(0, 19).Draw(t, "withdrawn") == 0 {
+		next := m.l.Withdraw(m.now, j.ID, "its key was taken away")
+		if !next.Action.Final() {
+			t.Fatalf("%s: withdrawn, and then %v", j.ID, next.Action)
+		}
+		m.take(j, next)
+		return
+	}
 	if mv.Action == Wait {
 		if rapid.Bool().Draw(t, "waits") {
 			m.now = max(m.now, mv.Until)
--- a/traffic/forward/request.go
+++ b/traffic/forward/request.go
@@ -244,15 +244,14 @@
 	}
 }
 
-// undoAttempt takes back an attempt that MaySend stopped: nothing went out.
-func (d *Dispatcher) undoAttempt(now time.Duration, r *pendingRequest) Decision {
+// undoAttempt takes back an attempt of which nothing went out.
+func (d *Dispatcher) undoAttempt(r *pendingRequest) {
 	r.attempts.Undo()
 	r.trace = r.trace[:len(r.trace)-1]
 	if r.isRetry {
 		d.counts.Retries--
 		d.returnRetry(r.sentAt)
 	}
-	return d.decide(now, r)
 }
 
 // knownOf is what an outcome tells of its attempt.
@@ -273,7 +272,8 @@
 	d.callEnded(now, r, out)
 	r.traceOutcome(now, out, why)
 	if out == Blocked {
-		return d.undoAttempt(now, r)
+		d.undoAttempt(r)
+		return d.decide(now, r)
 	}
 	switch {
 	case out == Overloaded || out == WrongServer || (out == OK || out == Lost) && r.prefillAccepted:
@@ -342,7 +342,8 @@
 	d.callEnded(now, r, out)
 	r.traceOutcome(now, out, why)
 	if out == Blocked {
-		return d.undoAttempt(now, r)
+		d.undoAttempt(r)
+		return d.decide(now, r)
 	}
 	if out != NotSent {
 		r.countedSends++
@@ -382,6 +383,17 @@
 	return d.release(r, Decision{Action: Break, Reason: "the client went away"})
 }
 
+// Withdraw ends a request that may not go on; its last decision was a call, which its caller
+// doesn't make.
+//
+// Example: decision := d.Withdraw(now, id, "its key was taken away")
+func (d *Dispatcher) Withdraw(now time.Duration, id, why string) Decision {
+	r := d.pending[id]
+	d.callEnded(now, r, Blocked)
+	d.undoAttempt(r)
+	return d.giveUp(r, why)
+}
+
 // giveUp is the last decision where nothing more is to be tried.
 func (d *Dispatcher) giveUp(r *pendingRequest, why string) Decision {
 	switch {
--- a/traffic/forward/types.go
+++ b/traffic/forward/types.go
@@ -27,13 +27,14 @@
 type Request struct {
 	ID                           string
 	Service                      string
-	Repeatable                   bool // it may run more than once
-	Resumable                    bool // a stream that broke off may go on at another server
-	Disaggregated                bool // prefill and decode may be on two servers
-	ContinuesStream              bool // the client itself resumes a stream
-	Urgency                      int  // 0 is first, 9 last
-	LeastUrgency                 int  // the urgency of the least urgent route
-	MaxAttempts                  int  // servers that it may be sent to, at most
+	Tenant                       string // whose client sent it; "": none
+	Repeatable                   bool   // it may run more than once
+	Resumable                    bool   // a stream that broke off may go on at another server
+	Disaggregated                bool   // prefill and decode may be on two servers
+	ContinuesStream              bool   // the client itself resumes a stream
+	Urgency                      int    // 0 is first, 9 last
+	LeastUrgency                 int    // the urgency of the least urgent route
+	MaxAttempts                  int    // servers that it may be sent to, at most
 	TTFTTarget                   time.Duration
 	InterTokenTarget             time.Duration // longest pause between events that is in time
 	Deadline                     time.Duration // on the daemon's clock
--- a/traffic/gateway/execute.go
+++ b/traffic/gateway/execute.go
@@ -26,16 +26,15 @@
 }
 
 // execute carries out the decisions on one request.
-func (g *Gateway) execute(ctx context.Context, q *Request, c forward.Request, w Client) {
+func (g *Gateway) execute(ctx context.Context, q *Request, a admission, c forward.Request, w Client) {
 	d := g.dispatcherOf(c.Service)
 	has, arrivedAt := delivered{lastEvent: q.LastEventID}, g.daemon.Now()
 	w.Within(c.Deadline - arrivedAt)
 	check := audit{request: c}
 	m := g.step(d, func(now time.Duration) forward.Decision { return d.Start(now, c) })
 	for !m.Action.Final() {
-		if ctx.Err() != nil || has.clientGone {
-			calling := m.Action != forward.Wait
-			m = g.step(d, func(now time.Duration) forward.Decision { return d.ClientGone(now, c.ID, calling) })
+		if last, ended := g.endEarly(d, q, a, m, ctx.Err() != nil || has.clientGone); ended {
+			m = last
 			break
 		}
 		switch m.Action {
@@ -56,7 +55,7 @@
 	for _, h := range m.ReleaseHandles {
 		go g.engines.ReleaseHandle(h)
 	}
-	g.finished(q, c, m, g.daemon.Now()-arrivedAt)
+	g.finished(q, a, c, m, g.daemon.Now()-arrivedAt)
 	if !check.checkEnd(m, has.headSent) {
 		w.Fail(http.StatusBadGateway, "it ended without an answer")
 		return
@@ -64,6 +63,21 @@
 	answer(w, m)
 }
 
+// endEarly ends a request whose client went away, or whose next call its key doesn't allow
+// any more; false: it goes on.
+func (g *Gateway) endEarly(
+	d *dispatcher, q *Request, a admission, m forward.Decision, clientGone bool,
+) (last forward.Decision, ended bool) {
+	calling := m.Action != forward.Wait
+	switch {
+	case clientGone:
+		return g.step(d, func(now time.Duration) forward.Decision { return d.ClientGone(now, q.ID, calling) }), true
+	case calling && !g.keyStands(q, a):
+		return g.step(d, func(now time.Duration) forward.Decision { return d.Withdraw(now, q.ID, reasonKeyRevoked) }), true
+	}
+	return m, false
+}
+
 // answer tells the client how its request ended, unless it has the whole answer.
 func answer(w Client, m forward.Decision) {
 	switch m.Action {
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"mulleinmast/control/daemon"
-	"mulleinmast/control/fleetconfig"
+	"mulleinmast/traffic/apikey"
 	"mulleinmast/traffic/forward"
 	"mulleinmast/traffic/loadreport"
 	"mulleinmast/traffic/route"
@@ -21,6 +21,7 @@
 	engines  Engines
 	cfg      forward.Config
 	plan     atomic.Pointer[activePlan]
+	hasher   *apikey.Hasher
 	inFlight atomic.Int64
 	report   *report
 
@@ -37,7 +38,7 @@
 func New(d *daemon.Daemon, engines Engines) *Gateway {
 	g := &Gateway{
 		daemon: d, engines: engines, cfg: Config(d.Cfg), report: newReport(d.Metrics),
-		dispatchers: map[string]*dispatcher{}, loads: loadreport.New(LoadReportConfig(d.Cfg)),
+		dispatchers: map[string]*dispatcher{}, loads: loadreport.New(LoadReportConfig(d.Cfg)), hasher: apikey.NewHasher(),
 	}
 	d.Explainers = append(d.Explainers, g.report.explain)
 	d.Metrics.NewGauge("mulleinmast_requests_open", func() float64 { return float64(g.inFlight.Load()) })
@@ -161,20 +162,17 @@
 		g.rejectEarly(q, w, http.StatusServiceUnavailable, "no valid lease on the configuration here")
 		return
 	}
-	r, p, ok, certain := g.match(ctx, q, p)
-	switch {
-	case !certain:
-		g.rejectEarly(q, w, http.StatusServiceUnavailable, "no such route in the last configuration known here")
-		return
-	case !ok:
-		g.rejectEarly(q, w, http.StatusNotFound, "no route")
+	a := g.admit(ctx, q, p)
+	if a.status != 0 {
+		g.rejectEarly(q, w, a.status, a.reason)
 		return
 	}
-	g.execute(ctx, q, routed(q, r, p, arrivedAt), w)
+	g.execute(ctx, q, a, routed(q, a, arrivedAt), w)
 }
 
-// routed is a request by the terms of its route.
-func routed(q *Request, r *fleetconfig.Route, p *activePlan, arrivedAt time.Duration) forward.Request {
+// routed is a request by the terms of its route and tenant.
+func routed(q *Request, a admission, arrivedAt time.Duration) forward.Request {
+	r, p := a.route, a.plan
 	resumes := r.Kind == "stream" && r.Resume
 	c := forward.Request{
 		ID: q.ID, Service: route.Pick(r, requestHash(q.ID)),
@@ -185,6 +183,12 @@
 		Deadline:         arrivedAt + time.Duration(r.GiveUpMillis)*time.Millisecond,
 		Parts:            q.Parts, InputTokens: q.InputTokens, MaxOutputTokens: q.MaxOutputTokens, BodyBytes: len(q.Body),
 	}
+	if a.tenant != nil {
+		c.Tenant = a.tenant.Name
+		if a.tenant.Urgency != nil {
+			c.Urgency = *a.tenant.Urgency
+		}
+	}
 	c.Disaggregated = r.Kind == "stream" && p.disaggregated[c.Service]
 	if q.ClientTimeout > 0 {
 		c.Deadline = min(c.Deadline, arrivedAt+q.ClientTimeout)
--- a/traffic/gateway/plan.go
+++ b/traffic/gateway/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mulleinmast/control/fleetconfig"
+	"mulleinmast/traffic/apikey"
 	"mulleinmast/traffic/route"
 	"mulleinmast/wire/message"
 )
@@ -15,8 +16,9 @@
 	validUntil    time.Duration // on the daemon's clock
 	version       message.Version
 	table         *route.Table
+	tenants       *apikey.Index
 	plan          fleetconfig.Plan
-	leastUrgency  int             // the urgency of the least urgent route
+	leastUrgency  int             // the urgency of the least urgent route or tenant
 	disaggregated map[string]bool // services whose servers have two roles
 }
 
@@ -49,13 +51,21 @@
 	if last != nil {
 		planGoesOn.Hold(plan.Version >= last.plan.Version, "version %d after version %d", plan.Version, last.plan.Version)
 	}
-	p := &activePlan{version: rec.Version, plan: plan, table: route.New(plan), disaggregated: map[string]bool{}}
+	p := &activePlan{
+		version: rec.Version, plan: plan, table: route.New(plan), tenants: apikey.NewIndex(plan, g.hasher),
+		disaggregated: map[string]bool{},
+	}
 	for _, service := range plan.Services {
 		p.disaggregated[service.Name] = service.TokenBytes > 0
 	}
 	for _, r := range plan.Routes {
 		p.leastUrgency = max(p.leastUrgency, r.Urgency)
 	}
+	for _, t := range plan.Tenants {
+		if t.Urgency != nil {
+			p.leastUrgency = max(p.leastUrgency, *t.Urgency)
+		}
+	}
 	return p
 }
 
@@ -85,21 +95,6 @@
 	return p, ok && p.version == rec.Version
 }
 
-// match finds a request's route. That there is none is certain only by a plan
-// under leases: one that comes back within a short while is waited for.
-func (g *Gateway) match(
-	ctx context.Context, q *Request, p *activePlan,
-) (r *fleetconfig.Route, of *activePlan, ok, certain bool) {
-	if r, ok = p.table.Match(q.Host, q.Path); ok {
-		return r, p, true, true
-	}
-	p, certain = g.awaitPlan(ctx, min(g.maxWait(q), g.cfg.RetryAfter), g.leasedPlan)
-	if certain {
-		r, ok = p.table.Match(q.Host, q.Path)
-	}
-	return r, p, ok, certain
-}
-
 // maxWait is how long a request waits for a plan.
 func (g *Gateway) maxWait(q *Request) time.Duration {
 	if q.ClientTimeout > 0 {
--- a/traffic/gateway/port.go
+++ b/traffic/gateway/port.go
@@ -15,6 +15,7 @@
 // Request is one try of a client as its driver read it, whole.
 type Request struct {
 	ID              string // the client's own, echoed by servers
+	Key             string // of the client's tenant, a secret; no server is shown it
 	Method          string
 	Host            string
 	Path            string // decides the route
--- a/traffic/gateway/report.go
+++ b/traffic/gateway/report.go
@@ -29,6 +29,8 @@
 	Host       string    `json:"host"`
 	Path       string    `json:"path"`
 	Service    string    `json:"service,omitempty"`
+	Tenant     string    `json:"tenant,omitempty"`
+	Plan       uint64    `json:"plan,omitempty"` // version of the plan that it was admitted by
 	Result     string    `json:"result"`
 	Reason     string    `json:"why"`
 	TookMillis int64     `json:"took_ms"`
@@ -133,14 +135,15 @@
 }
 
 // finished notes the end of a request that was taken in at a time.
-func (g *Gateway) finished(q *Request, c forward.Request, m forward.Decision, took time.Duration) {
+func (g *Gateway) finished(q *Request, a admission, c forward.Request, m forward.Decision, took time.Duration) {
 	if m.Action == forward.Done {
 		g.report.served()
 		return
 	}
 	g.daemon.Events.Debug("request", m.Reason, "request", c.ID, "result", m.Action)
 	g.report.failed(RequestTrace{
-		Request: q.ID, Host: q.Host, Path: q.Path, Service: c.Service, Result: m.Action.String(),
+		Request: q.ID, Host: q.Host, Path: q.Path, Service: c.Service, Tenant: c.Tenant, Plan: a.plan.plan.Version,
+		Result: m.Action.String(),
 		Reason: m.Reason, TookMillis: took.Milliseconds(), Steps: m.Trace,
 	})
 }
