--- a/traffic/gateway/limit.go
+++ b/traffic/gateway/limit.go
@@ -61,11 +61,20 @@
 	if view == l.view {
 		return
 	}
-	l.view, l.leaders = view, make([]limiter.Leader, len(view.Leaderships))
-	for p, leadership := range view.Leaderships {
-		member, ok := view.Find(leadership.Leader.Ident)
-		l.leaders[p] = limiter.Leader{Known: leadership.Leader.Ident != "", Near: ok && member.Zone == view.Self.Zone}
+	l.view, l.leaders = view, leadersOf(view, l.daemon.Cfg.Partitions)
+}
+
+// leadersOf lists the leaders of partition 0 and of so many others, as a view has them: it
+// may know those of some partitions only.
+func leadersOf(view *membership.View, partitions int) []limiter.Leader {
+	leaders := make([]limiter.Leader, partitions+1)
+	for p := range leaders {
+		leader := view.Leaderships[p].Leader
+		member, _ := view.Find(leader.Ident)
+		isNear := leader.Ident == view.Self.Ident || member.Zone == view.Self.Zone
+		leaders[p] = limiter.Leader{Known: leader.Ident != "", Near: leader.Ident != "" && isNear}
 	}
+	return leaders
 }
 
 // next is the next move towards a token.
--- a/traffic/gateway/limit_test.go
+++ b/traffic/gateway/limit_test.go
@@ -9,8 +9,12 @@
 	"testing"
 	"time"
 
+	"mulleinmast/control/daemon"
 	"mulleinmast/control/fleetconfig"
+	"mulleinmast/control/membership"
 	"mulleinmast/traffic/forward"
+	"mulleinmast/traffic/limiter"
+	"mulleinmast/wire/message"
 )
 
 // limited is a gateway alone in its fleet, with two tenants of which one has a small limit.
@@ -57,6 +61,21 @@
 	return "0"
 }
 
+// After a loss of power a view knows the leaders of some partitions only, and none of
+// others; those that it knows are told apart by their zone.
+func TestAViewThatKnowsSomeLeaders(t *testing.T) {
+	self := message.Member{Ident: "me", Zone: "north", HasDisk: true}
+	view := *membership.New(daemon.Default().MembershipConfig(), self, nil).View()
+	view.Leaderships = map[int]message.Leadership{
+		2: {Partition: 2, Leader: message.Replica{Ident: "me"}}, 8: {Partition: 8, Leader: message.Replica{Ident: "far"}},
+	}
+	want := make([]limiter.Leader, 9)
+	want[2], want[8] = limiter.Leader{Known: true, Near: true}, limiter.Leader{Known: true}
+	if got := leadersOf(&view, 8); !slices.Equal(got, want) {
+		t.Errorf("%+v", got)
+	}
+}
+
 // askAs sends one request with a key and gives what its client gets.
 func askAs(g *Gateway, f *fake, path, key string) []string {
 	g.engines = f
