--- a/cmd/fleetlab/soak.go
+++ b/cmd/fleetlab/soak.go
@@ -43,6 +43,7 @@
 	only := f.String("only", "", "troubles whose names begin with one of these, by commas")
 	f.StringVar(&o.config.Old, "old", "", "another build's mulleinmast, which every other life of a machine runs")
 	f.Float64Var(&o.config.Rate, "rate", 40, "requests a second")
+	customers := f.Bool("customers", false, "clients come with keys of tenants that have limits")
 	f.Float64Var(&o.config.Pace, "pace", 1, "what the rules' bounds are multiplied by")
 	if err := f.Parse(args); err != nil {
 		return o, err
@@ -50,6 +51,9 @@
 	if !o.valid() || f.NArg() > 0 {
 		return o, errSoakUsage
 	}
+	if *customers {
+		o.config.Customers = scene.Customers()
+	}
 	if *only != "" {
 		o.config.Only = strings.Split(*only, ",")
 	}
--- a/proof/standin/client/misbehave.go
+++ b/proof/standin/client/misbehave.go
@@ -55,6 +55,9 @@
 	asks := *l.asks.Load()
 	a := asks[rng.Intn(len(asks))]
 	c := &client{name: l.Name + "-misbehaves", zone: d.Zone, rng: rng}
+	if len(l.Keys) > 0 {
+		c.key = l.Keys[rng.Intn(len(l.Keys))]
+	}
 	switch manner {
 	case LeavesEarly:
 		for ctx.Err() == nil {
--- a/proof/standin/soak/soak.go
+++ b/proof/standin/soak/soak.go
@@ -104,7 +104,11 @@
 	rng := rand.New(rand.NewSource(c.Seed))
 	var list []trouble
 	sum := 0
-	for _, t := range troubles() {
+	all := troubles()
+	if len(c.Customers) > 0 {
+		all = append(all, tenantTroubles()...)
+	}
+	for _, t := range all {
 		if len(c.Only) == 0 || slices.ContainsFunc(c.Only, func(begin string) bool { return strings.HasPrefix(t.name, begin) }) {
 			list = append(list, t)
 			sum += t.weight
--- a/proof/standin/soak/soak_test.go
+++ b/proof/standin/soak/soak_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// The same with tenants, whose keys are taken away, whose limits change and who ask for
+// too much meanwhile.
+func TestOverlappingTroublesOfTenants(t *testing.T) {
+	for _, seed := range []int64{3, 12} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			c := deployment(t, seed)
+			c.Customers = scene.Customers()
+			report, err := Play(context.Background(), c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if report.Failed || len(report.Broken) > 0 || report.Served == 0 {
+				t.Errorf("seed %d:\n%s", seed, report)
+			}
+		})
+	}
+}
+
 // A process that ends by itself is seen, told and started again.
 func TestAProcessThatEndsIsSeen(t *testing.T) {
 	report, err := scene.Play(context.Background(), deployment(t, 1).Config, func(ctx context.Context, w *scene.World) {
