--- a/traffic/forward/admission.go
+++ b/traffic/forward/admission.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// atLimitRatio is the part of the longest predicted wait that a request of a tenant at its
+// limit may have: in a crowd it gives way to tenants that ask for less than theirs.
+const atLimitRatio = 0.5
+
 // canMeetTarget tells whether a request that has not started is predicted to wait so
 // short for others that it can meet its TTFT target; one whose own prompt takes most
 // of the target may wait for half of it. One that can't would make others late as
@@ -11,7 +15,11 @@
 		return true
 	}
 	may := max(r.TTFTTarget-r.predictedPrefill, r.TTFTTarget/2)
-	return float64(now-r.arrivedAt+r.predictedWait) <= d.cfg.MaxPredictedWait*float64(may)
+	longest := d.cfg.MaxPredictedWait * float64(may)
+	if r.TenantAtLimit {
+		longest *= atLimitRatio
+	}
+	return float64(now-r.arrivedAt+r.predictedWait) <= longest
 }
 
 // takeRetry takes a retry, if one is left.
--- a/traffic/forward/types.go
+++ b/traffic/forward/types.go
@@ -28,6 +28,7 @@
 	ID                           string
 	Service                      string
 	Tenant                       string // whose client sent it; "": none
+	TenantAtLimit                bool   // the tenant asks for all that its limit gives
 	Repeatable                   bool   // it may run more than once
 	Resumable                    bool   // a stream that broke off may go on at another server
 	Disaggregated                bool   // prefill and decode may be on two servers
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -190,7 +190,7 @@
 		Parts:            q.Parts, InputTokens: q.InputTokens, MaxOutputTokens: q.MaxOutputTokens, BodyBytes: len(q.Body),
 	}
 	if a.tenant != nil {
-		c.Tenant = a.tenant.Name
+		c.Tenant, c.TenantAtLimit = a.tenant.Name, a.permit.isTenantAtLimit
 		if a.tenant.Urgency != nil {
 			c.Urgency = *a.tenant.Urgency
 		}
--- a/traffic/gateway/limit.go
+++ b/traffic/gateway/limit.go
@@ -21,7 +21,8 @@
 
 // permit is a token of a tenant's limit, for one run of a request.
 type permit struct {
-	until time.Duration // on the daemon's clock; 0: there is none, or it was used
+	until           time.Duration // on the daemon's clock; 0: there is none, or it was used
+	isTenantAtLimit bool
 }
 
 // isValid tells whether a run may begin by it.
@@ -102,7 +103,7 @@
 	return 0, false
 }
 
-// acquire takes a token for a request; the final move says why there is none.
+// acquire takes a token for a request; the last move says why there is none.
 func (l *limits) acquire(ctx context.Context, t limiter.Tenant) (permit, limiter.Move) {
 	l.mu.Lock()
 	a := l.limiter.Start(t)
@@ -113,7 +114,7 @@
 			return permit{}, move
 		}
 		if until, granted := l.ask(ctx, a, move); granted {
-			return permit{until: until}, move
+			return permit{until: until, isTenantAtLimit: a.IsAtLimit()}, move
 		}
 	}
 }
--- a/traffic/limiter/limiter.go
+++ b/traffic/limiter/limiter.go
@@ -57,12 +57,19 @@
 
 // Acquisition is one request's way to a token.
 type Acquisition struct {
-	tenant   Tenant
-	division ratelimit.Division
-	first    int // the partition of the tenant's first bucket, from 0
-	asked    map[int]bool
+	tenant    Tenant
+	division  ratelimit.Division
+	first     int // the partition of the tenant's first bucket, from 0
+	asked     map[int]bool
+	isAtLimit bool
 }
 
+// IsAtLimit tells whether half of the tenant's buckets or more were known to be empty at the
+// last move: it asks for all that its limit gives.
+//
+// Example: request.TenantAtLimit = a.IsAtLimit()
+func (a *Acquisition) IsAtLimit() bool { return a.isAtLimit }
+
 // Start begins a request's way to a token.
 //
 // Example: a := l.Start(tenant)
@@ -101,10 +108,11 @@
 // Example: move := l.Next(now, a, leaders)
 func (l *Limiter) Next(now time.Duration, a *Acquisition, leaders []Leader) Move {
 	l.turn++
-	best, near, retryAt := 0, false, time.Duration(-1)
+	best, near, retryAt, empty := 0, false, time.Duration(-1), 0
 	for i := range a.division.Buckets {
 		p := a.partition((i+l.turn)%a.division.Buckets, l.cfg.Partitions)
 		if until := l.emptyUntil[bucketID{a.tenant.Name, p}]; now < until {
+			empty++
 			if retryAt < 0 || until < retryAt {
 				retryAt = until
 			}
@@ -117,6 +125,7 @@
 			best, near = p, leaders[p].Near
 		}
 	}
+	a.isAtLimit = 2*empty >= a.division.Buckets
 	switch {
 	case best > 0:
 		a.asked[best] = true
--- a/traffic/limiter/limiter_test.go
+++ b/traffic/limiter/limiter_test.go
@@ -45,6 +45,9 @@
 		if want := (ratelimit.Limit{Rate: 10, Burst: 7.5}); move.Request.Limit != want || move.Request.Version != 7 {
 			t.Errorf("%+v", move.Request)
 		}
+		if want := i >= cfg.Partitions/2; a.IsAtLimit() != want {
+			t.Errorf("with %d empty buckets it is at its limit: %v", i, !want)
+		}
 		asked[move.Partition] = true
 		l.Refused(0, a, move.Partition, time.Duration(i+4)*100*ms)
 	}
