--- a/traffic/gateway/limit.go
+++ b/traffic/gateway/limit.go
@@ -35,6 +35,8 @@
 type limits struct {
 	daemon     *daemon.Daemon
 	askTimeout time.Duration
+	// leaderWait is how long a request waits where no leader is known, as after a start.
+	leaderWait time.Duration
 
 	mu      sync.Mutex // guards all below
 	limiter *limiter.Limiter
@@ -53,7 +55,10 @@
 }
 
 func newLimits(d *daemon.Daemon) *limits {
-	return &limits{daemon: d, askTimeout: d.Cfg.VolumeLease() / 8, limiter: limiter.New(LimiterConfig(d.Cfg))}
+	return &limits{
+		daemon: d, askTimeout: d.Cfg.VolumeLease() / 8, leaderWait: d.Cfg.VolumeLease() / 2,
+		limiter: limiter.New(LimiterConfig(d.Cfg)),
+	}
 }
 
 // refreshLeaders looks up the partitions' leaders, once a view; the lock is held.
@@ -108,8 +113,12 @@
 	l.mu.Lock()
 	a := l.limiter.Start(t)
 	l.mu.Unlock()
+	waitUntil := l.daemon.Now() + l.leaderWait
 	for {
 		move := l.next(a)
+		if move.Action == limiter.Unknown && l.daemon.Now() < waitUntil && l.awaitLeader(ctx) {
+			continue
+		}
 		if move.Action != limiter.Ask || ctx.Err() != nil {
 			return permit{}, move
 		}
@@ -119,6 +128,19 @@
 	}
 }
 
+// awaitLeader waits a short while in which a leader may become known; false: its caller went
+// away.
+func (l *limits) awaitLeader(ctx context.Context) bool {
+	timer := time.NewTimer(l.leaderWait / 16)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // outcomes of acquiring a token, for figures.
 const (
 	tokenGranted     = "granted"
--- a/traffic/limiter/limiter.go
+++ b/traffic/limiter/limiter.go
@@ -93,6 +93,7 @@
 	Ask         Action = iota + 1 // a partition's leader for a token
 	Beyond                        // final: the tenant is beyond its limit
 	Unreachable                   // final: no leader can be reached
+	Unknown                       // no leader is known: one may be soon, as after a start
 )
 
 // Move is what to do next for a token.
@@ -108,7 +109,7 @@
 // Example: move := l.Next(now, a, leaders)
 func (l *Limiter) Next(now time.Duration, a *Acquisition, leaders []Leader) Move {
 	l.turn++
-	best, near, retryAt, empty := 0, false, time.Duration(-1), 0
+	best, near, retryAt, empty, isAnyKnown := 0, false, time.Duration(-1), 0, false
 	for i := range a.division.Buckets {
 		p := a.partition((i+l.turn)%a.division.Buckets, l.cfg.Partitions)
 		if until := l.emptyUntil[bucketID{a.tenant.Name, p}]; now < until {
@@ -118,7 +119,11 @@
 			}
 			continue
 		}
-		if a.asked[p] || now < l.silentUntil[p] || p >= len(leaders) || !leaders[p].Known {
+		if p >= len(leaders) || !leaders[p].Known {
+			continue
+		}
+		isAnyKnown = true
+		if a.asked[p] || now < l.silentUntil[p] {
 			continue
 		}
 		if best == 0 || leaders[p].Near && !near {
@@ -134,6 +139,9 @@
 	case retryAt >= 0:
 		return Move{Action: Beyond, RetryAfter: max(retryAt-now, l.cfg.RetryAfter)}
 	}
+	if !isAnyKnown {
+		return Move{Action: Unknown, RetryAfter: l.cfg.RetryAfter}
+	}
 	return Move{Action: Unreachable, RetryAfter: l.cfg.RetryAfter}
 }
 
--- a/traffic/limiter/limiter_test.go
+++ b/traffic/limiter/limiter_test.go
@@ -85,6 +85,9 @@
 	if move := l.Next(0, a, leaders); move.Action != Unreachable || move.RetryAfter != 250*ms {
 		t.Errorf("%+v", move)
 	}
+	if move := l.Next(0, l.Start(tenant), make([]Leader, cfg.Partitions+1)); move.Action != Unknown {
+		t.Errorf("no leader is known: %+v", move)
+	}
 	if move := l.Next(100*ms, l.Start(tenant), known()); move.Action != Ask || move.Partition != 2 {
 		t.Errorf("only 2 isn't known to be silent: %+v", move)
 	}
