--- a/proof/standin/mutants/mutants.sh
+++ b/proof/standin/mutants/mutants.sh
@@ -45,9 +45,9 @@
 	select {'
 mutant any-server crash 150 ROUTE $engine 'h.Set(hdrExpectServer, decision.Server.Key)' 'h.Del(hdrExpectServer)'
 mutant no-query calm 40 UNASKED $engine 'target := req.URL.Opaque' 'target, _, _ := strings.Cut(req.URL.Opaque, "?")'
-mutant no-route calm 80 DENIED $gate 'case !ok:
-		g.rejectEarly(q, w, http.StatusNotFound, "no route")' 'case !ok || requestHash(q.ID)%20 == 0:
-		g.rejectEarly(q, w, http.StatusNotFound, "no route")'
+mutant no-route calm 80 DENIED traffic/gateway/admit.go 'if !ok {
+		a.status, a.reason = http.StatusNotFound, reasonNoRoute' 'if !ok || requestHash(q.ID)%20 == 0 {
+		a.status, a.reason = http.StatusNotFound, reasonNoRoute'
 mutant cold-as-warm release 200 FAILBACK traffic/forward/filter.go '|| s.Warming && !d.acceptsWarmup(now, s.Key)' '' traffic/forward/score.go 'if o.Warming {' 'if o.Warming && o.wait < 0 {'
 mutant hasty-holder pressed 60 ONE control/daemon/timing.go 'SwapBound:    b.Swap,' 'SwapBound:    0,'
 mutant another-number config 40 CONFIG platform/write.go 'max(p.Version, p.Number)' 'max(p.Version, p.Number)+1'
--- a/proof/standin/mutants/rules.sh
+++ b/proof/standin/mutants/rules.sh
@@ -57,7 +57,7 @@
 ' ''
 mutant patch-without-sum control/fleetconfig TestAPatchFitsOnlyItsBase control/fleetconfig/codec.go 'zstd.WithEncoderLevel(zstd.SpeedFastest),' 'zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderCRC(false),'
 mutant refused-by-what-is-lost control/partition TestMergedJobsFailTogether control/partition/batch.go 'case j.writesNought && outcome == Done:' 'case j.writesNought:'
-mutant format-not-asked control/leader TestAPlanThatNotAllDaemonsRead control/leader/configcalls.go 'format > 0 && p.Needs > format' 'format > 9 && p.Needs > format'
+mutant format-not-asked control/leader TestAPlanThatNotAllDaemonsRead control/leader/configcalls.go 'format > 0 && needs > format' 'format > 9 && needs > format'
 # what is told of the servers' load
 mutant all-is-told traffic/loadreport TestLoadReportsAreBounded traffic/loadreport/exchange.go 'if !readsChanges(to) {' 'if readsChanges(to) {'
 mutant never-in-turn traffic/loadreport TestMissedReportsAreMadeUpInTurn traffic/loadreport/changes.go 'key%refreshReports == t.turn%refreshReports &&' 'key%refreshReports == t.turn%refreshReports && t.turn == 0 &&'
