--- a/traffic/gateway/limit_test.go
+++ b/traffic/gateway/limit_test.go
@@ -148,6 +148,14 @@
 			ID: fmt.Sprint("limited", requests), Method: "POST", Host: "h.example", Path: "/stream/", Target: "/stream/",
 			Key: "k-tight", InputTokens: 9000, Parts: []forward.Part{{Key: 7, Tokens: 9000}},
 		}, e)
-		return tokens(g, tokenGranted) != before && slices.Equal(e.log, []string{"refuse 503"}) && len(f.freed) == 1
+		if tokens(g, tokenGranted) == before || !slices.Equal(e.log, []string{"refuse 503"}) {
+			return false
+		}
+		soon(t, g.daemon, "its handle is released", func() bool { // beside the answer
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.freed) == 1
+		})
+		return true
 	})
 }
