--- a/control/daemon/calls.go
+++ b/control/daemon/calls.go
@@ -146,10 +146,7 @@
 //
 // Example: if d.Contact(0).LeaderUnreachable { redirectCaller() }
 func (d *Daemon) Contact(partition int) (out LeaderContact) {
-	s := d.shards[partition]
-	s.mu.Lock()
-	out.LapsedFor = max(0, d.Now()-s.node().VolumeExpiry())
-	s.mu.Unlock()
+	out.LapsedFor = d.LapsedFor(partition)
 	out.LeaderUnreachable = out.LapsedFor > d.Cfg.QuorumConfig().LeaderLease
 	out.OtherDaemons = d.otherDaemons(out.LapsedFor)
 	return out
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -81,6 +81,7 @@
 	supersession *supersession
 	planGaps     planGaps
 	leadsWon     *metrics.Counter
+	listDelay    *metrics.Histogram // from the begin of a pull of the servers' lists until one is written
 
 	httpListener net.Listener
 	services     []suture.Service // added by drivers
@@ -131,6 +132,7 @@
 	supervisor.Add(service(d.serveHTTP))
 	supervisor.Add(service(d.runMembership))
 	supervisor.Add(service(d.runShards))
+	supervisor.Add(service(d.runWireLog))
 	if d.store != nil {
 		supervisor.Add(service(d.disk.run))
 		if d.ServerSource != nil {
--- a/control/daemon/metrics.go
+++ b/control/daemon/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -30,6 +32,7 @@
 	})
 	d.registerPartitionMetrics(gauge)
 	d.registerWireMetrics(gauge)
+	d.listDelay = d.Metrics.NewHistogram(metricPrefix + "server_list_written_seconds")
 	d.planGaps.length = d.Metrics.NewHistogram(metricPrefix + "plan_withdrawn_seconds")
 	d.leadsWon = d.Metrics.NewCounter(metricPrefix + "leaderships_won_total")
 }
@@ -70,8 +73,8 @@
 	return sum
 }
 
-// WriteMetrics writes the daemon's metrics, those of its process, and the counts of
-// violated invariants, in the Prometheus text format.
+// WriteMetrics writes the daemon's metrics, the bytes on the wire by kind of message, those of its
+// process, and the counts of violated invariants, in the Prometheus text format.
 //
 // Example: d.WriteMetrics(w)
 func (d *Daemon) WriteMetrics(w io.Writer) {
@@ -79,6 +82,11 @@
 	for _, check := range invariant.All() {
 		_, _ = fmt.Fprintf(w, metricPrefix+"invariant_violations_total{check=%q} %d\n", check.Name(), check.Count())
 	}
+	counts := d.Transport.Counts()
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(w, metricPrefix+"wire_sent_bytes_total{kind=%q} %d\n", kind, counts[kind].SentBytes)
+		_, _ = fmt.Fprintf(w, metricPrefix+"wire_received_bytes_total{kind=%q} %d\n", kind, counts[kind].ReceivedBytes)
+	}
 	metrics.WriteProcessMetrics(w)
 	metrics.WriteFDMetrics(w)
 }
--- a/control/daemon/records.go
+++ b/control/daemon/records.go
@@ -69,6 +69,16 @@
 	return s.node().ValidUntil()
 }
 
+// LapsedFor is since when this daemon has no volume lease on a partition; 0: it has one.
+//
+// Example: if d.LapsedFor(p) > 0 { countAsStale() }
+func (d *Daemon) LapsedFor(partition int) time.Duration {
+	s := d.shards[partition]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, d.Now()-s.node().VolumeExpiry())
+}
+
 // Generation counts the changes of what a partition serves here: what was read stands as
 // long as Generation is the same and ValidUntil has not passed.
 //
--- a/control/daemon/serverlists.go
+++ b/control/daemon/serverlists.go
@@ -94,6 +94,7 @@
 // leader of its service.
 func (d *Daemon) pullServerLists(ctx context.Context, lists *listWriter) {
 	timeout := d.Cfg.Bounds.Leave / pullTimeouts
+	begun := d.Now()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	servers, err := d.ServerSource.List(ctx)
@@ -120,9 +121,14 @@
 		list.Version = lists.nextVersion()
 		writes.Go(func() {
 			call := leadercall.Pack(leader.ServersCall{Service: service, List: list})
-			if status, _ := d.Call(ctx, d.Partition(service), leadercall.OpServers, call, timeout); status == http.StatusOK {
-				lists.accept(service, packed)
+			status, _ := d.Call(ctx, d.Partition(service), leadercall.OpServers, call, timeout)
+			if status != http.StatusOK {
+				d.Events.Info("source", "a list of servers is not written yet", "service", service, "status", status,
+					"after", (d.Now() - begun).Round(time.Millisecond))
+				return
 			}
+			d.listDelay.Update((d.Now() - begun).Seconds())
+			lists.accept(service, packed)
 		})
 	}
 }
--- a/traffic/gateway/execute.go
+++ b/traffic/gateway/execute.go
@@ -144,7 +144,11 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		now := g.daemon.Now()
-		return (run == nil || run.mayRun(now)) && d.MaySend(now, c.ID, m)
+		if run != nil && !run.mayRun(now) || !d.MaySend(now, c.ID, m) {
+			return false
+		}
+		g.report.sent(g.daemon.LapsedFor(d.partition))
+		return true
 	}
 }
 
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -145,8 +145,12 @@
 	}
 }
 
-// logSummary logs how many requests were not served since the last time, and why.
+// logSummary logs how many requests were not served since the last time, and why, and how
+// many sends went by records without a lease.
 func (g *Gateway) logSummary() {
+	if text := g.report.summaryOfSends(); text != "" {
+		g.daemon.Events.Info("records", text)
+	}
 	if text := g.report.summary(); text != "" {
 		g.daemon.Events.Info("requests", "not served since the last line: "+text)
 	}
--- a/traffic/gateway/report.go
+++ b/traffic/gateway/report.go
@@ -47,6 +47,9 @@
 	next    int
 	reasons map[string]bool
 	since   map[string]int // ends and reasons since the last summary
+
+	withoutLease  int           // sends by records whose leases had lapsed, since the last summary
+	longestLapsed time.Duration // and the longest time that they had
 }
 
 func newReport(set *metrics.Set) *report {
@@ -84,6 +87,32 @@
 	r.next++
 }
 
+// sent notes a send to a server by records whose leases had lapsed for so long; 0: they stand.
+func (r *report) sent(lapsedFor time.Duration) {
+	if lapsedFor == 0 {
+		return
+	}
+	r.set.GetOrCreateHistogram("mulleinmast_sends_without_lease_seconds").Update(lapsedFor.Seconds())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.withoutLease++
+	r.longestLapsed = max(r.longestLapsed, lapsedFor)
+}
+
+// summaryOfSends is how many sends went by records without a lease since the last one; ""
+// if none did.
+func (r *report) summaryOfSends() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.withoutLease == 0 {
+		return ""
+	}
+	text := fmt.Sprintf("%d sends by records whose leases had lapsed, for %v at most",
+		r.withoutLease, r.longestLapsed.Round(time.Millisecond))
+	r.withoutLease, r.longestLapsed = 0, 0
+	return text
+}
+
 // explain lists the traces of a request, or all of them.
 func (r *report) explain(id string) (out []any) {
 	r.mu.Lock()
