--- a/control/daemon/records.go
+++ b/control/daemon/records.go
@@ -31,12 +31,8 @@
 	s := d.shards[partition]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := d.Now()
-	if rec, ok := s.node().Get(now, key); ok {
-		return rec, d.isReadable(s, rec)
-	}
-	rec, lapsed, ok := s.node().LastKnown(now, key)
-	return rec, ok && now < lapsed+d.Cfg.MaxStaleness() && d.isReadable(s, rec)
+	rec, ok := s.node().ReadAllowingStale(d.Now(), key, d.Cfg.MaxStaleness())
+	return rec, ok && d.isReadable(s, rec)
 }
 
 // StaleUntil is when what ReadAllowingStale serves of a partition ends, unless
@@ -47,15 +43,7 @@
 	s := d.shards[partition]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := d.Now()
-	if until := s.node().ValidUntil(); now < until {
-		return until
-	}
-	lapsed, ok := s.node().Lapsed(now)
-	if !ok { // nothing is served until a renewal was asked for in vain
-		return lapsed
-	}
-	return lapsed + d.Cfg.MaxStaleness()
+	return s.node().StaleUntil(d.Now(), d.Cfg.MaxStaleness())
 }
 
 // ValidUntil is when the first of the leases lapses under which this daemon serves
--- a/control/lease/records.go
+++ b/control/lease/records.go
@@ -89,3 +89,29 @@
 	ok = !n.root.active && !n.HasVolumeLease(now) && isUnanswered && !stoodStill
 	return max(u.volumeExpiry, n.root.formerEnd), ok
 }
+
+// ReadAllowingStale serves a record under both leases or, while LastKnown does, until the
+// volume lease lapsed longer ago than a bound.
+//
+// Example: if record, ok := n.ReadAllowingStale(now, "plan/now", bound); ok { route(record) }
+func (n *Node) ReadAllowingStale(now time.Duration, key string, maxStaleness time.Duration) (message.Record, bool) {
+	if record, ok := n.Get(now, key); ok {
+		return record, true
+	}
+	record, lapsed, ok := n.LastKnown(now, key)
+	return record, ok && now < lapsed+maxStaleness
+}
+
+// StaleUntil is when what ReadAllowingStale serves ends, unless leases are renewed.
+//
+// Example: if now < n.StaleUntil(now, bound) { route() }
+func (n *Node) StaleUntil(now, maxStaleness time.Duration) time.Duration {
+	if until := n.ValidUntil(); now < until {
+		return until
+	}
+	lapsed, ok := n.Lapsed(now)
+	if !ok { // nothing is served until a renewal was asked for in vain
+		return lapsed
+	}
+	return lapsed + maxStaleness
+}
