--- a/control/daemon/config_test.go
+++ b/control/daemon/config_test.go
@@ -58,7 +58,7 @@
 			t.Fatal(err)
 		}
 	}
-	write(`{"wire":"10.0.0.9:7000","zone":"north","bound_plan":"4s"}`)
+	write(`{"wire":"10.0.0.9:7000","zone":"north","bound_plan":"4s","bound_leave":"6s"}`)
 	cfg, err := readFlags("-config", path)
 	if err != nil || cfg.WireAddr != "10.0.0.1:7000" || cfg.Zone != "north" || cfg.VolumeLease().Milliseconds() != 1600 {
 		t.Errorf("file and flags: %+v %v", cfg, err)
--- a/control/daemon/configcheck.go
+++ b/control/daemon/configcheck.go
@@ -54,6 +54,7 @@
 			faults.Add("%s: %v: expected 100ms to 1h", bound.name, *bound.length)
 		}
 	}
+	c.checkDrainTime(faults)
 }
 
 func (c Config) checkSeeds(faults *fleetconfig.Faults) {
--- a/control/daemon/membership.go
+++ b/control/daemon/membership.go
@@ -18,6 +18,9 @@
 // it gave at its last tick.
 type memberTable struct {
 	view atomic.Pointer[membership.View]
+	// coreChanged is when a control daemon was last seen to go, come or start anew, or a partition
+	// to have another leader.
+	coreChanged atomic.Int64
 
 	mu    sync.Mutex // guards table
 	table *membership.Table
@@ -43,10 +46,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := t.table.Tick(now(), self, leaderships)
-	t.view.Store(t.table.View())
+	before, view := t.view.Load(), t.table.View()
+	if view != before && !view.HasSameCore(before) {
+		t.coreChanged.Store(int64(now()))
+	}
+	t.view.Store(view)
 	return out
 }
 
+// coreChangedAt is when the core was last seen to change.
+func (t *memberTable) coreChangedAt() time.Duration { return time.Duration(t.coreChanged.Load()) }
+
 func (t *memberTable) addControlAddrs(addrs ...string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/control/daemon/open_test.go
+++ b/control/daemon/open_test.go
@@ -29,7 +29,7 @@
 
 // withLongLeases gives leases of minutes: a pause of this machine is nothing then.
 func withLongLeases(cfg *Config) {
-	cfg.Bounds.Plan = 200 * time.Second
+	cfg.Bounds.Plan, cfg.Bounds.Leave = 200*time.Second, 300*time.Second
 }
 
 // singleDaemonConfig is that of a fleet of one control daemon.
@@ -45,7 +45,12 @@
 // grantVolumeLease has a daemon's partition adopt a parent and get a volume lease of
 // it; fromParent hands it messages of the parent.
 func grantVolumeLease(d *Daemon) (fromParent func(message.Message) []message.Envelope) {
-	node, number := d.shards[0].node(), uint64(0)
+	return grantVolumeLeaseOf(d, 0)
+}
+
+// grantVolumeLeaseOf is grantVolumeLease for any partition.
+func grantVolumeLeaseOf(d *Daemon, partition int) (fromParent func(message.Message) []message.Envelope) {
+	node, number := d.shards[partition].node(), uint64(0)
 	parent := message.Replica{Ident: "p", Addr: "p"}
 	fromParent = func(m message.Message) []message.Envelope {
 		number++
--- a/control/daemon/records.go
+++ b/control/daemon/records.go
@@ -21,29 +21,34 @@
 	return rec, ok && d.isReadable(s, rec)
 }
 
-// ReadAllowingStale serves a record under valid leases or, while its leader can't
-// be reached, as it was when they lapsed: not longer than MaxStaleness after that,
-// and never once it was withdrawn. Requests are routed by it and readiness goes by
+// ReadAllowingStale serves a record under valid leases or, while they aren't renewed,
+// as it was when they lapsed: not longer than MaxStaleness after that, which is short
+// where this daemon is in touch, and never once it was withdrawn. Requests are routed by it and readiness goes by
 // it; nothing is ordered, written or sent to others on its ground.
 //
 // Example: rec, ok := d.ReadAllowingStale(0, fleetconfig.PlanKey)
 func (d *Daemon) ReadAllowingStale(partition int, key string) (message.Record, bool) {
-	s := d.shards[partition]
+	s, bound := d.shards[partition], d.maxStaleness(partition, key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rec, ok := s.node().ReadAllowingStale(d.Now(), key, d.Cfg.MaxStaleness())
+	rec, ok := s.node().ReadAllowingStale(d.Now(), key, bound)
 	return rec, ok && d.isReadable(s, rec)
 }
 
-// StaleUntil is when what ReadAllowingStale serves of a partition ends, unless
-// leases are renewed.
+// StaleUntil is until when what ReadAllowingStale serves of a record stands without
+// another look, unless leases are renewed.
 //
-// Example: if d.Now() < d.StaleUntil(p) { route() }
-func (d *Daemon) StaleUntil(partition int) time.Duration {
-	s := d.shards[partition]
+// Example: if d.Now() < d.StaleUntil(p, fleetconfig.ListKey("timetable")) { route() }
+func (d *Daemon) StaleUntil(partition int, key string) time.Duration {
+	s, bound := d.shards[partition], d.maxStaleness(partition, key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.node().StaleUntil(d.Now(), d.Cfg.MaxStaleness())
+	now := d.Now()
+	until := s.node().StaleUntil(now, bound)
+	if now < s.node().ValidUntil() {
+		return until
+	}
+	return min(until, now+fraction(d.Cfg.VolumeLease(), staleRecheckRatio))
 }
 
 // ValidUntil is when the first of the leases lapses under which this daemon serves
@@ -80,6 +85,16 @@
 	d.step(d.shards[partition], func(c *leader.Controller, now time.Duration) leader.Out { return c.Pin(now, key) })
 }
 
+// Unpin ends what Pin began.
+//
+// Example: d.Unpin(p, fleetconfig.ServerRecordKey("timetable", "i-7f3a"))
+func (d *Daemon) Unpin(partition int, key string) {
+	s := d.shards[partition]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.controller.Unpin(key)
+}
+
 // AwaitRecord waits until a record can be read.
 //
 // Example: rec, ok := d.AwaitRecord(ctx, 0, fleetconfig.PlanKey)
--- a/control/daemon/records_test.go
+++ b/control/daemon/records_test.go
@@ -19,7 +19,7 @@
 		cfg.Bounds.Recover = 1200 * time.Second
 	})
 	node, fromParent := d.shards[0].node(), grantVolumeLease(d)
-	maxStaleness, interval := d.Cfg.MaxStaleness(), d.Cfg.LeaseConfig().RenewInterval
+	maxStaleness, interval := d.Cfg.MaxStaleness(0, fleetconfig.PlanKey, true), d.Cfg.LeaseConfig().RenewInterval
 	fromParent(message.Message{
 		Kind: message.KindGrantLease,
 		Records: []message.Record{
@@ -41,9 +41,9 @@
 		t.Helper()
 		_, read := d.Read(0, fleetconfig.PlanKey)
 		_, stale := d.ReadAllowingStale(0, fleetconfig.PlanKey)
-		if read != leased || stale != served || d.canServe() != served || (d.Now() < d.StaleUntil(0)) != served {
+		if read != leased || stale != served || d.canServe() != served || (d.Now() < d.StaleUntil(0, fleetconfig.PlanKey)) != served {
 			t.Errorf("%s: read under leases %v, routed by %v, ready %v, until %v at %v",
-				moment, read, stale, d.canServe(), d.StaleUntil(0), d.Now())
+				moment, read, stale, d.canServe(), d.StaleUntil(0, fleetconfig.PlanKey), d.Now())
 		}
 		if _, ok := d.ReadAllowingStale(0, fleetconfig.ReplicaKey); ok {
 			t.Errorf("%s: a record that was never here is routed by", moment)
--- a/control/daemon/serverlists.go
+++ b/control/daemon/serverlists.go
@@ -18,7 +18,7 @@
 const (
 	// pullRatio is the interval between two looks at the source, to the bound in
 	// which a leaving server gets no more work.
-	pullRatio = 0.15
+	pullRatio = pullShare
 	// pullTimeouts is how many timeouts of a pull fit into that bound.
 	pullTimeouts = 3
 	// listSequenceBits is how many lists one term may number, as a power of two.
--- a/control/daemon/timing.go
+++ b/control/daemon/timing.go
@@ -40,19 +40,19 @@
 	return time.Duration(float64(d) * ratio)
 }
 
-// VolumeLease is the length of the volume leases.
+// VolumeLease is the length of the volume leases: a record is withdrawn within a share of the bound
+// on a change of the plan, and of that on a server that leaves.
 //
 // Example: c.VolumeLease() == 800*time.Millisecond for a plan bound of 2 s
-func (c Config) VolumeLease() time.Duration { return fraction(c.Bounds.Plan, volumeLeaseRatio) }
+func (c Config) VolumeLease() time.Duration {
+	longest := time.Duration(float64(c.maxWithdrawal()-c.margin()) / (1 + c.Drift))
+	return min(fraction(c.Bounds.Plan, volumeLeaseRatio), longest)
+}
 
 // margin is added to a lease where it is granted, beside the drift of the clocks.
-func (c Config) margin() time.Duration { return fraction(c.Bounds.Plan, marginRatio) }
-
-// MaxStaleness is how long after its leases lapsed a daemon that can't reach a leader
-// goes on routing requests by the records that it had then.
-//
-// Example: c.MaxStaleness() == 12*time.Second for a recovery bound of 12 s
-func (c Config) MaxStaleness() time.Duration { return c.Bounds.Recover }
+func (c Config) margin() time.Duration {
+	return fraction(min(c.Bounds.Plan, c.Bounds.Leave), marginRatio)
+}
 
 // OnceKeyRetention is how long a once key is kept; no request's timeout is longer
 // than half.
--- a/control/leader/call.go
+++ b/control/leader/call.go
@@ -72,6 +72,9 @@
 		c.respond(from, call, invalidBody(err))
 		return c.finishStep(partition.Out{})
 	}
+	if call.Op == leadercall.OpServers {
+		c.withdrawLeaving(call.Body)
+	}
 	var events []Event
 	out := c.Submit(now, job, func(r partition.Result) {
 		c.reload = c.reload || call.Op == leadercall.OpServers // other calls concern no server's record
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -140,6 +140,11 @@
 	return c.finishStep(c.partition.Pin(now, key))
 }
 
+// Unpin ends what Pin began.
+//
+// Example: c.Unpin("server/of/yesterday")
+func (c *Controller) Unpin(key string) { c.partition.Unpin(key) }
+
 // Submit runs a write; onResult, if there is one, is called once with its outcome.
 //
 // Example: out := c.Submit(now, job, func(r partition.Result) { log(r.Outcome) })
--- a/control/leader/reconcile.go
+++ b/control/leader/reconcile.go
@@ -65,8 +65,8 @@
 	for _, note := range step.Notes {
 		out.log("servers", "%s", note)
 	}
-	for _, write := range step.Writes {
-		out.add(c.writeServerRecord(now, controller, write))
+	if len(step.Writes) > 0 {
+		out.add(c.writeServerRecords(now, controller, step.Writes))
 	}
 	out.Polls = append(out.Polls, step.Polls...)
 	out.Orders = append(out.Orders, step.Orders...)
@@ -121,16 +121,23 @@
 	}
 }
 
-func (c *Controller) writeServerRecord(now time.Duration, controller *placement.Controller, write placement.Write) Out {
-	record := message.Record{Key: write.Key, Value: write.Value, Deleted: write.Delete}
-	job := partition.Job{Keys: []string{write.Key}, Build: func(lease.RecordSource) ([]message.Record, any) {
-		return []message.Record{record}, nil
-	}}
+// writeServerRecords writes the records of a round together: each daemon hears of them at once.
+func (c *Controller) writeServerRecords(now time.Duration, controller *placement.Controller, writes []placement.Write) Out {
+	var keys []string
+	var records []message.Record
+	for _, write := range writes {
+		keys = append(keys, write.Key)
+		records = append(records, message.Record{Key: write.Key, Value: write.Value, Deleted: write.Delete})
+	}
+	job := partition.Job{Keys: keys, Build: func(lease.RecordSource) ([]message.Record, any) { return records, nil }}
 	return c.Submit(now, job, func(r partition.Result) {
-		written, _ := placement.OpenServerRecord(record)
 		c.reload = true
-		if c.placement == controller {
-			controller.HandleWritten(write.Key, written, r.Outcome == partition.Done)
+		if c.placement != controller {
+			return
+		}
+		for _, record := range records {
+			written, _ := placement.OpenServerRecord(record)
+			controller.HandleWritten(record.Key, written, r.Outcome == partition.Done)
 		}
 	})
 }
--- a/control/leader/servicecalls.go
+++ b/control/leader/servicecalls.go
@@ -34,10 +34,11 @@
 
 // listJob takes a list unless one with a later version is in force: a call
 // that was held up on its way must not bring a leaving server back. A record that can't
-// be read gives way: its source sends the list again all the time.
+// be read gives way: its source sends the list again all the time. One that comes while an
+// earlier one is withdrawn takes its place.
 func listJob(in ServersCall) partition.Job {
 	next := message.Record{Key: fleetconfig.ListKey(in.Service), Value: leadercall.Pack(in.List)}
-	return partition.Job{Keys: []string{next.Key}, Build: func(read lease.RecordSource) ([]message.Record, any) {
+	return partition.Job{Keys: []string{next.Key}, Mergeable: in.List.Version > 0, Build: func(read lease.RecordSource) ([]message.Record, any) {
 		current := read(next.Key)
 		if current.Deleted {
 			return []message.Record{next}, responseDone
@@ -56,6 +57,20 @@
 	}}
 }
 
+// withdrawLeaving has the records of servers that a list names as leaving written beside the list,
+// not after it: either may wait for a daemon that doesn't answer. Lists that may be older than the
+// one in force say nothing.
+func (c *Controller) withdrawLeaving(body []byte) {
+	in, err := decodeBody[ServersCall](body)
+	if err != nil || c.placement == nil {
+		return
+	}
+	committed, _ := c.partition.Replica.Records().Get(fleetconfig.ListKey(in.Service))
+	if inForce, err := fleetconfig.ReadList(committed); err == nil && in.List.Version > inForce.Version {
+		c.placement.WithdrawLeaving(in.Service, in.List)
+	}
+}
+
 // handleClaim claims a once key for a request, or says what became of it.
 func (r request) handleClaim(body []byte) (partition.Job, error) {
 	in, err := decodeBody[ClaimCall](body)
--- a/control/lease/downstream.go
+++ b/control/lease/downstream.go
@@ -242,6 +242,31 @@
 	}
 }
 
+// joinGrants joins the grants of records to a child into the first of them. All are of one
+// step, in which no record is withdrawn after it was granted.
+func joinGrants(sends []message.Envelope) []message.Envelope {
+	first := map[string]int{} // child's identity -> place of its first grant
+	joined := sends[:0]
+	for _, e := range sends {
+		at, seen := first[e.Message.To]
+		switch {
+		case !isRecordGrant(e.Message):
+		case seen:
+			joined[at].Message.Records = append(joined[at].Message.Records, e.Message.Records...)
+			continue
+		default:
+			first[e.Message.To] = len(joined)
+		}
+		joined = append(joined, e)
+	}
+	return joined
+}
+
+// isRecordGrant tells whether a message grants records that were waited for, and nothing else.
+func isRecordGrant(m message.Message) bool {
+	return m.Kind == message.KindGrantLease && m.ResponseTo == 0 && m.Length == 0
+}
+
 // mayGrantRecord tells whether a child may be granted a record without having asked
 // just now.
 func (n *Node) mayGrantRecord(now time.Duration, c *child) bool {
--- a/control/lease/invalidation.go
+++ b/control/lease/invalidation.go
@@ -96,6 +96,19 @@
 	return out
 }
 
+// ResumeAll serves suspended records again; a child that waits for several of them gets them
+// in one message.
+//
+// Example: out := n.ResumeAll(now, []string{"server/a", "server/b"})
+func (n *Node) ResumeAll(now time.Duration, keys []string) (out Out) {
+	for _, key := range keys {
+		resumed := n.Resume(now, key)
+		out.Sends = append(out.Sends, resumed.Sends...)
+	}
+	out.Sends = joinGrants(out.Sends)
+	return out
+}
+
 // invalidate drops a record here and below, with nobody to notify.
 func (n *Node) invalidate(now time.Duration, key string, out *Out) {
 	n.completeIfAcknowledged(now, n.withdraw(now, key, out), out)
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -229,5 +229,15 @@
 	return out
 }
 
+// Unpin ends what Pin began: the record is not fetched again once it is withdrawn.
+//
+// Example: n.Unpin("server/of/yesterday")
+func (n *Node) Unpin(key string) {
+	delete(n.records.pinned, key)
+	if _, waitedFor := n.downstream.waiting[key]; !waitedFor {
+		delete(n.upstream.fetches, key)
+	}
+}
+
 // sortedKeys are the keys of a map, in an order that does not vary from run to run.
 func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
--- a/control/lease/upstream.go
+++ b/control/lease/upstream.go
@@ -337,9 +337,12 @@
 		u.volumeExpiry = max(u.volumeExpiry, sentAt+m.VolumeLease)
 		n.noteAnswered(now, m.ResponseTo, sentAt)
 	}
+	var passedOn Out
 	for _, record := range m.Records {
-		n.takeGranted(now, record, m.ObjectLease, out)
+		n.takeGranted(now, record, m.ObjectLease, &passedOn)
 	}
+	out.Readable = append(out.Readable, passedOn.Readable...)
+	out.Sends = append(out.Sends, joinGrants(passedOn.Sends)...)
 	n.answerPendingRenewals(now, out)
 }
 
--- a/control/membership/relay.go
+++ b/control/membership/relay.go
@@ -6,14 +6,11 @@
 	"mulleinmast/wire/message"
 )
 
-// crowdedZone is the number of members from which on a zone's relay of the configuration
-// is one of its control daemons. The relay sends the plan to every member of the zone,
-// over its own link, and the machines of control daemons have the most bandwidth.
+// crowdedZone is the number of members from which on a zone's relays are its control daemons.
+// A relay sends each record to every member of the zone, over its own link, and the machines of
+// control daemons have the most bandwidth.
 const crowdedZone = 12
 
-// configPartition is the partition that holds the fleet's configuration.
-const configPartition = 0
-
 // relayPlace is a partition in a zone.
 type relayPlace struct {
 	partition int
@@ -33,14 +30,16 @@
 	return relay
 }
 
-// chooseRelay picks, by rendezvous hashing, one of the zone's members that don't lead
-// the partition.
+// chooseRelay picks, by rendezvous hashing, one of the zone's members that don't lead the
+// partition: in a crowded zone a control daemon. Where the leader is the only one of a crowded
+// zone there is no relay, and the members go straight to it.
 func (v *View) chooseRelay(partition int, zone string) message.Replica {
 	leader := v.Leaderships[partition].Leader.Ident
 	var all, control heaviest
-	members := 0
+	members, leaderIsHere := 0, false
 	for m := range v.MembersIn(zone) {
 		if m.Ident == leader {
+			leaderIsHere = m.HasDisk
 			continue
 		}
 		members++
@@ -49,11 +48,14 @@
 			control.offer(partition, m)
 		}
 	}
+	isCrowded := members >= crowdedZone
 	switch {
 	case members < v.minRelayZone:
 		return message.Replica{}
-	case partition == configPartition && members >= crowdedZone && control.replica.Ident != "":
+	case isCrowded && control.replica.Ident != "":
 		return control.replica
+	case isCrowded && leaderIsHere:
+		return message.Replica{}
 	}
 	return all.replica
 }
--- a/control/membership/view.go
+++ b/control/membership/view.go
@@ -79,6 +79,25 @@
 	return list
 }
 
+// HasSameCore tells whether two views show the same incarnations of control daemons, and the same
+// leaderships.
+//
+// Example: if !view.HasSameCore(before) { noteUnsettled() }
+func (v *View) HasSameCore(other *View) bool {
+	return maps.Equal(v.Leaderships, other.Leaderships) && maps.Equal(v.coreIncarnations(), other.coreIncarnations())
+}
+
+// coreIncarnations are the control daemons' incarnations, by identity.
+func (v *View) coreIncarnations() map[string]uint64 {
+	incarnations := map[string]uint64{}
+	for _, m := range v.Members {
+		if m.HasDisk {
+			incarnations[m.Ident] = m.Epoch
+		}
+	}
+	return incarnations
+}
+
 // MustHandOver tells whether a group counts on this daemon's replica though another
 // control daemon could take its place, or is about to: until a change of the group is
 // complete it needs the replicas that it had before.
--- a/control/membership/view_test.go
+++ b/control/membership/view_test.go
@@ -21,10 +21,10 @@
 	return v
 }
 
-// The whole plan goes to each member of a zone over its relay's link: in a
-// crowded zone that is a control daemon's. Other partitions keep to the weights,
-// which spread them, and so does a zone that isn't crowded or has no such daemon.
-func TestACrowdedZoneGetsAControlDaemonAsConfigurationRelay(t *testing.T) {
+// Each record goes to every member of a zone over its relay's link: in a crowded zone that is a
+// control daemon's, for every partition. A zone that isn't crowded, or has no such daemon, keeps to
+// the weights, which spread the partitions.
+func TestACrowdedZoneHasControlDaemonsAsRelays(t *testing.T) {
 	for _, c := range []struct {
 		control, others int
 		wide            bool
@@ -34,30 +34,58 @@
 		for _, m := range v.Members {
 			control[m.Ident] = m.HasDisk
 		}
-		if got := control[v.Relay(0, "c").Ident]; c.wide && !got {
-			t.Errorf("%d control daemons of %d: the configuration's relay is %v", c.control, len(v.Members), v.Relay(0, "c"))
-		}
 		plain := zoneOf(0, c.control+c.others)
+		chosen := map[string]bool{}
 		for p := range 30 {
-			if (p > 0 || !c.wide) && v.Relay(p, "c") != plain.Relay(p, "c") {
+			relay := v.Relay(p, "c")
+			chosen[relay.Ident] = true
+			if c.wide && !control[relay.Ident] {
+				t.Errorf("%d control daemons of %d, partition %d: the relay is %v", c.control, len(v.Members), p, relay)
+			}
+			if !c.wide && relay != plain.Relay(p, "c") {
 				t.Errorf("%d control daemons of %d, partition %d: relay %v, by weight %v",
-					c.control, len(v.Members), p, v.Relay(p, "c"), plain.Relay(p, "c"))
+					c.control, len(v.Members), p, relay, plain.Relay(p, "c"))
 			}
-			if !control[v.Relay(p, "c").Ident] {
+			if !control[relay.Ident] {
 				byWeight++
 			}
 		}
-		if byWeight == 0 {
+		if !c.wide && byWeight == 0 {
 			t.Error("no partition's relay is without a disk")
 		}
+		if c.wide && len(chosen) != c.control {
+			t.Errorf("%d of %d control daemons are relays of 30 partitions", len(chosen), c.control)
+		}
 	}
-	v := zoneOf(2, 40)
-	leader := v.Relay(0, "c")
-	v.Leaderships[0] = message.Leadership{Term: 2, Leader: leader}
-	v.relays.Clear()
-	if next := v.Relay(0, "c"); next == leader || next.Ident == "" {
+}
+
+// Where a control daemon of a crowded zone leads a partition another one is the relay; where there
+// is no other, the members go straight to the leader, and to a relay again once it leads no more.
+func TestTheLeadersOwnZone(t *testing.T) {
+	lead := func(v *View, ident string) {
+		v.Leaderships[0] = message.Leadership{Term: 2, Leader: message.Replica{Ident: ident, Addr: ident}}
+		v.relays.Clear()
+	}
+	two := zoneOf(2, 40)
+	leader := two.Relay(0, "c")
+	lead(two, leader.Ident)
+	if next := two.Relay(0, "c"); next == leader || next.Ident == "" || !two.Members[0].HasDisk {
 		t.Errorf("the leader's zone has %v", next)
 	}
+	one := zoneOf(1, 40)
+	alone := one.Relay(0, "c")
+	lead(one, alone.Ident)
+	one.Self = one.Members[7]
+	if relay, parent := one.Relay(0, "c"), one.Parent(0); relay.Ident != "" || parent != alone {
+		t.Errorf("beside the leader alone: relay %v, parent %v", relay, parent)
+	}
+	lead(one, "far")
+	if parent := one.Parent(0); parent != alone {
+		t.Errorf("once it leads no more the parent is %v", parent)
+	}
+	if few := zoneOf(1, crowdedZone-2); few.Relay(0, "c").Ident == "" {
+		t.Error("a zone that isn't crowded has no relay")
+	}
 }
 
 // A daemon that is told to end hands its replica over where a spare could take its
--- a/control/partition/batch.go
+++ b/control/partition/batch.go
@@ -95,6 +95,10 @@
 			p.add(b, j)
 			continue
 		}
+		if b := p.openBatch(j); b != nil && !j.hasKeyIn(waitingKeys) {
+			p.add(b, j)
+			continue
+		}
 		if j.hasKeyIn(p.busyKeys) || j.hasKeyIn(waitingKeys) || len(p.running) >= maxRunning {
 			for _, key := range j.Keys {
 				waitingKeys[key] = true
@@ -110,6 +114,21 @@
 	p.startInvalidations(now, out)
 }
 
+// openBatch is the batch that a job of one record can still join: of the same record, which isn't
+// on its way to the replicas yet. Else each job of a row would wait anew for those that are silent.
+func (p *Partition) openBatch(j *job) *batch {
+	if !j.Mergeable || len(j.Keys) != 1 || !p.busyKeys[j.Keys[0]] {
+		return nil
+	}
+	for _, b := range p.running {
+		isOpen := b.stage == built || b.stage == invalidating
+		if isOpen && len(b.records) == 1 && b.jobs[0].Mergeable && b.jobs[0].keySet() == j.keySet() {
+			return b
+		}
+	}
+	return nil
+}
+
 // startJob makes a batch of a job; nil if it writes nothing, which ends it.
 func (p *Partition) startJob(j *job, out *Out) *batch {
 	b := &batch{}
@@ -184,7 +203,9 @@
 	for _, key := range b.jobs[0].Keys {
 		delete(p.busyKeys, key)
 	}
+	keys := make([]string, 0, len(b.records))
 	for _, r := range b.records {
-		p.handleNodeOut(now, p.Node.Resume(now, r.Key), out)
+		keys = append(keys, r.Key)
 	}
+	p.handleNodeOut(now, p.Node.ResumeAll(now, keys), out)
 }
--- a/control/partition/step.go
+++ b/control/partition/step.go
@@ -108,6 +108,11 @@
 	return out
 }
 
+// Unpin ends what Pin began.
+//
+// Example: p.Unpin("server/of/yesterday")
+func (p *Partition) Unpin(key string) { p.Node.Unpin(key) }
+
 // handleMessage gives a message to the replica or to the node of the lease tree.
 func (p *Partition) handleMessage(now time.Duration, m message.Message, out *Out) {
 	if !isForReplica(m.Kind) {
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// WithdrawLeaving takes, of a list that isn't committed yet, which servers leave: nothing new is to
+// go to them, whatever becomes of the list.
+//
+// Example: c.WithdrawLeaving("timetable", list)
+func (c *Controller) WithdrawLeaving(service string, list fleetconfig.List) {
+	for _, entry := range list.Servers {
+		if s := c.servers[fleetconfig.ServerRecordKey(service, entry.Key())]; s != nil && entry.Leaving {
+			s.withdrawn = true
+		}
+	}
+}
+
 // HandleWritten takes the outcome of a write; ok tells that the record is committed.
 //
 // Example: c.HandleWritten(key, record, true)
--- a/proof/hollow/spec.go
+++ b/proof/hollow/spec.go
@@ -94,6 +94,7 @@
 		c.WireAddr, c.HTTPAddr = address(zone, i/o.Zones, o.Port), address(zone, i/o.Zones, o.Port+1)
 		c.Fleet, c.Zone, c.Seeds, c.EventLogSize, c.Losses = "hollow", fmt.Sprintf("zone-%d", zone), seeds, 64, o.Losses
 		c.Bounds.Plan = o.Apply
+		c.Bounds.Leave = max(c.Bounds.Leave, o.Apply*4/3) // or it would shorten the leases
 		out[i] = Spec{Index: i, Zone: zone, Region: region(zone, o.Regions), Core: i < o.Core, List: list, Far: o.Far, Regions: o.Regions, Models: o.Models}
 		if i < o.Core {
 			c.DataFolder = fmt.Sprintf("%s/core-%d", o.Dir, i)
--- a/proof/narrowlinks/node.go
+++ b/proof/narrowlinks/node.go
@@ -80,6 +80,7 @@
 	w.nodes = append(w.nodes, n)
 	w.after(formation, func() {
 		w.every(w.cfg.VolumeLease()/stepGap, n.tick)
+		w.every(gateway.LoadReportConfig(w.cfg).Interval, n.keepPinned)
 		w.every(time.Second/looksPerSecond, n.look)
 	})
 }
@@ -97,7 +98,7 @@
 	}
 }
 
-// tick lets time pass in the leases, and keeps the records cached that the dispatcher reads.
+// tick lets time pass in the leases.
 func (n *node) tick() {
 	if n.link.down {
 		return
@@ -106,12 +107,24 @@
 	if parent := n.parent(); parent != n.tree().Parent() {
 		n.carryOut(n.controller.SetParent(n.w.now, parent))
 	}
+}
+
+// keepPinned pins the records that the dispatcher reads, and no others, as the gateway does.
+func (n *node) keepPinned() {
+	n.dispatcher.Refresh(n.w.now)
+	wanted := map[string]bool{}
 	for _, key := range n.dispatcher.Keys() {
+		wanted[key] = true
 		if !n.pinned[key] {
-			n.pinned[key] = true
 			n.carryOut(n.controller.Pin(n.w.now, key))
 		}
 	}
+	for key := range n.pinned {
+		if !wanted[key] {
+			n.controller.Unpin(key)
+		}
+	}
+	n.pinned = wanted
 }
 
 // parent is the daemon's parent in the lease tree, as membership.ParentChooser has it.
--- a/proof/narrowlinks/source.go
+++ b/proof/narrowlinks/source.go
@@ -17,7 +17,7 @@
 	if p != number {
 		return message.Record{Key: key, Value: fleetconfig.EncodeZones(nil), Version: message.Version{Term: 1, Seq: 1}}, true
 	}
-	return n.tree().ReadAllowingStale(n.w.now, key, n.w.cfg.MaxStaleness())
+	return n.tree().ReadAllowingStale(n.w.now, key, n.w.cfg.MaxStaleness(p, key, false))
 }
 
 // Generation counts the changes of the partition's records.
@@ -37,7 +37,7 @@
 	if p != number {
 		return time.Hour
 	}
-	return n.tree().StaleUntil(n.w.now, n.w.cfg.MaxStaleness())
+	return n.tree().StaleUntil(n.w.now, n.w.cfg.MaxStaleness(p, fleetconfig.ListKey(service), false))
 }
 
 // idle reports no load at any server.
--- a/traffic/forward/dispatcher.go
+++ b/traffic/forward/dispatcher.go
@@ -38,6 +38,8 @@
 	sortedKeys         []string // of servable, so that equal choices fall alike
 	recordKeys         []string // of the list and of the records of its servers
 	listedServers      []fleetconfig.Server
+	listedAt           time.Duration // when the list could be read last
+	byWithdrawnList    bool          // servable comes from a list that can't be read any more
 	records            map[string]record
 	listVersion        message.Version
 	stats              map[string]*serverStats
@@ -96,19 +98,30 @@
 // Example: for d.InFlight() > 0 { wait() }
 func (d *Dispatcher) InFlight() int { return len(d.pending) }
 
-// Keys lists the records that the dispatcher reads, for its user to keep wanted.
+// Keys lists the records that the dispatcher reads, for its user to keep wanted: the list, and
+// the records of the servers that it names and that don't leave.
 //
 // Example: for _, k := range d.Keys() { daemon.Pin(part, k) }
 func (d *Dispatcher) Keys() []string {
 	list := fleetconfig.ListKey(d.service)
-	rec, ok := d.source.Read(d.partition, list)
-	if !ok {
-		return []string{list}
+	if rec, ok := d.source.Read(d.partition, list); ok {
+		d.readList(rec)
+	}
+	keys := []string{list}
+	for i, s := range d.listedServers {
+		if !s.Leaving {
+			keys = append(keys, d.recordKeys[i+1])
+		}
 	}
-	d.readList(rec)
-	return d.recordKeys
+	return keys
 }
 
+// Refresh reads the records again if they changed. It is to be called at intervals shorter than
+// MaxListAge: by these it is known until when a list that was withdrawn could be read.
+//
+// Example: d.Refresh(now)
+func (d *Dispatcher) Refresh(now time.Duration) { d.refreshServers(now) }
+
 // readList reads a list of servers, once a version.
 func (d *Dispatcher) readList(rec message.Record) []fleetconfig.Server {
 	if d.recordKeys == nil || d.listVersion != rec.Version {
@@ -150,10 +163,12 @@
 func (d *Dispatcher) refreshServers(now time.Duration) bool {
 	gen := [2]uint64{d.source.Generation(0), d.source.Generation(d.partition)}
 	if gen == d.generations && now < d.validUntil {
+		d.noteListed(now)
 		return true
 	}
 	d.validUntil = min(d.source.Until(0), d.source.Until(d.partition))
-	if d.complete && gen == d.generations && now < d.validUntil {
+	if d.complete && gen == d.generations && now < d.validUntil && !d.byWithdrawnList {
+		d.noteListed(now)
 		return true
 	}
 	d.generations, d.complete = gen, false
@@ -165,14 +180,14 @@
 func (d *Dispatcher) readServers(now time.Duration) bool {
 	clear(d.servable)
 	d.sortedKeys = nil
-	listed, okList := d.source.Read(d.partition, fleetconfig.ListKey(d.service))
+	okList := d.readCurrentList(now)
 	zones, okZones := d.source.Read(0, fleetconfig.ZoneKey)
 	if !okList || !okZones || now >= d.validUntil {
 		d.validUntil = 0
 		return false
 	}
 	zonesOut := fleetconfig.OpenZones(zones)
-	for i, s := range d.readList(listed) {
+	for i, s := range d.listedServers {
 		if s.Leaving || zonesOut[s.Zone] {
 			continue
 		}
@@ -186,6 +201,27 @@
 	return true
 }
 
+// noteListed notes that the list can be read now, if servable comes from such a list.
+func (d *Dispatcher) noteListed(now time.Duration) {
+	if !d.byWithdrawnList {
+		d.listedAt = now
+	}
+}
+
+// readCurrentList reads the list. One that was withdrawn just now still says which servers there
+// are, for MaxListAge: a change of one server doesn't take all others away.
+func (d *Dispatcher) readCurrentList(now time.Duration) bool {
+	rec, ok := d.source.Read(d.partition, fleetconfig.ListKey(d.service))
+	d.byWithdrawnList = !ok
+	if ok {
+		d.readList(rec)
+		d.listedAt = now
+		return true
+	}
+	d.validUntil = min(d.validUntil, d.listedAt+d.cfg.MaxListAge)
+	return d.recordKeys != nil
+}
+
 // readServer reads the record of a listed server; false: it may not be used now.
 func (d *Dispatcher) readServer(listed fleetconfig.Server, recordKey string) (Server, bool) {
 	rec, ok := d.source.Read(d.partition, recordKey)
--- a/traffic/forward/score.go
+++ b/traffic/forward/score.go
@@ -11,9 +11,11 @@
 type Weights struct {
 	CrossZoneBody     float64 // a KB of the request's body sent to another zone
 	CacheMiss         float64 // 1,000 tokens read that another server has cached
+	ReportedLoad      float64 // part of the load that others reported which counts: it is older than a prompt takes to read
 	KVTransfer        float64 // 1,000 tokens of KV cache moved within a zone
 	CrossZoneTransfer float64 // factor on KVTransfer between zones
-	AffinityMiss      float64 // a server that is not first in a prefix's order
+	AffinityMiss      float64 // a server that is not first in a prefix's order, a place
+	Spread            float64 // the most that chance adds, so that daemons don't all choose alike
 	Warming           float64 // a server that warms up
 	Stall             float64 // an answer under way whose pause gets too long
 }
@@ -57,7 +59,7 @@
 		d.addFixedCosts(r, &o)
 		out = append(out, o)
 	}
-	if !anyCached && tokens > 0 {
+	if tokens > 0 {
 		d.addAffinityCosts(list, out, key, tokens)
 	}
 	return out
@@ -76,6 +78,7 @@
 // predict fills in the times of a server from the load of all daemons.
 func (d *Dispatcher) predict(now time.Duration, r *pendingRequest, role string, rate float64, o *scoredServer) {
 	tokens, decoding, interToken := d.load.Load(now, o.Key)
+	tokens = int(float64(tokens) * d.cfg.Weights.ReportedLoad)
 	o.wait, o.decoding, o.interToken = prefillTime(tokens, rate), decoding, interToken
 	if over := decoding - o.Slots; over >= 0 && role == placement.Decode {
 		o.wait += time.Duration(over+1) * r.TTFTTarget / time.Duration(max(1, o.Slots))
@@ -93,11 +96,12 @@
 		o.cost += w.Warming
 	}
 	// A hair of chance from the request itself keeps daemons from herding.
-	o.cost += float64(rendezvousWeight(r.hash, o.Key)%1024) / 1024 * w.AffinityMiss / 8
+	o.cost += float64(rendezvousWeight(r.hash, o.Key)%1024) / 1024 * w.Spread
 }
 
-// addAffinityCosts weighs servers by an order that all daemons share, for a prefix
-// that no server is known to have cached.
+// addAffinityCosts weighs servers by an order that all daemons share: the first in a prefix's order
+// keeps it, without any talk. What daemons hear of who has it cached is old and has gaps, and each of
+// them hears of others: gone by alone, it has a prefix read at many servers.
 func (d *Dispatcher) addAffinityCosts(list []Server, scored []scoredServer, key uint64, tokens int) {
 	rank := affinityRanks(list, key)
 	for i := range scored {
--- a/traffic/forward/types.go
+++ b/traffic/forward/types.go
@@ -54,6 +54,9 @@
 	// MaxPredictedWait is in parts of the TTFT target: a request that is predicted to
 	// wait for longer is refused at once; 0: none is.
 	MaxPredictedWait float64
+	// MaxListAge is for how long after it was withdrawn a list still says which servers there
+	// are; whether one may be used is for its own record to say, under its own leases.
+	MaxListAge       time.Duration
 	FailureBackoff   time.Duration // a server that failed is passed over for so long
 	RejectionBackoff time.Duration // and one that rejected a request
 	RetryAfter       time.Duration // when to come back, where nothing better is known
--- a/traffic/gateway/cut_test.go
+++ b/traffic/gateway/cut_test.go
@@ -92,7 +92,7 @@
 		_, last := g.daemon.ReadAllowingStale(0, fleetconfig.PlanKey)
 		return !leased && last
 	})
-	until := g.daemon.Now() + g.daemon.Cfg.MaxStaleness()
+	until := g.daemon.Now() + g.daemon.Cfg.MaxStaleness(0, fleetconfig.PlanKey, true)
 	soon(t, g.daemon, "cut off, served by last records", func() bool { return ask("/unsafe/") == "head 200 a" })
 	expect("cut off", "/none/", "refuse 503")
 	if _, sure := g.BodyBytes(); sure {
--- a/traffic/gateway/dispatcher.go
+++ b/traffic/gateway/dispatcher.go
@@ -49,24 +49,42 @@
 	d.SetDaemons(g.daemon.Now(), v.Self.Addr, daemons)
 }
 
-// pinRecords has the daemon keep the records cached that a dispatcher reads.
+// pinRecords has the daemon keep the records cached that a dispatcher reads, and no others.
 func (g *Gateway) pinRecords(d *dispatcher) {
-	for _, key := range d.unpinned() {
+	fresh, stale := d.changePins()
+	for _, key := range fresh {
 		g.daemon.Pin(d.partition, key)
 	}
+	for _, key := range stale {
+		g.daemon.Unpin(d.partition, key)
+	}
 }
 
-// unpinned lists the records that the dispatcher reads and that are not pinned yet.
-func (d *dispatcher) unpinned() (fresh []string) {
+// changePins takes the records that the dispatcher reads for those that are pinned; it lists
+// those that weren't before, and those that were and are no longer read.
+func (d *dispatcher) changePins() (fresh, stale []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	wanted := map[string]bool{}
 	for _, key := range d.Keys() {
+		wanted[key] = true
 		if !d.pinned[key] {
-			d.pinned[key] = true
 			fresh = append(fresh, key)
 		}
 	}
-	return fresh
+	for key := range d.pinned {
+		if !wanted[key] {
+			stale = append(stale, key)
+		}
+	}
+	d.pinned = wanted
+	return fresh, stale
+}
+
+func (d *dispatcher) hasPins() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.pinned) > 0
 }
 
 // measure takes what changes all the time: the daemons, and the servers' pressure.
@@ -84,6 +102,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g.setDaemons(d)
+	d.Refresh(g.daemon.Now())
 	warmUp := g.daemon.Cfg.WarmUp
 	d.SetWarmupLimit(forward.WarmupLimit{Rate: service.WarmUpRate, Over: warmUp.Over, Slack: warmUp.Slack})
 	servers := d.Servers()
--- a/traffic/gateway/gateway.go
+++ b/traffic/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mulleinmast/control/daemon"
+	"mulleinmast/control/fleetconfig"
 	"mulleinmast/traffic/apikey"
 	"mulleinmast/traffic/forward"
 	"mulleinmast/traffic/loadreport"
@@ -55,11 +56,11 @@
 func Config(c daemon.Config) forward.Config {
 	return forward.Config{
 		Zone: c.Zone, RetryRatio: c.Retry.Ratio, RetryWindow: c.Retry.Window, RetrySlack: c.Retry.Slack * 4 / 5,
-		MaxWait: c.VolumeLease() * 5 / 4, FailureBackoff: c.Bounds.Plan / 2, RejectionBackoff: c.Bounds.Plan / 8,
+		MaxWait: c.VolumeLease() * 5 / 4, MaxListAge: c.MaxListAge(), FailureBackoff: c.Bounds.Plan / 2, RejectionBackoff: c.Bounds.Plan / 8,
 		RetryAfter: c.VolumeLease() / 4, PrefillRate: 50, MaxPredictedWait: c.AdmitRatio,
 		Weights: forward.Weights{
-			CrossZoneBody: 0.0023, CacheMiss: 0.05, KVTransfer: 0.0022, CrossZoneTransfer: 3,
-			AffinityMiss: 0.05, Warming: 0.05, Stall: 0.3,
+			CrossZoneBody: 0.0023, CacheMiss: 0.015, KVTransfer: 0.0022, CrossZoneTransfer: 3,
+			AffinityMiss: 0.2, Spread: 0.00625, ReportedLoad: 0.4, Warming: 0.05, Stall: 0.3,
 		},
 	}
 }
@@ -84,10 +85,12 @@
 	return s.ReadAllowingStale(partition, key)
 }
 
-// Until is when that ends.
+// Until is when that ends, of the zones in the configuration and of the servers elsewhere.
 //
 // Example: if now < source.Until(partition) { route() }
-func (s source) Until(partition int) time.Duration { return s.StaleUntil(partition) }
+func (s source) Until(partition int) time.Duration {
+	return s.StaleUntil(partition, fleetconfig.ZoneKey)
+}
 
 // Open is the number of requests under way.
 //
@@ -138,8 +141,10 @@
 	}
 	for _, service := range p.plan.Services {
 		d := g.dispatcherOf(service.Name)
-		g.pinRecords(d)
-		if measure {
+		// The record of a server that was listed just now is about to be written: it is asked for
+		// at the next interval, once, rather than now and again when it is there.
+		if measure || !d.hasPins() {
+			g.pinRecords(d)
 			g.measure(d, service)
 		}
 	}
--- a/traffic/gateway/plan.go
+++ b/traffic/gateway/plan.go
@@ -28,7 +28,7 @@
 	if last != nil && last.generation == generation && g.daemon.Now() < last.validUntil {
 		return last, true
 	}
-	until := g.daemon.StaleUntil(0)
+	until := g.daemon.StaleUntil(0, fleetconfig.PlanKey)
 	rec, ok := g.daemon.ReadAllowingStale(0, fleetconfig.PlanKey)
 	if !ok || rec.Deleted {
 		return nil, false
