--- a/control/lease/lease_test.go
+++ b/control/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -98,3 +99,51 @@
 		}
 	}
 }
+
+// What a child waits for and becomes readable together, it gets in one message; another child's
+// grants and all other messages stay as they are, in their order.
+func TestWaitingChildrenGetTheirRecordsTogether(t *testing.T) {
+	grant := func(to, key string) message.Envelope {
+		m := message.LeaseGrant{ObjectLease: time.Minute, Records: []message.Record{{Key: key}}}.Message(0)
+		m.To = to
+		return message.Envelope{Addr: to, Message: m}
+	}
+	answer := message.LeaseGrant{ResponseTo: 7, VolumeLease: time.Second}.Message(0)
+	answer.To = "b"
+	joined := joinGrants([]message.Envelope{
+		grant("a", "1"), grant("b", "1"), {Addr: "b", Message: answer}, grant("a", "2"), grant("b", "2"), grant("a", "3"),
+	})
+	var got []string
+	for _, e := range joined {
+		line := e.Message.To
+		for _, r := range e.Message.Records {
+			line += " " + r.Key
+		}
+		got = append(got, line)
+	}
+	if want := []string{"a 1 2 3", "b 1 2", "b"}; !slices.Equal(got, want) {
+		t.Errorf("%q, expected %q", got, want)
+	}
+}
+
+// A record that isn't wanted any more is neither asked for nor fetched again once it is withdrawn.
+func TestAnUnpinnedRecordIsNotFetchedAgain(t *testing.T) {
+	now := time.Second
+	c := newConnecting(1, now)
+	list := c.hear(now, 1, message.ReconnectRequest{}.Message(0))[0].Message
+	asked := c.hear(now, 1, reconcile(list))
+	if len(asked) != 2 || !slices.Equal(asked[1].Message.Keys, []string{"k"}) {
+		t.Fatalf("the record isn't asked for: %v", asked)
+	}
+	record := message.Record{Key: "k", Version: message.Version{Term: 1, Seq: 1}, Value: []byte("x")}
+	c.hear(now, 1, message.LeaseGrant{ObjectLease: cfg.ObjectLease, Records: []message.Record{record}}.Message(0))
+	c.child.Unpin("k")
+	for _, e := range c.hear(now+cfg.RenewInterval/4, 1, message.Invalidation{Key: "k", Number: 3}.Message(0)) {
+		if e.Message.Kind != message.KindInvalidated {
+			t.Errorf("after the withdrawal it sends %v", e.Message.Kind)
+		}
+	}
+	if _, ok := c.child.Get(now, "k"); ok {
+		t.Error("the withdrawn record is served")
+	}
+}
--- a/control/partition/batch_test.go
+++ b/control/partition/batch_test.go
@@ -94,3 +94,33 @@
 		t.Fatalf("%+v", o.Saves)
 	}
 }
+
+// A job that comes while the record of an earlier one is withdrawn, and waited for at a child that
+// says nothing, joins it: one withdrawal and one write for both. Once the earlier one is on its way to
+// the disk the next one waits for its turn.
+func TestAListJoinsTheOneThatIsWithdrawn(t *testing.T) {
+	p, sync := leader(t)
+	now := p.Replica.LeaseEnd() - 900*time.Millisecond
+	connectChild(p, now, sync, "k")
+	first := p.Submit(now, 1, appends('a', 0))
+	if len(first.Saves) != 0 || len(first.Sends) != 1 || first.Sends[0].Message.Kind != message.KindInvalidate {
+		t.Fatalf("it isn't withdrawn first: %+v", first)
+	}
+	if joins := p.Submit(now, 2, appends('b', 1)); len(joins.Sends)+len(joins.Saves)+len(joins.Results) > 0 {
+		t.Errorf("the second one is withdrawn for itself: %+v", joins)
+	}
+	ack := fromChild(message.InvalidationAck{
+		Key: "k", Number: first.Sends[0].Message.AsInvalidation().Number, VolumeEpoch: p.Node.VolumeEpoch(),
+	}.Message(number))
+	o := p.Step(now, ack)
+	if len(o.Saves) != 1 || string(o.Saves[0].Records[0].Value) != "ab" {
+		t.Fatalf("both are written at once: %+v", o.Saves)
+	}
+	if late := p.Submit(now, 3, appends('c', 2)); len(late.Sends)+len(late.Saves)+len(late.Results) > 0 {
+		t.Errorf("one that comes later doesn't wait: %+v", late)
+	}
+	o = p.Saved(now, o.Saves[0].Ticket)
+	if len(o.Results) != 2 || o.Results[0].Outcome != Done || o.Results[1].Outcome != Done {
+		t.Errorf("results %+v", o.Results)
+	}
+}
