--- a/review/8/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 for program in target/mulleinmast target/review-2-lab; do
   [ -x "$program" ] || { echo "$program is missing: run the build of the deploy file and review/build-2.sh" >&2; exit 2; }
 done
-exec target/review-2-lab again review/8/record.txt
+exec target/review-2-lab again review/7/record.txt
