Leader: an acknowledged order ends all earlier tries, even one that changed nothing

A return of a zone is given up by its operator while its second try is held up in the network; the zone is evacuated again, which finds nothing to change and gets 200; then the held-up try arrives and the zone is used again: EVAC, and LOST after a closing fault. Cause: a try's basis was the version of the record of zones alone. An order that changes nothing writes only the record of past calls, so the basis that was told before it stayed good. Change: the basis is the latest version of all records of the call, the past calls among them. Every acknowledged order writes these.

--- a/control/leader/orders_test.go
+++ b/control/leader/orders_test.go
@@ -166,3 +166,28 @@
 		t.Errorf("%d past calls are kept after the window", n)
 	}
 }
+
+// An order that is acknowledged ends all attempts that began before it, even if it found nothing to change: an
+// attempt that arrives later would undo it.
+func TestAcknowledgedOrderEndsEarlierAttempts(t *testing.T) {
+	for _, leaderChanges := range []bool{false, true} {
+		l := startOrderLeader(t, nil)
+		l.sendOrder("q", 1, "evacuate", "north")
+		abandoned := l.sendAttempt("p", 1, "return", "north", unknownBasis)
+		if abandoned.Status != leadercall.StatusBehind {
+			t.Fatalf("%+v", abandoned)
+		}
+		// The return is given up while its second attempt is delayed; the zone is to stay evacuated.
+		if status := l.sendOrder("q", 2, "evacuate", "north"); status != 200 {
+			t.Fatal(status)
+		}
+		if leaderChanges {
+			l = startOrderLeader(t, l)
+		}
+		late := l.sendAttempt("p", 1, "return", "north", abandoned.Basis)
+		if late.Status != leadercall.StatusBehind || !l.isEvacuated("north") {
+			t.Errorf("a delayed attempt, leader changed %v: status %d, north evacuated: %v",
+				leaderChanges, late.Status, l.isEvacuated("north"))
+		}
+	}
+}
--- a/control/leader/repeats.go
+++ b/control/leader/repeats.go
@@ -19,9 +19,10 @@
 //   - All attempts of a call have the same number. The partition keeps the most recent
 //     calls, with their responses, in a record that is written together with the
 //     changes that the calls make.
-//   - An attempt is executed only if its record still has the version (the attempt's
-//     basis) that the leader returned to the same call while its caller was waiting.
-//     An attempt that was delayed while other calls changed the record does nothing.
+//   - An attempt is executed only on the basis that the leader returned to the same call
+//     while its caller was waiting. The basis changes with the records of the call and
+//     with each call that is executed here, even if that call changed nothing. So an
+//     attempt that was delayed until another call was acknowledged does nothing.
 //   - An operator's order may be resent as a new call for a limited time
 //     (Config.RepeatWindow). If an order was accepted and another order has undone it,
 //     the leader refuses the first order until this time has passed: it can't
@@ -48,12 +49,18 @@
 	return list, err
 }
 
-// basisOf returns the basis that corresponds to a record's version; it is never zero, even for an absent record.
-func basisOf(r message.Record) message.Version {
-	return message.Version{Term: r.Version.Term, Seq: r.Version.Seq + 1}
+// basisOf returns the basis of a call's records: their latest version. It is never zero, even if all are absent.
+func basisOf(read lease.RecordSource, keys []string) message.Version {
+	var latest message.Version
+	for _, key := range keys {
+		if version := read(key).Version; latest.Less(version) {
+			latest = version
+		}
+	}
+	return message.Version{Term: latest.Term, Seq: latest.Seq + 1}
 }
 
-// basisMismatch is the result of an attempt whose basis isn't the record's current version.
+// basisMismatch is the result of an attempt whose basis isn't the current one.
 type basisMismatch struct{ basis message.Version }
 
 // recentOrders holds when operators' orders were last accepted under this leadership.
@@ -99,14 +106,17 @@
 	if r.id == "" {
 		return job
 	}
-	build := func(read lease.RecordSource) ([]message.Record, any) { return r.buildDeduplicated(order, job, read) }
-	return partition.Job{Keys: append([]string{pastCallsKey}, job.Keys...), Build: build}
+	keys := append([]string{pastCallsKey}, job.Keys...)
+	build := func(read lease.RecordSource) ([]message.Record, any) {
+		return r.buildDeduplicated(order, keys, job, read)
+	}
+	return partition.Job{Keys: keys, Build: build}
 }
 
 // buildDeduplicated executes a call unless it was executed before, its basis doesn't match, or it may be a
 // late repeat.
 func (r callRequest) buildDeduplicated(
-	order string, job partition.Job, read lease.RecordSource,
+	order string, keys []string, job partition.Job, read lease.RecordSource,
 ) ([]message.Record, any) {
 	past, err := readPastCalls(read(pastCallsKey))
 	if err != nil {
@@ -115,7 +125,7 @@
 	if i := slices.IndexFunc(past, func(p pastCall) bool { return p.Call == r.id }); i >= 0 {
 		return nil, past[i].Response
 	}
-	if basis := basisOf(read(job.Keys[0])); r.basis != (message.Version{}) && r.basis != basis {
+	if basis := basisOf(read, keys); r.basis != (message.Version{}) && r.basis != basis {
 		return nil, basisMismatch{basis}
 	}
 	past = r.orders.prune(past)
