Orders without a version: a daemon counts their age from the arrival of their bytes

The native interface had no such wait at all. Cause: the age of a call was that of the daemon's look at it. The end of a connection always counts.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -160,7 +160,7 @@
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetWriteBuffer(socketBuffer)
 		}
-		return ctx
+		return WithConnection(ctx, conn)
 	}
 	server := &http.Server{
 		Handler:           d.Mux,
--- a/control/daemon/operator.go
+++ b/control/daemon/operator.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"path/filepath"
 	"strconv"
+	"time"
 
 	"mulleinmast/control/eventlog"
 	"mulleinmast/control/fleetconfig"
@@ -100,7 +101,7 @@
 		w.Header().Set("Warning", fmt.Sprintf("299 - \"no daemon of the fleet is in zone %s\"", zone))
 	}
 	if _, ok := ReadBody(w, r, maxBody); ok {
-		d.forwardCall(w, r, 0, op, []byte(zone))
+		d.forwardOrder(w, r, 0, op, []byte(zone))
 	}
 }
 
@@ -126,7 +127,7 @@
 		respondFaults(w, http.StatusBadRequest, faults.List...)
 		return
 	}
-	d.forwardCall(w, r, 0, leadercall.OpReplica, leadercall.MustMarshal(call))
+	d.forwardOrder(w, r, 0, leadercall.OpReplica, leadercall.MustMarshal(call))
 }
 
 // handlePutServers replaces the list of a service's servers.
@@ -146,8 +147,12 @@
 		respondFaults(w, http.StatusBadRequest, faults.List...)
 		return
 	}
-	call := leader.ServersCall{Service: service, List: list}
-	d.forwardCall(w, r, d.Partition(service), leadercall.OpServers, leadercall.MustMarshal(call))
+	call := leadercall.MustMarshal(leader.ServersCall{Service: service, List: list})
+	if list.Version > 0 {
+		d.forwardCall(w, r, d.Partition(service), leadercall.OpServers, call)
+		return
+	}
+	d.forwardOrder(w, r, d.Partition(service), leadercall.OpServers, call)
 }
 
 func (d *Daemon) handleGetServers(w http.ResponseWriter, r *http.Request) {
@@ -221,7 +226,27 @@
 
 // forwardCall forwards an operator's call to a partition's leader and responds with the result.
 func (d *Daemon) forwardCall(w http.ResponseWriter, r *http.Request, partition int, op string, body []byte) {
-	status, response := d.Call(r.Context(), partition, op, body, 2*d.Cfg.Bounds.Plan)
+	d.forwardWithin(w, r, partition, op, body, d.callTimeout())
+}
+
+// forwardOrder is forwardCall for calls without an ID or a version; it drops an order whose caller has given up.
+func (d *Daemon) forwardOrder(w http.ResponseWriter, r *http.Request, partition int, op string, body []byte) {
+	left := AwaitCaller(r, d.callTimeout())
+	if left == 0 {
+		response := leadercall.Response{Result: leadercall.ResultNotDone, Reason: "the caller has given up"}
+		Respond(w, http.StatusServiceUnavailable, response)
+		return
+	}
+	d.forwardWithin(w, r, partition, op, body, left)
+}
+
+// callTimeout returns how long an operator's call may take.
+func (d *Daemon) callTimeout() time.Duration { return 2 * d.Cfg.Bounds.Plan }
+
+func (d *Daemon) forwardWithin(
+	w http.ResponseWriter, r *http.Request, partition int, op string, body []byte, timeout time.Duration,
+) {
+	status, response := d.Call(r.Context(), partition, op, body, timeout)
 	d.Events.Debug("call", op, "status", status)
 	Respond(w, status, response)
 }
