Leader: an order whose caller waits is carried out, also one that was just undone

Every daemon answers the third order 503 for 5 s; it may be sent for 4 s. Cause: the leader remembered an order for 1.25 times the bound on acknowledgements and refused it if it had been undone meanwhile, as a possible late repeat. The 513th order of 5 s was refused, too. The answers, alike at all daemons, at once and with that reason, rule out a lost leader and a slow write. Change: the memory of orders is gone. A past call has no order in its record any more.

--- a/control/daemon/open.go
+++ b/control/daemon/open.go
@@ -163,7 +163,6 @@
 		cfg := leader.Config{
 			Placement:        d.Cfg.PlacementConfig(),
 			OnceKeyRetention: d.Cfg.OnceKeyRetention(),
-			RepeatWindow:     d.Cfg.ResendWindow(),
 			ReadableFormat:   d.planFormatOfFleet,
 		}
 		controller := leader.New(cfg, p, d.self, partition.New(p, d.self, d.epoch, replica, node))
--- a/control/daemon/timing.go
+++ b/control/daemon/timing.go
@@ -31,9 +31,6 @@
 	// over from a silent replica. This time is longer than a restart takes. The rest of the bound
 	// is longer than an election and a step of a group change take.
 	lostReplicaRatio = 0.5
-	// resendRatio is the time in which an operator may resend an order, as a ratio to the time in
-	// which an order is acknowledged. The difference covers the delay of a try in transit.
-	resendRatio = 1.25
 )
 
 func fraction(d time.Duration, ratio float64) time.Duration {
@@ -60,13 +57,6 @@
 // Example: c.OnceKeyRetention() == 20*time.Minute for a recovery bound of 12 s
 func (c Config) OnceKeyRetention() time.Duration { return 100 * c.Bounds.Recover }
 
-// ResendWindow returns for how long after accepting an order the leader recognizes it when an
-// operator sends it again: the time that the operator waits for an acknowledgement plus the time
-// that a try may be delayed.
-//
-// Example: c.ResendWindow() == 5*time.Second for an acknowledgement within 4 s
-func (c Config) ResendWindow() time.Duration { return fraction(c.AckBound, resendRatio) }
-
 // LeaseConfig returns the configuration of the lease tree.
 //
 // Example: node := lease.New(c.LeaseConfig(), 0, self, epoch)
--- a/control/leader/call.go
+++ b/control/leader/call.go
@@ -66,7 +66,6 @@
 		c.respond(from, call, answer{status: leadercall.StatusNotLeader})
 		return c.finishStep(partition.Out{})
 	}
-	c.orders.now = now
 	job, err := c.newCallRequest(from, call).job(call.Op, call.Body)
 	if err != nil {
 		c.respond(from, call, invalidBodyAnswer(err))
@@ -140,11 +139,9 @@
 
 // callRequest is one attempt of a call, with what its handlers need.
 type callRequest struct {
-	id    string          // identifies the call across all its attempts; "" if the daemon's build doesn't number calls
-	basis message.Version // the basis that the attempt carries; see message.Call
-	// orders holds the recent orders of the current leadership; used only if id is set.
-	orders         *recentOrders
-	readableFormat func() int // see Config.ReadableFormat
+	id             string          // identifies the call across all its attempts; "" if the daemon's build doesn't number calls
+	basis          message.Version // the basis that the attempt carries; see message.Call
+	readableFormat func() int      // see Config.ReadableFormat
 	plans          *fleetconfig.PlanReader
 	replicas       []message.Replica // of the partition's group
 }
@@ -153,7 +150,7 @@
 	r := callRequest{readableFormat: c.cfg.ReadableFormat, plans: &c.plans, replicas: c.replicas()}
 	if call.CallID != 0 {
 		r.id = fmt.Sprintf("%s#%d/%d", from.Ident, from.Epoch, call.CallID)
-		r.basis, r.orders = call.Basis, &c.orders
+		r.basis = call.Basis
 	}
 	return r
 }
--- a/control/leader/configcalls.go
+++ b/control/leader/configcalls.go
@@ -94,7 +94,7 @@
 		zones[zone] = evacuated
 		return []message.Record{{Key: fleetconfig.ZoneKey, Value: fleetconfig.EncodeZones(zones)}}, responseDone
 	}
-	return r.deduplicate(op+"/"+zone, partition.Job{Keys: []string{fleetconfig.ZoneKey}, Build: build})
+	return r.deduplicate(partition.Job{Keys: []string{fleetconfig.ZoneKey}, Build: build})
 }
 
 // handleReplica replaces one replica in the list of replicas that an operator requested. If the outgoing replica
@@ -124,7 +124,7 @@
 		reason := fmt.Sprintf("no replica of %q in %v", in.Out, desired)
 		return nil, leadercall.Response{Result: leadercall.ResultNotDone, Reason: reason}
 	}
-	return r.deduplicate("", partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Build: build}), nil
+	return r.deduplicate(partition.Job{Keys: []string{fleetconfig.ReplicaKey}, Build: build}), nil
 }
 
 func isReplica(replicas []message.Replica, ident string) bool {
--- a/control/leader/leader.go
+++ b/control/leader/leader.go
@@ -19,7 +19,6 @@
 type Config struct {
 	Placement        placement.Config
 	OnceKeyRetention time.Duration // a once key's record is kept at least this long after its last write
-	RepeatWindow     time.Duration // for how long a caller may resend an operator's order as a new call
 	// ReadableFormat returns the newest plan format that all daemons of the fleet can read, or 0 if it isn't known.
 	// If ReadableFormat is nil, no plan is refused because of its format.
 	ReadableFormat func() int
@@ -49,8 +48,7 @@
 	callResults []message.Envelope                // of the current step; finishStep sends them
 
 	// State of the current leadership.
-	placement       *placement.Controller // nil before a leadership's first Reconcile and after its end
-	orders          recentOrders
+	placement       *placement.Controller   // nil before a leadership's first Reconcile and after its end
 	demands         map[string]demandNumber // each daemon's last demand for a service, by "service/daemon"
 	writtenVersions writtenVersions
 	limits          *ratelimit.Allocator // nil until the first token request of a leadership
@@ -70,7 +68,6 @@
 	return &Controller{
 		cfg: cfg, partitionNumber: number, self: self, partition: part,
 		onResult: map[uint64]func(partition.Result){},
-		orders:   recentOrders{window: cfg.RepeatWindow, acceptedAt: map[string]time.Duration{}},
 		demands:  map[string]demandNumber{},
 		reload:   true,
 	}
@@ -107,7 +104,6 @@
 //
 // Example: out := c.Tick(now)
 func (c *Controller) Tick(now time.Duration) Out {
-	c.orders.now = now
 	return c.finishStep(c.partition.Tick(now))
 }
 
@@ -185,8 +181,6 @@
 	c.writtenVersions = writtenVersions{}
 	c.demands = map[string]demandNumber{}
 	c.limits = nil
-	c.orders.leaderSince = c.partition.Replica.LeaderSince()
-	c.orders.acceptedAt = map[string]time.Duration{}
 }
 
 // Event is an entry for the event log.
--- a/control/leader/reconcile.go
+++ b/control/leader/reconcile.go
@@ -23,7 +23,6 @@
 		return out
 	}
 	c.reconcileReplicas(now, view, &out)
-	c.expireOrders(now, &out)
 	if c.partitionNumber == 0 {
 		return out // the configuration partition has neither once keys nor servers
 	}
--- a/control/leader/servicecalls.go
+++ b/control/leader/servicecalls.go
@@ -28,7 +28,7 @@
 	}
 	job := serverListJob(in)
 	if in.List.Version == 0 {
-		job = r.deduplicate("", job)
+		job = r.deduplicate(job)
 	}
 	return job, nil
 }
--- a/proof/standin/operator/operator.go
+++ b/proof/standin/operator/operator.go
@@ -249,6 +249,19 @@
 	return codes
 }
 
+// SendTo sends a call without a body once, to one daemon, and returns the status; 0 means that no answer came
+// within the operator's timeout.
+//
+// Example: code := o.SendTo(ctx, http.MethodPost, "front-2", wire.EvacPath+"north")
+func (o *Operator) SendTo(ctx context.Context, method, daemon, path string) int {
+	for _, d := range o.daemons() {
+		if d.Name == daemon {
+			return o.try(ctx, method, d, path, "", nil)
+		}
+	}
+	return 0
+}
+
 // Evacuate requests that a zone be taken out of service.
 //
 // Example: e := o.Evacuate(ctx, "north")
