Configuration: an empty list of customers needs keys, it opens no route

Cause: NeedsKeys asked for keys while the plan had a tenant that is known by them; whether the list was there was kept only as text for reading back. A daemon doesn't pass on a complete configuration that the fleet can't read yet (503; an older leader would call it invalid). An empty list in a record of an earlier build counts, too. The stand-in operator can send an empty list.

--- a/control/daemon/open.go
+++ b/control/daemon/open.go
@@ -163,7 +163,7 @@
 		cfg := leader.Config{
 			Placement:        d.Cfg.PlacementConfig(),
 			OnceKeyRetention: d.Cfg.OnceKeyRetention(),
-			ReadableFormat:   d.planFormatOfFleet,
+			ReadableFormat:   d.ReadablePlanFormat,
 		}
 		controller := leader.New(cfg, p, d.self, partition.New(p, d.self, d.epoch, replica, node))
 		d.shards = append(d.shards, newShard(p, controller, d.Cfg))
--- a/control/daemon/planformat.go
+++ b/control/daemon/planformat.go
@@ -27,9 +27,11 @@
 	return n
 }
 
-// planFormatOfFleet returns the newest plan format that all daemons known here read. Plans that
-// need a newer format are rejected.
-func (d *Daemon) planFormatOfFleet() int {
+// ReadablePlanFormat returns the newest plan format that all daemons known here read. Plans that
+// need a newer format are not accepted.
+//
+// Example: if plan.RequiredFormat() > d.ReadablePlanFormat() { retryLater() }
+func (d *Daemon) ReadablePlanFormat() int {
 	lowest := fleetconfig.NewestFormat()
 	for _, m := range d.View().Members {
 		lowest = min(lowest, planFormatOf(m.Build))
--- a/control/daemon/records.go
+++ b/control/daemon/records.go
@@ -131,6 +131,12 @@
 	return plan.ID, plan.Version, true
 }
 
+// CompletePlans makes the daemon complete each plan that it reads; see fleetconfig.PlanReader. Call it before the
+// daemon serves.
+//
+// Example: d.CompletePlans(func(p *fleetconfig.Plan) { p.KeysRequired = p.KeysRequired || hasEmptyList(p) })
+func (d *Daemon) CompletePlans(complete func(*fleetconfig.Plan)) { d.plans.Complete = complete }
+
 // DecodePlan returns the plan in a record. Each version is decoded once and shared, so callers must
 // not modify the plan.
 //
--- a/control/fleetconfig/change.go
+++ b/control/fleetconfig/change.go
@@ -136,6 +136,7 @@
 	next.ID, next.Number = c.ID, c.Number
 	next.Tenants, next.Services, next.Routes = d.tenants.remaining(), d.services.remaining(), d.routes.remaining()
 	next.Limits, next.Needs = d.limits, d.needs
+	next.KeysRequired = p.NeedsKeys() && !next.hasTenantsByKey() // the last one's removal opens no route
 	return next, next.Validate()
 }
 
--- a/control/fleetconfig/fleetconfig_gen.go
+++ b/control/fleetconfig/fleetconfig_gen.go
@@ -204,8 +204,8 @@
 func (z *Plan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
 	if z.Routes == nil {
 		zb0001Len--
@@ -215,22 +215,26 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Number == 0 {
+	if z.KeysRequired == false {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Needs == 0 {
+	if z.Number == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Raw == nil {
+	if z.Needs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.PastChanges == nil {
+	if z.Raw == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.PastChanges == nil {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -287,21 +291,26 @@
 			}
 		}
 		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "keys_required"
+			o = append(o, 0xad, 0x6b, 0x65, 0x79, 0x73, 0x5f, 0x72, 0x65, 0x71, 0x75, 0x69, 0x72, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.KeysRequired)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "number"
 			o = append(o, 0xa6, 0x6e, 0x75, 0x6d, 0x62, 0x65, 0x72)
 			o = msgp.AppendUint64(o, z.Number)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "needs"
 			o = append(o, 0xa5, 0x6e, 0x65, 0x65, 0x64, 0x73)
 			o = msgp.AppendInt(o, z.Needs)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "raw"
 			o = append(o, 0xa3, 0x72, 0x61, 0x77)
 			o = msgp.AppendBytes(o, []byte(z.Raw))
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "past"
 			o = append(o, 0xa4, 0x70, 0x61, 0x73, 0x74)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.PastChanges)))
@@ -418,6 +427,12 @@
 				err = msgp.WrapError(err, "Limits")
 				return
 			}
+		case "keys_required":
+			z.KeysRequired, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KeysRequired")
+				return
+			}
 		case "number":
 			z.Number, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -514,7 +529,7 @@
 	for za0003 := range z.Routes {
 		s += z.Routes[za0003].Msgsize()
 	}
-	s += 7 + z.Limits.Msgsize() + 7 + msgp.Uint64Size + 6 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len([]byte(z.Raw)) + 5 + msgp.ArrayHeaderSize
+	s += 7 + z.Limits.Msgsize() + 14 + msgp.BoolSize + 7 + msgp.Uint64Size + 6 + msgp.IntSize + 4 + msgp.BytesPrefixSize + len([]byte(z.Raw)) + 5 + msgp.ArrayHeaderSize
 	for za0004 := range z.PastChanges {
 		s += 1 + 3 + msgp.StringPrefixSize + len(z.PastChanges[za0004].ID) + 8 + msgp.Uint64Size
 	}
--- a/control/fleetconfig/format.go
+++ b/control/fleetconfig/format.go
@@ -7,12 +7,16 @@
 
 // formatRead is the newest plan format that this build reads. Test builds set a different
 // one at link time.
-var formatRead = "2"
+var formatRead = "3"
 
 // keysFormat is the first plan format with tenants that are identified by keys and have
 // limits. A build that doesn't know it would serve clients without a key.
 const keysFormat = 2
 
+// noTenantsFormat is the first plan format in which clients need keys although the plan has no
+// tenant that is identified by keys. An earlier build would serve everybody.
+const noTenantsFormat = 3
+
 // maxFormat is the highest format that a plan may require.
 const maxFormat = 1000
 
@@ -34,8 +38,11 @@
 //
 // Example: if plan.RequiredFormat() > format { refuse() }
 func (p Plan) RequiredFormat() int {
-	if p.NeedsKeys() {
+	switch {
+	case p.hasTenantsByKey():
 		return max(p.Needs, keysFormat)
+	case p.KeysRequired:
+		return max(p.Needs, noTenantsFormat)
 	}
 	return p.Needs
 }
--- a/control/fleetconfig/keys.go
+++ b/control/fleetconfig/keys.go
@@ -1,22 +1,22 @@
 package fleetconfig
 
+import "slices"
+
 // Bounds on tenants' keys and limits.
 const (
 	maxKeyBytes = 1024
 	maxRate     = 1e9 // maximum of Tenant.Rate and of Tenant.Burst
 )
 
-// NeedsKeys reports whether clients need keys, because the plan has tenants that are
-// identified by keys.
+// NeedsKeys reports whether clients need keys, because the plan has a list of tenants that
+// are identified by keys, even if that list is empty.
 //
 // Example: if plan.NeedsKeys() && !route.Public { lookUp(key) }
-func (p Plan) NeedsKeys() bool {
-	for i := range p.Tenants {
-		if p.Tenants[i].ByKey {
-			return true
-		}
-	}
-	return false
+func (p Plan) NeedsKeys() bool { return p.KeysRequired || p.hasTenantsByKey() }
+
+// hasTenantsByKey reports whether any tenant is identified by keys.
+func (p Plan) hasTenantsByKey() bool {
+	return slices.ContainsFunc(p.Tenants, func(t Tenant) bool { return t.ByKey })
 }
 
 // validateKeys adds the faults of the tenants' keys. A fault names tenants and positions, but
--- a/control/fleetconfig/plan.go
+++ b/control/fleetconfig/plan.go
@@ -26,6 +26,9 @@
 	Services []Service `json:"services"`
 	Routes   []Route   `json:"routes,omitempty"`
 	Limits   Limits    `json:"limits,omitzero"`
+	// KeysRequired means that clients need keys although no tenant is identified by keys: the operator's list
+	// of such tenants is there and empty. Routes that aren't public are then open to nobody.
+	KeysRequired bool `json:"keys_required,omitempty"`
 	// Number is the version that the operator chose for the plan, above the current version;
 	// 0: the current version plus one. It is 0 in an accepted plan.
 	Number uint64 `json:"number,omitempty"`
--- a/control/fleetconfig/records.go
+++ b/control/fleetconfig/records.go
@@ -87,6 +87,10 @@
 // each version is decoded only once. The plans that it returns must not be modified. It is
 // safe for concurrent use.
 type PlanReader struct {
+	// Complete, if it isn't nil, sets fields of each plan that an earlier build left unset. Set it before the first
+	// use of the reader.
+	Complete func(*Plan)
+
 	mu      sync.Mutex // guards the fields below
 	version message.Version
 	plan    Plan
@@ -100,15 +104,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rec.Version == (message.Version{}) || rec.Deleted {
-		return ReadPlan(rec)
+		return r.decode(rec)
 	}
 	if r.version != rec.Version {
-		r.plan, r.err = ReadPlan(rec)
+		r.plan, r.err = r.decode(rec)
 		r.version = rec.Version
 	}
 	return r.plan, r.err
 }
 
+// decode decodes and completes the plan of a record.
+func (r *PlanReader) decode(rec message.Record) (Plan, error) {
+	plan, err := ReadPlan(rec)
+	if err == nil && r.Complete != nil {
+		r.Complete(&plan)
+	}
+	return plan, err
+}
+
 // MustRead is like Read for records known to be readable; it panics on others.
 //
 // Example: plan := reader.MustRead(rec)
--- a/control/fleetconfig/stored_test.go
+++ b/control/fleetconfig/stored_test.go
@@ -12,6 +12,13 @@
 
 // completePlan returns a plan with every field set.
 func completePlan() Plan {
+	plan := planWithKeys()
+	plan.KeysRequired = true
+	return plan
+}
+
+// planWithKeys returns a plan with every field set that the first builds with support for keys have.
+func planWithKeys() Plan {
 	plan := planWithoutKeys()
 	plan.Tenants[0], plan.Routes[0] = completeTenant(), completeRoute()
 	return plan
@@ -84,7 +91,8 @@
 	}
 	for form, encoding := range encodings {
 		golden.CheckPartial(t, "plan."+form, planWithoutKeys(), encoding)
-		golden.Check(t, "plan-keys."+form, completePlan(), encoding)
+		golden.CheckPartial(t, "plan-keys."+form, planWithKeys(), encoding)
+		golden.Check(t, "plan-complete."+form, completePlan(), encoding)
 	}
 	empty, err := (&Plan{}).MarshalMsg(nil)
 	if err != nil {
--- a/control/fleetconfig/validate_test.go
+++ b/control/fleetconfig/validate_test.go
@@ -186,3 +186,59 @@
 		t.Errorf("a plan without keys requires format %d", got)
 	}
 }
+
+// The last tenant that is identified by keys is removed, and clients go on to need keys: an empty list of such
+// tenants opens no route. A tenant that is added later counts as any.
+func TestRemovingLastTenantKeepsKeysRequired(t *testing.T) {
+	p := validPlan()
+	keyed := p.Tenants[0]
+	keyed.Name, keyed.ByKey, keyed.Keys = "keyed", true, []string{"k"}
+	apply := func(change Change) {
+		t.Helper()
+		next, f := p.Apply(Changes{ID: "c", Base: p.Version, Changes: []Change{change}})
+		if f.Any() {
+			t.Fatal(f)
+		}
+		p = next
+	}
+	expect := func(when string, needsKeys, noTenants bool) {
+		t.Helper()
+		if p.NeedsKeys() != needsKeys || p.KeysRequired != noTenants {
+			t.Errorf("%s: keys needed %v, without a tenant %v", when, p.NeedsKeys(), p.KeysRequired)
+		}
+	}
+	apply(Change{Op: OpDropTenant, Name: "nobody", Lenient: true})
+	expect("no tenant with keys was there", false, false)
+	for range 2 {
+		apply(Change{Op: OpSetTenant, Tenant: &keyed})
+		expect("a tenant with keys", true, false)
+		apply(Change{Op: OpDropTenant, Name: "keyed"})
+		expect("the last one is removed", true, true)
+		apply(Change{Op: OpSetLimits, Limits: &Limits{BodyBytes: 1 << 20}})
+		expect("another change", true, true)
+	}
+	value, verdict := Judge(Plan{}, p.Propose())
+	if verdict.Result != VerdictAccepted {
+		t.Fatal(verdict)
+	}
+	if p = MustReadPlan(message.Record{Value: value}); p.Needs != noTenantsFormat {
+		t.Errorf("the plan requires format %d, expected %d", p.Needs, noTenantsFormat)
+	}
+	expect("read from its record", true, true)
+	p = validPlan()
+	expect("a complete plan without such a list", false, false)
+}
+
+// A reader completes each plan that it decodes, whether or not its record has a version.
+func TestReaderCompletesPlans(t *testing.T) {
+	value, err := EncodePlan(validPlan())
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := PlanReader{Complete: func(p *Plan) { p.KeysRequired = true }}
+	for _, version := range []message.Version{{}, {Term: 1, Seq: 2}, {Term: 1, Seq: 2}} {
+		if plan, err := reader.Read(message.Record{Key: PlanKey, Value: value, Version: version}); err != nil || !plan.KeysRequired {
+			t.Errorf("version %v: %+v, error %v", version, plan, err)
+		}
+	}
+}
--- a/proof/standin/rules/answers.go
+++ b/proof/standin/rules/answers.go
@@ -137,7 +137,7 @@
 		}
 		all++
 		byDaemon := t.Seal == "" && t.Status/100 >= 3 && t.Status/100 <= 4
-		if byDaemon && !t.Promised() && v.inTouchThroughout(t.Daemon, t.Sent, t.End) && v.isRouted(t) {
+		if byDaemon && !t.Promised() && v.inTouchThroughout(t.Daemon, t.Sent, t.End) && v.isAllowed(t) {
 			denied++
 		}
 	}
@@ -146,15 +146,19 @@
 	}
 }
 
-// isRouted reports whether every version that may have been current has a route
-// for a request.
-func (v *view) isRouted(t *record.Try) bool {
+// isAllowed reports whether every version that may have been current has a route for a try,
+// and a customer with its key if the route needs one.
+func (v *view) isAllowed(t *record.Try) bool {
 	known := false
 	for _, x := range v.versions {
 		if !x.mayApply() || x.Sent > t.End {
 			continue
 		}
-		if _, ok := x.config.Match(t.Host, pathOf(t.Target)); !ok {
+		r, ok := x.config.Match(t.Host, pathOf(t.Target))
+		if !ok {
+			return false
+		}
+		if _, ok := x.config.CustomerByKey(t.Key); !ok && !r.Public && x.config.NeedsKeys() {
 			return false
 		}
 		known = true
--- a/proof/standin/rules/rules_test.go
+++ b/proof/standin/rules/rules_test.go
@@ -217,6 +217,24 @@
 	}},
 	{"ROUTE", "no key", func(a *record.All) { t, _ := find(a, "safe", 0); t.Key = "" }},
 	{"CONFIG", "a removed key", func(a *record.All) { t, _ := find(a, "safe", 40*s); t.Key = "old" }},
+	{"ROUTE", "a key that was never configured, under an empty list of customers", func(a *record.All) {
+		removeCustomers(a, []wire.Customer{})
+		t, _ := find(a, "safe", 40*s)
+		t.Key = "guessed"
+	}},
+	{"ROUTE", "no key under an empty list of customers", func(a *record.All) {
+		removeCustomers(a, []wire.Customer{})
+		t, _ := find(a, "safe", 40*s)
+		t.Key = ""
+	}},
+	{"CONFIG", "the keys of a list of customers that was emptied", func(a *record.All) {
+		removeCustomers(a, []wire.Customer{})
+	}},
+	{"DENIED", "401 where there are no customers", func(a *record.All) {
+		removeCustomers(a, nil)
+		t, x := find(a, "safe", 40*s)
+		t.Status, t.Seal, x.Out = 401, "", record.Refused
+	}},
 	{"DENIED", "401 for a valid key", func(a *record.All) {
 		t, x := find(a, "safe", 0)
 		t.Status, t.Seal, x.Out = 401, "", record.Refused
@@ -432,6 +450,16 @@
 	}
 }
 
+// removeCustomers replaces the customers of the second configuration by none: an empty list or, if it is nil, no list.
+func removeCustomers(a *record.All, none []wire.Customer) {
+	var next wire.Config
+	if err := json.Unmarshal(a.Changes[1].Config, &next); err != nil {
+		panic(err)
+	}
+	next.Customers = none
+	a.Changes[1].Config, a.Readbacks[0].Body = marshal(next), marshal(next)
+}
+
 // allowed each put an event that breaks no rule into a healthy record.
 var allowed = map[string]func(a *record.All){
 	"a safe request run twice": func(a *record.All) {
@@ -488,6 +516,29 @@
 		o := a.Orders[3]
 		o.Holder, o.Fence, o.At = "b", 8, a.Orders[2].At+4*s
 	},
+	"401 under an empty list of customers": func(a *record.All) {
+		removeCustomers(a, []wire.Customer{})
+		for _, t := range a.Tries {
+			if t.Sent > 30*s {
+				t.Route = "" // so that routes that were added later aren't compared with the first ones
+				t.Status, t.Seal, t.Pieces, t.Last = 401, "", nil, false
+				a.Arrivals = withoutAttempt(a.Arrivals, t.ID)
+			}
+		}
+	},
+	"requests without a key where there are no customers": func(a *record.All) {
+		removeCustomers(a, nil)
+		for _, t := range a.Tries {
+			if t.Sent > 33*s {
+				t.Key = ""
+			}
+		}
+		for _, x := range a.Arrivals {
+			if x.At > 33*s {
+				x.Tenant = ""
+			}
+		}
+	},
 	"a refusal": func(a *record.All) {
 		t, x := find(a, "unsafe", 0)
 		t.Status, t.Seal, x.Out, x.Seal = 503, "", record.Refused, ""
--- a/proof/standin/rules/tenants.go
+++ b/proof/standin/rules/tenants.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		r, ok := x.config.Match(t.Host, pathOf(t.Target))
-		if !ok || r.Public || len(x.config.Customers) == 0 {
+		if !ok || r.Public || !x.config.NeedsKeys() {
 			return false
 		}
 		known = true
@@ -95,7 +95,7 @@
 }
 
 // checkKeysKnown checks that no request is answered 401 if every version that may be
-// current has its key.
+// current has its key or needs none. A version with an empty list of customers needs one, and has none.
 func checkKeysKnown(v *view, report reporter) {
 	for _, t := range v.Tries {
 		if t.Status != http.StatusUnauthorized || t.Seal != "" {
@@ -108,7 +108,7 @@
 			}
 			all++
 			r, routed := x.config.Match(t.Host, pathOf(t.Target))
-			if _, ok := x.config.CustomerByKey(t.Key); ok || routed && r.Public || len(x.config.Customers) == 0 {
+			if _, ok := x.config.CustomerByKey(t.Key); ok || routed && r.Public || !x.config.NeedsKeys() {
 				known++
 			}
 		}
--- a/proof/standin/scene/tenants.go
+++ b/proof/standin/scene/tenants.go
@@ -34,11 +34,12 @@
 )
 
 // tenants sends requests with valid keys, unknown keys, no key and a forged tenant name,
-// exceeds a tenant's limit many times, and removes a key.
+// exceeds a tenant's limit many times, and removes a key, and then all customers.
 func tenants(ctx context.Context, w *World) {
 	w.probeIdentities(ctx)
 	w.exceedLimit(ctx, "k-large-2")
 	w.revoke(ctx, "other", "k-other-2")
+	w.removeAllCustomers(ctx)
 }
 
 // probeIdentities sends requests with each kind of identity to each daemon and checks the
@@ -143,3 +144,55 @@
 		})
 	}
 }
+
+// removeAllCustomers removes the customers, by name and by a complete configuration with an empty list, and puts them
+// back each time. While the list is empty every daemon must refuse keys that were removed, unknown keys and requests
+// without a key.
+func (w *World) removeAllCustomers(ctx context.Context) {
+	before := w.Op.Now()
+	removeByName := wire.Change{}
+	for _, customer := range before.Customers {
+		removeByName.Remove.Customers = append(removeByName.Remove.Customers, customer.Name)
+	}
+	restore := wire.Change{}
+	restore.Replace.Customers = before.Customers
+	patch := func(change wire.Change) *record.Change {
+		change.Version = w.Op.Now().Version + 2
+		return w.Op.Patch(ctx, change, w.Op.Now())
+	}
+	putEmptyList := func() *record.Change {
+		empty := w.Op.Now()
+		base := empty.Version
+		empty.Version, empty.Customers = base+2, []wire.Customer{}
+		return w.Op.Put(ctx, empty, base)
+	}
+	for what, remove := range map[string]func() *record.Change{
+		"all customers were removed":         func() *record.Change { return patch(removeByName) },
+		"an empty list of customers was put": putEmptyList,
+	} {
+		if c := remove(); c.Status != http.StatusOK {
+			w.Fail("%s: the call was answered %d", what, c.Status)
+			return
+		}
+		w.expectNobodyServed(ctx, what)
+		if c := patch(restore); c.Status != http.StatusOK {
+			w.Fail("the change that puts the customers back was answered %d", c.Status)
+			return
+		}
+		w.WaitServed(ctx, int(w.Rate))
+	}
+}
+
+// expectNobodyServed checks that every daemon refuses all keys on a route that isn't public.
+func (w *World) expectNobodyServed(ctx context.Context, since string) {
+	w.Sleep(ctx, w.Bounds.Apply)
+	r := w.Routes[0]
+	for _, d := range w.Fleet.Daemons() {
+		for _, key := range []string{"k-other-1", "k-large-1", "k-nobody", ""} {
+			t := w.Load.ProbeAs(ctx, d, r.Host, r.Start, r, client.Identity{Key: key})
+			if t == nil || t.Status != http.StatusUnauthorized {
+				w.Fail("%s answered a client with key %q with %v, %.0f s after %s", d.Name, key, statusOf(t), w.Bounds.Apply.Seconds(), since)
+			}
+		}
+	}
+}
--- a/proof/standin/wire/wire.go
+++ b/proof/standin/wire/wire.go
@@ -205,9 +205,16 @@
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
 
-	Customers []Customer `json:"customers,omitempty"`
+	// Customers is nil if the configuration has none; an empty list is sent as such.
+	Customers []Customer `json:"customers,omitzero"`
 }
 
+// NeedsKeys reports whether requests need a key on routes that aren't public: the configuration has a list of
+// customers, even an empty one.
+//
+// Example: if config.NeedsKeys() && !route.Public { send(key) }
+func (c Config) NeedsKeys() bool { return c.Customers != nil }
+
 // CustomerByKey returns the name of the customer that has the API key.
 //
 // Example: name, ok := config.CustomerByKey("x42q492cqf75rjvz48wu")
@@ -242,13 +249,17 @@
 //
 // Example: next := config.With(change)
 func (c Config) With(ch Change) Config {
-	return Config{
+	next := Config{
 		Version: ch.Version, Limits: c.Limits,
 		Routes:   applyChange(c.Routes, ch.Replace.Routes, ch.Remove.Routes, func(r Route) string { return r.Name }),
 		Services: applyChange(c.Services, ch.Replace.Services, ch.Remove.Services, func(s Service) string { return s.Name }),
 		Customers: applyChange(c.Customers, ch.Replace.Customers, ch.Remove.Customers,
 			func(customer Customer) string { return customer.Name }),
 	}
+	if c.NeedsKeys() && next.Customers == nil {
+		next.Customers = []Customer{} // the list stays when its last customer is removed
+	}
+	return next
 }
 
 // applyChange returns a list of named items with some replaced, appended or removed.
--- a/traffic/gateway/admit_test.go
+++ b/traffic/gateway/admit_test.go
@@ -27,6 +27,10 @@
 	urgency := 1
 	keyed := newTestPlan(7, fleetconfig.Tenant{Name: "a", ByKey: true, Keys: []string{"k"}, Urgency: &urgency})
 	free := newTestPlan(7, fleetconfig.Tenant{Name: "native", TimeoutMillis: 1})
+	withoutKeys := newTestPlan(7, fleetconfig.Tenant{Name: "a", ByKey: true})
+	empty := newTestPlan(7)
+	empty.plan.KeysRequired = true
+	empty.tenants = apikey.NewIndex(empty.plan, apikey.NewHasher())
 	for _, x := range []struct {
 		plan              *activePlan
 		path, key, tenant string
@@ -40,6 +44,14 @@
 		{keyed, "/open/x", "", "", 0},
 		{keyed, "/nowhere", "k", "", 404},
 		{keyed, "/nowhere", "other", "", 404},
+		{withoutKeys, "/closed/x", "k", "", 401},
+		{withoutKeys, "/closed/x", "", "", 401},
+		{withoutKeys, "/open/x", "k", "", 0},
+		{empty, "/closed/x", "k", "", 401},
+		{empty, "/closed/x", "", "", 401},
+		{empty, "/open/x", "k", "", 0},
+		{empty, "/open/x", "", "", 0},
+		{empty, "/nowhere", "", "", 404},
 		{free, "/closed/x", "", "", 0},
 		{free, "/closed/x", "any", "", 0},
 	} {
