Orders: planted faults for what stops a late one, and zones evacuated in a row

Change: ten planted faults (rules.sh); a test of moves of replicas and of lists without a version; the soak evacuates a zone up to three times without a pause. The place of limits-outlive-leaders follows the code; its fault is the same.

--- a/control/leader/repeats_test.go
+++ b/control/leader/repeats_test.go
@@ -117,6 +117,51 @@
 	}
 }
 
+// A call that is acknowledged ends the attempts of calls of its kind that began before it, even if it found nothing to
+// change: moves of replicas and lists without a version have no sequence either.
+func TestAcknowledgedCallEndsEarlierAttempts(t *testing.T) {
+	list := func(leaving bool) []byte {
+		server := fleetconfig.Server{Addr: "10.0.0.1:1", Zone: "a", Capacity: 8, Leaving: leaving}
+		return leadercall.MustMarshal(ServersCall{"m", fleetconfig.List{Servers: []fleetconfig.Server{server}}})
+	}
+	move := func(out, in string) []byte {
+		return leadercall.MustMarshal(ReplicaCall{Out: out, Ident: in, Addr: "10.0.0.4:1"})
+	}
+	for name, test := range map[string]struct {
+		partition      int
+		op, key        string
+		wanted, undone []byte // the call that is acknowledged twice, and the one whose attempt is late
+	}{
+		"a list without a version": {1, leadercall.OpServers, fleetconfig.ListKey("m"), list(true), list(false)},
+		"a move of a replica":      {0, leadercall.OpReplica, fleetconfig.ReplicaKey, move(self.Ident, "e"), move("e", self.Ident)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := startLeader(t, test.partition, nil)
+			requestID := uint64(0)
+			attempt := func(from string, callID uint64, body []byte, basis message.Version) message.CallResult {
+				requestID++
+				l.send(from, message.Call{RequestID: requestID, CallID: callID, Op: test.op, Body: body, Basis: basis})
+				return l.answers[0].AsCallResult()
+			}
+			call := func(from string, callID uint64, body []byte) {
+				t.Helper()
+				basis := attempt(from, callID, body, unknownBasis).Basis
+				if result := attempt(from, callID, body, basis); result.Status != 200 {
+					t.Fatalf("%d %s", result.Status, result.Body)
+				}
+			}
+			call("q", 1, test.wanted)
+			abandoned := attempt("p", 1, test.undone, unknownBasis)
+			call("q", 2, test.wanted)
+			before := l.readRecord(test.key)
+			late := attempt("p", 1, test.undone, abandoned.Basis)
+			if after := l.readRecord(test.key); late.Status != leadercall.StatusBehind || after.Version != before.Version {
+				t.Errorf("a late attempt: status %d, the record is %s", late.Status, after.Value)
+			}
+		})
+	}
+}
+
 // The number of past calls is bounded, and a call of a build that doesn't number its
 // calls is executed each time.
 func TestPastCallsAreBounded(t *testing.T) {
--- a/proof/standin/mutants/rules.sh
+++ b/proof/standin/mutants/rules.sh
@@ -25,8 +25,8 @@
 mutant each-has-the-whole traffic/limiter TestNoWindowExceedsLimit $limits 'Rate: l.Rate / float64(buckets)' 'Rate: l.Rate'
 mutant first-version-counts control/ratelimit TestLaterVersionSetsLimit $limits 'if r.Version > b.version {' 'if r.Version < b.version {'
 mutant empty-is-asked-again traffic/limiter TestLeaderInSameZoneIsAskedFirst traffic/limiter/limiter.go '= now + retryAfter' '= now'
-mutant limits-outlive-leaders control/leader TestNewLeadershipStartsWithEmptyBuckets control/leader/leader.go '	c.limits = nil
-	c.orders.leaderSince' '	c.orders.leaderSince'
+mutant limits-outlive-leaders control/leader TestNewLeadershipStartsWithEmptyBuckets control/leader/leader.go '	c.demands = map[string]demandNumber{}
+	c.limits = nil' '	c.demands = map[string]demandNumber{}'
 mutant token-for-many-runs traffic/gateway TestEachRunConsumesAToken traffic/gateway/limit.go 'func (p *permit) use() { p.until = 0 }' 'func (p *permit) use() {}'
 mutant lapsed-token-runs traffic/gateway TestExpiredTokenIsReplaced traffic/gateway/limit.go 'return now < p.until' 'return p.until > 0'
 mutant key-is-shown platform TestServerCallsNameTheTenant platform/names.go 'hdrTenant, hdrKey,' 'hdrTenant,'
@@ -35,7 +35,19 @@
 mutant unknown-key-is-served traffic/gateway TestAdmission traffic/gateway/admit.go 'case a.tenant != nil || route.Public || !p.tenants.Required():' 'case a.tenant != nil || route.Public || req.Key != "":'
 mutant key-outlives-its-tenant traffic/gateway TestKeyRevokedWhileRequestWaits traffic/gateway/admit.go 'return tenant != nil && tenant.Name == a.tenant.Name' 'return tenant != nil'
 mutant key-of-two-tenants control/fleetconfig TestFaultsDoNotRevealKeys control/fleetconfig/keys.go 'ok && first != i {' 'ok && first == i {'
+mutant empty-list-opens control/fleetconfig TestRemovingLastTenantKeepsKeysRequired control/fleetconfig/keys.go 'return p.KeysRequired || p.hasTenantsByKey()' 'return p.hasTenantsByKey()'
+mutant empty-list-is-none platform TestEmptyCustomerList platform/plan.go 'p.KeysRequired = len(p.Tenants) == 0' ''
+mutant last-removal-opens platform TestEmptyCustomerList control/fleetconfig/change.go 'next.KeysRequired = p.NeedsKeys() && !next.hasTenantsByKey()' 'next.KeysRequired = p.KeysRequired'
+mutant earlier-list-is-none platform TestEmptyCustomerListOfEarlierBuild platform/customers.go 'p.KeysRequired = true' ''
+mutant emptied-for-older-builds control/fleetconfig TestRemovingLastTenantKeepsKeysRequired control/fleetconfig/format.go 'return max(p.Needs, noTenantsFormat)' 'return max(p.Needs, keysFormat)'
 mutant older-builds-serve-all control/fleetconfig TestPlanWithKeysRequiresKeysFormat control/fleetconfig/judge.go 'plan.Needs = plan.RequiredFormat()' ''
+# orders without a version
+repeats=control/leader/repeats.go
+mutant one-record-is-the-basis control/leader TestAcknowledgedOrderEndsEarlierAttempts $repeats 'for _, key := range keys {' 'for _, key := range keys[1:] {'
+mutant any-basis control/leader TestOrdersUnderDrawnFaults $repeats 'r.basis != (message.Version{}) && r.basis != basis' 'r.basis != (message.Version{}) && r.basis.Term == 0'
+mutant calls-are-forgotten control/leader TestLateAttemptDoesNotUndoLaterOrder $repeats 'return p.Call == r.id' 'return false'
+mutant age-of-the-look control/daemon TestOrderOlderThanItsCallersPatienceIsDropped control/daemon/caller.go 'max(age, time.Since(received))' 'time.Since(received)'
+mutant hang-up-unseen control/daemon TestHangUpDuringFreezeCounts control/daemon/caller.go 'if r.Context().Err() != nil {' 'if r.Context().Err() != nil && r.Body == nil {'
 # incarnations
 mutant any-incarnation control/quorum TestIncarnationAdmission $guard 'if claims.StartState.Epoch != 0 && precedes(claims.StartState, known.State) {' 'if claims.StartState.Epoch != 0 && false {'
 mutant blind-to-itself control/quorum TestReplicaIsSuperseded $guard 'if !r.guard.folder.descendsFrom(claims.KnownState) {' 'if r.guard.folder.descendsFrom(claims.KnownState) && false {'
--- a/proof/standin/soak/others.go
+++ b/proof/standin/soak/others.go
@@ -206,15 +206,25 @@
 	}
 }
 
-// evacuate takes a zone out of service and returns it. While the core is unavailable neither
-// has to be acknowledged.
+// maxEvacuations is how often a zone is evacuated in a row, without a pause between its return and the next time.
+const maxEvacuations = 3
+
+// evacuate takes a zone out of service and returns it, and may do so again at once. While the core is unavailable
+// neither has to be acknowledged.
 func (r *run) evacuate(ctx context.Context, rng *rand.Rand) {
 	r.zone.Lock()
 	defer r.zone.Unlock()
 	zone := scene.Zones[rng.Intn(len(scene.Zones))]
+	for range 1 + rng.Intn(maxEvacuations) {
+		r.evacuateOnce(ctx, rng, zone)
+	}
+}
+
+func (r *run) evacuateOnce(ctx context.Context, rng *rand.Rand, zone string) {
 	r.Note("%s is evacuated", zone)
 	e := r.Op.Evacuate(ctx, zone)
-	if r.Log.Count(func(*record.All) int { return int(e.Acked) }) > 0 {
+	acknowledged := r.Log.Count(func(*record.All) int { return int(e.Acked) }) > 0
+	if acknowledged && rng.Intn(2) == 0 { // else it is taken back at once
 		r.Sleep(ctx, r.Bounds.Evacuate+between(rng, 0, 2*time.Second))
 	}
 	for !r.Op.CancelEvacuation(ctx, e) && ctx.Err() == nil {
