--- a/proof/standin/mutants/rules.sh
+++ b/proof/standin/mutants/rules.sh
@@ -44,9 +44,9 @@
 # orders without a version
 repeats=control/leader/repeats.go
 mutant one-record-is-the-basis control/leader TestAcknowledgedOrderEndsEarlierAttempts $repeats 'for _, key := range keys {' 'for _, key := range keys[1:] {'
-mutant any-basis control/leader TestOrdersUnderDrawnFaults $repeats 'r.basis != (message.Version{}) && r.basis != basis' 'r.basis != (message.Version{}) && r.basis.Term == 0'
+mutant any-basis control/leader TestOrdersUnderDrawnFaults $repeats 'r.basis != (message.Version{}) && r.basis != basis' 'r.basis != (message.Version{}) && r.basis.Seq > 1<<40'
 mutant calls-are-forgotten control/leader TestLateAttemptDoesNotUndoLaterOrder $repeats 'return p.Call == r.id' 'return false'
-mutant age-of-the-look control/daemon TestOrderOlderThanItsCallersPatienceIsDropped control/daemon/caller.go 'max(age, time.Since(received))' 'time.Since(received)'
+mutant age-of-the-look control/daemon TestOrderOlderThanItsCallersPatienceIsDropped control/daemon/caller.go 'max(age, time.Since(received))' 'max(age-age, time.Since(received))'
 mutant hang-up-unseen control/daemon TestHangUpDuringFreezeCounts control/daemon/caller.go 'if r.Context().Err() != nil {' 'if r.Context().Err() != nil && r.Body == nil {'
 # incarnations
 mutant any-incarnation control/quorum TestIncarnationAdmission $guard 'if claims.StartState.Epoch != 0 && precedes(claims.StartState, known.State) {' 'if claims.StartState.Epoch != 0 && false {'
