--- a/control/leader/ordermodel_test.go
+++ b/control/leader/ordermodel_test.go
@@ -1,9 +1,10 @@
 package leader
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
+	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -79,40 +80,26 @@
 	faults  modelFaults
 	asked   modelOrders
 	now     time.Duration
-	events  eventHeap
-	leader  *testLeader // nil while there is none
+	events  []modelEvent // by time
+	leader  *testLeader  // nil while there is none
 	former  *testLeader
 	leaders int
 	daemons []*modelDaemon
 	orders  []*modelOrder
 	byCall  map[string]*modelOrder // orders by the ID of their call at the leader
-	numbers int                    // of events so far
 }
 
 // modelEvent is a step of the model that is due at a time.
 type modelEvent struct {
-	at     time.Duration
-	number int // orders events of the same time
-	run    func()
-}
-
-type eventHeap []modelEvent
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(modelEvent)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+	at  time.Duration
+	run func()
 }
 
+// after schedules a step; steps of the same time keep their order.
 func (m *orderModel) after(delay time.Duration, run func()) {
-	m.numbers++
-	heap.Push(&m.events, modelEvent{m.now + delay, m.numbers, run})
+	at := m.now + delay
+	i := sort.Search(len(m.events), func(i int) bool { return m.events[i].at > at })
+	m.events = slices.Insert(m.events, i, modelEvent{at, run})
 }
 
 // atDaemon runs a step of a daemon after a delay, or when the daemon resumes.
@@ -154,7 +141,8 @@
 	m.changeLeaders()
 	for tick := modelStep; tick < modelEnd; tick += modelStep {
 		for len(m.events) > 0 && m.events[0].at <= tick {
-			next := heap.Pop(&m.events).(modelEvent)
+			next := m.events[0]
+			m.events = m.events[1:]
 			m.now = next.at
 			next.run()
 		}
