Judge: one loop over the versions that may have been current

Cause: needsKey, isAllowed and the check of 401 each had their own loop and their own form of when a version takes a key. Change: holdsInEveryVersion and acceptsKey serve all three; the conditions are the same.

--- a/proof/standin/rules/answers.go
+++ b/proof/standin/rules/answers.go
@@ -149,19 +149,8 @@
 // isAllowed reports whether every version that may have been current has a route for a try,
 // and a customer with its key if the route needs one.
 func (v *view) isAllowed(t *record.Try) bool {
-	known := false
-	for _, x := range v.versions {
-		if !x.mayApply() || x.Sent > t.End {
-			continue
-		}
-		r, ok := x.config.Match(t.Host, pathOf(t.Target))
-		if !ok {
-			return false
-		}
-		if _, ok := x.config.CustomerByKey(t.Key); !ok && !r.Public && x.config.NeedsKeys() {
-			return false
-		}
-		known = true
-	}
-	return known
+	return v.holdsInEveryVersion(t, func(x version) bool {
+		_, ok := x.config.Match(t.Host, pathOf(t.Target))
+		return ok && x.acceptsKey(t)
+	})
 }
--- a/proof/standin/rules/tenants.go
+++ b/proof/standin/rules/tenants.go
@@ -13,15 +13,15 @@
 // wasProcessed reports whether a server ran an arrival or prefilled its prompt.
 func wasProcessed(a *record.Arrival) bool { return a.Out == record.Ran || a.Out == record.Prefilled }
 
-// needsKey reports whether every version that may have been current requires a key of a try.
-func (v *view) needsKey(t *record.Try) bool {
+// holdsInEveryVersion reports whether a condition holds for every version that may have been current during a try. It
+// is false if there is no such version.
+func (v *view) holdsInEveryVersion(t *record.Try, condition func(version) bool) bool {
 	known := false
 	for _, x := range v.versions {
 		if !x.mayApply() || x.Sent > t.End {
 			continue
 		}
-		r, ok := x.config.Match(t.Host, pathOf(t.Target))
-		if !ok || r.Public || !x.config.NeedsKeys() {
+		if !condition(x) {
 			return false
 		}
 		known = true
@@ -29,6 +29,21 @@
 	return known
 }
 
+// acceptsKey reports whether a version has a customer with the key of a try, or asks for no key.
+func (x version) acceptsKey(t *record.Try) bool {
+	r, _ := x.config.Match(t.Host, pathOf(t.Target)) // without a route, r isn't public
+	_, held := x.config.CustomerByKey(t.Key)
+	return held || r.Public || !x.config.NeedsKeys()
+}
+
+// needsKey reports whether every version that may have been current requires a key of a try.
+func (v *view) needsKey(t *record.Try) bool {
+	return v.holdsInEveryVersion(t, func(x version) bool {
+		r, ok := x.config.Match(t.Host, pathOf(t.Target))
+		return ok && !r.Public && x.config.NeedsKeys()
+	})
+}
+
 // checkTenants checks that a server receives the name of the tenant that has the client's
 // key, and never the key itself.
 func checkTenants(v *view, report reporter) {
@@ -101,18 +116,7 @@
 		if t.Status != http.StatusUnauthorized || t.Seal != "" {
 			continue
 		}
-		all, known := 0, 0
-		for _, x := range v.versions {
-			if !x.mayApply() || x.Sent > t.End {
-				continue
-			}
-			all++
-			r, routed := x.config.Match(t.Host, pathOf(t.Target))
-			if _, ok := x.config.CustomerByKey(t.Key); ok || routed && r.Public || !x.config.NeedsKeys() {
-				known++
-			}
-		}
-		if all > 0 && known == all {
+		if v.holdsInEveryVersion(t, func(x version) bool { return x.acceptsKey(t) }) {
 			report("%s was answered 401, but every configuration has its key", t.ID)
 		}
 	}
