--- a/proof/standin/scene/lateorder.go
+++ b/proof/standin/scene/lateorder.go
@@ -35,7 +35,8 @@
 	}
 	w.Sleep(ctx, w.Bounds.Evacuate)
 	w.WaitServed(ctx, int(w.Rate))
-	if arrived := w.arrivalsIn(zone, again.Acked+w.Bounds.Evacuate); arrived > 0 {
+	reachesServer := func(x *record.Arrival) bool { return x.Out != record.Misdirected }
+	if arrived := w.arrivalsIn(zone, again.Acked+w.Bounds.Evacuate, reachesServer); arrived > 0 {
 		w.Fail("%d requests reached %s after its second evacuation", arrived, zone)
 	}
 	if !w.Op.CancelEvacuation(ctx, again) {
@@ -45,18 +46,6 @@
 	w.waitZoneUsed(ctx, zone, w.Log.Now())
 }
 
-// arrivalsIn returns how many requests have reached the servers of a zone since a moment.
-func (w *World) arrivalsIn(zone string, since time.Duration) int {
-	return w.Log.Count(func(a *record.All) (arrived int) {
-		for _, x := range a.Arrivals {
-			if x.Zone == zone && x.At > since && x.Out != record.Misdirected {
-				arrived++
-			}
-		}
-		return arrived
-	})
-}
-
 // lateOrder sends an evacuation to a frozen daemon, whose caller gives up and has it done and undone by others. The
 // daemon must not carry it out when it resumes.
 func lateOrder(ctx context.Context, w *World) {
--- a/proof/standin/scene/orders.go
+++ b/proof/standin/scene/orders.go
@@ -140,14 +140,18 @@
 // waitZoneUsed waits until a server of a returned zone has run a request.
 func (w *World) waitZoneUsed(ctx context.Context, zone string, back time.Duration) {
 	w.Until(ctx, w.Bounds.Evacuate+10*time.Second, "the zone is used again", func() bool {
-		return w.Log.Count(func(a *record.All) int {
-			n := 0
-			for _, x := range a.Arrivals {
-				if x.Zone == zone && x.At > back && x.Out == record.Ran {
-					n++
-				}
+		return w.arrivalsIn(zone, back, func(x *record.Arrival) bool { return x.Out == record.Ran }) > 0
+	})
+}
+
+// arrivalsIn returns how many arrivals at the servers of a zone since a moment meet a condition.
+func (w *World) arrivalsIn(zone string, since time.Duration, condition func(*record.Arrival) bool) int {
+	return w.Log.Count(func(a *record.All) (arrived int) {
+		for _, x := range a.Arrivals {
+			if x.Zone == zone && x.At > since && condition(x) {
+				arrived++
 			}
-			return n
-		}) > 0
+		}
+		return arrived
 	})
 }
