Native interface: a list of servers is forwarded in one call

Cause: the two ways of forwarding it repeated the call. Change: which of the two is chosen first; forwardWithin has its comment.

--- a/control/daemon/operator.go
+++ b/control/daemon/operator.go
@@ -147,12 +147,12 @@
 		respondFaults(w, http.StatusBadRequest, faults.List...)
 		return
 	}
-	call := leadercall.MustMarshal(leader.ServersCall{Service: service, List: list})
+	forward := d.forwardOrder
 	if list.Version > 0 {
-		d.forwardCall(w, r, d.Partition(service), leadercall.OpServers, call)
-		return
+		forward = d.forwardCall
 	}
-	d.forwardOrder(w, r, d.Partition(service), leadercall.OpServers, call)
+	call := leader.ServersCall{Service: service, List: list}
+	forward(w, r, d.Partition(service), leadercall.OpServers, leadercall.MustMarshal(call))
 }
 
 func (d *Daemon) handleGetServers(w http.ResponseWriter, r *http.Request) {
@@ -243,6 +243,7 @@
 // callTimeout returns how long an operator's call may take.
 func (d *Daemon) callTimeout() time.Duration { return 2 * d.Cfg.Bounds.Plan }
 
+// forwardWithin forwards a call to a partition's leader and responds with the result that comes within a timeout.
 func (d *Daemon) forwardWithin(
 	w http.ResponseWriter, r *http.Request, partition int, op string, body []byte, timeout time.Duration,
 ) {
