Leases: that a change has no patch is computed once, not for each child

Cause: where a patch isn't shorter than half of the value there is none, and that wasn't remembered: the leader and each relay computed it anew for each child that asked. One takes 8 ms (900 to 2,180 routes, beside load), with 60 children half a core-second, on half of a core the stop of 1.13 s in the log of the leader, which then had lost its leadership and all its leases. Change: the last change without a patch is remembered, beside the patches. Result: the new test counted 4 patches in a tree with two parents, and 3 for a small change after it; now 2 and 1.

--- a/control/lease/patches.go
+++ b/control/lease/patches.go
@@ -43,9 +43,16 @@
 	chains map[string][]message.Patch // key -> patches, each starting at the version where the previous one ends
 	full   map[string]message.Record  // key -> the record as sent to children that hold no version of it
 
+	// unpatchable holds the last change of each record that has no patch. Computing a patch takes as long without a
+	// result, and every child that has the earlier version needs it.
+	unpatchable map[string]recordChange
+
 	sentAsPatches, sentInFull int // numbers of records sent to children
 }
 
+// recordChange is the change from one version of a record to another.
+type recordChange struct{ from, to message.Version }
+
 // withdrawnRecord is a record that is no longer served.
 type withdrawnRecord struct {
 	record message.Record
@@ -60,6 +67,7 @@
 	n.patches.bases = map[string]withdrawnRecord{}
 	n.patches.chains = map[string][]message.Patch{}
 	n.patches.full = map[string]message.Record{}
+	n.patches.unpatchable = map[string]recordChange{}
 }
 
 // SentAsPatches returns the number of records that were sent to children as patches.
@@ -92,6 +100,7 @@
 			delete(p.bases, key)
 			delete(p.chains, key)
 			delete(p.full, key)
+			delete(p.unpatchable, key)
 		}
 	}
 }
@@ -135,20 +144,21 @@
 }
 
 // extendChain computes the patch from the previous version of a record to the current one,
-// unless the patch already exists or this node has no children.
+// unless that has been done before or this node has no children.
 func (n *Node) extendChain(record message.Record) {
 	p := &n.patches
 	base, ok := p.bases[record.Key]
 	if !ok || record.Deleted || base.record.Version == record.Version || len(n.downstream.children) == 0 {
 		return
 	}
-	chain := p.chains[record.Key]
-	if endsAt(chain, record.Version) {
+	chain, change := p.chains[record.Key], recordChange{base.record.Version, record.Version}
+	if endsAt(chain, record.Version) || p.unpatchable[record.Key] == change {
 		return
 	}
 	delta := p.codec.Patch(base.record.Value, record.Value)
 	if delta == nil {
 		delete(p.chains, record.Key)
+		p.unpatchable[record.Key] = change
 		return
 	}
 	patch := message.Patch{From: base.record.Version, To: record.Version, Delta: delta}
--- a/control/lease/patches_test.go
+++ b/control/lease/patches_test.go
@@ -204,6 +204,30 @@
 	return codecs
 }
 
+// Guards against the patch of a large change being computed anew for each child because it isn't shorter than the value.
+// With 60 children the leader and the relays of a large fleet handled nothing else for a second and lost their leases.
+func TestUnpatchableChangeIsComputedOncePerParent(t *testing.T) {
+	const parentCount = 2 // the root and the relay
+	made := 0
+	tree := newTestTree(t, onAllNodes(countingCodec{made: &made}))
+	tree.writeRecord(encodedPlan(t, 100, 0))
+	tree.advance(time.Second)
+	made = 0
+	tree.writeRecord(encodedPlan(t, 1000, 1))
+	tree.advance(time.Second)
+	tree.checkServed("large change")
+	if made == 0 || made > parentCount {
+		t.Errorf("%d patches computed, want 1 to %d", made, parentCount)
+	}
+	made = 0
+	tree.writeRecord(encodedPlan(t, 1000, 2))
+	tree.advance(time.Second)
+	tree.checkServed("small change after it")
+	if made != 1 {
+		t.Errorf("%d patches computed for a small change after it, want 1", made)
+	}
+}
+
 // A change costs each node at most three times the size of the change plus 200 bytes,
 // whether the plan has 84 or 1,500 routes. Its patch is computed only once, at the root.
 func TestChangeIsSentAsPatch(t *testing.T) {
