Forwarding: a request considers a few random servers, not all

Callers saw: on a fleet of 300 daemons with 256 servers half of the long prompts were late without any fault, and most of them in a crowd; with 22 daemons and 15 servers hardly any were. Cause: each daemon chose the cheapest of all servers by load reports that are older than a prefill takes. 300 daemons with the same report choose the same servers until the next one: the busiest had 2.1 times the mean, answers waited for slots there while two thirds of all slots were free. The more daemons, the less a daemon's own sends tell it. Change: a request considers one pseudorandom server a zone, three at least, and the first three of its prefix.

--- a/proof/overload/front.go
+++ b/proof/overload/front.go
@@ -50,15 +50,14 @@
 		var l fleetconfig.List
 		for _, s := range f.sim.servers {
 			if s.up {
-				l.Servers = append(l.Servers, fleetconfig.Server{ID: s.key, Addr: s.key, Zone: s.zone, Capacity: slots})
+				l.Servers = append(l.Servers, fleetconfig.Server{ID: s.key, Addr: s.key, Zone: s.zone, Capacity: f.sim.Slots})
 			}
 		}
 		return message.Record{Key: key, Version: ver, Value: pack(l)}, true
 	}
-	for _, s := range f.sim.servers {
-		if s.up && key == fleetconfig.ServerRecordKey(service, s.key) {
-			return message.Record{Key: key, Version: ver, Value: pack(placement.ServerRecord{Addr: s.key, Zone: s.zone, Capacity: slots, Role: s.part, Status: placement.Up})}, true
-		}
+	if s := f.sim.byRecordKey[key]; s != nil && s.up {
+		record := placement.ServerRecord{Addr: s.key, Zone: s.zone, Capacity: f.sim.Slots, Role: s.part, Status: placement.Up}
+		return message.Record{Key: key, Version: ver, Value: pack(record)}, true
 	}
 	return message.Record{Key: key, Version: ver, Deleted: true}, true
 }
--- a/proof/overload/overload.go
+++ b/proof/overload/overload.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mulleinmast/control/daemon"
+	"mulleinmast/control/fleetconfig"
 	"mulleinmast/control/placement"
 	"mulleinmast/proof/eventqueue"
 	"mulleinmast/traffic/forward"
@@ -49,6 +50,8 @@
 	Daemons        int
 	PrefillServers int
 	DecodeServers  int
+	Slots          int // answers that a server decodes at a time
+	TokensPerEvent int // of an answer
 	Classes        []Class
 	Faults         []Fault
 	Length         time.Duration
@@ -61,7 +64,7 @@
 //
 // Example: r := overload.Run(overload.Default(1))
 func Default(seed int64) Options {
-	return Options{Seed: seed, Daemons: 8, PrefillServers: 5, DecodeServers: 7, Length: 40 * time.Second, AdmitRatio: daemon.Default().AdmitRatio, Classes: []Class{
+	return Options{Seed: seed, Daemons: 8, PrefillServers: 5, DecodeServers: 7, Slots: 64, TokensPerEvent: 14, Length: 40 * time.Second, AdmitRatio: daemon.Default().AdmitRatio, Classes: []Class{
 		{Name: "long", PerSecond: 34, TTFTTarget: 500 * time.Millisecond, Deadline: 3 * time.Second, InterTokenTarget: 300 * time.Millisecond, SharedTokens: []int{2520, 3780}, SharedVariants: []int{4, 64}, OwnTokens: 2890, OutputTokens: 52, Attempts: 2},
 		{Name: "short", PerSecond: 43, TTFTTarget: 600 * time.Millisecond, Deadline: 8 * time.Second, InterTokenTarget: 300 * time.Millisecond, Urgency: 1, SharedTokens: []int{119, 79}, SharedVariants: []int{10, 120}, OwnTokens: 628, OutputTokens: 290, Attempts: 1},
 	}}
@@ -138,6 +141,7 @@
 	now              time.Duration
 	queue            eventqueue.Queue
 	servers          []*server
+	byRecordKey      map[string]*server
 	daemons          []*front
 	recordGeneration uint64
 	lastID           int
@@ -148,7 +152,7 @@
 //
 // Example: r := overload.Run(overload.Default(1)); r.Seconds[7].Served()
 func Run(o Options) Result {
-	sim := &simulation{Options: o, cfg: daemon.Default(), rng: rand.New(rand.NewSource(o.Seed)), recordGeneration: 1}
+	sim := &simulation{Options: o, cfg: daemon.Default(), rng: rand.New(rand.NewSource(o.Seed)), recordGeneration: 1, byRecordKey: map[string]*server{}}
 	sim.cfg.AdmitRatio = o.AdmitRatio
 	sim.cfg.Bounds.Plan = 2500 * time.Millisecond
 	sim.result.Seconds = make([]Second, int(o.Length/time.Second))
@@ -159,6 +163,9 @@
 		}
 		sim.servers = append(sim.servers, &server{sim: sim, key: fmt.Sprintf("server-%02d", i), zone: zoneOf(i), part: part, up: true, cached: map[uint64]bool{}, idleConns: map[*front]int{}})
 	}
+	for _, s := range sim.servers {
+		sim.byRecordKey[fleetconfig.ServerRecordKey(service, s.key)] = s
+	}
 	for i := range o.Daemons {
 		sim.daemons = append(sim.daemons, sim.newFront(i))
 	}
--- a/proof/overload/server.go
+++ b/proof/overload/server.go
@@ -6,19 +6,18 @@
 	"slices"
 	"time"
 
+	"mulleinmast/control/fleetconfig"
 	"mulleinmast/control/placement"
 	"mulleinmast/traffic/forward"
 )
 
 // Parameters of the simulated engine of a model server.
 const (
-	slots             = 64
-	maxQueue          = 3 * slots // waiting requests
-	cacheTokens       = 276000    // capacity of the prompt cache
-	prefillRate       = 56.9      // prompt tokens per ms
-	tokenLatency      = 3.09      // ms per token of a single request
-	latencyPerRequest = 0.102     // additional ms per token for each request being decoded
-	tokensPerEvent    = 14
+	queuePerSlot      = 3                       // waiting requests
+	cacheTokens       = 276000                  // capacity of the prompt cache
+	prefillRate       = 56.9                    // prompt tokens per ms
+	tokenLatency      = 3.09                    // ms per token of a single request
+	latencyPerRequest = 0.102                   // additional ms per token for each request being decoded
 	transferSetup     = 3300 * time.Microsecond // fixed cost of a KV cache transfer
 	handshake         = time.Millisecond        // server time for a new connection
 )
@@ -57,7 +56,7 @@
 }
 
 func (sim *simulation) serverOf(key string) *server {
-	return sim.servers[slices.IndexFunc(sim.servers, func(s *server) bool { return s.key == key })]
+	return sim.byRecordKey[fleetconfig.ServerRecordKey(service, key)]
 }
 
 // stop stops the server without warning and drops its cache.
@@ -97,7 +96,7 @@
 	case !s.up:
 		s.sim.after(networkLatency, func() { j.done(forward.NotSent, forward.Handle{}) })
 		return
-	case len(s.queue) >= maxQueue:
+	case len(s.queue) >= queuePerSlot*s.sim.Slots:
 		s.sim.result.Rejected++
 		s.sim.after(networkLatency, func() { j.done(forward.Overloaded, forward.Handle{}) })
 		return
@@ -120,13 +119,13 @@
 		}
 		switch {
 		case j.decision.Action == forward.Prefill || j.decision.Handle == nil: // the prompt is prefilled on this server
-			if s.prefilling || j.decision.Action == forward.Decode && s.decoding >= slots {
+			if s.prefilling || j.decision.Action == forward.Decode && s.decoding >= s.sim.Slots {
 				return
 			}
 			s.queue = s.queue[1:]
 			s.prefill(j)
 		default:
-			if s.decoding >= slots {
+			if s.decoding >= s.sim.Slots {
 				return
 			}
 			s.queue = s.queue[1:]
@@ -178,7 +177,7 @@
 
 // decode streams an answer in events.
 func (s *server) decode(j *job) {
-	s.streamEvent(j, max(1, (j.attempt.call.MaxOutputTokens+tokensPerEvent-1)/tokensPerEvent), s.sim.now)
+	s.streamEvent(j, max(1, (j.attempt.call.MaxOutputTokens+s.sim.TokensPerEvent-1)/s.sim.TokensPerEvent), s.sim.now)
 }
 
 // streamEvent sends the next event after its latency, until none is left.
@@ -191,7 +190,8 @@
 		s.schedule()
 		return
 	}
-	gap := time.Duration(tokensPerEvent * (tokenLatency + latencyPerRequest*float64(s.decoding)) * float64(time.Millisecond))
+	perToken := tokenLatency + latencyPerRequest*float64(s.decoding)
+	gap := time.Duration(float64(s.sim.TokensPerEvent) * perToken * float64(time.Millisecond))
 	generation := s.generation
 	s.sim.after(gap, func() {
 		if s.generation != generation {
--- a/traffic/forward/affinity.go
+++ b/traffic/forward/affinity.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"strconv"
 )
 
@@ -32,29 +33,38 @@
 	return x ^ x>>29
 }
 
-// affinityRanks ranks the servers for a key, identically on all daemons in all zones: the
-// first three have ranks 0, 1 and 2, all others 3.
-func affinityRanks(servers []Server, key uint64) map[string]int {
-	weights := make([]uint64, len(servers))
-	var top [3]uint64 // the three highest weights, in descending order
+// rankedServers is the number of servers that are ranked for a prefix.
+const rankedServers = 3
+
+// firstByAffinity returns the indices of the first rankedServers servers in a key's affinity order, or of fewer if there
+// are fewer. The order is identical on all daemons in all zones.
+func firstByAffinity(servers []Server, key uint64) []int {
+	first := make([]int, 0, rankedServers+1)
+	weights := make([]uint64, 0, rankedServers+1)
 	for i, s := range servers {
 		w := rendezvousWeight(key, s.Key)
-		weights[i] = w
-		for j := range top {
-			if w > top[j] {
-				w, top[j] = top[j], w
-			}
+		at := len(first)
+		for at > 0 && w > weights[at-1] {
+			at--
 		}
+		if at == rankedServers {
+			continue
+		}
+		first, weights = slices.Insert(first, at, i), slices.Insert(weights, at, w)
+		first, weights = first[:min(len(first), rankedServers)], weights[:min(len(weights), rankedServers)]
 	}
+	return first
+}
+
+// affinityRanks ranks the servers for a key, identically on all daemons in all zones: the
+// first three have ranks 0, 1 and 2, all others 3.
+func affinityRanks(servers []Server, key uint64) map[string]int {
 	ranks := make(map[string]int, len(servers))
-	for i, s := range servers {
-		rank := 0
-		for _, w := range top {
-			if w > weights[i] {
-				rank++
-			}
-		}
-		ranks[s.Key] = rank
+	for _, s := range servers {
+		ranks[s.Key] = rankedServers
+	}
+	for rank, i := range firstByAffinity(servers, key) {
+		ranks[servers[i].Key] = rank
 	}
 	return ranks
 }
--- a/traffic/forward/score.go
+++ b/traffic/forward/score.go
@@ -37,14 +37,14 @@
 	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
 }
 
-// score returns the available servers of a role with their costs and predicted times, for a
+// score returns the servers of a role that a request considers, with their costs and predicted times, for a
 // prefill rate in tokens per millisecond.
 func (d *Dispatcher) score(
 	now time.Duration, r *pendingRequest, role string, phase attempt.Phase, rate float64,
 ) []scoredServer {
-	servers := d.filter(now, r, role, phase)
 	tokens, key := sharedPrefix(r.Parts)
 	tokens = min(tokens, r.InputTokens)
+	servers := r.sample(d.filter(now, r, role, phase), key, tokens)
 	cached := make([]bool, len(servers)) // stays on the stack
 	anyCached := d.markCached(cached, servers, tokens, key)
 	scored := make([]scoredServer, 0, len(servers))
--- a/traffic/forward/types.go
+++ b/traffic/forward/types.go
@@ -4,8 +4,8 @@
 // are requests, outcomes of calls and the time, its output is the next decision.
 // traffic/gateway executes the decisions.
 //
-// Files: request.go handles a request and its attempts; filter.go, score.go and pick.go choose
-// a server, and affinity.go ranks servers for a shared prefix; admission.go limits waits and
+// Files: request.go handles a request and its attempts; filter.go, sample.go, score.go and pick.go
+// choose a server, and affinity.go ranks servers for a shared prefix; admission.go limits waits and
 // retries, warmup.go the load of new servers; dispatcher.go maintains the view of the records;
 // load.go is the interface to the load of all daemons.
 package forward
