--- a/proof/overload/overload.go
+++ b/proof/overload/overload.go
@@ -64,10 +64,20 @@
 //
 // Example: r := overload.Run(overload.Default(1))
 func Default(seed int64) Options {
-	return Options{Seed: seed, Daemons: 8, PrefillServers: 5, DecodeServers: 7, Slots: 64, TokensPerEvent: 14, Length: 40 * time.Second, AdmitRatio: daemon.Default().AdmitRatio, Classes: []Class{
-		{Name: "long", PerSecond: 34, TTFTTarget: 500 * time.Millisecond, Deadline: 3 * time.Second, InterTokenTarget: 300 * time.Millisecond, SharedTokens: []int{2520, 3780}, SharedVariants: []int{4, 64}, OwnTokens: 2890, OutputTokens: 52, Attempts: 2},
-		{Name: "short", PerSecond: 43, TTFTTarget: 600 * time.Millisecond, Deadline: 8 * time.Second, InterTokenTarget: 300 * time.Millisecond, Urgency: 1, SharedTokens: []int{119, 79}, SharedVariants: []int{10, 120}, OwnTokens: 628, OutputTokens: 290, Attempts: 1},
-	}}
+	long := Class{
+		Name: "long", PerSecond: 34, TTFTTarget: 500 * time.Millisecond, Deadline: 3 * time.Second,
+		InterTokenTarget: 300 * time.Millisecond, SharedTokens: []int{2520, 3780}, SharedVariants: []int{4, 64},
+		OwnTokens: 2890, OutputTokens: 52, Attempts: 2,
+	}
+	short := Class{
+		Name: "short", PerSecond: 43, TTFTTarget: 600 * time.Millisecond, Deadline: 8 * time.Second,
+		InterTokenTarget: 300 * time.Millisecond, Urgency: 1, SharedTokens: []int{119, 79}, SharedVariants: []int{10, 120},
+		OwnTokens: 628, OutputTokens: 290, Attempts: 1,
+	}
+	return Options{
+		Seed: seed, Daemons: 8, PrefillServers: 5, DecodeServers: 7, Slots: 64, TokensPerEvent: 14,
+		Classes: []Class{long, short}, Length: 40 * time.Second, AdmitRatio: daemon.Default().AdmitRatio,
+	}
 }
 
 // Second counts the results of the requests that clients started in one second.
@@ -152,19 +162,15 @@
 //
 // Example: r := overload.Run(overload.Default(1)); r.Seconds[7].Served()
 func Run(o Options) Result {
-	sim := &simulation{Options: o, cfg: daemon.Default(), rng: rand.New(rand.NewSource(o.Seed)), recordGeneration: 1, byRecordKey: map[string]*server{}}
+	sim := &simulation{
+		Options: o, cfg: daemon.Default(), rng: rand.New(rand.NewSource(o.Seed)), recordGeneration: 1,
+		byRecordKey: map[string]*server{},
+	}
 	sim.cfg.AdmitRatio = o.AdmitRatio
 	sim.cfg.Bounds.Plan = 2500 * time.Millisecond
 	sim.result.Seconds = make([]Second, int(o.Length/time.Second))
 	for i := range o.PrefillServers + o.DecodeServers {
-		part := placement.Decode
-		if i < o.PrefillServers {
-			part = placement.Prefill
-		}
-		sim.servers = append(sim.servers, &server{sim: sim, key: fmt.Sprintf("server-%02d", i), zone: zoneOf(i), part: part, up: true, cached: map[uint64]bool{}, idleConns: map[*front]int{}})
-	}
-	for _, s := range sim.servers {
-		sim.byRecordKey[fleetconfig.ServerRecordKey(service, s.key)] = s
+		sim.addServer(i)
 	}
 	for i := range o.Daemons {
 		sim.daemons = append(sim.daemons, sim.newFront(i))
@@ -189,6 +195,19 @@
 	return sim.result
 }
 
+// addServer adds a server; the first PrefillServers prefill.
+func (sim *simulation) addServer(i int) {
+	s := &server{
+		sim: sim, key: fmt.Sprintf("server-%02d", i), zone: zoneOf(i), part: placement.Decode, up: true,
+		cached: map[uint64]bool{}, idleConns: map[*front]int{},
+	}
+	if i < sim.PrefillServers {
+		s.part = placement.Prefill
+	}
+	sim.servers = append(sim.servers, s)
+	sim.byRecordKey[fleetconfig.ServerRecordKey(service, s.key)] = s
+}
+
 func zoneOf(i int) string { return fmt.Sprint("zone-", i%3) }
 
 func (sim *simulation) after(d time.Duration, do func()) {
@@ -239,7 +258,10 @@
 
 // newFront returns a daemon with its dispatcher and load reporter.
 func (sim *simulation) newFront(i int) *front {
-	f := &front{sim: sim, me: message.Member{Ident: fmt.Sprint("daemon-", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Zone: zoneOf(i), Build: daemon.Build}, reporter: loadreport.New(gateway.LoadReportConfig(sim.cfg))}
+	me := message.Member{
+		Ident: fmt.Sprint("daemon-", i), Addr: fmt.Sprintf("10.0.0.%d:1", i), Zone: zoneOf(i), Build: daemon.Build,
+	}
+	f := &front{sim: sim, me: me, reporter: loadreport.New(gateway.LoadReportConfig(sim.cfg))}
 	c := gateway.Config(sim.cfg)
 	c.Zone, c.RetrySlack = f.me.Zone, 200
 	f.dispatcher = forward.New(c, service, 1, f, loadHints{f})
