--- a/proof/standin/mutants/answers.sh
+++ b/proof/standin/mutants/answers.sh
@@ -17,6 +17,7 @@
 mutant whole-when-reset platform $spoilt platform/answer.go 'a.complete = err == io.EOF
 	return nil, "", err' 'a.complete = err == io.EOF
 	return nil, "", io.EOF'
+mutant end-in-upload platform $spoilt wire/httpresponse/body.go 'if err := b.requestSent(); err != nil {' 'if err := b.requestSent(); err != nil && b.reader == nil {'
 mutant id-twice platform TestDuplicateAnswerToAnEarlierCallIsNotUsed platform/conn.go ' && !c.hasCarried(n.notCarried)' ''
 mutant shared-order platform TestOrderUsesADedicatedConnection platform/order.go 'connRequirements{dedicated: true}' 'connRequirements{}'
 mutant forgets-again platform TestConnectionsToEarlyClosersAreReusedOnlyBriefly $exchange 'if c.used && ctx.Err() == nil' 'if c.used && ctx.Err() != nil'
