Answers: a status outside 100 to 599 is no answer

Callers saw: a back end in trouble sent a status of 000 or 099 before a whole answer; it was taken for an interim answer and the client got the one behind it. A status of 600 or 999 was passed on to the client. Found beside it: a 600 or 999 with Not-Run counted as a refusal, and an unsafe request ran twice; such a status in an answer to another request was passed over; two blanks before the status were taken. A status of 000, 001 or +20 by itself already counted as lost: those cases are kept.

Cause: net/http's reader takes each number of three characters as a status, and every status below 200 counted as interim.

Evidence: twelve cases of TestCorruptedServerAnswers, in both stages and on each kind of route.

Change: wire/httpresponse reads the head itself, line by line, and checks the status line before net/http interprets the whole head. Bodies are read by their framing as net/http determined it. All answers of a server are read there: interim ones, those to other requests, refusals.

Why it works: no message with such a status gets past the one reader of heads, and its connection is closed, as what follows it is nobody's (RFC 9110, section 15).

--- a/proof/standin/mutants/answers.sh
+++ b/proof/standin/mutants/answers.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/../../.."
 source proof/standin/mutants/unit.sh
 
-exchange=platform/exchange.go spoilt=TestCorruptedServerAnswers
+exchange=platform/exchange.go spoilt=TestCorruptedServerAnswers head=wire/httpresponse/head.go
 mutant doubt-reused platform $spoilt $exchange 'reusable: clean && s.isComplete()' 'reusable: (clean || !clean) && s.isComplete()'
 mutant bytes-behind platform $spoilt platform/conn.go 'c.reader.Buffered() > 0' 'c.reader.Buffered() < 0'
 mutant any-id platform $spoilt $exchange 'len(got) == 1 && got[0] == id' 'len(got) >= 1'
@@ -18,6 +18,7 @@
 	return nil, "", err' 'a.complete = err == io.EOF
 	return nil, "", io.EOF'
 mutant end-in-upload platform $spoilt wire/httpresponse/body.go 'if err := b.requestSent(); err != nil {' 'if err := b.requestSent(); err != nil && b.reader == nil {'
+mutant any-status platform $spoilt $head 'code[0] >= firstStatusClass && code[0] <= lastStatusClass' 'code[0] <= firstStatusClass+8'
 mutant id-twice platform TestDuplicateAnswerToAnEarlierCallIsNotUsed platform/conn.go ' && !c.hasCarried(n.notCarried)' ''
 mutant shared-order platform TestOrderUsesADedicatedConnection platform/order.go 'connRequirements{dedicated: true}' 'connRequirements{}'
 mutant forgets-again platform TestConnectionsToEarlyClosersAreReusedOnlyBriefly $exchange 'if c.used && ctx.Err() == nil' 'if c.used && ctx.Err() != nil'
--- a/wire/httpresponse/body.go
+++ b/wire/httpresponse/body.go
@@ -1,10 +1,70 @@
 package httpresponse
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httputil"
 )
 
+// newBody returns the reader of a response's body. It returns io.EOF only after the whole body.
+func newBody(r *bufio.Reader, res *http.Response, requestSent func() error) io.Reader {
+	switch {
+	case len(res.TransferEncoding) > 0: // net/http accepts only "chunked"
+		return &chunkedBody{chunks: httputil.NewChunkedReader(r), reader: r}
+	case res.ContentLength >= 0:
+		return &sizedBody{reader: r, left: res.ContentLength}
+	}
+	return &unsizedBody{reader: r, requestSent: requestSent}
+}
+
+// sizedBody is a body of a known length.
+type sizedBody struct {
+	reader io.Reader
+	left   int64 // bytes
+}
+
+// Read returns io.EOF after the whole body.
+//
+// Example: n, err := body.Read(buf)
+func (b *sizedBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := b.reader.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	if err == io.EOF && b.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunkedBody is a body in chunks. Its trailer is checked and discarded.
+type chunkedBody struct {
+	chunks io.Reader
+	reader *bufio.Reader
+	ended  bool // the trailer was read
+}
+
+// Read returns io.EOF after the whole body.
+//
+// Example: n, err := body.Read(buf)
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.ended {
+		return 0, io.EOF
+	}
+	n, err := b.chunks.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := readTrailer(b.reader); err != nil {
+		return n, err
+	}
+	b.ended = true
+	return n, io.EOF
+}
+
 // unsizedBody is a body that ends with its connection. The operating system reports a
 // connection's error to only one call, and to the call after it the connection looks properly
 // closed. So the body is whole only if sending the request didn't fail either.
--- /dev/null
+++ b/wire/httpresponse/head.go
@@ -0,0 +1,103 @@
+package httpresponse
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// ErrMalformed is the error for bytes that are no HTTP/1 response.
+var ErrMalformed = errors.New("malformed response")
+
+// head is the head of a response, or a trailer.
+type head struct {
+	bytes []byte // as received, with the empty line
+}
+
+// readHead reads a status line and header fields up to the empty line. It
+// returns io.EOF if the connection ends before the first byte.
+func readHead(r *bufio.Reader) (h head, err error) {
+	if err := h.appendLine(r); err == io.EOF && len(h.bytes) > 0 {
+		return h, io.ErrUnexpectedEOF
+	} else if err != nil {
+		return h, err
+	}
+	if err := checkStatusLine(h.lineFrom(0)); err != nil {
+		return h, err
+	}
+	return h, h.appendFields(r)
+}
+
+// readTrailer reads the fields after the last chunk up to the empty line.
+func readTrailer(r *bufio.Reader) error {
+	var trailer head
+	return trailer.appendFields(r)
+}
+
+// appendFields appends the field lines up to and including the empty line.
+func (h *head) appendFields(r *bufio.Reader) error {
+	for {
+		start := len(h.bytes)
+		if err := h.appendLine(r); err == io.EOF {
+			return io.ErrUnexpectedEOF
+		} else if err != nil {
+			return err
+		}
+		if len(h.lineFrom(start)) == 0 {
+			return nil
+		}
+	}
+}
+
+const lineEnd = "\r\n"
+
+// lineFrom returns the last line, which begins at start, without its end.
+func (h *head) lineFrom(start int) []byte { return bytes.TrimRight(h.bytes[start:], lineEnd) }
+
+// appendLine appends the next line with its end.
+func (h *head) appendLine(r *bufio.Reader) error {
+	for {
+		fragment, err := r.ReadSlice('\n')
+		h.bytes = append(h.bytes, fragment...)
+		switch {
+		case err == bufio.ErrBufferFull:
+			continue
+		case err != nil:
+			return err
+		}
+		return nil
+	}
+}
+
+const (
+	version10 = "HTTP/1.0"
+	version11 = "HTTP/1.1"
+)
+
+// The first digits of the status codes that exist (RFC 9110, section 15).
+const (
+	firstStatusClass = '1'
+	lastStatusClass  = '5'
+)
+
+// checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason may be missing.
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, _, _ := bytes.Cut(rest, []byte(" "))
+	switch {
+	case string(version) != version10 && string(version) != version11:
+		return fmt.Errorf("%w: version %q", ErrMalformed, version)
+	case !isStatus(status):
+		return fmt.Errorf("%w: status %q", ErrMalformed, status)
+	}
+	return nil
+}
+
+// isStatus reports whether a status code is from 100 to 599.
+func isStatus(code []byte) bool {
+	return len(code) == 3 && code[0] >= firstStatusClass && code[0] <= lastStatusClass && isDigit(code[1]) && isDigit(code[2])
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
