Answers: a head with a name that is no name is no answer

Callers saw: a back end in trouble sent an answer in whose head the name of a field held a blank. The client got it as an answer: with a blank after Content-Length or Transfer-Encoding its length or chunks weren't seen, and the body was another (the sizes of the chunks in a stream); elsewhere the line was left out. A line that begins with a blank was joined to the one before it, and the seal reached the client changed. The same in interim answers, in answers to other requests, in the prefill's answer (its handle was used), and in a refusal (an unsafe request ran twice). A control byte, a byte above ASCII, a line without a name or a colon already counted as lost: those cases are kept.

Cause: net/http's reader is liberal on purpose. It keeps a name with a blank as it is, where no reader of the field finds it, and joins continued lines.

Change: the reader of heads checks each name with httpguts.ValidHeaderFieldName (golang.org/x/net, which net/http uses itself for what it sends).

Why it works: what isn't a token before a colon ends the call and its connection, before net/http sees the head; a continued line is one of these. RFC 9112 (5.1) would have a proxy remove a blank before the colon; an answer with one isn't guessed at here, as the users count it as none.

--- a/wire/httpresponse/head.go
+++ b/wire/httpresponse/head.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is the error for bytes that are no HTTP/1 response.
@@ -16,7 +18,7 @@
 	bytes []byte // as received, with the empty line
 }
 
-// readHead reads a status line and header fields up to the empty line. It
+// readHead reads a status line and header fields up to the empty line, and checks them. It
 // returns io.EOF if the connection ends before the first byte.
 func readHead(r *bufio.Reader) (h head, err error) {
 	if err := h.appendLine(r); err == io.EOF && len(h.bytes) > 0 {
@@ -36,7 +38,7 @@
 	return trailer.appendFields(r)
 }
 
-// appendFields appends the field lines up to and including the empty line.
+// appendFields appends the field lines up to and including the empty line, and checks them.
 func (h *head) appendFields(r *bufio.Reader) error {
 	for {
 		start := len(h.bytes)
@@ -45,9 +47,13 @@
 		} else if err != nil {
 			return err
 		}
-		if len(h.lineFrom(start)) == 0 {
+		line := h.lineFrom(start)
+		if len(line) == 0 {
 			return nil
 		}
+		if err := checkField(line); err != nil {
+			return err
+		}
 	}
 }
 
@@ -101,3 +107,14 @@
 }
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// checkField checks a field line. net/http also accepts a blank in or after the name, and a line that
+// continues the one before it. Readers of a response would differ on what it says (RFC 9112, sections
+// 5.1 and 5.2).
+func checkField(line []byte) error {
+	prefix, _, ok := bytes.Cut(line, []byte(":"))
+	if name := string(prefix); !ok || !httpguts.ValidHeaderFieldName(name) {
+		return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+	}
+	return nil
+}
