Answers: an error at the end of a body is final

Seen with a trailer whose name holds a blank: the client got the answer as complete.

Cause: the reader of chunks read the trailer again at the next call, from the line behind the broken one.

Change: the end or error of a body is kept and returned by each later call, for all three kinds of framing. TestBodiesAreWhole (each framing, at once and byte by byte, the request sent or not) failed before on "chunks with a broken trailer: after its end 0, EOF".

--- a/wire/httpresponse/body.go
+++ b/wire/httpresponse/body.go
@@ -12,11 +12,27 @@
 func newBody(r *bufio.Reader, res *http.Response, requestSent func() error) io.Reader {
 	switch {
 	case len(res.TransferEncoding) > 0: // net/http accepts only "chunked"
-		return &chunkedBody{chunks: httputil.NewChunkedReader(r), reader: r}
+		return &endedBody{reader: &chunkedBody{chunks: httputil.NewChunkedReader(r), reader: r}}
 	case res.ContentLength >= 0:
-		return &sizedBody{reader: r, left: res.ContentLength}
+		return &endedBody{reader: &sizedBody{reader: r, left: res.ContentLength}}
 	}
-	return &unsizedBody{reader: r, requestSent: requestSent}
+	return &endedBody{reader: &unsizedBody{reader: r, requestSent: requestSent}}
+}
+
+// endedBody is a body whose end or error is final: no later call reads on.
+type endedBody struct {
+	reader io.Reader
+	err    error
+}
+
+// Read returns io.EOF after the whole body.
+//
+// Example: n, err := body.Read(buf)
+func (b *endedBody) Read(p []byte) (n int, err error) {
+	if b.err == nil {
+		n, b.err = b.reader.Read(p)
+	}
+	return n, b.err
 }
 
 // sizedBody is a body of a known length.
@@ -44,16 +60,12 @@
 type chunkedBody struct {
 	chunks io.Reader
 	reader *bufio.Reader
-	ended  bool // the trailer was read
 }
 
 // Read returns io.EOF after the whole body.
 //
 // Example: n, err := body.Read(buf)
 func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
-	}
 	n, err := b.chunks.Read(p)
 	if err != io.EOF {
 		return n, err
@@ -61,7 +73,6 @@
 	if err := readTrailer(b.reader); err != nil {
 		return n, err
 	}
-	b.ended = true
 	return n, io.EOF
 }
 
