Answers: control bytes and bare line feeds in a head

Callers saw: an answer whose head held a line feed without a carriage return, or a control byte in its reason, was taken. One line became two: a field that the back end did not send. A NUL, another control byte or a carriage return in a value, also in an interim answer, already counted as lost: those cases are kept.

Cause: net/http's reader ends a line at each line feed and does not look at the reason.

Change: the reader of heads takes a line only with its CRLF, and checks reasons and values with httpguts.ValidHeaderFieldValue. An answer without a reason, and one with bytes above ASCII and tabs in a value, are still served (two cases).

Why it works: no other line end is left to be understood in two ways (RFC 9112, section 2.2).

--- a/wire/httpresponse/head.go
+++ b/wire/httpresponse/head.go
@@ -60,7 +60,7 @@
 const lineEnd = "\r\n"
 
 // lineFrom returns the last line, which begins at start, without its end.
-func (h *head) lineFrom(start int) []byte { return bytes.TrimRight(h.bytes[start:], lineEnd) }
+func (h *head) lineFrom(start int) []byte { return h.bytes[start : len(h.bytes)-len(lineEnd)] }
 
 // appendLine appends the next line with its end.
 func (h *head) appendLine(r *bufio.Reader) error {
@@ -72,6 +72,8 @@
 			continue
 		case err != nil:
 			return err
+		case !bytes.HasSuffix(h.bytes, []byte(lineEnd)):
+			return fmt.Errorf("%w: a line ends without a carriage return", ErrMalformed)
 		}
 		return nil
 	}
@@ -91,12 +93,14 @@
 // checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason may be missing.
 func checkStatusLine(line []byte) error {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
-	status, _, _ := bytes.Cut(rest, []byte(" "))
+	status, reason, _ := bytes.Cut(rest, []byte(" "))
 	switch {
 	case string(version) != version10 && string(version) != version11:
 		return fmt.Errorf("%w: version %q", ErrMalformed, version)
 	case !isStatus(status):
 		return fmt.Errorf("%w: status %q", ErrMalformed, status)
+	case !httpguts.ValidHeaderFieldValue(string(reason)):
+		return fmt.Errorf("%w: reason %q", ErrMalformed, reason)
 	}
 	return nil
 }
@@ -109,12 +113,16 @@
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 // checkField checks a field line. net/http also accepts a blank in or after the name, and a line that
-// continues the one before it. Readers of a response would differ on what it says (RFC 9112, sections
-// 5.1 and 5.2).
+// continues the one before it, which two programs may understand differently (RFC 9112, sections 5.1
+// and 5.2).
 func checkField(line []byte) error {
-	prefix, _, ok := bytes.Cut(line, []byte(":"))
-	if name := string(prefix); !ok || !httpguts.ValidHeaderFieldName(name) {
+	prefix, value, ok := bytes.Cut(line, []byte(":"))
+	name := string(prefix)
+	switch {
+	case !ok || !httpguts.ValidHeaderFieldName(name):
 		return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+	case !httpguts.ValidHeaderFieldValue(string(value)):
+		return fmt.Errorf("%w: value of field %s", ErrMalformed, name)
 	}
 	return nil
 }
