Answers: a body whose framing says two things is no answer

Callers saw: a back end sent its answer as HTTP/1.0 with chunks; the client got the sizes of the chunks as its body. An answer with both a length and chunks was taken by its chunks. An unknown encoding and HTTP/2.0 or 1.2 already counted as lost: those cases are kept.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and Content-Length beside it.

Change: the reader of heads refuses both, as RFC 9112 (6.1, 6.3) has it. Answers in chunks, with and without a trailer, are still served and their connection reused (two cases); a broken trailer makes the body a broken one.

Why it works: a body is read only where its end is said once.

--- a/wire/httpresponse/head.go
+++ b/wire/httpresponse/head.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -15,7 +16,9 @@
 
 // head is the head of a response, or a trailer.
 type head struct {
-	bytes []byte // as received, with the empty line
+	bytes       []byte // as received, with the empty line
+	hasLength   bool   // it has a field Content-Length
+	hasEncoding bool   // it has a field Transfer-Encoding
 }
 
 // readHead reads a status line and header fields up to the empty line, and checks them. It
@@ -26,10 +29,21 @@
 	} else if err != nil {
 		return h, err
 	}
-	if err := checkStatusLine(h.lineFrom(0)); err != nil {
+	statusLine := h.lineFrom(0)
+	if err := checkStatusLine(statusLine); err != nil {
 		return h, err
 	}
-	return h, h.appendFields(r)
+	isVersion10 := bytes.HasPrefix(statusLine, []byte(version10))
+	if err := h.appendFields(r); err != nil {
+		return h, err
+	}
+	switch { // where such a body ends can't be known (RFC 9112, sections 6.1 and 6.3)
+	case h.hasEncoding && h.hasLength:
+		return h, fmt.Errorf("%w: a length and a transfer encoding", ErrMalformed)
+	case h.hasEncoding && isVersion10:
+		return h, fmt.Errorf("%w: a transfer encoding in %s", ErrMalformed, version10)
+	}
+	return h, nil
 }
 
 // readTrailer reads the fields after the last chunk up to the empty line.
@@ -51,9 +65,12 @@
 		if len(line) == 0 {
 			return nil
 		}
-		if err := checkField(line); err != nil {
+		name, err := checkField(line)
+		if err != nil {
 			return err
 		}
+		h.hasLength = h.hasLength || strings.EqualFold(name, "Content-Length")
+		h.hasEncoding = h.hasEncoding || strings.EqualFold(name, "Transfer-Encoding")
 	}
 }
 
@@ -112,17 +129,17 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// checkField checks a field line. net/http also accepts a blank in or after the name, and a line that
+// checkField checks a field line and returns the field's name. net/http also accepts a blank in or after the name, and a line that
 // continues the one before it, which two programs may understand differently (RFC 9112, sections 5.1
 // and 5.2).
-func checkField(line []byte) error {
+func checkField(line []byte) (string, error) {
 	prefix, value, ok := bytes.Cut(line, []byte(":"))
 	name := string(prefix)
 	switch {
 	case !ok || !httpguts.ValidHeaderFieldName(name):
-		return fmt.Errorf("%w: field name %q", ErrMalformed, name)
+		return name, fmt.Errorf("%w: field name %q", ErrMalformed, name)
 	case !httpguts.ValidHeaderFieldValue(string(value)):
-		return fmt.Errorf("%w: value of field %s", ErrMalformed, name)
+		return name, fmt.Errorf("%w: value of field %s", ErrMalformed, name)
 	}
-	return nil
+	return name, nil
 }
