Answers: a head without an end is refused after 64 KB

What was seen: a server that goes on sending its head filled the daemon's memory as long as it sent and the request lasted; a head of 110 KB was taken.

Cause: neither net/http's reader of a response nor the new one had a bound.

Change: a head, and a trailer, has at most 64 KB, some 200 times those of the users' servers.

--- a/wire/httpresponse/head.go
+++ b/wire/httpresponse/head.go
@@ -11,6 +11,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// maxHead is the longest head of a response, and the longest trailer, in bytes.
+const maxHead = 64 << 10
+
 // ErrMalformed is the error for bytes that are no HTTP/1 response.
 var ErrMalformed = errors.New("malformed response")
 
@@ -85,6 +88,8 @@
 		fragment, err := r.ReadSlice('\n')
 		h.bytes = append(h.bytes, fragment...)
 		switch {
+		case len(h.bytes) > maxHead:
+			return fmt.Errorf("%w: a head of more than %d bytes", ErrMalformed, maxHead)
 		case err == bufio.ErrBufferFull:
 			continue
 		case err != nil:
--- a/wire/httpresponse/response_test.go
+++ b/wire/httpresponse/response_test.go
@@ -59,3 +59,37 @@
 		}
 	}
 }
+
+// endless repeats its text. It counts the bytes that were read.
+type endless struct {
+	text string
+	read int // bytes
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := copy(p, e.text)
+	e.read += n
+	return n, nil
+}
+
+// A head or trailer without an end is refused after a bounded number of bytes.
+func TestHeadsWithoutAnEndAreRefused(t *testing.T) {
+	for what, begin := range map[string]string{
+		"fields":        "HTTP/1.1 200 OK\r\n",
+		"a field":       "HTTP/1.1 200 OK\r\nX-Note: ",
+		"a status line": "HTTP/1.1 200 ",
+		"a trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	} {
+		more := &endless{text: "X"}
+		if what == "fields" || what == "a trailer" {
+			more.text = "X-Note: 1\r\n"
+		}
+		res, err := Read(bufio.NewReader(io.MultiReader(strings.NewReader(begin), more)), nil, sent)
+		if err == nil {
+			_, err = io.ReadAll(res.Body)
+		}
+		if !errors.Is(err, ErrMalformed) || more.read > 2*maxHead {
+			t.Errorf("%s: %v after %d bytes", what, err, more.read)
+		}
+	}
+}
