--- a/wire/httpresponse/body.go
+++ b/wire/httpresponse/body.go
@@ -2,12 +2,27 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httputil"
 )
 
+// ErrTooLong is the error for a body that is longer than its receiver allows.
+var ErrTooLong = errors.New("body is too long")
+
+// ReadBody reads a body to its end. A body that isn't whole, or longer than limit bytes, is an error.
+//
+// Example: b, err := httpresponse.ReadBody(res.Body, 64<<10)
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(b)) > limit {
+		err = ErrTooLong
+	}
+	return b, err
+}
+
 // newBody returns the reader of a response's body. It returns io.EOF only after the whole body.
 func newBody(r *bufio.Reader, res *http.Response, requestSent func() error) io.Reader {
 	switch {
