Native API: broken responses of model servers are lost calls

What was seen: behind the own interface, a model server's status of 000 or 600 with the body of a refusal counted as a refusal, so the call was sent again though it may have run; a head with a blank in a name counted; and a handle, a load or a refusal counted though its body was cut behind the JSON. A stream that is cut was always an error, as its last piece says that it is the last.

Cause: net/http's liberal reader of heads, a decoder that stops behind the first value, and an error of the refusal's body that nobody looked at.

Change: the client uses the transport whose connections return valid responses only, and reads handles, loads and refusals whole with ReadBody.

Why it works: the same reader of heads and the same rule for whole bodies as for the platform's model servers.

--- a/traffic/serverpool/client.go
+++ b/traffic/serverpool/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"mulleinmast/control/placement"
+	"mulleinmast/wire/httpresponse"
 )
 
 // Limits on how much of a server's response is read, and the stream's buffer, in bytes.
@@ -58,10 +59,10 @@
 //
 // Example: c := serverpool.NewClient(300 * time.Millisecond)
 func NewClient(dialTimeout time.Duration) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout, DisableCompression: true,
-	}}}
+	transport := httpresponse.NewTransport(&net.Dialer{Timeout: dialTimeout})
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdlePerServer, idleTimeout
+	transport.DisableCompression = true
+	return &Client{http: &http.Client{Transport: transport}}
 }
 
 // errBlocked aborts a call that is no longer allowed when its first byte is about to be sent.
@@ -126,10 +127,13 @@
 }
 
 // readRejection reads and closes a response with a status other than 200. The request counts
-// as not run only if the response says so.
+// as not run only if the whole response says so.
 func readRejection(res *http.Response) (Outcome, string) {
-	body, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
+	body, err := httpresponse.ReadBody(res.Body, maxErrorBytes)
 	_ = res.Body.Close()
+	if err != nil {
+		return Lost, fmt.Sprintf("status %d: %v", res.StatusCode, err)
+	}
 	var rejection struct {
 		Result string `json:"result"`
 		Why    string `json:"why"`
@@ -144,6 +148,15 @@
 	return Lost, fmt.Sprintf("status %d", res.StatusCode)
 }
 
+// readJSON decodes a whole body of at most limit bytes.
+func readJSON(body io.Reader, limit int64, to any) error {
+	b, err := httpresponse.ReadBody(body, limit)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, to)
+}
+
 // Prefill has a prefill server process the prompt and keep its KV cache.
 //
 // Example: handle, outcome, why := c.Prefill(ctx, "127.0.0.1:9000", call, maySend)
@@ -155,8 +168,8 @@
 		return handle, outcome, why
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxHandleBytes)).Decode(&handle); err != nil {
-		return handle, Lost, err.Error()
+	if err := readJSON(res.Body, maxHandleBytes, &handle); err != nil {
+		return Handle{}, Lost, err.Error()
 	}
 	return handle, OK, ""
 }
@@ -217,7 +230,7 @@
 	if res.StatusCode != http.StatusOK {
 		return usage, fmt.Errorf("status %d", res.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(res.Body, maxUsageBytes)).Decode(&usage)
+	err = readJSON(res.Body, maxUsageBytes, &usage)
 	return usage, err
 }
 
--- a/wire/httpresponse/transport.go
+++ b/wire/httpresponse/transport.go
@@ -18,8 +18,6 @@
 // Example: client := &http.Client{Transport: httpresponse.NewTransport(&net.Dialer{Timeout: time.Second})}
 func NewTransport(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
-		Proxy:           http.ProxyFromEnvironment,
-		MaxIdleConns:    maxIdleConns,
 		IdleConnTimeout: idleTimeout,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
@@ -31,13 +29,24 @@
 	}
 }
 
+// idleTimeout is how long an idle connection is kept.
+const idleTimeout = 90 * time.Second
+
+// Settings of the connections of NewClient's clients.
 const (
-	maxIdleConns = 100
-	idleTimeout  = 90 * time.Second
+	dialTimeout       = 30 * time.Second
+	keepAliveInterval = 30 * time.Second
+	maxIdleConns      = 100
 )
 
 // defaultTransport is the transport of all clients that NewClient returns.
-var defaultTransport = NewTransport(&net.Dialer{Timeout: 30 * time.Second, KeepAlive: 30 * time.Second})
+var defaultTransport = newDefaultTransport()
+
+func newDefaultTransport() *http.Transport {
+	transport := NewTransport(&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval})
+	transport.Proxy, transport.MaxIdleConns = http.ProxyFromEnvironment, maxIdleConns
+	return transport
+}
 
 // NewClient returns a client whose calls, with their bodies, end after the timeout. Its connections are shared
 // with the other clients that NewClient has returned.
