Stand-ins: clients take no broken answer for complete

What was seen: the stand-ins' clients took an answer with a status of 000, a blank in a name or a continued line for complete, so a daemon that passed one on would not have been found out by them. A body with a wrong end was an error already; the set-up's own calls (proof/track) ignored it.

Cause: net/http's liberal reader, as in the product.

Change: the clients of the stand-ins, the load generator, the fake servers and mulleinctl read through httpresponse, with whole bodies. Part of a head is a fault always, not only where it is cut before a colon. The stand-ins may import that package: how a response is read is a format, and knows nothing of the daemon (boundary_test.go lists it by name).

Why it works: what a client of ours counts as an answer is what the daemon itself would count as one.

--- a/boundary_test.go
+++ b/boundary_test.go
@@ -24,13 +24,14 @@
 	"cmd/mulleinctl":  {"traffic", "control", "wire"},
 
 	// Judges and stand-ins for the users' systems depend on the rules and formats, not
-	// on the code under test. Only packages that start daemons may import their setup.
+	// on the code under test. Only packages that start daemons may import their setup. How a
+	// response is read is a format, and a broken one must not go unseen.
 	"proof/judge":         {"proof/history"},
 	"proof/history":       {},
-	"proof/standin":       {"proof/standin", "proof/judge", "proof/history"},
-	"proof/standin/fleet": {"proof/standin", "proof/track", "control/daemon"},
-	"proof/standin/scene": {"proof/standin", "proof/track", "control/daemon", "control/fleetconfig"},
-	"proof/standin/soak":  {"proof/standin", "proof/track"},
+	"proof/standin":       {"proof/standin", "proof/judge", "proof/history", "wire/httpresponse"},
+	"proof/standin/fleet": {"proof/standin", "proof/track", "control/daemon", "wire/httpresponse"},
+	"proof/standin/scene": {"proof/standin", "proof/track", "control/daemon", "control/fleetconfig", "wire/httpresponse"},
+	"proof/standin/soak":  {"proof/standin", "proof/track", "wire/httpresponse"},
 	"proof/knownred":      {},
 }
 
--- a/cmd/mulleinctl/main.go
+++ b/cmd/mulleinctl/main.go
@@ -6,11 +6,12 @@
 	"bufio"
 	"flag"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"os"
 	"strings"
 	"time"
+
+	"mulleinmast/wire/httpresponse"
 )
 
 const usage = `members            who is in the fleet, where, and ready or not
@@ -41,7 +42,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	s := &shell{http: &http.Client{Timeout: requestTimeout}, out: os.Stdout}
+	s := &shell{http: httpresponse.NewClient(requestTimeout), out: os.Stdout}
 	to := flag.String("to", "127.0.0.1:8000", "HTTP `address` of a daemon, or a list such as a,b,c")
 	flag.BoolVar(&s.asJSON, "json", false, "print JSON instead of text")
 	flag.Usage = func() {
--- a/proof/fakeserver/fakeserver.go
+++ b/proof/fakeserver/fakeserver.go
@@ -16,6 +16,7 @@
 	"mulleinmast/proof/history"
 	"mulleinmast/proof/script"
 	"mulleinmast/traffic/serverpool"
+	"mulleinmast/wire/httpresponse"
 )
 
 // Config configures a fake server.
@@ -74,11 +75,14 @@
 	client          *http.Client
 }
 
+// maxCacheAnswer is the longest answer with a KV cache, in bytes.
+const maxCacheAnswer = 64 << 10
+
 // New returns the handler of a fake server. The server has no role until it is ordered one.
 //
 // Example: http.ListenAndServe(cfg.Addr, fakeserver.New(cfg, records))
 func New(cfg Config, recorder *history.Recorder) http.Handler {
-	d := &FakeServer{cfg: cfg, recorder: recorder, born: time.Now(), cachedPrefixes: map[uint64]bool{}, kvCaches: map[string]cache{}, linkTimes: map[string]int{}, client: &http.Client{Timeout: 10 * time.Second}}
+	d := &FakeServer{cfg: cfg, recorder: recorder, born: time.Now(), cachedPrefixes: map[uint64]bool{}, kvCaches: map[string]cache{}, linkTimes: map[string]int{}, client: httpresponse.NewClient(10 * time.Second)}
 	recorder.Put(history.Event{Who: cfg.Addr, Ev: "boot", N: cfg.Capacity, Zone: cfg.Zone, Warm: cfg.Warm.Nanoseconds()})
 	m := http.NewServeMux()
 	m.HandleFunc("GET /usage", d.usage)
@@ -303,7 +307,7 @@
 	}
 	if err == nil {
 		if res.StatusCode == 200 {
-			err = json.NewDecoder(res.Body).Decode(&kv)
+			err = httpresponse.ReadJSON(res.Body, maxCacheAnswer, &kv)
 		} else {
 			err = fmt.Errorf("status %d", res.StatusCode)
 		}
--- a/proof/load/load.go
+++ b/proof/load/load.go
@@ -19,6 +19,7 @@
 	"mulleinmast/proof/history"
 	"mulleinmast/proof/script"
 	"mulleinmast/traffic/serverpool"
+	"mulleinmast/wire/httpresponse"
 )
 
 // Config configures a load run.
@@ -77,7 +78,9 @@
 // Example: load.Run(ctx, cfg, records)
 func Run(ctx context.Context, c Config, recorder *history.Recorder) {
 	rng := rand.New(rand.NewSource(c.Seed))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	transport := httpresponse.NewTransport(&net.Dialer{})
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout, transport.DisableCompression = 256, 0, true
+	client := &http.Client{Transport: transport}
 	kinds := Mixes[c.Mix]
 	var wg sync.WaitGroup
 	from := time.Now()
@@ -139,6 +142,9 @@
 	wg.Wait()
 }
 
+// maxRefusal is the longest body of a refusal, in bytes.
+const maxRefusal = 64 << 10
+
 // sendRequest sends a request and checks its answer.
 func sendRequest(ctx context.Context, client *http.Client, to string, raw []byte, prompt uint64, timeout time.Duration) (e history.Event) {
 	ctx, done := context.WithTimeout(ctx, timeout+5*time.Second)
@@ -168,7 +174,7 @@
 			Why    string `json:"why"`
 			After  int64  `json:"retry_after_ms"`
 		}
-		if err := json.NewDecoder(res.Body).Decode(&answer); err != nil {
+		if err := httpresponse.ReadJSON(res.Body, maxRefusal, &answer); err != nil {
 			e.Result, e.Why = "error", err.Error()
 			return e
 		}
--- a/proof/platform/platform.go
+++ b/proof/platform/platform.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"mulleinmast/wire/httpresponse"
 )
 
 // Daemon is a daemon as the platform lists it.
@@ -25,7 +27,7 @@
 //
 // Example: p := platform.New(func() []platform.Daemon { return daemons })
 func New(daemons func() []Daemon) *Platform {
-	return &Platform{daemons: daemons, client: &http.Client{Timeout: 800 * time.Millisecond}}
+	return &Platform{daemons: daemons, client: httpresponse.NewClient(800 * time.Millisecond)}
 }
 
 // Serve checks readiness every second until the context ends.
--- a/proof/standin/client/try.go
+++ b/proof/standin/client/try.go
@@ -18,6 +18,7 @@
 	"mulleinmast/proof/standin/record"
 	"mulleinmast/proof/standin/server"
 	"mulleinmast/proof/standin/wire"
+	"mulleinmast/wire/httpresponse"
 )
 
 const (
@@ -133,9 +134,9 @@
 		c.closeWrite()
 	}
 	extendReadDeadline()
-	res, err := http.ReadResponse(c.r, &http.Request{Method: m.method})
+	res, err := httpresponse.Read(c.r, &http.Request{Method: m.method}, wasSent)
 	if err != nil {
-		if b, _ := c.r.Peek(c.r.Buffered()); len(b) > 0 || strings.Contains(err.Error(), "malformed") {
+		if c.r.Buffered() > 0 || errors.Is(err, httpresponse.ErrMalformed) || errors.Is(err, io.ErrUnexpectedEOF) {
 			log.Do(func(*record.All) { t.Fault = "no answer in the protocol: " + err.Error() })
 		}
 		log.Do(func(*record.All) { t.GaveUp = isTimeout(err) })
@@ -157,6 +158,9 @@
 	return err == nil && !res.Close
 }
 
+// wasSent is the result of sending a request that was sent before its answer is read.
+func wasSent() error { return nil }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/proof/standin/entry/entry.go
+++ b/proof/standin/entry/entry.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"hash/fnv"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"mulleinmast/proof/standin/wire"
+	"mulleinmast/wire/httpresponse"
 )
 
 // Daemon describes a daemon to the load balancer and the operator.
@@ -37,9 +39,11 @@
 //
 // Example: e := entry.New(fleet.Daemons)
 func New(daemons func() []Daemon) *Balancer {
+	transport := httpresponse.NewTransport(&net.Dialer{})
+	transport.DisableKeepAlives = true
 	return &Balancer{
 		daemons: daemons, failedChecks: map[string]int{}, inRotation: map[string]bool{},
-		client: &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: 900 * time.Millisecond, Transport: transport},
 	}
 }
 
--- a/proof/standin/fleet/fleet.go
+++ b/proof/standin/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"mulleinmast/proof/standin/record"
 	"mulleinmast/proof/standin/rules"
 	"mulleinmast/proof/track"
+	"mulleinmast/wire/httpresponse"
 )
 
 // Error is the class of errors in running a fleet.
@@ -99,7 +100,7 @@
 //
 // Example: f := fleet.New(cfg, log); err := f.Start()
 func New(c Config, log *record.Log) *Fleet {
-	f := &Fleet{Config: c, log: log, web: &http.Client{Timeout: 2 * time.Second}}
+	f := &Fleet{Config: c, log: log, web: httpresponse.NewClient(2 * time.Second)}
 	for range c.PerZone {
 		for _, z := range c.Zones {
 			f.addMachine(z, len(f.list) < len(c.Zones))
--- a/proof/standin/operator/operator.go
+++ b/proof/standin/operator/operator.go
@@ -20,8 +20,12 @@
 	"mulleinmast/proof/standin/entry"
 	"mulleinmast/proof/standin/record"
 	"mulleinmast/proof/standin/wire"
+	"mulleinmast/wire/httpresponse"
 )
 
+// callTimeout limits the time that one daemon has to answer a call.
+const callTimeout = time.Second
+
 // Operator sends administrative calls to the daemons.
 type Operator struct {
 	log      *record.Log
@@ -43,10 +47,9 @@
 //
 // Example: o := operator.New(log, fleet.Daemons, 8*time.Second)
 func New(log *record.Log, daemons func() []entry.Daemon, retryFor time.Duration) *Operator {
-	return &Operator{log: log, daemons: daemons, retryFor: retryFor, client: &http.Client{
-		Timeout:       time.Second,
-		CheckRedirect: func(_ *http.Request, via []*http.Request) error { return limitRedirects(len(via)) },
-	}}
+	client := httpresponse.NewClient(callTimeout)
+	client.CheckRedirect = func(_ *http.Request, via []*http.Request) error { return limitRedirects(len(via)) }
+	return &Operator{log: log, daemons: daemons, retryFor: retryFor, client: client}
 }
 
 func limitRedirects(n int) error {
--- a/proof/standin/scene/cutoff.go
+++ b/proof/standin/scene/cutoff.go
@@ -12,11 +12,13 @@
 
 	"mulleinmast/proof/standin/fleet"
 	"mulleinmast/proof/standin/wire"
+	"mulleinmast/wire/httpresponse"
 )
 
 // callDaemon calls a daemon without following redirects. Status 0 means no answer.
 func callDaemon(ctx context.Context, m *fleet.Machine, method, path, match string, body []byte) (status int, to string, took time.Duration, got []byte) {
-	web := &http.Client{Timeout: 2 * time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	web := httpresponse.NewClient(2 * time.Second)
+	web.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+m.ControlAddr()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", 0, nil
--- a/proof/standin/soak/watch.go
+++ b/proof/standin/soak/watch.go
@@ -13,6 +13,7 @@
 	"mulleinmast/proof/standin/fleet"
 	"mulleinmast/proof/standin/record"
 	"mulleinmast/proof/standin/wire"
+	"mulleinmast/wire/httpresponse"
 )
 
 // Limits of a process, as in its settings, and intervals of the checks.
@@ -63,7 +64,7 @@
 
 // checkMetrics reads a daemon's metrics, if it answers, and checks them against the limits.
 func (r *run) checkMetrics(m *fleet.Machine) {
-	web := &http.Client{Timeout: watchInterval}
+	web := httpresponse.NewClient(watchInterval)
 	res, err := web.Get(m.URL("/metrics"))
 	if err != nil {
 		return
@@ -99,7 +100,8 @@
 func (r *run) readConfigs(ctx context.Context) {
 	beat := time.NewTicker(readInterval)
 	defer beat.Stop()
-	web := &http.Client{Timeout: time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	web := httpresponse.NewClient(time.Second)
+	web.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
--- a/proof/track/track.go
+++ b/proof/track/track.go
@@ -21,6 +21,7 @@
 	"mulleinmast/control/fleetconfig"
 	"mulleinmast/proof/history"
 	"mulleinmast/proof/platform"
+	"mulleinmast/wire/httpresponse"
 )
 
 // Layout describes a deployment.
@@ -65,7 +66,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
-	f := &Fleet{Dir: dir, Layout: l, ServersOf: map[string][]fleetconfig.Server{}, basePort: basePort, bin: bin, client: &http.Client{Timeout: 10 * time.Second}}
+	f := &Fleet{Dir: dir, Layout: l, ServersOf: map[string][]fleetconfig.Server{}, basePort: basePort, bin: bin, client: httpresponse.NewClient(10 * time.Second)}
 	f.Platform = platform.New(f.platformDaemons)
 	recorder, err := history.Open(filepath.Join(dir, "track.jsonl"))
 	if err != nil {
@@ -181,7 +182,10 @@
 		return 0, []byte(err.Error())
 	}
 	defer func() { _ = res.Body.Close() }()
-	b, _ := io.ReadAll(res.Body)
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, []byte(err.Error())
+	}
 	return res.StatusCode, b
 }
 
--- a/traffic/serverpool/client.go
+++ b/traffic/serverpool/client.go
@@ -148,15 +148,6 @@
 	return Lost, fmt.Sprintf("status %d", res.StatusCode)
 }
 
-// readJSON decodes a whole body of at most limit bytes.
-func readJSON(body io.Reader, limit int64, to any) error {
-	b, err := httpresponse.ReadBody(body, limit)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(b, to)
-}
-
 // Prefill has a prefill server process the prompt and keep its KV cache.
 //
 // Example: handle, outcome, why := c.Prefill(ctx, "127.0.0.1:9000", call, maySend)
@@ -168,7 +159,7 @@
 		return handle, outcome, why
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := readJSON(res.Body, maxHandleBytes, &handle); err != nil {
+	if err := httpresponse.ReadJSON(res.Body, maxHandleBytes, &handle); err != nil {
 		return Handle{}, Lost, err.Error()
 	}
 	return handle, OK, ""
@@ -230,7 +221,7 @@
 	if res.StatusCode != http.StatusOK {
 		return usage, fmt.Errorf("status %d", res.StatusCode)
 	}
-	err = readJSON(res.Body, maxUsageBytes, &usage)
+	err = httpresponse.ReadJSON(res.Body, maxUsageBytes, &usage)
 	return usage, err
 }
 
--- a/wire/httpresponse/body.go
+++ b/wire/httpresponse/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -23,6 +24,17 @@
 	return b, err
 }
 
+// ReadJSON decodes a whole body of at most limit bytes, which is one JSON value.
+//
+// Example: err := httpresponse.ReadJSON(res.Body, 64<<10, &handle)
+func ReadJSON(body io.Reader, limit int64, to any) error {
+	b, err := ReadBody(body, limit)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, to)
+}
+
 // newBody returns the reader of a response's body. It returns io.EOF only after the whole body.
 func newBody(r *bufio.Reader, res *http.Response, requestSent func() error) io.Reader {
 	switch {
