Answers: an end before the request has arrived is no end of a body

Callers saw: a back end sent part of a 200 without a length, ended its side of the connection while most of the upload was still on its way, and reset the connection 30 ms later. The client got the part as a complete answer. A process that ends with all it has received read does the same over a longer link: its end reads as a proper one, and the reset comes when more of the upload arrives.

Cause: a write is done once the request is in the socket's buffer, so its result says nothing of what the server has got.

Change: at the end of a body without a length, the wait for the request also waits until the server's machine has acknowledged all of it (SIOCOUTQ), or the socket fails, or the call's deadline.

Why it works: an end carries the acknowledgment of all that was received before it, so a server that read its request before it ended is served without a wait; one that ends its side first and reads on is waited for; one that is gone resets what is still sent.

--- a/wire/httpresponse/transport.go
+++ b/wire/httpresponse/transport.go
@@ -83,11 +83,16 @@
 	return n, err
 }
 
-// requestSent waits for the write under way and returns the error of the first that failed.
+// requestSent waits for the write under way and until the server's machine has what was written. It returns
+// the error of the first write that failed.
 func (c *conn) requestSent() error {
 	c.writing.Lock()
-	defer c.writing.Unlock()
-	return c.writeErr
+	err := c.writeErr
+	c.writing.Unlock()
+	if err != nil {
+		return err
+	}
+	return AwaitAcknowledged(c.Conn)
 }
 
 // Read implements net.Conn.
