--- a/wire/httpresponse/head.go
+++ b/wire/httpresponse/head.go
@@ -11,8 +11,11 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// maxHead is the longest head of a response, and the longest trailer, in bytes.
-const maxHead = 64 << 10
+// Sizes of the head of a response, and of a trailer, in bytes.
+const (
+	maxHead   = 64 << 10
+	usualHead = 512 // longer ones are read with more than one allocation
+)
 
 // ErrMalformed is the error for bytes that are no HTTP/1 response.
 var ErrMalformed = errors.New("malformed response")
@@ -27,6 +30,7 @@
 // readHead reads a status line and header fields up to the empty line, and checks them. It
 // returns io.EOF if the connection ends before the first byte.
 func readHead(r *bufio.Reader) (h head, err error) {
+	h.bytes = make([]byte, 0, usualHead)
 	if err := h.appendLine(r); err == io.EOF && len(h.bytes) > 0 {
 		return h, io.ErrUnexpectedEOF
 	} else if err != nil {
