--- a/wire/httpresponse/head.go
+++ b/wire/httpresponse/head.go
@@ -138,9 +138,9 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// checkField checks a field line and returns the field's name. net/http also accepts a blank in or after the name, and a line that
-// continues the one before it, which two programs may understand differently (RFC 9112, sections 5.1
-// and 5.2).
+// checkField checks a field line and returns the field's name. net/http also accepts a blank in or after
+// the name, and a line that continues the one before it, which two programs may understand differently
+// (RFC 9112, sections 5.1 and 5.2).
 func checkField(line []byte) (string, error) {
 	prefix, value, ok := bytes.Cut(line, []byte(":"))
 	name := string(prefix)
