Answers: the reader of heads allocates less

The text of a field is no longer kept for its name, and the buffer through which net/http reads a head is reused.

--- a/proof/standin/mutants/answers.sh
+++ b/proof/standin/mutants/answers.sh
@@ -19,7 +19,7 @@
 	return nil, "", io.EOF'
 mutant end-in-upload platform $spoilt wire/httpresponse/body.go 'if err := b.requestSent(); err != nil {' 'if err := b.requestSent(); err != nil && b.reader == nil {'
 mutant any-status platform $spoilt $head 'code[0] >= firstStatusClass && code[0] <= lastStatusClass' 'code[0] <= firstStatusClass+8'
-mutant any-field-name platform $spoilt $head '!ok || !httpguts.ValidHeaderFieldName(name)' '!ok && !httpguts.ValidHeaderFieldName(name)'
+mutant any-field-name platform $spoilt $head 'case !httpguts.ValidHeaderFieldName(string(name)):' 'case len(name) == 0 && !httpguts.ValidHeaderFieldName(string(name)):'
 mutant id-twice platform TestDuplicateAnswerToAnEarlierCallIsNotUsed platform/conn.go ' && !c.hasCarried(n.notCarried)' ''
 mutant shared-order platform TestOrderUsesADedicatedConnection platform/order.go 'connRequirements{dedicated: true}' 'connRequirements{}'
 mutant forgets-again platform TestConnectionsToEarlyClosersAreReusedOnlyBriefly $exchange 'if c.used && ctx.Err() == nil' 'if c.used && ctx.Err() != nil'
--- a/wire/httpresponse/head.go
+++ b/wire/httpresponse/head.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -72,12 +71,15 @@
 		if len(line) == 0 {
 			return nil
 		}
-		name, err := checkField(line)
-		if err != nil {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok {
+			return fmt.Errorf("%w: no colon in %q", ErrMalformed, line)
+		}
+		if err := checkField(name, value); err != nil {
 			return err
 		}
-		h.hasLength = h.hasLength || strings.EqualFold(name, "Content-Length")
-		h.hasEncoding = h.hasEncoding || strings.EqualFold(name, "Transfer-Encoding")
+		h.hasLength = h.hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+		h.hasEncoding = h.hasEncoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	}
 }
 
@@ -138,17 +140,14 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// checkField checks a field line and returns the field's name. net/http also accepts a blank in or after
-// the name, and a line that continues the one before it, which two programs may understand differently
-// (RFC 9112, sections 5.1 and 5.2).
-func checkField(line []byte) (string, error) {
-	prefix, value, ok := bytes.Cut(line, []byte(":"))
-	name := string(prefix)
+// checkField checks a field. net/http also accepts a blank in or after the name, and a line that continues
+// the one before it, which two programs may understand differently (RFC 9112, sections 5.1 and 5.2).
+func checkField(name, value []byte) error {
 	switch {
-	case !ok || !httpguts.ValidHeaderFieldName(name):
-		return name, fmt.Errorf("%w: field name %q", ErrMalformed, name)
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return fmt.Errorf("%w: field name %q", ErrMalformed, name)
 	case !httpguts.ValidHeaderFieldValue(string(value)):
-		return name, fmt.Errorf("%w: value of field %s", ErrMalformed, name)
+		return fmt.Errorf("%w: value of field %s", ErrMalformed, name)
 	}
-	return name, nil
+	return nil
 }
--- a/wire/httpresponse/response.go
+++ b/wire/httpresponse/response.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 )
 
 // Read reads the head of the response to a request; if the request is nil, to a GET. The response's
@@ -21,15 +22,30 @@
 	return res, err
 }
 
+// headBuffers holds the buffers, of type *bufio.Reader, through which net/http reads heads.
+var headBuffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, usualHead) }}
+
+// interpret returns the response that a head begins, without its body.
+func interpret(h head, req *http.Request) (*http.Response, error) {
+	buffer := headBuffers.Get().(*bufio.Reader)
+	defer headBuffers.Put(buffer)
+	buffer.Reset(bytes.NewReader(h.bytes))
+	res, err := http.ReadResponse(buffer, req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return res, nil
+}
+
 // read also returns the bytes of the head.
 func read(r *bufio.Reader, req *http.Request, requestSent func() error) (*http.Response, []byte, error) {
 	h, err := readHead(r)
 	if err != nil {
 		return nil, nil, err
 	}
-	res, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(h.bytes), len(h.bytes)), req)
+	res, err := interpret(h, req)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		return nil, nil, err
 	}
 	if res.Body != http.NoBody {
 		res.Body = io.NopCloser(newBody(r, res, requestSent))
