--- a/wire/httpresponse/transport_test.go
+++ b/wire/httpresponse/transport_test.go
@@ -90,7 +90,9 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.WriteString(c, begun)
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, begun)
+			}
 			<-done
 			_ = c.Close()
 		}()
